--- /dev/null
+++ b/Makefile
@@ -0,0 +1,138 @@
+# lavenderdrift: `make` or `make help` shows the targets.
+#
+# LIBS is in dependency order: a library may include only the headers of
+# libraries to its left, and only those that its README.md lists.
+
+LIBS := common loop http wire catalogue peers admit route booking replica \
+	platform metrics settings backend entry
+# Folders that exist so far, in the order above.
+HAVE := $(foreach l,$(LIBS),$(if $(wildcard lib/$(l)/*.c),$(l)))
+
+CC := gcc
+PKGS := libmicrohttpd libcurl jansson libxxhash libsodium
+WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wpointer-arith -Wno-unused-parameter -Werror
+# -Wno-sign-compare is not set: signedness mistakes are errors.
+INCS := $(addprefix -Ilib/,$(LIBS)) -Itests -Itests/standin -Ibench
+CPPFLAGS := -D_GNU_SOURCE $(INCS) $(shell pkg-config --cflags $(PKGS))
+BASEFLAGS := -std=gnu11 -g $(WARN) -fno-strict-aliasing
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lev -lm -lpthread
+
+# Two variants: the released binary, and one with sanitizers for the tests.
+ifeq ($(SAN),1)
+B := build/san
+CFLAGS := $(BASEFLAGS) -O1 -fno-omit-frame-pointer \
+	-fsanitize=address,undefined -fno-sanitize-recover=undefined
+LDFLAGS := -fsanitize=address,undefined
+else
+B := build
+CFLAGS := $(BASEFLAGS) -O2
+LDFLAGS :=
+endif
+
+src = $(wildcard lib/$(1)/*.c)
+obj = $(patsubst %.c,$(B)/obj/%.o,$(1))
+ARCHIVES := $(foreach l,$(HAVE),$(B)/lib$(l).a)
+PROGRAM := $(if $(wildcard programs/*.c),$(B)/lavenderdrift)
+STANDIN := $(if $(wildcard tests/standin/*.c),$(B)/ld_standin)
+UNIT := $(patsubst tests/unit/%.c,$(B)/unit/%,$(wildcard tests/unit/*.c))
+FAULTS := $(patsubst tests/faults/%.c,$(B)/faults/%,$(wildcard tests/faults/*.c))
+BENCH := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
+SOURCES := $(wildcard lib/*/*.[ch] programs/*.[ch] tests/*.[ch] \
+	tests/*/*.[ch] bench/*.[ch])
+# Archives are searched right to left: dependents first.
+REVERSED := $(foreach l,entry backend settings metrics platform replica \
+	booking route admit peers catalogue wire http loop common,\
+	$(if $(filter $(l),$(HAVE)),$(B)/lib$(l).a))
+
+.PHONY: help all check check-unit check-faults demo bench-path bench-policy \
+	bench-slopes format check-format lint check-deps clean programs-all
+.SECONDARY:
+
+help: ## show this list
+	@grep -hE '^[a-z-]+:.*##' Makefile | sed 's/:.*##/\t/' | expand -t 20
+
+all: $(PROGRAM) $(STANDIN) $(BENCH) ## build the binary, stand-ins and benches
+
+build-tests: $(PROGRAM) $(STANDIN) $(UNIT) $(FAULTS)
+
+check: ## build with sanitizers and run every test
+	@$(MAKE) --no-print-directory SAN=1 build-tests
+	@sh tests/run.sh build/san unit faults
+
+check-unit: ## run the unit and golden tests alone
+	@$(MAKE) --no-print-directory SAN=1 build-tests
+	@sh tests/run.sh build/san unit
+
+check-faults: ## run the failure sessions alone
+	@$(MAKE) --no-print-directory SAN=1 build-tests
+	@sh tests/run.sh build/san faults
+
+demo: ## install packages, build, and show one whole session
+	@scripts/install-deps.sh
+	@$(MAKE) --no-print-directory -j all
+	@bash scripts/demo.sh
+
+bench-path: all ## added latency and throughput of one instance
+	@bash bench/path.sh
+
+bench-policy: all ## limits, promises, routing, retries, placement
+	@sh bench/policy.sh
+
+bench-slopes: all ## control cost of a node by fleet size
+	@bash bench/slopes.sh
+
+format: ## rewrite the sources with clang-format
+	clang-format -i $(SOURCES)
+
+check-format: ## fail on sources that clang-format would change
+	clang-format --dry-run -Werror $(SOURCES)
+
+lint: ## clang-tidy and cppcheck, warnings as errors
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 8 -n 1 sh -c \
+	    'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null || \
+	    { echo "clang-tidy failed: $$*"; exit 255; }' sh
+	cppcheck --quiet --error-exitcode=1 --inline-suppr -j 8 \
+	    --enable=warning,performance,portability \
+	    --suppress=missingIncludeSystem --suppress=nullPointerOutOfMemory \
+	    --std=c11 $(INCS) $(filter %.c,$(SOURCES))
+
+check-deps: ## fail when a library includes what its README does not allow
+	@sh tests/check_deps.sh "$(LIBS)"
+
+clean: ## remove everything built
+	rm -rf build
+
+$(B)/obj/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "CC $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+define archive_rule
+$(B)/lib$(1).a: $(call obj,$(call src,$(1)))
+	@rm -f $$@
+	@ar rcs $$@ $$^
+endef
+$(foreach l,$(HAVE),$(eval $(call archive_rule,$(l))))
+
+$(B)/lavenderdrift: $(call obj,$(wildcard programs/*.c)) $(REVERSED)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
+$(B)/ld_standin: $(call obj,$(wildcard tests/standin/*.c)) $(REVERSED)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
+$(B)/unit/%: $(B)/obj/tests/unit/%.o $(REVERSED)
+	@mkdir -p $(@D)
+	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
+
+$(B)/faults/%: $(B)/obj/tests/faults/%.o $(REVERSED)
+	@mkdir -p $(@D)
+	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
+
+$(B)/bench/%: $(B)/obj/bench/%.o $(REVERSED)
+	@mkdir -p $(@D)
+	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -lgsl -lgslcblas -o $@
+
+-include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/lib/common/ld_common.h
@@ -0,0 +1,165 @@
+/*
+ * Shared ground of all libraries: status, strings, buffers, log, random
+ * numbers and hashing. Source: lib/common.
+ */
+#ifndef LD_COMMON_H
+#define LD_COMMON_H
+
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* ---- Status ---- */
+
+/** enum ld_status - outcome of a call; every failure has a type */
+enum ld_status {
+	LD_OK = 0,
+	LD_E_INVALID, /* malformed or out-of-range input */
+	LD_E_TOO_LARGE, /* input beyond a stated bound */
+	LD_E_NOT_FOUND, /* no such item */
+	LD_E_CONFLICT, /* a compare-and-swap lost, or a duplicate */
+	LD_E_TIMEOUT, /* no answer before the deadline */
+	LD_E_UNAVAILABLE, /* the other side can't serve now */
+	LD_E_STALE, /* older than something already seen */
+	LD_E_AUTH, /* wrong or missing key */
+	LD_E_REPLAY, /* a frame that was seen before */
+	LD_E_IO, /* system call failed */
+	LD_E_CLOSED, /* the other side closed */
+	LD_E_LIMIT, /* a limit or budget is used up */
+	LD_E_AGAIN, /* not enough input yet */
+	LD_E_PROTOCOL, /* the other side broke the protocol */
+	LD_E_UNKNOWN, /* the outcome can't be known */
+	LD_STATUS_COUNT
+};
+
+/**
+ * ld_fail() - record a message for a failure and return its status
+ * @st: a failure, not LD_OK
+ * @fmt: printf format of a short sentence without a newline
+ *
+ * Return: @st.
+ */
+enum ld_status ld_fail(enum ld_status st, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/** ld_last_message() - message of the last ld_fail() in this process */
+const char *ld_last_message(void);
+
+/** ld_status_name() - stable lower-case name of a status, never NULL */
+const char *ld_status_name(enum ld_status st);
+
+/* ---- Length-counted strings ---- */
+
+/** struct ld_str - view of bytes owned elsewhere; not NUL-terminated */
+struct ld_str {
+	const char *p;
+	size_t len;
+};
+
+#define LD_STR(lit) ((struct ld_str){(lit), sizeof(lit) - 1})
+/* For printf("%.*s", LD_FMT(s)). */
+#define LD_FMT(s) (int)(s).len, (s).p
+
+/** ld_str_c() - view of a C string; NULL gives the empty view */
+struct ld_str ld_str_c(const char *s);
+bool ld_str_eq(struct ld_str a, struct ld_str b);
+bool ld_str_starts(struct ld_str s, struct ld_str prefix);
+
+/* ---- Buffers ---- */
+
+/** struct ld_buf - growable bytes; zero-initialise before use */
+struct ld_buf {
+	char *p;
+	size_t len;
+	size_t cap;
+};
+
+/** ld_buf_reserve() - make room for @n more bytes after len */
+void ld_buf_reserve(struct ld_buf *b, size_t n);
+void ld_buf_add(struct ld_buf *b, const void *p, size_t n);
+void ld_buf_adds(struct ld_buf *b, struct ld_str s);
+void ld_buf_printf(struct ld_buf *b, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+/** ld_buf_consume() - drop the first @n bytes; @n <= len */
+void ld_buf_consume(struct ld_buf *b, size_t n);
+/** ld_buf_cstr() - the content as a C string, valid until the next change */
+const char *ld_buf_cstr(struct ld_buf *b);
+struct ld_str ld_buf_str(const struct ld_buf *b);
+void ld_buf_free(struct ld_buf *b);
+
+/* ---- Memory: a failed allocation ends the process with a log line ---- */
+
+void *ld_alloc(size_t n); /* zeroed */
+void *ld_realloc(void *p, size_t n);
+char *ld_strdup(const char *s);
+char *ld_str_dup(struct ld_str s); /* NUL-terminated copy */
+
+/* ---- Log: syslog-style lines on standard error ---- */
+
+enum ld_log_level {
+	LD_LOG_ERR = 3,
+	LD_LOG_WARNING = 4,
+	LD_LOG_NOTICE = 5,
+	LD_LOG_INFO = 6,
+	LD_LOG_DEBUG = 7
+};
+
+/** ld_log_init() - set the program name shown and the highest level written */
+void ld_log_init(const char *ident, enum ld_log_level max);
+
+/**
+ * ld_log() - write one line "<level>ident[pid]: part: sentence"
+ * @part: fixed prefix of the part that speaks, a string literal
+ *
+ * The same part and format is written at most LD_LOG_BURST times in
+ * LD_LOG_WINDOW_MS; what was left out is counted in the next line.
+ */
+void ld_log(enum ld_log_level level, const char *part, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+#define LD_LOG_BURST 20
+#define LD_LOG_WINDOW_MS 1000
+
+/* ---- Random numbers: seeded and repeatable (libsodium stream) ---- */
+
+#define LD_RAND_SEED_BYTES 32
+#define LD_RAND_BLOCK_BYTES 512
+
+/** struct ld_rand - generator state; not for keys */
+struct ld_rand {
+	unsigned char seed[LD_RAND_SEED_BYTES];
+	unsigned char block[LD_RAND_BLOCK_BYTES];
+	uint64_t next_block;
+	size_t pos;
+};
+
+void ld_rand_seed(struct ld_rand *r, uint64_t seed);
+/** ld_rand_seed_os() - seed from the operating system */
+void ld_rand_seed_os(struct ld_rand *r);
+uint64_t ld_rand_u64(struct ld_rand *r);
+/** ld_rand_below() - uniform in [0, @n); @n > 0 */
+uint64_t ld_rand_below(struct ld_rand *r, uint64_t n);
+/** ld_rand_unit() - uniform in [0, 1) */
+double ld_rand_unit(struct ld_rand *r);
+
+/* ---- Hashing ---- */
+
+/** ld_hash64() - XXH3, for tables and rendezvous, not for secrets */
+uint64_t ld_hash64(struct ld_str s, uint64_t seed);
+
+#define LD_SHA256_HEX_LEN 64
+/** ld_sha256_hex() - lower-case hex of SHA-256, NUL-terminated */
+void ld_sha256_hex(struct ld_str s, char out[LD_SHA256_HEX_LEN + 1]);
+
+#define LD_MAC_BYTES 32
+/** ld_mac() - keyed BLAKE2b of @msg under @key (1..64 bytes) */
+void ld_mac(
+    struct ld_str key, struct ld_str msg, unsigned char out[LD_MAC_BYTES]);
+/** ld_equal_ct() - compare @n bytes in constant time */
+bool ld_equal_ct(const void *a, const void *b, size_t n);
+
+/** ld_common_init() - call once before anything that hashes */
+enum ld_status ld_common_init(void);
+
+#endif
