Decide about admission and routing

Callers' limits hold over all nodes: each node owns an equal share, lends it to the caller's home node for a bounded term and gets grants back by demand. Routing keeps the table of replicas, fit only while every member's own report is fresh and names replica and epoch. Both are pure decision modules.

--- /dev/null
+++ b/lib/admit/members.c
@@ -0,0 +1,151 @@
+/* The counted nodes, the terms that follow from their number, the homes. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "admit_internal.h"
+
+/* A home hears from every node once in this time for each node. */
+#define REPORT_MS_PER_NODE 30
+#define REPORT_MIN_MS 500
+#define GAP_MS_PER_NODE 5
+#define GAP_MIN_MS 100
+#define GRANT_SLACK_MS 2000
+#define LEND_SLACK_MS 500
+
+static void
+set_terms(struct ld_admit *a)
+{
+	uint64_t n = a->member_count;
+	struct terms *t = &a->terms;
+
+	t->report = n * REPORT_MS_PER_NODE;
+	if (t->report < REPORT_MIN_MS)
+		t->report = REPORT_MIN_MS;
+	t->gap = n * GAP_MS_PER_NODE;
+	if (t->gap < GAP_MIN_MS)
+		t->gap = GAP_MIN_MS;
+	/* One lost report must not let a grant lapse. */
+	t->grant = 2 * t->report + GRANT_SLACK_MS;
+	/* The echo in a report is up to two reports old when it is replaced. */
+	t->lend = t->grant + 2 * t->report + LEND_SLACK_MS;
+}
+
+void
+ld_admit_members(struct ld_admit *a, uint64_t now_ms,
+    const struct ld_admit_member *members, size_t n)
+{
+	a->members = ld_realloc(a->members, n * sizeof(*a->members));
+	for (size_t i = 0; i < n; i++) {
+		a->members[i].node = members[i].node;
+		a->members[i].domain = ld_hash64(members[i].domain, 0);
+		a->members[i].live = members[i].live;
+	}
+	a->member_count = n;
+	set_terms(a);
+	ld_admit_name_homes(a);
+	ld_admit_tick(a, now_ms);
+}
+
+bool
+ld_admit_is_member(const struct ld_admit *a, uint64_t node)
+{
+	for (size_t i = 0; i < a->member_count; i++) {
+		if (a->members[i].node == node)
+			return true;
+	}
+	return false;
+}
+
+static uint64_t
+weight(uint64_t pool, uint64_t node)
+{
+	uint64_t key[2] = {pool, node};
+	struct ld_str s = {(const char *)key, sizeof(key)};
+
+	return ld_hash64(s, 0);
+}
+
+/* Picks the live node of the highest weight that has a place left. */
+static size_t
+best_node(const struct ld_admit *a, uint64_t pool, const unsigned int *held,
+    unsigned int most)
+{
+	size_t best = SIZE_MAX;
+	uint64_t w, best_w = 0;
+
+	for (size_t i = 0; i < a->member_count; i++) {
+		if (!a->members[i].live || held[i] >= most)
+			continue;
+		w = weight(pool, a->members[i].node);
+		if (best == SIZE_MAX || w > best_w) {
+			best = i;
+			best_w = w;
+		}
+	}
+	return best;
+}
+
+static size_t
+live_count(const struct ld_admit *a)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < a->member_count; i++)
+		n += a->members[i].live;
+	return n;
+}
+
+static void
+set_home(struct account *c, uint64_t home)
+{
+	if (c->home == home)
+		return;
+	c->home = home;
+	c->home_heard = false;
+	c->home_ts = 0;
+	c->news = true;
+}
+
+static int
+by_pool(const void *x, const void *y)
+{
+	const struct account *const *a = x;
+	const struct account *const *b = y;
+
+	return (*a)->pool < (*b)->pool ? -1 : (*a)->pool > (*b)->pool;
+}
+
+/*
+ * Rendezvous hashing with bounded loads: in the order of their numbers pools
+ * take their best node that has a place left, so that no node carries the
+ * traffic of several homes while others carry none.
+ */
+void
+ld_admit_name_homes(struct ld_admit *a)
+{
+	size_t pools = 0, live = live_count(a);
+	struct account **list = NULL;
+	struct account *c;
+	unsigned int *held;
+	size_t i, best;
+
+	for (c = a->accounts; c != NULL; c = c->next)
+		pools++;
+	if (pools == 0)
+		return;
+	list = ld_alloc(pools * sizeof(struct account *));
+	held = ld_alloc(a->member_count * sizeof(*held));
+	for (c = a->accounts, i = 0; c != NULL; c = c->next)
+		list[i++] = c;
+	qsort(list, pools, sizeof(struct account *), by_pool);
+	for (i = 0; i < pools; i++) {
+		best = live > 0 ? best_node(a, list[i]->pool, held,
+				      (unsigned int)(1 + i / live))
+				: SIZE_MAX;
+		if (best != SIZE_MAX)
+			held[best]++;
+		set_home(list[i], best != SIZE_MAX ? a->members[best].node : 0);
+	}
+	free(held);
+	free(list);
+}
--- /dev/null
+++ b/lib/admit/request.c
@@ -0,0 +1,609 @@
+/* Requests: decided at once, or after one question to a pool's home. */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admit_internal.h"
+
+#define WAITING_MAX 32 /* requests of one pool that wait at once */
+#define ASKS_MAX 4 /* questions for one request */
+/* Refusals without an answer of the home. */
+#define RETRY_AFTER_MS 1000
+#define PREEMPTED_RETRY_MS 2000
+/* Callers come back spread over this part of the time told, in percent. */
+#define RETRY_JITTER_PERCENT 50
+/* A home that gave no answer isn't asked again for so long. */
+#define SILENT_HOLD_MS 250
+
+/** struct lack - what keeps a request from being admitted */
+struct lack {
+	struct account *account;
+	enum kind kind;
+};
+
+/* ---- The table of requests ---- */
+
+static size_t
+bucket(uint64_t ticket)
+{
+	return ticket & (ADMIT_BUCKETS - 1);
+}
+
+static struct request *
+find(const struct ld_admit *a, uint64_t ticket)
+{
+	struct request *q = a->requests[bucket(ticket)];
+
+	while (q != NULL && q->ticket != ticket)
+		q = q->next;
+	return q;
+}
+
+static struct request *
+request_new(struct ld_admit *a, struct account *c, uint64_t tokens)
+{
+	struct request *q = ld_alloc(sizeof(*q));
+
+	q->account = c;
+	q->tokens = tokens > 0 ? tokens : 1;
+	q->ticket = ++a->next_ticket;
+	q->next = a->requests[bucket(q->ticket)];
+	a->requests[bucket(q->ticket)] = q;
+	q->next_of = c->requests;
+	if (c->requests != NULL)
+		c->requests->prev_of = q;
+	c->requests = q;
+	return q;
+}
+
+static void
+request_free(struct ld_admit *a, struct request *q)
+{
+	struct request **at = &a->requests[bucket(q->ticket)];
+
+	while (*at != q)
+		at = &(*at)->next;
+	*at = q->next;
+	if (q->prev_of != NULL)
+		q->prev_of->next_of = q->next_of;
+	else
+		q->account->requests = q->next_of;
+	if (q->next_of != NULL)
+		q->next_of->prev_of = q->prev_of;
+	free(q);
+}
+
+void
+ld_admit_requests_free(struct ld_admit *a)
+{
+	struct request *q;
+
+	for (size_t b = 0; b < ADMIT_BUCKETS; b++) {
+		while ((q = a->requests[b]) != NULL)
+			request_free(a, q);
+	}
+}
+
+/* ---- Taking and giving back ---- */
+
+static bool
+has_rate(const struct ld_admit *a, const struct account *c, enum kind k,
+    uint64_t units, uint64_t now_ms)
+{
+	uint64_t depth = ld_admit_depth(ld_admit_rate(a, c, k, now_ms), k);
+	int64_t level = c->bucket[k].milli + (int64_t)c->lump[k];
+	uint64_t need = units * MILLI;
+
+	/* A request larger than the bucket needs a full one, and overdraws. */
+	if (depth > 0 && need > depth)
+		need = depth;
+	return level > 0 && (uint64_t)level >= need;
+}
+
+static void
+take_rate(struct account *c, enum kind k, uint64_t units)
+{
+	uint64_t milli = units * MILLI;
+	uint64_t lump = c->lump[k] < milli ? c->lump[k] : milli;
+
+	c->lump[k] -= lump;
+	c->bucket[k].milli -= (int64_t)(milli - lump);
+}
+
+static bool
+has_slot(const struct ld_admit *a, const struct account *c, enum kind k,
+    uint64_t now_ms)
+{
+	return c->in_use[SLOT(k)] < ld_admit_slots(a, c, k, now_ms);
+}
+
+static bool
+find_place(const struct ld_admit *a, struct request *q, struct lack *lack,
+    uint64_t now_ms)
+{
+	struct account *c = q->account;
+
+	q->promised = false;
+	if (c->limit[K_PROMISED] > 0) {
+		if (has_slot(a, c, K_PROMISED, now_ms)) {
+			q->promised = true;
+			return true;
+		}
+		if (now_ms >= c->deny_until_ms[K_PROMISED]) {
+			*lack = (struct lack){c, K_PROMISED};
+			return false;
+		}
+	}
+	if (has_slot(a, a->leftover, K_SLOTS, now_ms))
+		return true;
+	*lack = (struct lack){a->leftover, K_SLOTS};
+	return false;
+}
+
+/* Takes all that @q needs, or nothing and says what is lacking. */
+static bool
+admit(struct ld_admit *a, struct request *q, struct lack *lack, uint64_t now_ms)
+{
+	struct account *c = q->account;
+
+	ld_admit_fill(a, c, now_ms);
+	lack->account = c;
+	lack->kind = K_REQUESTS;
+	if (!has_rate(a, c, K_REQUESTS, 1, now_ms))
+		return false;
+	lack->kind = K_TOKENS;
+	if (!has_rate(a, c, K_TOKENS, q->tokens, now_ms))
+		return false;
+	lack->kind = K_SLOTS;
+	if (!has_slot(a, c, K_SLOTS, now_ms))
+		return false;
+	if (!find_place(a, q, lack, now_ms))
+		return false;
+	take_rate(c, K_REQUESTS, 1);
+	take_rate(c, K_TOKENS, q->tokens);
+	c->in_use[SLOT(K_SLOTS)]++;
+	if (q->promised)
+		c->in_use[SLOT(K_PROMISED)]++;
+	else
+		a->leftover->in_use[SLOT(K_SLOTS)]++;
+	return true;
+}
+
+static void
+give_back(struct ld_admit *a, struct request *q)
+{
+	struct account *c = q->account;
+
+	c->in_use[SLOT(K_SLOTS)]--;
+	if (q->promised)
+		c->in_use[SLOT(K_PROMISED)]--;
+	else
+		a->leftover->in_use[SLOT(K_SLOTS)]--;
+	if (q->relayed < q->tokens)
+		c->bucket[K_TOKENS].milli +=
+		    (int64_t)((q->tokens - q->relayed) * MILLI);
+}
+
+/* Streams that run on left-over capacity move into promised slots. */
+static void
+upgrade(struct ld_admit *a, struct account *c, uint64_t now_ms)
+{
+	struct request *q;
+
+	if (c->limit[K_PROMISED] == 0)
+		return;
+	for (q = c->requests; q != NULL; q = q->next_of) {
+		if (!has_slot(a, c, K_PROMISED, now_ms))
+			return;
+		if (q->waiting || q->promised || q->cancelled)
+			continue;
+		q->promised = true;
+		c->in_use[SLOT(K_PROMISED)]++;
+		a->leftover->in_use[SLOT(K_SLOTS)]--;
+	}
+}
+
+/* ---- Waiting ---- */
+
+static void
+enqueue(struct account *c, struct request *q)
+{
+	q->next_waiting = NULL;
+	*c->waiting.tail = q;
+	c->waiting.tail = &q->next_waiting;
+	c->waiting.count++;
+}
+
+static void
+dequeue(struct queue *w, struct request *q)
+{
+	struct request **at = &w->head;
+
+	while (*at != NULL && *at != q)
+		at = &(*at)->next_waiting;
+	if (*at == NULL)
+		return;
+	*at = q->next_waiting;
+	if (w->tail == &q->next_waiting)
+		w->tail = at;
+	w->count--;
+}
+
+static enum ld_admit_reason
+reason_of(const struct ld_admit *a, const struct lack *lack)
+{
+	switch (lack->kind) {
+	case K_REQUESTS:
+		return LD_ADMIT_R_RATE;
+	case K_TOKENS:
+		return LD_ADMIT_R_TOKENS;
+	case K_SLOTS:
+		return lack->account == a->leftover ? LD_ADMIT_R_CAPACITY
+						    : LD_ADMIT_R_CONCURRENT;
+	case K_PROMISED:
+	case K_COUNT:
+		break;
+	}
+	return LD_ADMIT_R_CAPACITY;
+}
+
+static uint32_t
+jittered(struct ld_admit *a, uint64_t ms)
+{
+	uint64_t spread = ms * RETRY_JITTER_PERCENT / 100;
+
+	return (uint32_t)(ms + ld_rand_below(&a->rand, spread + 1));
+}
+
+static void
+refusal(struct ld_admit *a, struct ld_admit_decision *d,
+    enum ld_admit_reason why, uint64_t retry_ms)
+{
+	*d = (struct ld_admit_decision){
+	    .verdict = LD_ADMIT_NO,
+	    .reason = why,
+	    .retry_after_ms = retry_ms > 0 ? jittered(a, retry_ms) : 0,
+	};
+	a->stats.refused[why]++;
+}
+
+static uint64_t
+retry_ms_of(const struct lack *lack, uint64_t now_ms)
+{
+	if (now_ms < lack->account->deny_until_ms[lack->kind])
+		return lack->account->deny_retry_ms[lack->kind];
+	return RETRY_AFTER_MS;
+}
+
+static void
+grant_decision(
+    struct ld_admit *a, const struct request *q, struct ld_admit_decision *d)
+{
+	*d = (struct ld_admit_decision){
+	    .verdict = LD_ADMIT_YES,
+	    .ticket = q->ticket,
+	    .promised = q->promised,
+	};
+	a->stats.admitted++;
+	a->stats.running++;
+}
+
+/* Tells the decision: to the running call, or as an action. */
+static void
+tell(struct ld_admit *a, struct request *q, const struct ld_admit_decision *d)
+{
+	q->waiting = false;
+	if (q->out != NULL) {
+		*q->out = *d;
+		q->out = NULL;
+		return;
+	}
+	ld_admit_push_decision(a, LD_ADMIT_DECIDED, d);
+}
+
+static void
+refuse(struct ld_admit *a, struct request *q, const struct lack *lack,
+    uint64_t now_ms)
+{
+	struct ld_admit_decision d;
+
+	refusal(a, &d, reason_of(a, lack), retry_ms_of(lack, now_ms));
+	d.ticket = q->out != NULL ? 0 : q->ticket;
+	tell(a, q, &d);
+	request_free(a, q);
+}
+
+static bool
+is_denied(const struct lack *lack, uint64_t now_ms)
+{
+	return now_ms < lack->account->deny_until_ms[lack->kind];
+}
+
+static bool
+can_ask(const struct lack *lack, const struct request *q, uint64_t now_ms)
+{
+	const struct account *c = lack->account;
+
+	return c->home != 0 && !is_denied(lack, now_ms) &&
+	    c->waiting.count < WAITING_MAX && q->asks < ASKS_MAX;
+}
+
+/* Decides @q, or puts it where its answer will come from. */
+static void
+decide(struct ld_admit *a, struct request *q, uint64_t now_ms)
+{
+	struct ld_admit_decision d;
+	struct lack lack;
+
+	if (admit(a, q, &lack, now_ms)) {
+		grant_decision(a, q, &d);
+		tell(a, q, &d);
+		return;
+	}
+	/* A promised slot out of reach leaves the capacity left over. */
+	if (lack.kind == K_PROMISED && !can_ask(&lack, q, now_ms)) {
+		lack.account->deny_until_ms[K_PROMISED] =
+		    now_ms + SILENT_HOLD_MS;
+		if (admit(a, q, &lack, now_ms)) {
+			grant_decision(a, q, &d);
+			tell(a, q, &d);
+			return;
+		}
+	}
+	if (now_ms >= q->deadline_ms || !can_ask(&lack, q, now_ms)) {
+		refuse(a, q, &lack, now_ms);
+		return;
+	}
+	q->asks++;
+	enqueue(lack.account, q);
+}
+
+void
+ld_admit_retry_waiting(struct ld_admit *a, struct account *c, uint64_t now_ms)
+{
+	struct request *q = c->waiting.head;
+	struct request *next;
+
+	upgrade(a, c, now_ms);
+	if (q == NULL || c->ask_open)
+		return;
+	c->waiting.head = NULL;
+	c->waiting.tail = &c->waiting.head;
+	c->waiting.count = 0;
+	for (; q != NULL; q = next) {
+		next = q->next_waiting;
+		decide(a, q, now_ms);
+	}
+	if (c->waiting.head != NULL && !c->ask_open)
+		ld_admit_report(a, c, now_ms);
+	if (a->leftover->waiting.head != NULL && !a->leftover->ask_open)
+		ld_admit_report(a, a->leftover, now_ms);
+}
+
+/* The home gave no answer in time: the rest is refused without a wait. */
+void
+ld_admit_expire_waiting(struct ld_admit *a, struct account *c, uint64_t now_ms)
+{
+	struct request *q = c->waiting.head;
+	struct lack lack;
+
+	if (c->ask_open && now_ms >= c->ask_ts + LD_ADMIT_WAIT_MS)
+		c->ask_open = false;
+	if (q == NULL || now_ms < q->deadline_ms)
+		return;
+	while ((q = c->waiting.head) != NULL && now_ms >= q->deadline_ms) {
+		dequeue(&c->waiting, q);
+		if (admit(a, q, &lack, now_ms)) {
+			struct ld_admit_decision d;
+
+			grant_decision(a, q, &d);
+			tell(a, q, &d);
+			continue;
+		}
+		if (!is_denied(&lack, now_ms)) {
+			lack.account->deny_until_ms[lack.kind] =
+			    now_ms + SILENT_HOLD_MS;
+			lack.account->deny_retry_ms[lack.kind] = RETRY_AFTER_MS;
+		}
+		refuse(a, q, &lack, now_ms);
+	}
+}
+
+/* ---- Calls of the serving path ---- */
+
+/* Refusals that no question could change. */
+static bool
+refused_outright(
+    struct ld_admit *a, const struct account *c, struct ld_admit_decision *d)
+{
+	enum ld_admit_reason why = LD_ADMIT_R_NONE;
+	uint64_t retry_ms = 0;
+
+	if (!a->have_catalogue || a->member_count == 0) {
+		why = LD_ADMIT_R_NO_CATALOGUE;
+		retry_ms = RETRY_AFTER_MS;
+	} else if (c == NULL || !c->listed || c == a->leftover) {
+		why = LD_ADMIT_R_OWNER;
+	} else if (c->limit[K_REQUESTS] == 0) {
+		why = LD_ADMIT_R_RATE;
+	} else if (c->limit[K_TOKENS] == 0) {
+		why = LD_ADMIT_R_TOKENS;
+	} else if (c->limit[K_SLOTS] == 0) {
+		why = LD_ADMIT_R_CONCURRENT;
+	} else if (a->config.max_requests > 0 &&
+	    a->stats.running >= a->config.max_requests) {
+		why = LD_ADMIT_R_OVERLOAD;
+		retry_ms = RETRY_AFTER_MS;
+	}
+	if (why == LD_ADMIT_R_NONE)
+		return false;
+	refusal(a, d, why, retry_ms);
+	return true;
+}
+
+void
+ld_admit_request(struct ld_admit *a, uint64_t now_ms, struct ld_str owner,
+    uint64_t est_tokens, struct ld_admit_decision *d)
+{
+	struct account *c = ld_admit_account(a, ld_hash64(owner, 0));
+	struct account *asked;
+	struct request *q;
+
+	if (refused_outright(a, c, d))
+		return;
+	c->meter[K_REQUESTS].count += MILLI;
+	c->meter[K_TOKENS].count += est_tokens * MILLI;
+	q = request_new(a, c, est_tokens);
+	q->deadline_ms = now_ms + LD_ADMIT_WAIT_MS;
+	q->waiting = true;
+	q->out = d;
+	d->verdict = LD_ADMIT_WAIT;
+	decide(a, q, now_ms);
+	if (d->verdict != LD_ADMIT_WAIT)
+		return;
+	asked = c->waiting.head != NULL ? c : a->leftover;
+	if (!asked->ask_open)
+		ld_admit_report(a, asked, now_ms);
+	ld_admit_deliver_self(a, now_ms);
+	if (d->verdict != LD_ADMIT_WAIT)
+		return;
+	*d = (struct ld_admit_decision){
+	    .verdict = LD_ADMIT_WAIT, .ticket = q->ticket};
+	q->out = NULL;
+	a->stats.waited++;
+}
+
+void
+ld_admit_tokens(
+    struct ld_admit *a, uint64_t now_ms, uint64_t ticket, uint64_t n)
+{
+	struct request *q = find(a, ticket);
+	uint64_t charged;
+
+	if (q == NULL || q->waiting)
+		return;
+	q->relayed += n;
+	if (q->relayed <= q->tokens)
+		return;
+	/* What goes beyond the estimate is charged as it comes. */
+	charged = q->relayed - q->tokens < n ? q->relayed - q->tokens : n;
+	q->account->bucket[K_TOKENS].milli -= (int64_t)(charged * MILLI);
+}
+
+void
+ld_admit_done(struct ld_admit *a, uint64_t now_ms, uint64_t ticket)
+{
+	struct request *q = find(a, ticket);
+
+	if (q == NULL)
+		return;
+	if (q->waiting) {
+		dequeue(&q->account->waiting, q);
+		dequeue(&a->leftover->waiting, q);
+	} else {
+		give_back(a, q);
+		a->stats.running--;
+	}
+	request_free(a, q);
+}
+
+/* ---- Cancelling ---- */
+
+static void
+cancel(struct ld_admit *a, struct request *q, enum ld_admit_reason why)
+{
+	struct ld_admit_decision d = {
+	    .verdict = LD_ADMIT_NO,
+	    .reason = why,
+	    .ticket = q->ticket,
+	};
+
+	if (why != LD_ADMIT_R_OWNER)
+		d.retry_after_ms = jittered(a, PREEMPTED_RETRY_MS);
+	q->cancelled = true;
+	a->stats.cancelled++;
+	ld_admit_push_decision(a, LD_ADMIT_CANCEL, &d);
+}
+
+static bool
+runs_in(
+    const struct ld_admit *a, const struct account *c, const struct request *q)
+{
+	if (q->waiting)
+		return false;
+	return c == a->leftover ? !q->promised : q->account == c;
+}
+
+static uint64_t
+count_cancelled(const struct ld_admit *a, const struct account *c)
+{
+	const struct account *o;
+	const struct request *q;
+	uint64_t n = 0;
+
+	for (o = a->accounts; o != NULL; o = o->next) {
+		for (q = o->requests; q != NULL; q = q->next_of)
+			n += q->cancelled && runs_in(a, c, q);
+	}
+	return n;
+}
+
+/* The newest stream of the least class that runs in pool @c. */
+static struct request *
+victim(const struct ld_admit *a, const struct account *c)
+{
+	struct request *best = NULL;
+	const struct account *o;
+	struct request *q;
+
+	for (o = a->accounts; o != NULL; o = o->next) {
+		for (q = o->requests; q != NULL; q = q->next_of) {
+			if (q->cancelled || !runs_in(a, c, q))
+				continue;
+			if (best == NULL || o->class > best->account->class ||
+			    (o->class == best->account->class &&
+				q->ticket > best->ticket))
+				best = q;
+			break;
+		}
+	}
+	return best;
+}
+
+void
+ld_admit_cancel_above(struct ld_admit *a, struct account *c, uint64_t slots,
+    enum ld_admit_reason why)
+{
+	uint64_t used = c->in_use[SLOT(K_SLOTS)];
+	struct request *q;
+
+	if (used <= slots)
+		return;
+	used -= count_cancelled(a, c);
+	for (; used > slots; used--) {
+		q = victim(a, c);
+		if (q == NULL)
+			return;
+		cancel(a, q, why);
+	}
+}
+
+void
+ld_admit_cancel_all(
+    struct ld_admit *a, struct account *c, enum ld_admit_reason why)
+{
+	struct request *q, *next;
+
+	for (q = c->requests; q != NULL; q = next) {
+		struct lack lack = {c, K_SLOTS};
+
+		next = q->next_of;
+		if (q->waiting) {
+			dequeue(&c->waiting, q);
+			dequeue(&a->leftover->waiting, q);
+			refuse(a, q, &lack, 0);
+		} else if (!q->cancelled) {
+			cancel(a, q, why);
+		}
+	}
+}
--- /dev/null
+++ b/lib/route/pick.c
@@ -0,0 +1,197 @@
+/* Choice of a replica: prefix affinity against load, two random choices. */
+#include <assert.h>
+#include <string.h>
+
+#include "route_internal.h"
+
+/* A preferred replica loaded beyond this gives way to two random choices. */
+#define AFFINITY_MAX_LOAD 0.90
+/* Beyond this load a domain is short, and others are weighed against it. */
+#define DOMAIN_SHORT_LOAD 0.95
+/* Another domain must be better by this to be worth its delay and cost. */
+#define CROSS_DOMAIN_MARGIN 0.15
+#define CANDIDATES_MAX 256
+
+/** struct candidates - replicas that may take the call */
+struct candidates {
+	struct replica *own[CANDIDATES_MAX];
+	size_t own_count;
+	struct replica *other[CANDIDATES_MAX];
+	size_t other_count;
+	bool model_known;
+};
+
+static bool
+is_excluded(const struct replica *p, const struct ld_route_request *req)
+{
+	return req->excluded.len > 0 &&
+	    ld_str_eq(ld_str_c(p->id), req->excluded);
+}
+
+static void
+collect(struct ld_route *r, uint64_t now_ms, const struct ld_route_request *req,
+    struct candidates *c)
+{
+	struct replica *p;
+
+	c->own_count = 0;
+	c->other_count = 0;
+	c->model_known = false;
+	for (p = r->replicas; p != NULL; p = p->next) {
+		if (p->gone || !ld_str_eq(ld_str_c(p->model), req->model))
+			continue;
+		c->model_known = true;
+		if (is_excluded(p, req) || !ld_route_replica_open(p, now_ms))
+			continue;
+		if (strcmp(p->domain, r->domain) == 0) {
+			if (c->own_count < CANDIDATES_MAX)
+				c->own[c->own_count++] = p;
+		} else if (c->other_count < CANDIDATES_MAX) {
+			c->other[c->other_count++] = p;
+		}
+	}
+}
+
+static struct replica *
+preferred(struct replica **list, size_t n, uint64_t prefix)
+{
+	struct replica *best = NULL;
+	uint64_t best_weight = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		uint64_t key[2] = {prefix, list[i]->hash};
+		struct ld_str s = {(const char *)key, sizeof(key)};
+		uint64_t weight = ld_hash64(s, 0);
+
+		if (best == NULL || weight > best_weight) {
+			best = list[i];
+			best_weight = weight;
+		}
+	}
+	return best;
+}
+
+static struct replica *
+lighter(struct replica *a, struct replica *b)
+{
+	return ld_route_replica_load(b) < ld_route_replica_load(a) ? b : a;
+}
+
+static struct replica *
+two_choices(struct ld_route *r, struct replica **list, size_t n)
+{
+	size_t first, second;
+
+	assert(n > 0);
+	if (n == 1)
+		return list[0];
+	first = ld_rand_below(&r->rand, n);
+	second = ld_rand_below(&r->rand, n - 1);
+	if (second >= first)
+		second++;
+	return lighter(list[first], list[second]);
+}
+
+static struct replica *
+affinity_then_two(
+    struct ld_route *r, struct replica **list, size_t n, uint64_t prefix)
+{
+	struct replica *p;
+
+	if (n == 0)
+		return NULL;
+	if (prefix == 0)
+		return two_choices(r, list, n);
+	p = preferred(list, n, prefix);
+	if (ld_route_replica_load(p) <= AFFINITY_MAX_LOAD)
+		return p;
+	return two_choices(r, list, n);
+}
+
+static struct replica *
+least_reported(struct replica **list, size_t n)
+{
+	struct replica *best = list[0];
+
+	for (size_t i = 1; i < n; i++) {
+		if ((list[i]->running + list[i]->waiting) * best->slots <
+		    (best->running + best->waiting) * list[i]->slots)
+			best = list[i];
+	}
+	return best;
+}
+
+static struct replica *
+by_policy(struct ld_route *r, struct replica **list, size_t n, uint64_t prefix)
+{
+	switch (r->policy) {
+	case LD_ROUTE_RANDOM:
+		return list[ld_rand_below(&r->rand, n)];
+	case LD_ROUTE_ROUND_ROBIN:
+		return list[r->turn++ % n];
+	case LD_ROUTE_LEAST_REPORTED:
+		return least_reported(list, n);
+	case LD_ROUTE_AFFINITY:
+		return preferred(list, n, prefix);
+	case LD_ROUTE_TWO_CHOICES:
+		break;
+	}
+	return affinity_then_two(r, list, n, prefix);
+}
+
+static struct replica *
+choose(struct ld_route *r, struct candidates *c, uint64_t prefix)
+{
+	struct replica *near, *far;
+
+	if (r->policy != LD_ROUTE_TWO_CHOICES) {
+		memcpy(c->own + c->own_count, c->other,
+		    sizeof(c->own[0]) *
+			(c->own_count + c->other_count <= CANDIDATES_MAX
+				? c->other_count
+				: CANDIDATES_MAX - c->own_count));
+		c->own_count += c->other_count;
+		if (c->own_count > CANDIDATES_MAX)
+			c->own_count = CANDIDATES_MAX;
+		return c->own_count > 0
+		    ? by_policy(r, c->own, c->own_count, prefix)
+		    : NULL;
+	}
+	near = affinity_then_two(r, c->own, c->own_count, prefix);
+	if (near != NULL && ld_route_replica_load(near) < DOMAIN_SHORT_LOAD)
+		return near;
+	far = affinity_then_two(r, c->other, c->other_count, prefix);
+	if (near == NULL || far == NULL)
+		return near != NULL ? near : far;
+	if (ld_route_replica_load(far) + CROSS_DOMAIN_MARGIN <
+	    ld_route_replica_load(near))
+		return far;
+	return near;
+}
+
+enum ld_status
+ld_route_pick(struct ld_route *r, uint64_t now_ms,
+    const struct ld_route_request *req, struct ld_route_choice *choice)
+{
+	struct candidates c;
+	struct replica *p;
+
+	collect(r, now_ms, req, &c);
+	if (!c.model_known)
+		return ld_fail(LD_E_NOT_FOUND, "no replica of model %.*s",
+		    LD_FMT(req->model));
+	p = choose(r, &c, req->prefix);
+	if (p == NULL)
+		return ld_fail(LD_E_UNAVAILABLE,
+		    "no replica of model %.*s is fit", LD_FMT(req->model));
+	choice->replica = ld_str_c(p->id);
+	choice->epoch = p->epoch;
+	choice->address = ld_str_c(p->members[0]->address);
+	choice->cross_domain = strcmp(p->domain, r->domain) != 0;
+	choice->preferred = req->prefix != 0 &&
+	    p ==
+		(choice->cross_domain
+			? preferred(c.other, c.other_count, req->prefix)
+			: preferred(c.own, c.own_count, req->prefix));
+	return LD_OK;
+}
