--- a/lib/admit/account.c
+++ b/lib/admit/account.c
@@ -8,6 +8,8 @@
 #define SILENT_REPORTS 2
 /* Changes of demand below this are no news, in thousandths per second. */
 #define DEMAND_NEWS_MILLI 500
+/* Free slots of a scarce pool are told after this part of the gap. */
+#define SCARCE_PART 4
 
 /* ---- What may be used now ---- */
 
@@ -62,11 +64,11 @@
 uint64_t
 ld_admit_depth(uint64_t rate, enum kind k)
 {
-	uint64_t depth = rate * BUCKET_DEPTH_MS / MS_PER_S;
+	uint64_t depth = rate * BUCKET_DEPTH_MS;
 
 	if (rate == 0)
 		return 0;
-	return depth > MILLI ? depth : MILLI;
+	return depth > MICRO ? depth : MICRO;
 }
 
 static uint64_t
@@ -86,17 +88,17 @@
 	int64_t depth;
 
 	if (until > from)
-		add += c->grant.rate[k] * (until - from) / MS_PER_S;
+		add += c->grant.rate[k] * (until - from);
 	if (ld_admit_share_usable(a, c, now_ms)) {
 		from = later(from, later(c->lent_until_ms, settled_ms(a)));
 		if (now_ms > from)
-			add += share_rate(a, c, k) * (now_ms - from) / MS_PER_S;
+			add += share_rate(a, c, k) * (now_ms - from);
 	}
 	b->filled_ms = now_ms;
-	b->milli += (int64_t)add;
+	b->micro += (int64_t)add;
 	depth = (int64_t)ld_admit_depth(ld_admit_rate(a, c, k, now_ms), k);
-	if (b->milli > depth)
-		b->milli = depth;
+	if (b->micro > depth)
+		b->micro = depth;
 }
 
 void
@@ -157,10 +159,10 @@
 	r->want = c->waiting.count;
 	r->tokens_each = tokens * MILLI / r->want;
 	for (int k = 0; k < RATE_KINDS; k++) {
-		int64_t level = c->bucket[k].milli + (int64_t)c->lump[k];
+		int64_t level = c->bucket[k].micro + (int64_t)c->lump[k];
 
 		if (level > 0)
-			r->have[k] = (uint64_t)level;
+			r->have[k] = (uint64_t)level / MILLI;
 	}
 	r->have[K_SLOTS] = free_slots(a, c, K_SLOTS, now_ms);
 	r->have[K_PROMISED] = free_slots(a, c, K_PROMISED, now_ms);
@@ -282,7 +284,7 @@
 	if (now_ms > until)
 		return;
 	for (int k = 0; k < RATE_KINDS; k++)
-		c->lump[k] += g->lump[k];
+		c->lump[k] += g->lump[k] * MILLI;
 	c->lump_until_ms = until;
 }
 
@@ -328,6 +330,7 @@
 	take_grant(a, c, from, g, now_ms);
 	take_release(a, c, from, g, now_ms);
 	take_denial(c, g, now_ms);
+	c->scarce = g->scarce;
 	if (g->preempt && c->grant.from == from)
 		ld_admit_cancel_above(a, c,
 		    ld_admit_slots(a, c, K_SLOTS, now_ms), LD_ADMIT_R_CAPACITY);
@@ -355,6 +358,9 @@
 		return true;
 	if (!c->home_heard)
 		return now_ms - c->told_ms >= 2 * a->terms.gap;
+	if (c->scarce && c->in_use[0] < c->told.in_use[0] &&
+	    now_ms - c->told_ms >= a->terms.gap / SCARCE_PART)
+		return true;
 	if (now_ms - c->told_ms < a->terms.gap)
 		return false;
 	if (differs(c->meter[K_REQUESTS].rate, c->told.demand[K_REQUESTS],
--- a/lib/admit/admit_internal.h
+++ b/lib/admit/admit_internal.h
@@ -5,7 +5,7 @@
  * Each node has an account in each pool. A node owns an equal share of every
  * pool, lends it to the pool's home for a bounded term, and gets grants back
  * by demand. Rates are in thousandths of a unit per second, buckets in
- * thousandths of a unit, slots are whole.
+ * millionths of a unit so that every ms counts exactly, slots are whole.
  */
 #ifndef LD_ADMIT_INTERNAL_H
 #define LD_ADMIT_INTERNAL_H
@@ -13,6 +13,7 @@
 #include "ld_admit.h"
 
 #define MILLI 1000
+#define MICRO 1000000
 #define MS_PER_S 1000
 #define ADMIT_BUCKETS 1024 /* of the request table; power of two */
 /* A bucket holds what its rate brings in so long, and at least one unit. */
@@ -72,6 +73,7 @@
 	uint64_t retry_ms; /* for the caller */
 	bool preempt; /* cancel streams above the slots */
 	bool release; /* the loan is given back */
+	bool scarce; /* tell soon when a slot gets free */
 };
 
 /** struct promise_msg - promised slots that an owner's nodes may use now */
@@ -108,7 +110,7 @@
 
 /** struct bucket - token bucket; below zero after a large request */
 struct bucket {
-	int64_t milli;
+	int64_t micro;
 	uint64_t filled_ms;
 };
 
@@ -177,6 +179,7 @@
 	struct bucket lump[RATE_KINDS];
 	uint64_t told_used; /* last promise_msg */
 	uint64_t told_ms;
+	uint64_t scarce_until_ms;
 	struct used_promise *used; /* pool of the left over */
 	size_t used_count;
 };
@@ -205,6 +208,7 @@
 	uint64_t told_ms; /* last report */
 	struct report told;
 	bool news; /* report at once */
+	bool scarce; /* the home lacks slots */
 	bool ask_open;
 	uint64_t ask_ts;
 	uint64_t deny_until_ms[K_COUNT];
--- a/lib/admit/codec.c
+++ b/lib/admit/codec.c
@@ -5,7 +5,7 @@
 
 #define FIELDS_MAX 24
 #define REPORT_FIELDS 17
-#define GRANT_FIELDS 14
+#define GRANT_FIELDS 15
 #define PROMISE_FIELDS 4
 
 /** struct fields - the integers of one message, in order */
@@ -86,15 +86,16 @@
 	put(f, g->lump[1]);
 	put(f, g->denied);
 	put(f, g->hold_ms);
+	put(f, g->retry_ms);
 	put(f,
-	    g->retry_ms << 2 | (uint64_t)g->preempt << 1 |
+	    (uint64_t)g->scarce << 2 | (uint64_t)g->preempt << 1 |
 		(uint64_t)g->release);
 }
 
 static void
 get_grant(struct fields *f, struct grant_msg *g)
 {
-	uint64_t last;
+	uint64_t flags;
 
 	g->pool = get(f);
 	g->ts = get(f);
@@ -109,10 +110,11 @@
 	g->lump[1] = get(f);
 	g->denied = get(f);
 	g->hold_ms = get(f);
-	last = get(f);
-	g->retry_ms = last >> 2;
-	g->preempt = (last & 2) != 0;
-	g->release = (last & 1) != 0;
+	g->retry_ms = get(f);
+	flags = get(f);
+	g->scarce = (flags & 4) != 0;
+	g->preempt = (flags & 2) != 0;
+	g->release = (flags & 1) != 0;
 }
 
 static void
--- a/lib/admit/home.c
+++ b/lib/admit/home.c
@@ -18,6 +18,9 @@
 #define RETRY_SLOTS_MS 1000
 #define RETRY_CAPACITY_MS 2000
 #define PROMISE_GAP_MS 50
+#define RATE_STEP_PERCENT 20
+/* A pool counts as scarce for so long after a question fell short. */
+#define SCARCE_MS 1000
 #define HANDOVER_GAP_MS 200
 
 static bool
@@ -85,6 +88,7 @@
 	g->echo = l->node_ts;
 	g->seq = ++a->next_seq;
 	g->grant_ms = a->terms.grant;
+	g->scarce = now_ms < c->side.scarce_until_ms;
 	for (int k = 0; k < K_COUNT; k++) {
 		value = k < RATE_KINDS ? g->rate[k] : g->slots[SLOT(k)];
 		if (now_ms >= l->commit_until_ms)
@@ -110,6 +114,17 @@
 
 /* ---- Amounts ---- */
 
+/* Rates follow demand in steps: each change costs a confirmation, during
+ * which the larger of two values is held. */
+static bool
+is_close(uint64_t target, uint64_t granted)
+{
+	uint64_t d = target > granted ? target - granted : granted - target;
+
+	return granted > 0 && target > 0 &&
+	    d * 100 < granted * RATE_STEP_PERCENT;
+}
+
 /* The amount of @k that @l may get now: its fair part, if nobody holds it. */
 static uint64_t
 amount(const struct ld_admit *a, const struct account *c,
@@ -121,6 +136,8 @@
 	uint64_t left = pool > others ? pool - others : 0;
 	uint64_t target = ld_admit_target(a, c, l, k, now_ms);
 
+	if (k < RATE_KINDS && is_close(target, l->granted[k]))
+		target = l->granted[k];
 	if (k >= K_SLOTS && target < l->in_use[SLOT(k)] + extra)
 		target = l->in_use[SLOT(k)] + extra;
 	return target < left ? target : left;
@@ -138,12 +155,11 @@
 		pool = ld_admit_pool(a, c, (enum kind)k, now_ms);
 		held = ld_admit_held_sum(a, c, (enum kind)k, now_ms);
 		rate = pool > held ? pool - held : 0;
-		b->milli +=
-		    (int64_t)(rate * (now_ms - b->filled_ms) / MS_PER_S);
+		b->micro += (int64_t)(rate * (now_ms - b->filled_ms));
 		b->filled_ms = now_ms;
 		depth = (int64_t)ld_admit_depth(rate, (enum kind)k);
-		if (b->milli > depth)
-			b->milli = depth;
+		if (b->micro > depth)
+			b->micro = depth;
 	}
 }
 
@@ -161,7 +177,7 @@
 lump_fits(const struct home *h, const struct report *r, enum kind k, uint64_t n)
 {
 	uint64_t need = lump_need(r, k, n);
-	int64_t level = h->lump[k].milli;
+	int64_t level = h->lump[k].micro / MILLI;
 
 	if (need == 0)
 		return true;
@@ -289,11 +305,13 @@
 	}
 	for (int i = 0; i < RATE_KINDS && n > 0; i++) {
 		g->lump[i] = lump_need(r, (enum kind)i, n);
-		c->side.lump[i].milli -= (int64_t)g->lump[i];
+		c->side.lump[i].micro -= (int64_t)(g->lump[i] * MILLI);
 	}
 	if (lack == 0)
 		return;
 	k = (enum kind)(lack - 1);
+	if (k >= K_SLOTS)
+		c->side.scarce_until_ms = now_ms + SCARCE_MS;
 	g->denied = lack;
 	g->hold_ms = hold_ms(&c->side, now_ms);
 	g->retry_ms = retry_ms(
--- a/lib/admit/members.c
+++ b/lib/admit/members.c
@@ -6,9 +6,9 @@
 
 /* A home hears from every node once in this time for each node. */
 #define REPORT_MS_PER_NODE 30
-#define REPORT_MIN_MS 500
+#define REPORT_MIN_MS 800
 #define GAP_MS_PER_NODE 5
-#define GAP_MIN_MS 100
+#define GAP_MIN_MS 400
 #define GRANT_SLACK_MS 2000
 #define LEND_SLACK_MS 500
 
--- a/lib/admit/pool.c
+++ b/lib/admit/pool.c
@@ -7,8 +7,11 @@
 #define RATE_GRANT_PERCENT 95
 /* Nodes get a rate above their demand, so that few have to ask. */
 #define RATE_HEADROOM_PERCENT 125
-/* A lower demand has no rate of its own; its node asks. */
-#define RATE_MIN_MILLI 250
+/* A lower demand has no rate of its own: its node asks. More nodes mean more
+ * asks, so that the least demand falls with their number. */
+#define RATE_MIN_MILLI_NODES 64000
+#define RATE_MIN_LEAST_MILLI 250
+#define RATE_MIN_MOST_MILLI 2000
 /* Slots ahead of use: one, and one for each so many in use. */
 #define SLOTS_PER_SPARE 4
 /* Spare slots of all nodes take at most one in so many free ones. */
@@ -145,13 +148,23 @@
 	return level;
 }
 
+static uint64_t
+rate_min(const struct ld_admit *a)
+{
+	uint64_t least = RATE_MIN_MILLI_NODES / (a->member_count + 1);
+
+	if (least < RATE_MIN_LEAST_MILLI)
+		return RATE_MIN_LEAST_MILLI;
+	return least < RATE_MIN_MOST_MILLI ? least : RATE_MIN_MOST_MILLI;
+}
+
 static uint64_t
 rate_want(const struct ld_admit *a, const struct lender *l, enum kind k,
     uint64_t now_ms)
 {
-	if (!is_fresh(a, l, now_ms) || l->demand[K_REQUESTS] < RATE_MIN_MILLI)
+	if (!is_fresh(a, l, now_ms) || l->demand[K_REQUESTS] < rate_min(a))
 		return 0;
-	return l->demand[k] * RATE_HEADROOM_PERCENT / 100;
+	return l->demand[k];
 }
 
 static uint64_t
@@ -201,6 +214,9 @@
 	level = ld_admit_level(want, h->count, pool);
 	mine = want[l - h->lenders];
 	free(want);
+	/* Headroom is for callers below their limit; at it, it'd be wasted. */
+	if (k < RATE_KINDS && used * RATE_HEADROOM_PERCENT / 100 <= pool)
+		mine = mine * RATE_HEADROOM_PERCENT / 100;
 	if (mine > level)
 		mine = level;
 	if (k >= K_SLOTS)
--- a/lib/admit/request.c
+++ b/lib/admit/request.c
@@ -91,8 +91,8 @@
     uint64_t units, uint64_t now_ms)
 {
 	uint64_t depth = ld_admit_depth(ld_admit_rate(a, c, k, now_ms), k);
-	int64_t level = c->bucket[k].milli + (int64_t)c->lump[k];
-	uint64_t need = units * MILLI;
+	int64_t level = c->bucket[k].micro + (int64_t)c->lump[k];
+	uint64_t need = units * MICRO;
 
 	/* A request larger than the bucket needs a full one, and overdraws. */
 	if (depth > 0 && need > depth)
@@ -103,11 +103,11 @@
 static void
 take_rate(struct account *c, enum kind k, uint64_t units)
 {
-	uint64_t milli = units * MILLI;
-	uint64_t lump = c->lump[k] < milli ? c->lump[k] : milli;
+	uint64_t micro = units * MICRO;
+	uint64_t lump = c->lump[k] < micro ? c->lump[k] : micro;
 
 	c->lump[k] -= lump;
-	c->bucket[k].milli -= (int64_t)(milli - lump);
+	c->bucket[k].micro -= (int64_t)(micro - lump);
 }
 
 static bool
@@ -180,8 +180,8 @@
 	else
 		a->leftover->in_use[SLOT(K_SLOTS)]--;
 	if (q->relayed < q->tokens)
-		c->bucket[K_TOKENS].milli +=
-		    (int64_t)((q->tokens - q->relayed) * MILLI);
+		c->bucket[K_TOKENS].micro +=
+		    (int64_t)((q->tokens - q->relayed) * MICRO);
 }
 
 /* Streams that run on left-over capacity move into promised slots. */
@@ -487,7 +487,7 @@
 		return;
 	/* What goes beyond the estimate is charged as it comes. */
 	charged = q->relayed - q->tokens < n ? q->relayed - q->tokens : n;
-	q->account->bucket[K_TOKENS].milli -= (int64_t)(charged * MILLI);
+	q->account->bucket[K_TOKENS].micro -= (int64_t)(charged * MICRO);
 }
 
 void
