--- a/lib/admit/admit_internal.h
+++ b/lib/admit/admit_internal.h
@@ -172,6 +172,17 @@
 	uint64_t until_ms;
 };
 
+/** struct plan - how a home means to divide one kind; kept for a short time */
+struct plan {
+	bool valid;
+	uint64_t made_ms;
+	uint64_t pool;
+	uint64_t level; /* nobody gets more */
+	uint64_t percent; /* of the demand, for rates */
+	uint64_t used; /* slots */
+	uint64_t active; /* nodes with demand */
+};
+
 /** struct home - the side of a pool that grants */
 struct home {
 	struct lender *lenders;
@@ -180,6 +191,7 @@
 	uint64_t told_used; /* last promise_msg */
 	uint64_t told_ms;
 	uint64_t scarce_until_ms;
+	struct plan plan[K_COUNT];
 	struct used_promise *used; /* pool of the left over */
 	size_t used_count;
 };
@@ -323,7 +335,7 @@
 uint64_t ld_admit_held_sum(const struct ld_admit *a, const struct account *c,
     enum kind k, uint64_t now_ms);
 /** ld_admit_target() - the fair part of @l, whatever others hold now */
-uint64_t ld_admit_target(const struct ld_admit *a, const struct account *c,
+uint64_t ld_admit_target(const struct ld_admit *a, struct account *c,
     const struct lender *l, enum kind k, uint64_t now_ms);
 /** ld_admit_level() - highest level at which sum(min(want, level)) fits */
 uint64_t ld_admit_level(const uint64_t *want, size_t n, uint64_t pool);
--- a/lib/admit/home.c
+++ b/lib/admit/home.c
@@ -10,7 +10,7 @@
 /* Nodes asked for idle amounts when one question falls short. */
 #define RECALLS_MAX 4
 /* A denied node asks again after this, and this for each other asker. */
-#define HOLD_MIN_MS 100
+#define HOLD_MIN_MS 50
 #define HOLD_MS_PER_ASKER 3
 #define ASKER_WINDOW_MS 1000
 #define RETRY_MIN_MS 200
@@ -127,8 +127,8 @@
 
 /* The amount of @k that @l may get now: its fair part, if nobody holds it. */
 static uint64_t
-amount(const struct ld_admit *a, const struct account *c,
-    const struct lender *l, enum kind k, uint64_t extra, uint64_t now_ms)
+amount(const struct ld_admit *a, struct account *c, const struct lender *l,
+    enum kind k, uint64_t extra, uint64_t now_ms)
 {
 	uint64_t pool = ld_admit_pool(a, c, k, now_ms);
 	uint64_t others =
@@ -209,7 +209,7 @@
 /* ---- Taking back ---- */
 
 static bool
-above_target(const struct ld_admit *a, const struct account *c,
+above_target(const struct ld_admit *a, struct account *c,
     const struct lender *l, enum kind k, uint64_t now_ms)
 {
 	uint64_t target;
@@ -400,46 +400,60 @@
 
 /* ---- Changes of the pool ---- */
 
-/* What @l may keep of @k, no more than it has. */
-static uint64_t
-kept(const struct ld_admit *a, const struct account *c, const struct lender *l,
-    enum kind k, uint64_t now_ms)
+/* Finds the kinds of which nodes hold more than the pool has now. */
+static bool
+find_over(struct ld_admit *a, struct account *c, bool *over, uint64_t now_ms)
 {
-	uint64_t target;
+	bool any = false;
 
-	if (ld_admit_held_sum(a, c, k, now_ms) <=
-	    ld_admit_pool(a, c, k, now_ms))
-		return l->granted[k];
-	target = ld_admit_target(a, c, l, k, now_ms);
-	return target < l->granted[k] ? target : l->granted[k];
+	for (int k = 0; k < K_COUNT; k++) {
+		c->side.plan[k].valid = false;
+		over[k] = ld_admit_held_sum(a, c, (enum kind)k, now_ms) >
+		    ld_admit_pool(a, c, (enum kind)k, now_ms);
+		any = any || over[k];
+	}
+	return any;
+}
+
+static void
+shrink_to_target(struct ld_admit *a, struct account *c, struct lender *l,
+    const bool *over, bool preempt, uint64_t now_ms)
+{
+	struct grant_msg g = {.preempt = preempt};
+	uint64_t keep[K_COUNT], target;
+	bool less = false;
+
+	for (int k = 0; k < K_COUNT; k++) {
+		keep[k] = l->granted[k];
+		if (!over[k])
+			continue;
+		target = ld_admit_target(a, c, l, (enum kind)k, now_ms);
+		if (target >= keep[k])
+			continue;
+		keep[k] = target;
+		less = true;
+	}
+	if (!less)
+		return;
+	memcpy(g.rate, keep, sizeof(g.rate));
+	memcpy(g.slots, keep + K_SLOTS, sizeof(g.slots));
+	send_grant(a, c, l, &g, now_ms);
 }
 
 void
 ld_admit_home_replan(struct ld_admit *a, struct account *c, uint64_t now_ms)
 {
 	struct home *h = &c->side;
-	bool preempt = is_short(a, c, now_ms);
-	uint64_t keep[K_COUNT];
-	struct grant_msg g;
-	bool less;
+	bool over[K_COUNT];
+	bool preempt;
 
+	if (h->count == 0 || !find_over(a, c, over, now_ms))
+		return;
+	preempt = is_short(a, c, now_ms);
 	for (size_t i = 0; i < h->count; i++) {
-		struct lender *l = &h->lenders[i];
-
-		if (now_ms >= l->commit_until_ms)
-			continue;
-		less = false;
-		for (int k = 0; k < K_COUNT; k++) {
-			keep[k] = kept(a, c, l, (enum kind)k, now_ms);
-			less = less || keep[k] < l->granted[k];
-		}
-		if (!less)
-			continue;
-		memset(&g, 0, sizeof(g));
-		memcpy(g.rate, keep, sizeof(g.rate));
-		memcpy(g.slots, keep + K_SLOTS, sizeof(g.slots));
-		g.preempt = preempt;
-		send_grant(a, c, l, &g, now_ms);
+		if (now_ms < h->lenders[i].commit_until_ms)
+			shrink_to_target(
+			    a, c, &h->lenders[i], over, preempt, now_ms);
 	}
 }
 
--- a/lib/admit/pool.c
+++ b/lib/admit/pool.c
@@ -1,5 +1,6 @@
 /* What a home may grant, what nodes hold, and the fair part of each. */
 #include <stdlib.h>
+#include <string.h>
 
 #include "admit_internal.h"
 
@@ -7,6 +8,7 @@
 #define RATE_GRANT_PERCENT 95
 /* Nodes get a rate above their demand, so that few have to ask. */
 #define RATE_HEADROOM_PERCENT 125
+#define RATE_AT_LIMIT_PERCENT 40
 /* A lower demand has no rate of its own: its node asks. More nodes mean more
  * asks, so that the least demand falls with their number. */
 #define RATE_MIN_MILLI_NODES 64000
@@ -16,6 +18,7 @@
 #define SLOTS_PER_SPARE 4
 /* Spare slots of all nodes take at most one in so many free ones. */
 #define SPARE_PART 2
+#define PLAN_LIFE_MS 50
 
 static uint64_t
 promised_now(const struct ld_admit *a, const struct account *c)
@@ -174,52 +177,106 @@
 	return is_fresh(a, l, now_ms) ? l->in_use[SLOT(k)] : 0;
 }
 
+/*
+ * Below its limit a caller gets headroom at each node. At the limit a rate
+ * that overflows its bucket at one node is lost to the others: nodes get less
+ * than their demand, and the rest by asking.
+ */
+static void
+plan_rates(const struct ld_admit *a, const struct home *h, enum kind k,
+    uint64_t *want, struct plan *p, uint64_t now_ms)
+{
+	uint64_t all = 0, small = 0;
+
+	for (size_t i = 0; i < h->count; i++) {
+		want[i] = rate_want(a, &h->lenders[i], k, now_ms);
+		if (!is_fresh(a, &h->lenders[i], now_ms))
+			continue;
+		all += h->lenders[i].demand[k];
+		if (want[i] == 0)
+			small += h->lenders[i].demand[k];
+	}
+	p->percent = RATE_AT_LIMIT_PERCENT;
+	if (all * RATE_HEADROOM_PERCENT / 100 <= p->pool)
+		p->percent = RATE_HEADROOM_PERCENT;
+	for (size_t i = 0; i < h->count; i++)
+		want[i] = want[i] * p->percent / 100;
+	/* Nodes that ask need their part as well. */
+	if (small > p->pool / 2)
+		small = p->pool / 2;
+	p->pool = p->pool * RATE_GRANT_PERCENT / 100 - small;
+}
+
+static bool
+is_active(const struct lender *l, enum kind k)
+{
+	return l->demand[K_REQUESTS] + l->in_use[SLOT(k)] > 0;
+}
+
+static void
+plan_slots(const struct ld_admit *a, const struct home *h, enum kind k,
+    uint64_t *want, struct plan *p, uint64_t now_ms)
+{
+	for (size_t i = 0; i < h->count; i++) {
+		want[i] = slots_want(a, &h->lenders[i], k, now_ms);
+		p->used += want[i];
+		p->active += is_active(&h->lenders[i], k);
+	}
+}
+
+/* Plans only steer: what is safe to grant is summed anew for each grant. */
+static const struct plan *
+plan_now(
+    const struct ld_admit *a, struct account *c, enum kind k, uint64_t now_ms)
+{
+	struct home *h = &c->side;
+	struct plan *p = &h->plan[k];
+	uint64_t *want;
+
+	if (p->valid && now_ms - p->made_ms < PLAN_LIFE_MS)
+		return p;
+	memset(p, 0, sizeof(*p));
+	p->valid = true;
+	p->made_ms = now_ms;
+	p->pool = ld_admit_pool(a, c, k, now_ms);
+	want = ld_alloc(h->count * sizeof(*want));
+	if (k < RATE_KINDS)
+		plan_rates(a, h, k, want, p, now_ms);
+	else
+		plan_slots(a, h, k, want, p, now_ms);
+	p->level = ld_admit_level(want, h->count, p->pool);
+	free(want);
+	return p;
+}
+
 /* Spare slots for a node that has demand, out of what nobody uses. */
 static uint64_t
-spare(const struct ld_admit *a, const struct account *c, const struct lender *l,
-    enum kind k, uint64_t used, uint64_t pool, uint64_t now_ms)
+spare(const struct plan *p, const struct lender *l, enum kind k)
 {
-	const struct home *h = &c->side;
-	uint64_t active = 0, most, fair;
+	uint64_t most, fair;
 
-	if (!is_fresh(a, l, now_ms) || pool <= used ||
-	    l->demand[K_REQUESTS] + l->in_use[SLOT(k)] == 0)
+	if (p->pool <= p->used || p->active == 0 || !is_active(l, k))
 		return 0;
-	for (size_t i = 0; i < h->count; i++)
-		active += h->lenders[i].demand[K_REQUESTS] +
-			h->lenders[i].in_use[SLOT(k)] >
-		    0;
 	most = 1 + l->in_use[SLOT(k)] / SLOTS_PER_SPARE;
-	fair = (pool - used) / (SPARE_PART * active);
+	fair = (p->pool - p->used) / (SPARE_PART * p->active);
 	return most < fair ? most : fair;
 }
 
 uint64_t
-ld_admit_target(const struct ld_admit *a, const struct account *c,
+ld_admit_target(const struct ld_admit *a, struct account *c,
     const struct lender *l, enum kind k, uint64_t now_ms)
 {
-	const struct home *h = &c->side;
-	uint64_t pool = ld_admit_pool(a, c, k, now_ms);
-	uint64_t *want = ld_alloc(h->count * sizeof(*want));
-	uint64_t level, mine, used = 0;
+	const struct plan *p = plan_now(a, c, k, now_ms);
+	uint64_t mine;
 
-	if (k < RATE_KINDS)
-		pool = pool * RATE_GRANT_PERCENT / 100;
-	for (size_t i = 0; i < h->count; i++) {
-		want[i] = k < RATE_KINDS
-		    ? rate_want(a, &h->lenders[i], k, now_ms)
-		    : slots_want(a, &h->lenders[i], k, now_ms);
-		used += want[i];
+	if (k < RATE_KINDS) {
+		mine = rate_want(a, l, k, now_ms) * p->percent / 100;
+		return mine < p->level ? mine : p->level;
 	}
-	level = ld_admit_level(want, h->count, pool);
-	mine = want[l - h->lenders];
-	free(want);
-	/* Headroom is for callers below their limit; at it, it'd be wasted. */
-	if (k < RATE_KINDS && used * RATE_HEADROOM_PERCENT / 100 <= pool)
-		mine = mine * RATE_HEADROOM_PERCENT / 100;
-	if (mine > level)
-		mine = level;
-	if (k >= K_SLOTS)
-		mine += spare(a, c, l, k, used, pool, now_ms);
+	mine = slots_want(a, l, k, now_ms);
+	if (mine > p->level)
+		mine = p->level;
+	if (is_fresh(a, l, now_ms))
+		mine += spare(p, l, k);
 	return mine;
 }
