--- a/lib/admit/home.c
+++ b/lib/admit/home.c
@@ -157,7 +157,8 @@
 		rate = pool > held ? pool - held : 0;
 		b->micro += (int64_t)(rate * (now_ms - b->filled_ms));
 		b->filled_ms = now_ms;
-		depth = (int64_t)ld_admit_depth(rate, (enum kind)k);
+		/* All of the pool: bursts go where the requests come. */
+		depth = (int64_t)ld_admit_depth(pool, (enum kind)k);
 		if (b->micro > depth)
 			b->micro = depth;
 	}
