--- a/bench/policy_load.h
+++ b/bench/policy_load.h
@@ -26,6 +26,8 @@
 	uint64_t worst_over; /* most streams above the limit */
 	uint64_t refused, refused_blank; /* blank: no time to come back */
 	uint64_t cancelled;
+	/* Requests made while fewer streams ran than were promised. */
+	uint64_t within, within_refused;
 	double *cumulative; /* load by node */
 };
 
@@ -33,6 +35,7 @@
 struct load_wait {
 	uint64_t since_ms;
 	unsigned int owner;
+	bool within;
 };
 
 struct load;
@@ -57,6 +60,7 @@
 	uint64_t offered, waits, longest_wait_ms;
 	uint64_t next_ticket; /* of the policy */
 	struct load_wait (*waiting)[FLEET_TICKETS]; /* by node and ticket */
+	uint64_t (*tickets)[FLEET_TICKETS]; /* of running streams */
 };
 
 static inline size_t
@@ -74,15 +78,17 @@
 	double ms = -log(1.0 - ld_rand_unit(&l->rand)) * o->mean_ms;
 
 	o->admitted[load_bin(l)]++;
+	l->tickets[node][ticket % FLEET_TICKETS] = ticket;
 	fleet_started(l->fleet, node, owner, ticket, (uint64_t)ms + 1);
 	if (*in_use > o->entry.concurrent + o->worst_over)
 		o->worst_over = *in_use - o->entry.concurrent;
 }
 
 static inline void
-load_refused(
-    struct load *l, unsigned int owner, const struct ld_admit_decision *d)
+load_refused(struct load *l, unsigned int owner, bool within,
+    const struct ld_admit_decision *d)
 {
+	l->owners[owner].within_refused += within;
 	l->owners[owner].refused++;
 	if (d->retry_after_ms == 0)
 		l->owners[owner].refused_blank++;
@@ -101,7 +107,7 @@
 	if (d->verdict == LD_ADMIT_YES)
 		load_admit(l, node, w->owner, ticket);
 	else
-		load_refused(l, w->owner, d);
+		load_refused(l, w->owner, w->within, d);
 }
 
 static inline void
@@ -122,6 +128,7 @@
 	l->factor = 1.0;
 	ld_rand_seed(&l->rand, seed);
 	l->waiting = ld_alloc(f->n * sizeof(*l->waiting));
+	l->tickets = ld_alloc(f->n * sizeof(*l->tickets));
 	f->user = l;
 	f->decided = load_decided;
 	f->cancelled = load_cancelled;
@@ -133,6 +140,7 @@
 	for (unsigned int i = 0; i < l->n; i++)
 		free(l->owners[i].cumulative);
 	free(l->waiting);
+	free(l->tickets);
 }
 
 static inline struct load_owner *
@@ -188,12 +196,15 @@
 static inline void
 load_ask_module(struct load *l, unsigned int node, unsigned int owner)
 {
+	struct load_owner *o = &l->owners[owner];
+	bool within = l->fleet->in_use[owner] < o->entry.promised;
 	struct fleet_node *v = &l->fleet->nodes[node];
 	struct ld_admit_decision d;
 	struct load_wait *w;
 
-	ld_admit_request(v->admit, l->fleet->now_ms,
-	    l->owners[owner].entry.owner, LOAD_TOKENS, &d);
+	o->within += within;
+	ld_admit_request(
+	    v->admit, l->fleet->now_ms, o->entry.owner, LOAD_TOKENS, &d);
 	if (d.verdict == LD_ADMIT_YES) {
 		load_admit(l, node, owner, d.ticket);
 	} else if (d.verdict == LD_ADMIT_WAIT) {
@@ -201,8 +212,9 @@
 		w = &l->waiting[node][d.ticket % FLEET_TICKETS];
 		w->since_ms = l->fleet->now_ms;
 		w->owner = owner;
+		w->within = within;
 	} else {
-		load_refused(l, owner, &d);
+		load_refused(l, owner, within, &d);
 	}
 	fleet_drain(l->fleet, node);
 }
@@ -301,7 +313,7 @@
 load_bound(const struct load_owner *o, unsigned int nodes, uint64_t ms)
 {
 	double rate = (double)o->entry.requests_per_s;
-	double holders = 4.0 * rate < nodes ? 4.0 * rate : nodes;
+	double holders = 1.25 * rate < nodes ? 1.25 * rate : nodes;
 
 	return rate * ((double)ms / 1000.0 + 1.0) + holders + 1.0;
 }
--- a/lib/admit/pool.c
+++ b/lib/admit/pool.c
@@ -9,11 +9,9 @@
 /* Nodes get a rate above their demand, so that few have to ask. */
 #define RATE_HEADROOM_PERCENT 125
 #define RATE_AT_LIMIT_PERCENT 40
-/* A lower demand has no rate of its own: its node asks. More nodes mean more
- * asks, so that the least demand falls with their number. */
-#define RATE_MIN_MILLI_NODES 64000
-#define RATE_MIN_LEAST_MILLI 250
-#define RATE_MIN_MOST_MILLI 2000
+/* A lower demand has no rate of its own: small buckets overflow between the
+ * few requests, and what overflows is lost to the others. Its node asks. */
+#define RATE_MIN_MILLI 2000
 /* Slots ahead of use: one, and one for each so many in use. */
 #define SLOTS_PER_SPARE 4
 /* Spare slots of all nodes take at most one in so many free ones. */
@@ -151,21 +149,11 @@
 	return level;
 }
 
-static uint64_t
-rate_min(const struct ld_admit *a)
-{
-	uint64_t least = RATE_MIN_MILLI_NODES / (a->member_count + 1);
-
-	if (least < RATE_MIN_LEAST_MILLI)
-		return RATE_MIN_LEAST_MILLI;
-	return least < RATE_MIN_MOST_MILLI ? least : RATE_MIN_MOST_MILLI;
-}
-
 static uint64_t
 rate_want(const struct ld_admit *a, const struct lender *l, enum kind k,
     uint64_t now_ms)
 {
-	if (!is_fresh(a, l, now_ms) || l->demand[K_REQUESTS] < rate_min(a))
+	if (!is_fresh(a, l, now_ms) || l->demand[K_REQUESTS] < RATE_MIN_MILLI)
 		return 0;
 	return l->demand[k];
 }
