--- a/lib/admit/account.c
+++ b/lib/admit/account.c
@@ -9,7 +9,7 @@
 /* Changes of demand below this are no news, in thousandths per second. */
 #define DEMAND_NEWS_MILLI 500
 /* Free slots of a scarce pool are told after this part of the gap. */
-#define SCARCE_PART 4
+#define SCARCE_PART 8
 
 /* ---- What may be used now ---- */
 
@@ -169,6 +169,7 @@
 	r->want_promised =
 	    c->limit[K_PROMISED] > 0 && now_ms >= c->deny_until_ms[K_PROMISED];
 	c->ask_open = true;
+	c->ask_due = false;
 	c->ask_ts = now_ms;
 }
 
@@ -386,6 +387,8 @@
 ld_admit_account_tick(struct ld_admit *a, struct account *c, uint64_t now_ms)
 {
 	ld_admit_expire_waiting(a, c, now_ms);
+	if (c->waiting.head != NULL)
+		ld_admit_retry_waiting(a, c, now_ms);
 	check_lapse(a, c, now_ms);
 	if (!c->listed || !a->have_catalogue)
 		return;
--- a/lib/admit/admit_internal.h
+++ b/lib/admit/admit_internal.h
@@ -20,6 +20,8 @@
 #define BUCKET_DEPTH_MS 500
 /* Streams on a lapsed grant run on for so long, then are cancelled. */
 #define RUN_ON_MS 10000
+/* Slots that other nodes hold idle are back after this: worth waiting for. */
+#define SHORT_HOLD_MS 20
 
 enum kind {
 	K_REQUESTS,
@@ -222,6 +224,7 @@
 	bool news; /* report at once */
 	bool scarce; /* the home lacks slots */
 	bool ask_open;
+	bool ask_due; /* a request waits for an ask to be sent */
 	uint64_t ask_ts;
 	uint64_t deny_until_ms[K_COUNT];
 	uint64_t deny_retry_ms[K_COUNT];
--- a/lib/admit/home.c
+++ b/lib/admit/home.c
@@ -6,7 +6,7 @@
 #include "admit_internal.h"
 
 /* Least time between two grants that take idle amounts back from a node. */
-#define RECALL_GAP_MS 100
+#define RECALL_GAP_MS 50
 /* Nodes asked for idle amounts when one question falls short. */
 #define RECALLS_MAX 4
 /* A denied node asks again after this, and this for each other asker. */
@@ -239,7 +239,7 @@
 }
 
 /* Idle amounts of other nodes come back for the next question. */
-static void
+static bool
 recall(struct ld_admit *a, struct account *c, uint64_t asker, enum kind k,
     uint64_t now_ms)
 {
@@ -247,8 +247,6 @@
 	struct lender *l;
 	size_t start, sent = 0;
 
-	if (h->count == 0)
-		return;
 	start = ld_rand_below(&a->rand, h->count);
 	for (size_t i = 0; i < h->count && sent < RECALLS_MAX; i++) {
 		l = &h->lenders[(start + i) % h->count];
@@ -258,6 +256,7 @@
 		send_shrunk(a, c, l, k, now_ms);
 		sent++;
 	}
+	return sent > 0;
 }
 
 /* ---- Answering ---- */
@@ -317,7 +316,8 @@
 	g->hold_ms = hold_ms(&c->side, now_ms);
 	g->retry_ms = retry_ms(
 	    a, c, k, k < RATE_KINDS ? lump_need(r, k, r->want) : 0, now_ms);
-	recall(a, c, l->node, k, now_ms);
+	if (recall(a, c, l->node, k, now_ms) && k >= K_SLOTS)
+		g->hold_ms = SHORT_HOLD_MS;
 }
 
 #define WANT_MAX 64 /* requests answered in one ask */
--- a/lib/admit/request.c
+++ b/lib/admit/request.c
@@ -6,7 +6,8 @@
 #include "admit_internal.h"
 
 #define WAITING_MAX 32 /* requests of one pool that wait at once */
-#define ASKS_MAX 4 /* questions for one request */
+#define ASKS_MAX 6 /* questions for one request */
+#define ASK_RESEND_MS 40 /* the question or its answer may be lost */
 /* Refusals without an answer of the home. */
 #define RETRY_AFTER_MS 1000
 #define PREEMPTED_RETRY_MS 2000
@@ -129,7 +130,8 @@
 			q->promised = true;
 			return true;
 		}
-		if (now_ms >= c->deny_until_ms[K_PROMISED]) {
+		if (now_ms + SHORT_HOLD_MS >= c->deny_until_ms[K_PROMISED] &&
+		    q->asks < ASKS_MAX) {
 			*lack = (struct lack){c, K_PROMISED};
 			return false;
 		}
@@ -328,6 +330,17 @@
 	    c->waiting.count < WAITING_MAX && q->asks < ASKS_MAX;
 }
 
+/* The denial ends soon, in time for another question. */
+static bool
+is_held_short(const struct lack *lack, const struct request *q, uint64_t now_ms)
+{
+	const struct account *c = lack->account;
+
+	return is_denied(lack, now_ms) && q->asks < ASKS_MAX &&
+	    c->waiting.count < WAITING_MAX && now_ms < q->deadline_ms &&
+	    c->deny_until_ms[lack->kind] <= now_ms + SHORT_HOLD_MS;
+}
+
 /* Decides @q, or puts it where its answer will come from. */
 static void
 decide(struct ld_admit *a, struct request *q, uint64_t now_ms)
@@ -340,6 +353,10 @@
 		tell(a, q, &d);
 		return;
 	}
+	if (is_held_short(&lack, q, now_ms)) {
+		enqueue(lack.account, q);
+		return;
+	}
 	/* A promised slot out of reach leaves the capacity left over. */
 	if (lack.kind == K_PROMISED && !can_ask(&lack, q, now_ms)) {
 		lack.account->deny_until_ms[K_PROMISED] =
@@ -355,6 +372,7 @@
 		return;
 	}
 	q->asks++;
+	lack.account->ask_due = true;
 	enqueue(lack.account, q);
 }
 
@@ -374,9 +392,9 @@
 		next = q->next_waiting;
 		decide(a, q, now_ms);
 	}
-	if (c->waiting.head != NULL && !c->ask_open)
+	if (c->ask_due && !c->ask_open)
 		ld_admit_report(a, c, now_ms);
-	if (a->leftover->waiting.head != NULL && !a->leftover->ask_open)
+	if (a->leftover->ask_due && !a->leftover->ask_open)
 		ld_admit_report(a, a->leftover, now_ms);
 }
 
@@ -387,7 +405,7 @@
 	struct request *q = c->waiting.head;
 	struct lack lack;
 
-	if (c->ask_open && now_ms >= c->ask_ts + LD_ADMIT_WAIT_MS)
+	if (c->ask_open && now_ms >= c->ask_ts + ASK_RESEND_MS)
 		c->ask_open = false;
 	if (q == NULL || now_ms < q->deadline_ms)
 		return;
@@ -462,7 +480,7 @@
 	if (d->verdict != LD_ADMIT_WAIT)
 		return;
 	asked = c->waiting.head != NULL ? c : a->leftover;
-	if (!asked->ask_open)
+	if (asked->ask_due && !asked->ask_open)
 		ld_admit_report(a, asked, now_ms);
 	ld_admit_deliver_self(a, now_ms);
 	if (d->verdict != LD_ADMIT_WAIT)
