--- a/bench/policy_fleet.h
+++ b/bench/policy_fleet.h
@@ -50,6 +50,7 @@
 	unsigned int side; /* of a partition */
 	bool alive, frozen;
 	uint64_t silent_ms; /* killed or frozen at; 0: not */
+	uint64_t thawed_ms; /* resumed at */
 	uint64_t detect_ms; /* its own delay of noticing others */
 	unsigned int seen; /* checksum of the members it was told */
 	struct fleet_event *held; /* arrived while it was frozen */
@@ -351,6 +352,7 @@
 	struct fleet_event *held = v->held;
 
 	v->frozen = false;
+	v->thawed_ms = f->now_ms;
 	v->silent_ms = 0;
 	v->held = NULL;
 	v->held_count = 0;
--- a/bench/policy_route.c
+++ b/bench/policy_route.c
@@ -435,7 +435,7 @@
 }
 
 int
-main(void)
+main(int argc, char **argv)
 {
 	static const char *const names[] = {
 	    "two-choices", "random", "round-robin", "least-report", "affinity"};
@@ -451,6 +451,9 @@
 	printf("%-13s %7s %7s %7s %7s %7s %7s %7s %7s\n", "policy", "w50",
 	    "w95", "w99", "ft95", "ft99", "in aim", "hits", "cross");
 	for (int p = LD_ROUTE_TWO_CHOICES; p <= LD_ROUTE_AFFINITY; p++) {
+		/* The first policy alone for trials. */
+		if (argc > 1 && p > LD_ROUTE_TWO_CHOICES)
+			break;
 		init(s, (enum ld_route_policy)p);
 		run(s);
 		print(s, names[p]);
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -4,12 +4,17 @@
 
 #include "route_internal.h"
 
-/* A preferred replica loaded beyond this gives way to two random choices. */
-#define AFFINITY_MAX_LOAD 0.90
-/* Beyond this load a domain is short, and others are weighed against it. */
-#define DOMAIN_SHORT_LOAD 0.95
-/* Another domain must be better by this to be worth its delay and cost. */
-#define CROSS_DOMAIN_MARGIN 0.15
+/*
+ * Load reports are seconds old, and hundreds of routers act on the same ones:
+ * a threshold would send all of them one way until the next report. Shares
+ * that move gradually with the load don't swing.
+ */
+/* A preferred replica above the mean by this part of it is never taken. */
+#define AFFINITY_SLACK 0.25
+/* Below this load a domain keeps all of its requests. */
+#define DOMAIN_SHORT_LOAD 0.70
+/* A domain above the mean of all by this sends every request elsewhere. */
+#define SPILL_RANGE 0.10
 #define CANDIDATES_MAX 256
 
 /** struct candidates - replicas that may take the call */
@@ -92,6 +97,26 @@
 	return lighter(list[first], list[second]);
 }
 
+static double
+mean_load(struct replica **list, size_t n)
+{
+	double sum = 0.0;
+
+	for (size_t i = 0; i < n; i++)
+		sum += ld_route_replica_load(list[i]);
+	return n > 0 ? sum / (double)n : 0.0;
+}
+
+static bool
+keeps_affinity(struct ld_route *r, const struct replica *p, double mean)
+{
+	double excess = ld_route_replica_load(p) - mean;
+
+	if (excess <= 0.0)
+		return true;
+	return ld_rand_unit(&r->rand) * AFFINITY_SLACK * mean > excess;
+}
+
 static struct replica *
 affinity_then_two(
     struct ld_route *r, struct replica **list, size_t n, uint64_t prefix)
@@ -103,11 +128,28 @@
 	if (prefix == 0)
 		return two_choices(r, list, n);
 	p = preferred(list, n, prefix);
-	if (ld_route_replica_load(p) <= AFFINITY_MAX_LOAD)
+	if (keeps_affinity(r, p, mean_load(list, n)))
 		return p;
 	return two_choices(r, list, n);
 }
 
+/* Should this request leave the own domain, as it is short? */
+static bool
+spills(struct ld_route *r, struct candidates *c)
+{
+	double own = mean_load(c->own, c->own_count);
+	double other = mean_load(c->other, c->other_count);
+	double all;
+
+	if (c->own_count == 0)
+		return true;
+	if (c->other_count == 0 || own <= DOMAIN_SHORT_LOAD)
+		return false;
+	all = (own * (double)c->own_count + other * (double)c->other_count) /
+	    (double)(c->own_count + c->other_count);
+	return ld_rand_unit(&r->rand) * SPILL_RANGE < own - all;
+}
+
 static struct replica *
 least_reported(struct replica **list, size_t n)
 {
@@ -142,8 +184,6 @@
 static struct replica *
 choose(struct ld_route *r, struct candidates *c, uint64_t prefix)
 {
-	struct replica *near, *far;
-
 	if (r->policy != LD_ROUTE_TWO_CHOICES) {
 		memcpy(c->own + c->own_count, c->other,
 		    sizeof(c->own[0]) *
@@ -157,16 +197,9 @@
 		    ? by_policy(r, c->own, c->own_count, prefix)
 		    : NULL;
 	}
-	near = affinity_then_two(r, c->own, c->own_count, prefix);
-	if (near != NULL && ld_route_replica_load(near) < DOMAIN_SHORT_LOAD)
-		return near;
-	far = affinity_then_two(r, c->other, c->other_count, prefix);
-	if (near == NULL || far == NULL)
-		return near != NULL ? near : far;
-	if (ld_route_replica_load(far) + CROSS_DOMAIN_MARGIN <
-	    ld_route_replica_load(near))
-		return far;
-	return near;
+	if (spills(r, c))
+		return affinity_then_two(r, c->other, c->other_count, prefix);
+	return affinity_then_two(r, c->own, c->own_count, prefix);
 }
 
 enum ld_status
