--- a/lib/admit/codec.c
+++ b/lib/admit/codec.c
@@ -163,6 +163,40 @@
 	msgpack_sbuffer_destroy(&sb);
 }
 
+/*
+ * An unpacker makes room for as many items as a header claims. Only a short
+ * array of unsigned integers, as ld_admit_encode() writes it, gets that far.
+ */
+static bool
+has_expected_shape(struct ld_str bytes)
+{
+	static const size_t sizes[] = {1, 2, 4, 8}; /* uint8 to uint64 */
+	const unsigned char *p = (const unsigned char *)bytes.p;
+	size_t at = 1, n;
+
+	if (bytes.len == 0)
+		return false;
+	if ((p[0] & 0xf0) == 0x90) {
+		n = p[0] & 0x0f;
+	} else if (p[0] == 0xdc && bytes.len >= 3 && p[1] == 0) {
+		n = p[2];
+		at = 3;
+	} else {
+		return false;
+	}
+	if (n == 0 || n > FIELDS_MAX)
+		return false;
+	for (; n > 0 && at < bytes.len; n--) {
+		if (p[at] <= 0x7f)
+			at++;
+		else if (p[at] >= 0xcc && p[at] <= 0xcf)
+			at += 1 + sizes[p[at] - 0xcc];
+		else
+			return false;
+	}
+	return n == 0 && at == bytes.len;
+}
+
 static bool
 unpack_fields(struct ld_str bytes, struct fields *f)
 {
@@ -171,6 +205,8 @@
 	size_t off = 0;
 	bool ok = false;
 
+	if (!has_expected_shape(bytes))
+		return false;
 	msgpack_unpacked_init(&u);
 	if (msgpack_unpack_next(&u, bytes.p, bytes.len, &off) !=
 		MSGPACK_UNPACK_SUCCESS ||
