--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -475,10 +475,14 @@
 void
 ld_http_free(struct ld_http *h)
 {
+	struct ld_http_call *next;
+
 	if (h == NULL)
 		return;
-	while (h->calls != NULL)
-		call_kill(h->calls);
+	for (struct ld_http_call *c = h->calls; c != NULL; c = next) {
+		next = c->next;
+		call_kill(c);
+	}
 	while (h->spares > 0)
 		curl_easy_cleanup(h->spare[--h->spares]);
 	curl_multi_cleanup(h->multi);
