http: ask whether a call was cancelled by one flag

Cause: cppcheck took the sink check after a callback for a null dereference. Change: callbacks look at the dying flag, which cancelling sets.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -295,7 +295,7 @@
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &code);
 	if (code >= 200)
 		note_head(c);
-	return c->sink != NULL ? n : 0;
+	return c->dying ? 0 : n;
 }
 
 static size_t
@@ -315,7 +315,7 @@
 		return 0;
 	}
 	c->sink->ops->body(c->sink, bytes);
-	return c->sink != NULL ? bytes.len : 0;
+	return c->dying ? 0 : bytes.len;
 }
 
 /* A paused call waits for its reader, which is not the server's fault. */
