--- /dev/null
+++ b/lib/entry/entry.c
@@ -0,0 +1,303 @@
+/* Listener: libmicrohttpd driven by the libev loop. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "entry_internal.h"
+
+#define CONNECTION_MEMORY_BYTES 32768
+#define SWEEP_INTERVAL_MS 1000
+#define MS_PER_S 1000
+#define LISTEN_BACKLOG 1024
+#define PART "entry"
+
+/* ---- Driving libmicrohttpd ---- */
+
+static void
+run_daemon(struct ld_entry *e)
+{
+	struct ld_timers *ts = ld_loop_timers(e->loop);
+	MHD_UNSIGNED_LONG_LONG wait_ms;
+
+	MHD_run(e->daemon);
+	if (MHD_get_timeout(e->daemon, &wait_ms) == MHD_YES)
+		ld_timer_start(
+		    ts, &e->timer, ld_loop_now(e->loop) + (uint64_t)wait_ms);
+	else
+		ld_timer_stop(ts, &e->timer);
+}
+
+static void
+on_io(struct ev_loop *ev, ev_io *io, int revents)
+{
+	run_daemon(io->data);
+}
+
+static void
+on_timer(struct ld_timer *t, uint64_t now_ms)
+{
+	run_daemon(
+	    (struct ld_entry *)((char *)t - offsetof(struct ld_entry, timer)));
+}
+
+/* ---- Connections ---- */
+
+static void
+connection_opened(struct ld_entry *e, struct MHD_Connection *mhd, void **slot)
+{
+	struct connection *c = ld_alloc(sizeof(*c));
+	const union MHD_ConnectionInfo *info;
+
+	info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+	c->fd = info->connect_fd;
+	c->since_ms = ld_loop_now(e->loop);
+	c->limit_ms = c->since_ms + e->config.head_timeout_ms;
+	c->next = e->connections;
+	c->link = &e->connections;
+	if (c->next != NULL)
+		c->next->link = &c->next;
+	e->connections = c;
+	e->connection_count++;
+	*slot = c;
+}
+
+static void
+connection_closed(struct ld_entry *e, struct connection *c)
+{
+	*c->link = c->next;
+	if (c->next != NULL)
+		c->next->link = c->link;
+	e->connection_count--;
+	free(c);
+}
+
+static void
+on_connection(void *cls, struct MHD_Connection *mhd, void **slot,
+    enum MHD_ConnectionNotificationCode what)
+{
+	struct ld_entry *e = cls;
+
+	if (what == MHD_CONNECTION_NOTIFY_STARTED)
+		connection_opened(e, mhd, slot);
+	else if (*slot != NULL)
+		connection_closed(e, *slot);
+}
+
+/* A sender who trickles its head or body is cut at the deadline. */
+static void
+on_sweep(struct ld_timer *t, uint64_t now_ms)
+{
+	struct ld_entry *e =
+	    (struct ld_entry *)((char *)t - offsetof(struct ld_entry, sweep));
+
+	for (struct connection *c = e->connections; c != NULL; c = c->next)
+		if (now_ms >= c->limit_ms)
+			shutdown(c->fd, SHUT_RDWR);
+	ld_timer_after(ld_loop_timers(e->loop), &e->sweep, SWEEP_INTERVAL_MS);
+}
+
+/* ---- Requests ---- */
+
+static enum MHD_Result
+on_request(void *cls, struct MHD_Connection *mhd, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **slot)
+{
+	struct ld_exchange *x = *slot;
+
+	if (x == NULL)
+		return MHD_NO; /* on_uri() made it */
+	if (x->mhd == NULL) {
+		x->mhd = mhd;
+		free(x->method);
+		x->method = ld_strdup(method);
+		return MHD_YES;
+	}
+	if (*size > 0) {
+		bool ok = exchange_take_body(x, data, *size);
+
+		*size = 0;
+		return ok ? MHD_YES : MHD_NO;
+	}
+	if (!x->dispatched && !x->ended)
+		return exchange_dispatch(x);
+	return exchange_queue(x);
+}
+
+/* The query is only there in the raw target, seen before the head is read. */
+static void *
+on_uri(void *cls, const char *target, struct MHD_Connection *mhd)
+{
+	struct ld_exchange *x;
+	const char *query = strchr(target, '?');
+	char *path;
+
+	path = query != NULL
+	    ? ld_str_dup((struct ld_str){target, (size_t)(query - target)})
+	    : ld_strdup(target);
+	x = exchange_new(cls, mhd, "", path);
+	x->target = ld_strdup(target);
+	x->mhd = NULL;
+	free(path);
+	return x;
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *mhd, void **slot,
+    enum MHD_RequestTerminationCode why)
+{
+	struct ld_exchange *x = *slot;
+
+	if (x != NULL)
+		exchange_free(x);
+	*slot = NULL;
+}
+
+static void
+on_log(void *cls, const char *fmt, va_list ap)
+{
+	char text[256];
+
+	vsnprintf(text, sizeof(text), fmt, ap);
+	text[strcspn(text, "\n")] = '\0';
+	ld_log(LD_LOG_DEBUG, PART, "libmicrohttpd: %s", text);
+}
+
+/* ---- Listener ---- */
+
+static enum ld_status
+open_listener(const struct ld_entry_config *c, int *out)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET};
+	int on = 1;
+	int fd = -1;
+
+	at.sin_port = htons(c->port);
+	if (inet_pton(AF_INET, c->host, &at.sin_addr) != 1)
+		return ld_fail(LD_E_INVALID, "%s is not IPv4", c->host);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return ld_fail(LD_E_IO, "socket: %s", strerror(errno));
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
+	    listen(fd, LISTEN_BACKLOG) != 0) {
+		ld_fail(
+		    LD_E_IO, "%s:%u: %s", c->host, c->port, strerror(errno));
+		close(fd);
+		return LD_E_IO;
+	}
+	*out = fd;
+	return LD_OK;
+}
+
+static struct MHD_Daemon *
+start_daemon(struct ld_entry *e, int fd)
+{
+	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
+	    MHD_USE_ITC | MHD_USE_ERROR_LOG;
+	unsigned int idle_s =
+	    (unsigned int)((e->config.idle_timeout_ms + MS_PER_S - 1) /
+		MS_PER_S);
+
+	return MHD_start_daemon(flags, 0, NULL, NULL, on_request, e,
+	    MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
+	    e->config.max_connections, MHD_OPTION_CONNECTION_TIMEOUT, idle_s,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, e,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, e,
+	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, e, MHD_OPTION_EXTERNAL_LOGGER,
+	    on_log, e, MHD_OPTION_END);
+}
+
+enum ld_status
+ld_entry_new(struct ld_loop *loop, const struct ld_entry_config *config,
+    struct ld_entry_handler *handler, struct ld_entry **out)
+{
+	const union MHD_DaemonInfo *info;
+	struct ld_entry *e;
+	enum ld_status st;
+	int fd = -1;
+
+	st = open_listener(config, &fd);
+	if (st != LD_OK)
+		return st;
+	e = ld_alloc(sizeof(*e));
+	e->loop = loop;
+	e->handler = handler;
+	e->config = *config;
+	e->listen_fd = -1;
+	e->timer.fn = on_timer;
+	e->sweep.fn = on_sweep;
+	ld_rand_seed_os(&e->rand);
+	e->daemon = start_daemon(e, fd);
+	if (e->daemon == NULL) {
+		close(fd);
+		free(e);
+		return ld_fail(LD_E_IO, "libmicrohttpd did not start");
+	}
+	info = MHD_get_daemon_info(e->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	ev_io_init(&e->io, on_io, info->epoll_fd, EV_READ);
+	e->io.data = e;
+	ev_io_start(ld_loop_ev(loop), &e->io);
+	ld_timer_after(ld_loop_timers(loop), &e->sweep, SWEEP_INTERVAL_MS);
+	*out = e;
+	return LD_OK;
+}
+
+void
+ld_entry_stop_listening(struct ld_entry *e)
+{
+	if (e->listen_fd < 0)
+		e->listen_fd = MHD_quiesce_daemon(e->daemon);
+}
+
+size_t
+ld_entry_open_exchanges(const struct ld_entry *e)
+{
+	return e->open;
+}
+
+size_t
+ld_entry_connections(const struct ld_entry *e)
+{
+	return e->connection_count;
+}
+
+/* libmicrohttpd must not be stopped while connections are suspended. */
+static void
+resume_all(struct ld_entry *e)
+{
+	for (struct connection *c = e->connections; c != NULL; c = c->next) {
+		struct ld_exchange *x = c->exchange;
+
+		if (x == NULL)
+			continue;
+		exchange_gone(x);
+		x->cut = true;
+		if (x->suspended) {
+			x->suspended = false;
+			MHD_resume_connection(x->mhd);
+		}
+	}
+}
+
+void
+ld_entry_free(struct ld_entry *e)
+{
+	if (e == NULL)
+		return;
+	resume_all(e);
+	MHD_run(e->daemon);
+	ev_io_stop(ld_loop_ev(e->loop), &e->io);
+	ld_timer_stop(ld_loop_timers(e->loop), &e->timer);
+	ld_timer_stop(ld_loop_timers(e->loop), &e->sweep);
+	MHD_stop_daemon(e->daemon);
+	if (e->listen_fd >= 0)
+		close(e->listen_fd);
+	free(e);
+}
--- /dev/null
+++ b/lib/entry/exchange.c
@@ -0,0 +1,367 @@
+/* One request and its answer. */
+#include <assert.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "entry_internal.h"
+
+/* A body is read and dropped up to this many times its bound, so that the
+ * sender sees the answer; beyond it the connection is cut. */
+#define DISCARD_FACTOR 4
+#define STREAM_BLOCK_BYTES 16384
+
+/* ---- Requests ---- */
+
+static void
+new_id(struct ld_entry *e, char id[REQUEST_ID_BYTES])
+{
+	snprintf(id, REQUEST_ID_BYTES, "%016llx",
+	    (unsigned long long)ld_rand_u64(&e->rand));
+}
+
+struct ld_exchange *
+exchange_new(struct ld_entry *e, struct MHD_Connection *mhd, const char *method,
+    const char *path)
+{
+	const union MHD_ConnectionInfo *info;
+	struct ld_exchange *x = ld_alloc(sizeof(*x));
+
+	x->entry = e;
+	x->mhd = mhd;
+	new_id(e, x->id);
+	x->method = ld_strdup(method);
+	x->path = ld_strdup(path);
+	info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	x->connection = info->socket_context;
+	x->connection->exchange = x;
+	x->connection->limit_ms =
+	    ld_loop_now(e->loop) + e->config.head_timeout_ms;
+	e->open++;
+	return x;
+}
+
+static void
+watch_stop(struct ld_exchange *x)
+{
+	ev_io_stop(ld_loop_ev(x->entry->loop), &x->hangup);
+}
+
+void
+exchange_free(struct ld_exchange *x)
+{
+	struct ld_entry *e = x->entry;
+
+	watch_stop(x);
+	if (x->dispatched)
+		exchange_gone(x);
+	if (x->response != NULL)
+		MHD_destroy_response(x->response);
+	x->connection->exchange = NULL;
+	x->connection->limit_ms =
+	    ld_loop_now(e->loop) + e->config.idle_timeout_ms;
+	e->open--;
+	free(x->method);
+	free(x->path);
+	free(x->target);
+	ld_buf_free(&x->body);
+	ld_buf_free(&x->out);
+	free(x);
+}
+
+bool
+exchange_take_body(struct ld_exchange *x, const char *p, size_t n)
+{
+	size_t max = x->entry->config.max_body_bytes;
+
+	if (!x->too_large && x->body.len + n <= max) {
+		ld_buf_add(&x->body, p, n);
+		return true;
+	}
+	x->too_large = true;
+	x->discarded += n;
+	return x->discarded <= DISCARD_FACTOR * max;
+}
+
+void
+exchange_gone(struct ld_exchange *x)
+{
+	struct ld_entry_handler *h = x->entry->handler;
+
+	if (x->ended)
+		return;
+	x->ended = true;
+	x->cut = true;
+	h->ops->gone(h, x);
+}
+
+/* ---- Waiting ---- */
+
+static void
+suspend(struct ld_exchange *x)
+{
+	x->suspended = true;
+	MHD_suspend_connection(x->mhd);
+}
+
+static void
+resume(struct ld_exchange *x)
+{
+	if (!x->suspended || x->in_handler)
+		return;
+	x->suspended = false;
+	MHD_resume_connection(x->mhd);
+}
+
+/*
+ * libmicrohttpd does not look at a suspended connection, so that a caller who
+ * hangs up before the first byte would go unnoticed.
+ */
+static void
+on_hangup(struct ev_loop *ev, ev_io *io, int revents)
+{
+	struct ld_exchange *x = io->data;
+	char byte;
+	ssize_t n;
+
+	n = recv(io->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	ev_io_stop(ev, io);
+	if (n > 0)
+		return; /* the next request is already there */
+	exchange_gone(x);
+	resume(x);
+}
+
+static void
+watch_start(struct ld_exchange *x)
+{
+	ev_io_init(&x->hangup, on_hangup, x->connection->fd, EV_READ);
+	x->hangup.data = x;
+	ev_io_start(ld_loop_ev(x->entry->loop), &x->hangup);
+}
+
+static void
+answer_too_large(struct ld_exchange *x)
+{
+	struct ld_problem p = {
+	    .code = MHD_HTTP_CONTENT_TOO_LARGE,
+	    .type = "body-too-large",
+	    .title = "The request body is larger than this system takes",
+	    .ran = LD_RAN_NO,
+	};
+
+	ld_exchange_problem(x, &p);
+}
+
+enum MHD_Result
+exchange_dispatch(struct ld_exchange *x)
+{
+	struct ld_entry_handler *h = x->entry->handler;
+
+	x->connection->limit_ms = UINT64_MAX;
+	if (x->too_large) {
+		answer_too_large(x);
+		return exchange_queue(x);
+	}
+	x->dispatched = true;
+	x->in_handler = true;
+	h->ops->request(h, x);
+	x->in_handler = false;
+	if (x->cut)
+		return MHD_NO;
+	if (!x->ended)
+		watch_start(x);
+	if (x->response != NULL)
+		return exchange_queue(x);
+	suspend(x);
+	return MHD_YES;
+}
+
+enum MHD_Result
+exchange_queue(struct ld_exchange *x)
+{
+	if (x->cut || x->response == NULL || x->queued)
+		return MHD_NO;
+	x->queued = true;
+	return MHD_queue_response(x->mhd, x->code, x->response);
+}
+
+/* ---- Accessors ---- */
+
+const char *
+ld_exchange_id(const struct ld_exchange *x)
+{
+	return x->id;
+}
+
+const char *
+ld_exchange_method(const struct ld_exchange *x)
+{
+	return x->method;
+}
+
+const char *
+ld_exchange_path(const struct ld_exchange *x)
+{
+	return x->path;
+}
+
+const char *
+ld_exchange_target(const struct ld_exchange *x)
+{
+	return x->target != NULL ? x->target : x->path;
+}
+
+const char *
+ld_exchange_header(struct ld_exchange *x, const char *name)
+{
+	return MHD_lookup_connection_value(x->mhd, MHD_HEADER_KIND, name);
+}
+
+struct ld_str
+ld_exchange_body(const struct ld_exchange *x)
+{
+	return ld_buf_str(&x->body);
+}
+
+struct ld_str
+ld_exchange_bearer(struct ld_exchange *x)
+{
+	static const char scheme[] = "Bearer ";
+	const char *value = ld_exchange_header(x, "Authorization");
+
+	if (value == NULL ||
+	    strncasecmp(value, scheme, sizeof(scheme) - 1) != 0)
+		return ld_str_c(NULL);
+	return ld_str_c(value + sizeof(scheme) - 1);
+}
+
+void
+ld_exchange_set_owner(struct ld_exchange *x, void *owner)
+{
+	x->owner = owner;
+}
+
+void *
+ld_exchange_owner(const struct ld_exchange *x)
+{
+	return x->owner;
+}
+
+/* ---- Answers ---- */
+
+static void
+set_response(struct ld_exchange *x, struct MHD_Response *r, unsigned int code,
+    const char *content_type)
+{
+	assert(x->response == NULL);
+	x->response = r;
+	x->code = code;
+	if (content_type != NULL)
+		MHD_add_response_header(r, "Content-Type", content_type);
+	MHD_add_response_header(r, "X-Request-Id", x->id);
+}
+
+void
+ld_exchange_answer(struct ld_exchange *x, unsigned int code,
+    const char *content_type, const char *const *headers, struct ld_str body)
+{
+	struct MHD_Response *r;
+
+	r = MHD_create_response_from_buffer(
+	    body.len, (void *)(uintptr_t)body.p, MHD_RESPMEM_MUST_COPY);
+	set_response(x, r, code, content_type);
+	for (; headers != NULL && headers[0] != NULL; headers += 2)
+		MHD_add_response_header(r, headers[0], headers[1]);
+	x->ended = true;
+	resume(x);
+}
+
+static void
+note_drained(struct ld_exchange *x)
+{
+	struct ld_entry_handler *h = x->entry->handler;
+
+	if (!x->was_full || x->ended ||
+	    ld_exchange_backlog(x) > LD_ENTRY_BACKLOG_BYTES / 2)
+		return;
+	x->was_full = false;
+	if (h->ops->drained != NULL)
+		h->ops->drained(h, x);
+}
+
+/* Reads the stream for libmicrohttpd; waits suspended when there is none. */
+static ssize_t
+read_stream(void *cls, uint64_t pos, char *out, size_t max)
+{
+	struct ld_exchange *x = cls;
+	size_t n = ld_exchange_backlog(x);
+
+	if (n == 0 && x->cut)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (n == 0 && x->ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	if (n == 0) {
+		suspend(x);
+		return 0;
+	}
+	if (n > max)
+		n = max;
+	memcpy(out, x->out.p + x->out_sent, n);
+	x->out_sent += n;
+	if (x->out_sent == x->out.len) {
+		x->out.len = 0;
+		x->out_sent = 0;
+	}
+	note_drained(x);
+	return (ssize_t)n;
+}
+
+void
+ld_exchange_begin(
+    struct ld_exchange *x, unsigned int code, const char *content_type)
+{
+	struct MHD_Response *r;
+
+	r = MHD_create_response_from_callback(
+	    MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, x, NULL);
+	set_response(x, r, code, content_type);
+	MHD_add_response_header(r, "Cache-Control", "no-store");
+	x->streaming = true;
+	resume(x);
+}
+
+void
+ld_exchange_write(struct ld_exchange *x, struct ld_str bytes)
+{
+	assert(x->streaming && !x->ended);
+	ld_buf_adds(&x->out, bytes);
+	if (ld_exchange_backlog(x) > LD_ENTRY_BACKLOG_BYTES)
+		x->was_full = true;
+	resume(x);
+}
+
+size_t
+ld_exchange_backlog(const struct ld_exchange *x)
+{
+	return x->out.len - x->out_sent;
+}
+
+void
+ld_exchange_end(struct ld_exchange *x)
+{
+	x->ended = true;
+	resume(x);
+}
+
+void
+ld_exchange_abort(struct ld_exchange *x)
+{
+	x->ended = true;
+	x->cut = true;
+	resume(x);
+}
--- /dev/null
+++ b/lib/entry/ld_entry.h
@@ -0,0 +1,133 @@
+/*
+ * HTTP server for callers and operators: libmicrohttpd on libev.
+ * Source: lib/entry.
+ */
+#ifndef LD_ENTRY_H
+#define LD_ENTRY_H
+
+#include "ld_loop.h"
+
+struct ld_entry;
+struct ld_exchange;
+struct ld_entry_handler;
+
+/**
+ * struct ld_entry_handler_ops - what answers requests
+ * @request: a whole request arrived. The handler answers now or later, with
+ *	exactly one of ld_exchange_answer(), ld_exchange_problem(), or
+ *	ld_exchange_begin() .. ld_exchange_end() / ld_exchange_abort().
+ * @gone: the other side hung up before the answer ended; the exchange must
+ *	not be touched afterwards. Not called once the answer has ended.
+ * @drained: the backlog of a stream fell below half of LD_ENTRY_BACKLOG_BYTES
+ */
+struct ld_entry_handler_ops {
+	void (*request)(struct ld_entry_handler *h, struct ld_exchange *x);
+	void (*gone)(struct ld_entry_handler *h, struct ld_exchange *x);
+	void (*drained)(struct ld_entry_handler *h, struct ld_exchange *x);
+};
+
+/** struct ld_entry_handler - first member of whatever answers requests */
+struct ld_entry_handler {
+	const struct ld_entry_handler_ops *ops;
+};
+
+/** A stream with a larger backlog should stop its source. */
+#define LD_ENTRY_BACKLOG_BYTES 65536
+
+/** struct ld_entry_config - bounds of one listener */
+struct ld_entry_config {
+	const char *host; /* IPv4 number */
+	uint16_t port;
+	size_t max_body_bytes;
+	unsigned int max_connections;
+	uint64_t idle_timeout_ms;
+	uint64_t head_timeout_ms;
+};
+
+/**
+ * ld_entry_new() - open a listener
+ *
+ * Return: LD_OK, or LD_E_IO when the address can't be bound.
+ */
+enum ld_status ld_entry_new(struct ld_loop *loop,
+    const struct ld_entry_config *config, struct ld_entry_handler *handler,
+    struct ld_entry **out);
+/** ld_entry_stop_listening() - take no new connection; the rest goes on */
+void ld_entry_stop_listening(struct ld_entry *e);
+/** ld_entry_open_exchanges() - requests whose answer has not left wholly */
+size_t ld_entry_open_exchanges(const struct ld_entry *e);
+size_t ld_entry_connections(const struct ld_entry *e);
+/** ld_entry_free() - closes every connection */
+void ld_entry_free(struct ld_entry *e);
+
+/* ---- The request ---- */
+
+/** ld_exchange_id() - request id, told to the caller as X-Request-Id */
+const char *ld_exchange_id(const struct ld_exchange *x);
+const char *ld_exchange_method(const struct ld_exchange *x);
+const char *ld_exchange_path(const struct ld_exchange *x);
+/** ld_exchange_target() - path and query as they were sent */
+const char *ld_exchange_target(const struct ld_exchange *x);
+/** ld_exchange_header() - value of a header, NULL when absent */
+const char *ld_exchange_header(struct ld_exchange *x, const char *name);
+struct ld_str ld_exchange_body(const struct ld_exchange *x);
+/** ld_exchange_bearer() - key of "Authorization: Bearer KEY"; may be empty */
+struct ld_str ld_exchange_bearer(struct ld_exchange *x);
+/** ld_exchange_set_owner() - pointer kept for the handler */
+void ld_exchange_set_owner(struct ld_exchange *x, void *owner);
+void *ld_exchange_owner(const struct ld_exchange *x);
+
+/* ---- The answer ---- */
+
+/**
+ * ld_exchange_answer() - give a whole answer; ends the exchange
+ * @headers: pairs of name and value ended by NULL, or NULL
+ */
+void ld_exchange_answer(struct ld_exchange *x, unsigned int code,
+    const char *content_type, const char *const *headers, struct ld_str body);
+/** ld_exchange_begin() - start a streamed answer */
+void ld_exchange_begin(
+    struct ld_exchange *x, unsigned int code, const char *content_type);
+/** ld_exchange_write() - add bytes to a stream; they leave at once */
+void ld_exchange_write(struct ld_exchange *x, struct ld_str bytes);
+/** ld_exchange_backlog() - bytes of a stream that have not left yet */
+size_t ld_exchange_backlog(const struct ld_exchange *x);
+/** ld_exchange_end() - the stream is whole; ends the exchange */
+void ld_exchange_end(struct ld_exchange *x);
+/** ld_exchange_abort() - cut the connection so that the other side sees it */
+void ld_exchange_abort(struct ld_exchange *x);
+
+/* ---- Problem documents (RFC 9457) ---- */
+
+/** enum ld_ran - whether the request was run by a backend server */
+enum ld_ran {
+	LD_RAN_NO,
+	LD_RAN_YES,
+	LD_RAN_UNKNOWN
+};
+
+const char *ld_ran_name(enum ld_ran ran);
+
+/**
+ * struct ld_problem - an error answer
+ * @code: HTTP status
+ * @type: last part of the type URN, such as "rate-limited"
+ * @retry_after_ms: 0 when repeating is not worth it; told in whole seconds,
+ *	rounded up, and in milliseconds in the document
+ */
+struct ld_problem {
+	unsigned int code;
+	const char *type;
+	const char *title;
+	const char *detail;
+	enum ld_ran ran;
+	uint64_t retry_after_ms;
+};
+
+/** ld_exchange_problem() - answer with a problem; ends the exchange */
+void ld_exchange_problem(struct ld_exchange *x, const struct ld_problem *p);
+/** ld_problem_json() - the document itself */
+void ld_problem_json(
+    const struct ld_problem *p, const char *request_id, struct ld_buf *out);
+
+#endif
