--- /dev/null
+++ b/lib/catalogue/catalogue_internal.h
@@ -0,0 +1,20 @@
+/* Inside of a snapshot, shared by parser, lookups and difference. */
+#ifndef CATALOGUE_INTERNAL_H
+#define CATALOGUE_INTERNAL_H
+
+#include "ld_catalogue.h"
+
+struct ld_catalogue {
+	size_t refs;
+	int64_t revision;
+	size_t n;
+	struct ld_entry *entries; /* document order */
+	const struct ld_entry **by_owner; /* sorted */
+};
+
+extern const char *const catalogue_class_names[LD_CLASS_COUNT];
+
+/** catalogue_index() - fill by_owner once the entries are there */
+void catalogue_index(struct ld_catalogue *c);
+
+#endif
