--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -19,7 +19,7 @@
 /* ---- Driving libmicrohttpd ---- */
 
 static void
-run_daemon(struct ld_entry *e)
+run_daemon(struct ld_listener *e)
 {
 	struct ld_timers *ts = ld_loop_timers(e->loop);
 	MHD_UNSIGNED_LONG_LONG wait_ms;
@@ -41,14 +41,15 @@
 static void
 on_timer(struct ld_timer *t, uint64_t now_ms)
 {
-	run_daemon(
-	    (struct ld_entry *)((char *)t - offsetof(struct ld_entry, timer)));
+	run_daemon((struct ld_listener *)((char *)t -
+	    offsetof(struct ld_listener, timer)));
 }
 
 /* ---- Connections ---- */
 
 static void
-connection_opened(struct ld_entry *e, struct MHD_Connection *mhd, void **slot)
+connection_opened(
+    struct ld_listener *e, struct MHD_Connection *mhd, void **slot)
 {
 	struct connection *c = ld_alloc(sizeof(*c));
 	const union MHD_ConnectionInfo *info;
@@ -67,7 +68,7 @@
 }
 
 static void
-connection_closed(struct ld_entry *e, struct connection *c)
+connection_closed(struct ld_listener *e, struct connection *c)
 {
 	*c->link = c->next;
 	if (c->next != NULL)
@@ -80,7 +81,7 @@
 on_connection(void *cls, struct MHD_Connection *mhd, void **slot,
     enum MHD_ConnectionNotificationCode what)
 {
-	struct ld_entry *e = cls;
+	struct ld_listener *e = cls;
 
 	if (what == MHD_CONNECTION_NOTIFY_STARTED)
 		connection_opened(e, mhd, slot);
@@ -92,8 +93,8 @@
 static void
 on_sweep(struct ld_timer *t, uint64_t now_ms)
 {
-	struct ld_entry *e =
-	    (struct ld_entry *)((char *)t - offsetof(struct ld_entry, sweep));
+	struct ld_listener *e = (struct ld_listener *)((char *)t -
+	    offsetof(struct ld_listener, sweep));
 
 	for (struct connection *c = e->connections; c != NULL; c = c->next)
 		if (now_ms >= c->limit_ms)
@@ -171,7 +172,7 @@
 /* ---- Listener ---- */
 
 static enum ld_status
-open_listener(const struct ld_entry_config *c, int *out)
+open_listener(const struct ld_listener_config *c, int *out)
 {
 	struct sockaddr_in at = {.sin_family = AF_INET};
 	int on = 1;
@@ -196,7 +197,7 @@
 }
 
 static struct MHD_Daemon *
-start_daemon(struct ld_entry *e, int fd)
+start_daemon(struct ld_listener *e, int fd)
 {
 	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
 	    MHD_USE_ITC | MHD_USE_ERROR_LOG;
@@ -215,11 +216,11 @@
 }
 
 enum ld_status
-ld_entry_new(struct ld_loop *loop, const struct ld_entry_config *config,
-    struct ld_entry_handler *handler, struct ld_entry **out)
+ld_listener_new(struct ld_loop *loop, const struct ld_listener_config *config,
+    struct ld_handler *handler, struct ld_listener **out)
 {
 	const union MHD_DaemonInfo *info;
-	struct ld_entry *e;
+	struct ld_listener *e;
 	enum ld_status st;
 	int fd = -1;
 
@@ -250,27 +251,27 @@
 }
 
 void
-ld_entry_stop_listening(struct ld_entry *e)
+ld_listener_stop_listening(struct ld_listener *e)
 {
 	if (e->listen_fd < 0)
 		e->listen_fd = MHD_quiesce_daemon(e->daemon);
 }
 
 size_t
-ld_entry_open_exchanges(const struct ld_entry *e)
+ld_listener_open_exchanges(const struct ld_listener *e)
 {
 	return e->open;
 }
 
 size_t
-ld_entry_connections(const struct ld_entry *e)
+ld_listener_connections(const struct ld_listener *e)
 {
 	return e->connection_count;
 }
 
 /* libmicrohttpd must not be stopped while connections are suspended. */
 static void
-resume_all(struct ld_entry *e)
+resume_all(struct ld_listener *e)
 {
 	for (struct connection *c = e->connections; c != NULL; c = c->next) {
 		struct ld_exchange *x = c->exchange;
@@ -287,7 +288,7 @@
 }
 
 void
-ld_entry_free(struct ld_entry *e)
+ld_listener_free(struct ld_listener *e)
 {
 	if (e == NULL)
 		return;
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -19,10 +19,10 @@
 	struct ld_exchange *exchange;
 };
 
-struct ld_entry {
+struct ld_listener {
 	struct ld_loop *loop;
-	struct ld_entry_handler *handler;
-	struct ld_entry_config config;
+	struct ld_handler *handler;
+	struct ld_listener_config config;
 	struct MHD_Daemon *daemon;
 	ev_io io;
 	struct ld_timer timer; /* what libmicrohttpd asks for */
@@ -37,7 +37,7 @@
 
 /** struct ld_exchange - one request and its answer */
 struct ld_exchange {
-	struct ld_entry *entry;
+	struct ld_listener *entry;
 	struct MHD_Connection *mhd;
 	struct connection *connection;
 	void *owner;
@@ -63,8 +63,8 @@
 	bool was_full; /* backlog passed its bound since drained() */
 };
 
-struct ld_exchange *exchange_new(struct ld_entry *e, struct MHD_Connection *mhd,
-    const char *method, const char *path);
+struct ld_exchange *exchange_new(struct ld_listener *e,
+    struct MHD_Connection *mhd, const char *method, const char *path);
 void exchange_free(struct ld_exchange *x);
 /** exchange_take_body() - add bytes; false when far over the bound */
 bool exchange_take_body(struct ld_exchange *x, const char *p, size_t n);
--- a/lib/entry/exchange.c
+++ b/lib/entry/exchange.c
@@ -16,15 +16,15 @@
 /* ---- Requests ---- */
 
 static void
-new_id(struct ld_entry *e, char id[REQUEST_ID_BYTES])
+new_id(struct ld_listener *e, char id[REQUEST_ID_BYTES])
 {
 	snprintf(id, REQUEST_ID_BYTES, "%016llx",
 	    (unsigned long long)ld_rand_u64(&e->rand));
 }
 
 struct ld_exchange *
-exchange_new(struct ld_entry *e, struct MHD_Connection *mhd, const char *method,
-    const char *path)
+exchange_new(struct ld_listener *e, struct MHD_Connection *mhd,
+    const char *method, const char *path)
 {
 	const union MHD_ConnectionInfo *info;
 	struct ld_exchange *x = ld_alloc(sizeof(*x));
@@ -52,7 +52,7 @@
 void
 exchange_free(struct ld_exchange *x)
 {
-	struct ld_entry *e = x->entry;
+	struct ld_listener *e = x->entry;
 
 	watch_stop(x);
 	if (x->dispatched)
@@ -88,7 +88,7 @@
 void
 exchange_gone(struct ld_exchange *x)
 {
-	struct ld_entry_handler *h = x->entry->handler;
+	struct ld_handler *h = x->entry->handler;
 
 	if (x->ended)
 		return;
@@ -160,7 +160,7 @@
 enum MHD_Result
 exchange_dispatch(struct ld_exchange *x)
 {
-	struct ld_entry_handler *h = x->entry->handler;
+	struct ld_handler *h = x->entry->handler;
 
 	x->connection->limit_ms = UINT64_MAX;
 	if (x->too_large) {
@@ -264,6 +264,9 @@
 	if (content_type != NULL)
 		MHD_add_response_header(r, "Content-Type", content_type);
 	MHD_add_response_header(r, "X-Request-Id", x->id);
+	/* A listener that stopped wants its connections to end. */
+	if (x->entry->listen_fd >= 0)
+		MHD_add_response_header(r, "Connection", "close");
 }
 
 void
@@ -284,7 +287,7 @@
 static void
 note_drained(struct ld_exchange *x)
 {
-	struct ld_entry_handler *h = x->entry->handler;
+	struct ld_handler *h = x->entry->handler;
 
 	if (!x->was_full || x->ended ||
 	    ld_exchange_backlog(x) > LD_ENTRY_BACKLOG_BYTES / 2)
--- a/lib/entry/ld_entry.h
+++ b/lib/entry/ld_entry.h
@@ -7,12 +7,12 @@
 
 #include "ld_loop.h"
 
-struct ld_entry;
+struct ld_listener;
 struct ld_exchange;
-struct ld_entry_handler;
+struct ld_handler;
 
 /**
- * struct ld_entry_handler_ops - what answers requests
+ * struct ld_handler_ops - what answers requests
  * @request: a whole request arrived. The handler answers now or later, with
  *	exactly one of ld_exchange_answer(), ld_exchange_problem(), or
  *	ld_exchange_begin() .. ld_exchange_end() / ld_exchange_abort().
@@ -20,22 +20,22 @@
  *	not be touched afterwards. Not called once the answer has ended.
  * @drained: the backlog of a stream fell below half of LD_ENTRY_BACKLOG_BYTES
  */
-struct ld_entry_handler_ops {
-	void (*request)(struct ld_entry_handler *h, struct ld_exchange *x);
-	void (*gone)(struct ld_entry_handler *h, struct ld_exchange *x);
-	void (*drained)(struct ld_entry_handler *h, struct ld_exchange *x);
+struct ld_handler_ops {
+	void (*request)(struct ld_handler *h, struct ld_exchange *x);
+	void (*gone)(struct ld_handler *h, struct ld_exchange *x);
+	void (*drained)(struct ld_handler *h, struct ld_exchange *x);
 };
 
-/** struct ld_entry_handler - first member of whatever answers requests */
-struct ld_entry_handler {
-	const struct ld_entry_handler_ops *ops;
+/** struct ld_handler - first member of whatever answers requests */
+struct ld_handler {
+	const struct ld_handler_ops *ops;
 };
 
 /** A stream with a larger backlog should stop its source. */
 #define LD_ENTRY_BACKLOG_BYTES 65536
 
-/** struct ld_entry_config - bounds of one listener */
-struct ld_entry_config {
+/** struct ld_listener_config - bounds of one listener */
+struct ld_listener_config {
 	const char *host; /* IPv4 number */
 	uint16_t port;
 	size_t max_body_bytes;
@@ -45,20 +45,20 @@
 };
 
 /**
- * ld_entry_new() - open a listener
+ * ld_listener_new() - open a listener
  *
  * Return: LD_OK, or LD_E_IO when the address can't be bound.
  */
-enum ld_status ld_entry_new(struct ld_loop *loop,
-    const struct ld_entry_config *config, struct ld_entry_handler *handler,
-    struct ld_entry **out);
-/** ld_entry_stop_listening() - take no new connection; the rest goes on */
-void ld_entry_stop_listening(struct ld_entry *e);
-/** ld_entry_open_exchanges() - requests whose answer has not left wholly */
-size_t ld_entry_open_exchanges(const struct ld_entry *e);
-size_t ld_entry_connections(const struct ld_entry *e);
-/** ld_entry_free() - closes every connection */
-void ld_entry_free(struct ld_entry *e);
+enum ld_status ld_listener_new(struct ld_loop *loop,
+    const struct ld_listener_config *config, struct ld_handler *handler,
+    struct ld_listener **out);
+/** ld_listener_stop_listening() - take no new connection; the rest goes on */
+void ld_listener_stop_listening(struct ld_listener *e);
+/** ld_listener_open_exchanges() - requests whose answer has not left wholly */
+size_t ld_listener_open_exchanges(const struct ld_listener *e);
+size_t ld_listener_connections(const struct ld_listener *e);
+/** ld_listener_free() - closes every connection */
+void ld_listener_free(struct ld_listener *e);
 
 /* ---- The request ---- */
 
