--- /dev/null
+++ b/lib/node/peer_task.h
@@ -0,0 +1,93 @@
+/*
+ * The task that joins lib/peers with TCP: a listener, dials, sessions and
+ * real time. Source: lib/node/peer_task.c.
+ */
+#ifndef LD_PEER_TASK_H
+#define LD_PEER_TASK_H
+
+#include "ld_loop.h"
+#include "ld_peers.h"
+
+struct ld_peer_task;
+
+/**
+ * struct ld_peer_task_config - all copied by ld_peer_task_new()
+ * @listen: "IP:PORT" to bind; dials leave from the same IP
+ * @advertise: "IP:PORT" at which other nodes reach this one
+ * @key: shared key of the peers, 16 to 64 bytes
+ */
+struct ld_peer_task_config {
+	struct ld_str listen;
+	struct ld_str advertise;
+	struct ld_str domain;
+	struct ld_str region;
+	const struct ld_str *seeds;
+	size_t seed_count;
+	struct ld_str key;
+};
+
+/**
+ * struct ld_peer_task_ops - what the owner wants to know; any may be NULL
+ *
+ * Called from the loop, never from inside a call of the owner. Views last
+ * for the call. A callback may call anything but ld_peer_task_free().
+ */
+struct ld_peer_task_ops {
+	void (*member)(void *arg, const struct ld_peers_member *m, bool gone);
+	void (*record)(void *arg, const struct ld_peers_record *r);
+	void (*catalogue)(void *arg, uint64_t revision, struct ld_str bytes);
+	void (*direct)(void *arg, struct ld_str from, uint64_t from_incarnation,
+	    uint32_t kind, struct ld_str bytes);
+};
+
+/** struct ld_peer_task_counters - since the start, but for the gauges */
+struct ld_peer_task_counters {
+	uint64_t bytes_in;
+	uint64_t bytes_out;
+	uint64_t frames_in;
+	uint64_t frames_out;
+	uint64_t refused_auth; /* wrong key, changed or reflected */
+	uint64_t refused_replay;
+	uint64_t refused_protocol; /* malformed, out of order, too large */
+	uint64_t handshake_timeouts;
+	uint64_t slow_closed; /* links closed with a full output queue */
+	uint64_t accepts;
+	uint64_t connections; /* gauge */
+	struct ld_peers_counters peers;
+};
+
+/**
+ * ld_peer_task_new() - bind, listen and join through the seeds
+ * @out: set on success
+ *
+ * Return: LD_OK, LD_E_INVALID for an address or key, LD_E_IO.
+ */
+enum ld_status ld_peer_task_new(struct ld_loop *loop,
+    const struct ld_peer_task_config *config,
+    const struct ld_peer_task_ops *ops, void *arg, struct ld_peer_task **out);
+/** ld_peer_task_free() - close everything at once; see ld_peer_task_leave() */
+void ld_peer_task_free(struct ld_peer_task *t);
+
+/**
+ * ld_peer_task_peers() - the decision module, for its read-only calls
+ *
+ * Calls that change it go through the task, which then performs the actions.
+ */
+const struct ld_peers *ld_peer_task_peers(const struct ld_peer_task *t);
+uint64_t ld_peer_task_incarnation(const struct ld_peer_task *t);
+
+/* The calls of the same names in ld_peers.h, at the time of the loop. */
+enum ld_status ld_peer_task_publish(struct ld_peer_task *t,
+    enum ld_peers_kind kind, struct ld_str key, struct ld_str value);
+enum ld_status ld_peer_task_send(struct ld_peer_task *t, struct ld_str to,
+    uint64_t to_incarnation, uint32_t kind, struct ld_str bytes);
+enum ld_status ld_peer_task_offer_catalogue(
+    struct ld_peer_task *t, uint64_t revision, struct ld_str bytes);
+void ld_peer_task_confirm_catalogue(struct ld_peer_task *t, uint64_t revision);
+void ld_peer_task_confirm_gone(struct ld_peer_task *t, struct ld_str address);
+/** ld_peer_task_leave() - tell the others; free the task a moment later */
+void ld_peer_task_leave(struct ld_peer_task *t);
+void ld_peer_task_counters(
+    const struct ld_peer_task *t, struct ld_peer_task_counters *out);
+
+#endif
