--- a/lib/wire/ld_wire.h
+++ b/lib/wire/ld_wire.h
@@ -12,7 +12,7 @@
 /* ---- Sessions and frames ---- */
 
 /** Largest payload of a frame: a whole catalogue has to fit. */
-#define LD_WIRE_PAYLOAD_MAX_BYTES (1536 * 1024)
+#define LD_WIRE_PAYLOAD_MAX_BYTES ((size_t)1536 * 1024)
 #define LD_WIRE_NONCE_BYTES 32
 /** 128 bits of the keyed hash go on the wire. */
 #define LD_WIRE_MAC_BYTES 16
--- a/lib/wire/session.c
+++ b/lib/wire/session.c
@@ -13,7 +13,6 @@
 #define LENGTH_BYTES 4
 #define SEQ_BYTES 8
 #define BODY_MIN_BYTES (LD_WIRE_MAC_BYTES + SEQ_BYTES)
-#define MAGIC "ldpeers1"
 #define MAGIC_BYTES 8
 #define HELLO_BYTES (MAGIC_BYTES + 1 + LD_WIRE_NONCE_BYTES)
 #define HELLO_BODY_BYTES (LD_WIRE_MAC_BYTES + HELLO_BYTES)
@@ -22,6 +21,9 @@
     "overhead told to others");
 _Static_assert(LD_WIRE_MAC_BYTES <= LD_MAC_BYTES, "the hash is truncated");
 
+static const unsigned char magic[MAGIC_BYTES] = {
+    'l', 'd', 'p', 'e', 'e', 'r', 's', '1'};
+
 struct ld_wire_session {
 	enum ld_wire_role role;
 	unsigned char shared[LD_WIRE_KEY_MAX_BYTES];
@@ -117,7 +119,7 @@
 	unsigned char hello[HELLO_BYTES];
 	unsigned char mac[LD_MAC_BYTES];
 
-	memcpy(hello, MAGIC, MAGIC_BYTES);
+	memcpy(hello, magic, MAGIC_BYTES);
 	hello[MAGIC_BYTES] = (unsigned char)s->role;
 	memcpy(hello + MAGIC_BYTES + 1, s->nonce, LD_WIRE_NONCE_BYTES);
 	ld_mac(shared_key(s),
@@ -137,7 +139,7 @@
 	unsigned char *acceptor = dialer + LD_WIRE_NONCE_BYTES;
 	bool dialing = s->role == LD_WIRE_DIALER;
 
-	memcpy(both, MAGIC, MAGIC_BYTES);
+	memcpy(both, magic, MAGIC_BYTES);
 	memcpy(dialer, dialing ? s->nonce : peer_nonce, LD_WIRE_NONCE_BYTES);
 	memcpy(acceptor, dialing ? peer_nonce : s->nonce, LD_WIRE_NONCE_BYTES);
 	ld_mac(shared_key(s), (struct ld_str){(const char *)both, sizeof(both)},
@@ -155,7 +157,7 @@
 		return ld_fail(LD_E_PROTOCOL, "first frame is not a hello");
 	hello.p = body.p + LD_WIRE_MAC_BYTES;
 	hello.len = HELLO_BYTES;
-	if (memcmp(hello.p, MAGIC, MAGIC_BYTES) != 0)
+	if (memcmp(hello.p, magic, MAGIC_BYTES) != 0)
 		return ld_fail(LD_E_PROTOCOL, "hello of another protocol");
 	ld_mac(shared_key(s), hello, mac);
 	if (!ld_equal_ct(mac, body.p, LD_WIRE_MAC_BYTES))
