--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # LIBS is in dependency order: a library may include only the headers of
 # libraries to its left, and only those that its README.md lists.
 
-LIBS := common loop http wire catalogue peers admit route booking replica \
+LIBS := common loop http wire catalogue peers admit route booking health replica \
 	platform metrics settings backend entry
 # Folders that exist so far, in the order above.
 HAVE := $(foreach l,$(LIBS),$(if $(wildcard lib/$(l)/*.c),$(l)))
@@ -41,7 +41,7 @@
 SOURCES := $(wildcard lib/*/*.[ch] programs/*.[ch] tests/*.[ch] \
 	tests/*/*.[ch] bench/*.[ch])
 # Archives are searched right to left: dependents first.
-REVERSED := $(foreach l,entry backend settings metrics platform replica \
+REVERSED := $(foreach l,entry backend settings metrics platform replica health \
 	booking route admit peers catalogue wire http loop common,\
 	$(if $(filter $(l),$(HAVE)),$(B)/lib$(l).a))
 
--- /dev/null
+++ b/lib/replica/ld_replica.h
@@ -0,0 +1,271 @@
+/*
+ * Replicas of one fabric domain: placement record, plan, control lease and
+ * orders. Pure decisions: events with a time go in, actions come out.
+ * Source: lib/replica.
+ */
+#ifndef LD_REPLICA_H
+#define LD_REPLICA_H
+
+#include "ld_common.h"
+#include "ld_health.h"
+
+/* ---- Placement record ---- */
+
+#define LD_REPLICA_MEMBERS_MAX 64
+#define LD_REPLICA_MAX 128
+/* Instances of one fabric domain. */
+#define LD_REPLICA_INSTANCES_MAX 1024
+#define LD_REPLICA_MODELS_MAX 16
+
+/** enum ld_replica_state - state of a replica in the record */
+enum ld_replica_state {
+	LD_REPLICA_FORMING,
+	LD_REPLICA_SERVING,
+	LD_REPLICA_DRAINING,
+	LD_REPLICA_STATE_COUNT
+};
+
+const char *ld_replica_state_name(enum ld_replica_state s);
+
+/**
+ * struct ld_replica_entry - one replica of the record
+ * @epoch: changes with every change of members; never used twice
+ * @members: numbers of instances, see ld_replica_instance_name(); the first
+ *	one is the head
+ */
+struct ld_replica_entry {
+	char id[LD_HEALTH_NAME_MAX];
+	char model[LD_HEALTH_NAME_MAX];
+	uint64_t epoch;
+	enum ld_replica_state state;
+	uint16_t member_count;
+	uint16_t members[LD_REPLICA_MEMBERS_MAX];
+};
+
+/** struct ld_replica_record - the placement record of one fabric domain */
+struct ld_replica_record {
+	uint16_t count;
+	struct ld_replica_entry replicas[LD_REPLICA_MAX];
+};
+
+/* ---- Plan ---- */
+
+/**
+ * struct ld_replica_model - one model of the deployment
+ * @size: instances of one replica
+ * @wanted: replicas wanted in this fabric domain; what is beyond it is formed
+ *	only from instances that would stay idle
+ * @fills: replicas beyond @wanted may be formed from idle instances, and are
+ *	broken up first for their parts
+ */
+struct ld_replica_model {
+	struct ld_str name;
+	uint16_t size;
+	uint16_t wanted;
+	bool fills;
+};
+
+/**
+ * struct ld_replica_plan_config - what the plan weighs; times in ms
+ * @downtime_weight: cost of a replica-minute below the wanted number
+ * @stranded_weight: cost of an accelerator-hour idle though healthy
+ * @accelerators: of one instance
+ * @loss_per_day: losses of an instance a day, in thousandths
+ * @refill_ms: until a lost instance is back or replaced
+ * @drain_ms: until a drained replica has finished what runs, at most
+ * @load_ms: load of one member from the weight store
+ * @settle_ms: an instance that came back is used after so long without trouble
+ * @max_loads: loads from the weight store in flight at once
+ */
+struct ld_replica_plan_config {
+	double downtime_weight;
+	double stranded_weight;
+	uint16_t accelerators;
+	uint32_t loss_per_day;
+	uint32_t refill_ms;
+	uint32_t drain_ms;
+	uint32_t load_ms;
+	uint32_t settle_ms;
+	uint16_t max_loads;
+	/* Below 0: work the number of spares out from the weights. */
+	int fixed_spares;
+	struct ld_replica_model models[LD_REPLICA_MODELS_MAX];
+	size_t model_count;
+};
+
+/** ld_replica_spares() - spares to hold in a domain of @instances instances */
+uint16_t ld_replica_spares(
+    const struct ld_replica_plan_config *c, uint16_t instances);
+
+/* ---- Controller ---- */
+
+/**
+ * struct ld_replica_config - settings of one controller; times in ms
+ * @self: this node's identity with its incarnation; the holder's name
+ * @fabric: the fabric domain
+ * @ttl_ms: of the control lease
+ * @renew_ms: between two keepalives
+ * @margin_ms: allowance for clocks that run at different rates
+ * @order_life_ms: an order is good for so long once it was sent
+ * @order_retry_ms: until an order without effect is sent again
+ * @poll_ms: between two looks at the control key by the first candidate
+ * @report_ttl_ms: life of a health report
+ */
+struct ld_replica_config {
+	struct ld_str self;
+	struct ld_str fabric;
+	uint32_t ttl_ms;
+	uint32_t renew_ms;
+	uint32_t margin_ms;
+	uint32_t order_life_ms;
+	uint32_t order_retry_ms;
+	uint32_t poll_ms;
+	uint32_t report_ttl_ms;
+	uint64_t seed;
+	struct ld_replica_plan_config plan;
+};
+
+/** ld_replica_defaults() - settings for today's sizes, no models */
+void ld_replica_defaults(struct ld_replica_config *c);
+
+enum ld_replica_action_type {
+	LD_REPLICA_LEASE_GRANT, /* ttl_ms */
+	LD_REPLICA_LEASE_KEEPALIVE, /* lease */
+	LD_REPLICA_LEASE_REVOKE, /* lease */
+	LD_REPLICA_CONTROL_CREATE, /* value, lease; only if the key is absent */
+	LD_REPLICA_CONTROL_READ,
+	LD_REPLICA_RECORD_READ,
+	LD_REPLICA_RECORD_WRITE, /* value; only if its revision is expected */
+	LD_REPLICA_ORDER, /* order */
+	LD_REPLICA_ACTION_COUNT
+};
+
+const char *ld_replica_action_name(enum ld_replica_action_type t);
+
+/** struct ld_replica_order - one order to one engine; index into the record */
+struct ld_replica_order {
+	char address[LD_HEALTH_ADDRESS_MAX];
+	char replica[LD_HEALTH_NAME_MAX];
+	char model[LD_HEALTH_NAME_MAX];
+	uint64_t fence;
+	uint64_t epoch;
+	uint32_t expires_ms;
+	bool load; /* false: unload */
+	uint16_t member_count;
+	uint16_t members[LD_REPLICA_MEMBERS_MAX];
+};
+
+/**
+ * struct ld_replica_action - what the adapter has to do
+ * @call: to be given back with the result
+ * @value: of a create or write; valid until the next call into the module
+ * @expected: revision of the record to compare with, 0 for absent
+ * @fence: for a write: the control key must still have this create revision,
+ *	where the store client can compare two keys in one transaction
+ */
+struct ld_replica_action {
+	enum ld_replica_action_type type;
+	uint64_t call;
+	uint64_t lease;
+	uint32_t ttl_ms;
+	struct ld_str value;
+	uint64_t expected;
+	uint64_t fence;
+	struct ld_replica_order order;
+};
+
+/**
+ * struct ld_replica_store_result - outcome of a store call
+ * @status: LD_OK, LD_E_CONFLICT (comparison failed), LD_E_NOT_FOUND (no such
+ *	key or lease); LD_E_UNAVAILABLE when the call surely had no effect; any
+ *	other failure means that it may have taken effect
+ * @lease: id granted, or the lease that a control key is attached to
+ * @revision: of the key that was read or written (its last change)
+ * @value: of the key that was read
+ */
+struct ld_replica_store_result {
+	enum ld_status status;
+	uint64_t lease;
+	uint64_t revision;
+	struct ld_str value;
+};
+
+/** enum ld_replica_role - where a controller stands */
+enum ld_replica_role {
+	LD_REPLICA_FOLLOWER, /* another node holds the lease, or nobody */
+	LD_REPLICA_ACQUIRING,
+	LD_REPLICA_WAITING, /* holds it; a predecessor's orders run out */
+	LD_REPLICA_HOLDER, /* plans and orders */
+	LD_REPLICA_ROLE_COUNT
+};
+
+const char *ld_replica_role_name(enum ld_replica_role r);
+
+struct ld_replica;
+
+/** ld_replica_new() - strings of @config are copied */
+struct ld_replica *ld_replica_new(
+    const struct ld_replica_config *config, uint64_t now_ms);
+void ld_replica_free(struct ld_replica *c);
+
+/** ld_replica_set_nodes() - identities of the live entry nodes, self too */
+void ld_replica_set_nodes(
+    struct ld_replica *c, const struct ld_str *ids, size_t n, uint64_t now_ms);
+
+/** struct ld_replica_instance - an engine of this fabric in the live list */
+struct ld_replica_instance {
+	struct ld_str address;
+	bool leaving;
+};
+
+/** ld_replica_set_instances() - replace the live list of this fabric */
+void ld_replica_set_instances(struct ld_replica *c,
+    const struct ld_replica_instance *list, size_t n, uint64_t now_ms);
+
+/** ld_replica_on_view() - the health of one instance, as known now */
+void ld_replica_on_view(
+    struct ld_replica *c, const struct ld_health_view *v, uint64_t now_ms);
+
+void ld_replica_on_store(struct ld_replica *c, uint64_t call,
+    const struct ld_replica_store_result *r, uint64_t now_ms);
+
+/**
+ * ld_replica_on_order() - outcome of an order
+ * @status: LD_OK; LD_E_STALE when the engine knows a higher fence; anything
+ *	else says nothing about its effect, which health reports show
+ */
+void ld_replica_on_order(struct ld_replica *c, uint64_t call,
+    enum ld_status status, uint64_t now_ms);
+
+/** ld_replica_tick() - let time pass; call it at least every 200 ms */
+void ld_replica_tick(struct ld_replica *c, uint64_t now_ms);
+
+/**
+ * ld_replica_resign() - hand the lease over before a planned stop
+ *
+ * No order follows. The lease is revoked, so that a successor need not wait
+ * for it to lapse.
+ */
+void ld_replica_resign(struct ld_replica *c, uint64_t now_ms);
+
+bool ld_replica_next_action(
+    struct ld_replica *c, struct ld_replica_action *out);
+
+/**
+ * ld_replica_may_order() - whether the lease is still valid at @now_ms
+ *
+ * The adapter asks this once more right before the bytes of an order leave,
+ * with a clock read at that moment, and drops the order on false.
+ */
+bool ld_replica_may_order(const struct ld_replica *c,
+    const struct ld_replica_order *o, uint64_t now_ms);
+
+enum ld_replica_role ld_replica_role(const struct ld_replica *c);
+/** ld_replica_record() - the record as last confirmed by the store */
+const struct ld_replica_record *ld_replica_record(const struct ld_replica *c);
+uint64_t ld_replica_record_revision(const struct ld_replica *c);
+/** ld_replica_instance_name() - address of instance @i, "" when unknown */
+const char *ld_replica_instance_name(const struct ld_replica *c, uint16_t i);
+uint64_t ld_replica_fence(const struct ld_replica *c);
+
+#endif
