--- /dev/null
+++ b/lib/health/health.c
@@ -0,0 +1,292 @@
+/* Server health: lists, actions and what the reports add up to. */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "health_internal.h"
+
+void
+ld_health_defaults(struct ld_health_config *c)
+{
+	memset(c, 0, sizeof(*c));
+	c->probers = 3;
+	c->interval_ms = 1000;
+	c->jitter_pct = 20;
+	c->timeout_ms = 500;
+	c->report_ttl_ms = 3000;
+	c->suspect_after = 2;
+	c->dead_after_ms = 1500;
+	c->slow_factor = 5;
+	c->slow_min_ms = 50;
+}
+
+void
+copy_name(char *out, size_t size, struct ld_str s)
+{
+	size_t n = s.len < size ? s.len : size - 1;
+
+	if (n > 0)
+		memcpy(out, s.p, n);
+	out[n] = '\0';
+}
+
+struct ld_health *
+ld_health_new(const struct ld_health_config *config, uint64_t now_ms)
+{
+	struct ld_health *h = ld_alloc(sizeof(*h));
+
+	assert(config->probers > 0 && config->interval_ms > 0);
+	assert(config->jitter_pct < 100);
+	h->config = *config;
+	copy_name(h->self, sizeof(h->self), config->self);
+	copy_name(h->zone, sizeof(h->zone), config->zone);
+	ld_rand_seed(&h->rand, config->seed);
+	return h;
+}
+
+void
+ld_health_free(struct ld_health *h)
+{
+	if (h == NULL)
+		return;
+	free(h->servers);
+	free(h->nodes);
+	free(h->actions);
+	free(h);
+}
+
+struct ld_health_action *
+health_push(struct ld_health *h, enum ld_health_action_type type)
+{
+	struct ld_health_action *a;
+
+	if (h->action_count == h->action_cap) {
+		h->action_cap = h->action_cap > 0 ? 2 * h->action_cap : 16;
+		h->actions = ld_realloc(h->actions, h->action_cap * sizeof(*a));
+	}
+	a = &h->actions[h->action_count++];
+	memset(a, 0, sizeof(*a));
+	a->type = type;
+	return a;
+}
+
+bool
+ld_health_next_action(struct ld_health *h, struct ld_health_action *out)
+{
+	if (h->action_head == h->action_count) {
+		h->action_head = h->action_count = 0;
+		return false;
+	}
+	*out = h->actions[h->action_head++];
+	return true;
+}
+
+/* ---- Lists ---- */
+
+struct server *
+server_find(const struct ld_health *h, struct ld_str address)
+{
+	for (size_t i = 0; i < h->server_count; i++) {
+		if (ld_str_eq(ld_str_c(h->servers[i].address), address))
+			return &h->servers[i];
+	}
+	return NULL;
+}
+
+void
+ld_health_set_nodes(struct ld_health *h, const struct ld_health_node *nodes,
+    size_t n, uint64_t now_ms)
+{
+	h->nodes = ld_realloc(h->nodes, (n + 1) * sizeof(*h->nodes));
+	for (size_t i = 0; i < n; i++) {
+		struct node *out = &h->nodes[i];
+
+		copy_name(out->id, sizeof(out->id), nodes[i].id);
+		copy_name(out->zone, sizeof(out->zone), nodes[i].zone);
+	}
+	h->node_count = n;
+	assign_probers(h, now_ms);
+}
+
+/* What is known of a server that stays in the list is kept. */
+void
+ld_health_set_servers(struct ld_health *h,
+    const struct ld_health_server *servers, size_t n, uint64_t now_ms)
+{
+	struct server *next = ld_alloc((n + 1) * sizeof(*next));
+
+	for (size_t i = 0; i < n; i++) {
+		struct server *old = server_find(h, servers[i].address);
+		struct server *s = &next[i];
+
+		if (old != NULL)
+			*s = *old;
+		copy_name(s->address, sizeof(s->address), servers[i].address);
+		copy_name(s->zone, sizeof(s->zone), servers[i].zone);
+		s->leaving = servers[i].leaving;
+		/* The number of a probe says where its server stands. */
+		if (old != NULL && old != &h->servers[i])
+			s->probe = 0;
+	}
+	free(h->servers);
+	h->servers = next;
+	h->server_count = n;
+	assign_probers(h, now_ms);
+}
+
+/* ---- Evidence of others ---- */
+
+enum ld_status
+ld_health_peer_report(
+    struct ld_health *h, const struct ld_health_report *r, uint64_t now_ms)
+{
+	struct server *s = server_find(h, ld_str_c(r->address));
+	uint64_t answer_ms = r->age_ms < now_ms ? now_ms - r->age_ms : 0;
+	enum ld_status st;
+
+	if (s == NULL)
+		return ld_fail(LD_E_NOT_FOUND, "report on an unlisted server");
+	if (r->verdict == LD_HEALTH_OK && r->age_ms >= h->config.report_ttl_ms)
+		return ld_fail(LD_E_STALE, "report past its life");
+	if (r->never_answered)
+		answer_ms = 0;
+	st = heard_put(s, r, answer_ms, now_ms);
+	/* A second opinion at once: death needs two reporters. */
+	if (st == LD_OK && r->verdict != LD_HEALTH_OK && s->mine &&
+	    s->own.verdict == LD_HEALTH_OK)
+		probe_soon(s, now_ms);
+	return st;
+}
+
+/* ---- Merged view ---- */
+
+#define QUORUM 2
+/* Failed calls of this node in a row that make it avoid a server. */
+#define CALL_FAILURES 2
+/* ... for so long. */
+#define CALL_AVOID_MS 5000
+
+const char *
+ld_health_state_name(enum ld_health_state s)
+{
+	static const char *const names[LD_HEALTH_STATE_COUNT] = {
+	    "unknown", "live", "suspect", "dead"};
+
+	return s < LD_HEALTH_STATE_COUNT ? names[s] : "invalid";
+}
+
+/** struct tally - fresh reports by verdict */
+struct tally {
+	size_t ok;
+	size_t failing;
+	size_t failed;
+	size_t slow;
+};
+
+static struct tally
+count_reports(
+    const struct ld_health *h, const struct server *s, uint64_t now_ms)
+{
+	struct tally t = {0};
+
+	for (size_t i = 0; i < s->heard_count; i++) {
+		const struct heard *e = &s->heard[i];
+
+		if (now_ms >= e->heard_ms + h->config.report_ttl_ms)
+			continue;
+		t.failed += e->report.verdict == LD_HEALTH_FAILED;
+		t.failing += e->report.verdict == LD_HEALTH_FAILING;
+		if (e->report.verdict != LD_HEALTH_OK ||
+		    now_ms >= e->answer_ms + h->config.report_ttl_ms)
+			continue;
+		t.ok++;
+		t.slow += e->report.straggler;
+	}
+	return t;
+}
+
+/* One reporter can be cut off itself; with a single node there is no other. */
+static size_t
+quorum(const struct ld_health *h)
+{
+	return h->node_count < QUORUM || h->config.probers < QUORUM ? 1
+								    : QUORUM;
+}
+
+static enum ld_health_state
+judge(const struct ld_health *h, const struct server *s, const struct tally *t,
+    bool fresh, uint64_t now_ms)
+{
+	if (t->failed >= quorum(h) && t->ok == 0)
+		return LD_HEALTH_DEAD;
+	if (t->failed > 0 || t->failing >= quorum(h))
+		return LD_HEALTH_SUSPECT;
+	if (!fresh)
+		return LD_HEALTH_UNKNOWN;
+	if (s->call_failures >= CALL_FAILURES &&
+	    now_ms < s->call_failed_ms + CALL_AVOID_MS)
+		return LD_HEALTH_SUSPECT;
+	return LD_HEALTH_LIVE;
+}
+
+static void
+fill_view(const struct ld_health *h, const struct server *s, uint64_t now_ms,
+    struct ld_health_view *out)
+{
+	const struct heard *n = heard_newest(s);
+	struct tally t = count_reports(h, s, now_ms);
+
+	memset(out, 0, sizeof(*out));
+	memcpy(out->address, s->address, sizeof(out->address));
+	out->leaving = s->leaving;
+	out->fresh =
+	    n != NULL && now_ms < n->answer_ms + h->config.report_ttl_ms;
+	out->state = judge(h, s, &t, out->fresh, now_ms);
+	out->straggler =
+	    s->tokens.straggler || (t.ok > 0 && 2 * t.slow >= t.ok);
+	if (!out->fresh)
+		return;
+	memcpy(out->replica, n->report.replica, sizeof(out->replica));
+	memcpy(
+	    out->incarnation, n->report.incarnation, sizeof(out->incarnation));
+	out->epoch = n->report.epoch;
+	out->ready = n->report.ready;
+	out->running = n->report.running;
+	out->waiting = n->report.waiting;
+	out->slots = n->report.slots;
+	out->age_ms = (uint32_t)(now_ms - n->answer_ms);
+}
+
+enum ld_status
+ld_health_view(const struct ld_health *h, struct ld_str address,
+    uint64_t now_ms, struct ld_health_view *out)
+{
+	const struct server *s = server_find(h, address);
+
+	if (s == NULL)
+		return ld_fail(LD_E_NOT_FOUND, "server is not in the list");
+	fill_view(h, s, now_ms, out);
+	return LD_OK;
+}
+
+bool
+ld_health_holds(const struct ld_health *h, struct ld_str address,
+    struct ld_str replica, uint64_t epoch, uint64_t now_ms)
+{
+	const struct server *s = server_find(h, address);
+	struct ld_health_view v;
+
+	if (s == NULL)
+		return false;
+	fill_view(h, s, now_ms, &v);
+	return v.fresh && v.ready && v.state != LD_HEALTH_DEAD &&
+	    v.epoch == epoch && ld_str_eq(ld_str_c(v.replica), replica);
+}
+
+bool
+ld_health_probes(const struct ld_health *h, struct ld_str address)
+{
+	const struct server *s = server_find(h, address);
+
+	return s != NULL && s->mine;
+}
--- a/lib/health/ld_health.h
+++ b/lib/health/ld_health.h
@@ -71,8 +71,9 @@
 /**
  * struct ld_health_report - one reporter's latest word on one server
  * @replica: what the server itself said that it holds; "" for none
- * @age_ms: time since before the last answered probe was sent; for records
- *	that travel, the receiver adds what the transfer can have taken
+ * @seq: rises with each report of this reporter
+ * @age_ms: time since before the last answered probe was sent; whoever
+ *	receives a report adds what the transfer can have taken
  * @never_answered: no probe by this reporter was ever answered
  *
  * Self-contained with no pointers, so that tasks can post it as it is.
@@ -83,6 +84,7 @@
 	char replica[LD_HEALTH_NAME_MAX];
 	char incarnation[LD_HEALTH_NAME_MAX];
 	uint64_t epoch;
+	uint64_t seq;
 	enum ld_health_verdict verdict;
 	bool never_answered;
 	bool ready;
--- a/lib/replica/ld_replica.h
+++ b/lib/replica/ld_replica.h
@@ -6,10 +6,11 @@
 #ifndef LD_REPLICA_H
 #define LD_REPLICA_H
 
+#include "ld_catalogue.h"
 #include "ld_common.h"
 #include "ld_health.h"
 
-/* ---- Placement record ---- */
+/* ---- Placement record, in the form that the plan works on ---- */
 
 #define LD_REPLICA_MEMBERS_MAX 64
 #define LD_REPLICA_MAX 128
@@ -17,16 +18,6 @@
 #define LD_REPLICA_INSTANCES_MAX 1024
 #define LD_REPLICA_MODELS_MAX 16
 
-/** enum ld_replica_state - state of a replica in the record */
-enum ld_replica_state {
-	LD_REPLICA_FORMING,
-	LD_REPLICA_SERVING,
-	LD_REPLICA_DRAINING,
-	LD_REPLICA_STATE_COUNT
-};
-
-const char *ld_replica_state_name(enum ld_replica_state s);
-
 /**
  * struct ld_replica_entry - one replica of the record
  * @epoch: changes with every change of members; never used twice
@@ -42,7 +33,11 @@
 	uint16_t members[LD_REPLICA_MEMBERS_MAX];
 };
 
-/** struct ld_replica_record - the placement record of one fabric domain */
+/**
+ * struct ld_replica_record - the placement record of one fabric domain
+ *
+ * The same content as struct ld_placement, with instances as numbers.
+ */
 struct ld_replica_record {
 	uint16_t count;
 	struct ld_replica_entry replicas[LD_REPLICA_MAX];
@@ -142,7 +137,10 @@
 
 const char *ld_replica_action_name(enum ld_replica_action_type t);
 
-/** struct ld_replica_order - one order to one engine; index into the record */
+/**
+ * struct ld_replica_order - one order to one engine
+ * @members: numbers of instances, see ld_replica_instance_name()
+ */
 struct ld_replica_order {
 	char address[LD_HEALTH_ADDRESS_MAX];
 	char replica[LD_HEALTH_NAME_MAX];
--- /dev/null
+++ b/lib/replica/plan.c
@@ -0,0 +1,436 @@
+/*
+ * The plan: moves each replica through forming, serving and draining, and
+ * re-forms what broke. One step turns the confirmed record into the next one.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "plan_internal.h"
+
+/*
+ * A drained replica has no request left once this passed and its head reports
+ * none: routers learn of the record within 5 s, and load reports lag.
+ */
+#define DRAIN_MIN_MS 8000
+/* A member without a fresh report for so many report lives is lost. */
+#define LOST_REPORT_LIVES 3
+/* A member that is slow for so long is replaced like one that leaves. */
+#define STRAGGLER_MS 60000
+
+static uint64_t
+since_ms(const struct step *s, const struct ld_replica_entry *e)
+{
+	return s->p->since_ms[e - s->record->replicas];
+}
+
+static bool
+lost(const struct step *s, uint16_t i)
+{
+	return instance_lost(step_instance(s, i),
+	    LOST_REPORT_LIVES * s->p->report_ttl_ms, s->p->now_ms);
+}
+
+static bool
+slow(const struct step *s, uint16_t i)
+{
+	const struct instance *in = step_instance(s, i);
+
+	return in->slow_since_ms != 0 &&
+	    s->p->now_ms >= in->slow_since_ms + STRAGGLER_MS;
+}
+
+/* Its own fresh answer says that it no longer is the member it was. */
+static bool
+returned(const struct step *s, const struct ld_replica_entry *e, uint16_t i)
+{
+	const struct instance *in = step_instance(s, i);
+
+	if (e->state == LD_REPLICA_FORMING)
+		return false;
+	if (in->restarted)
+		return true;
+	return instance_fresh(in, s->p->now_ms) &&
+	    !instance_holds(in, e, s->p->now_ms);
+}
+
+static bool
+broken(const struct step *s, const struct ld_replica_entry *e)
+{
+	for (uint16_t m = 0; m < e->member_count; m++) {
+		if (lost(s, e->members[m]) || returned(s, e, e->members[m]))
+			return true;
+		/* Nothing is served yet, so there is nothing to drain. */
+		if (e->state == LD_REPLICA_FORMING &&
+		    step_instance(s, e->members[m])->leaving)
+			return true;
+	}
+	return false;
+}
+
+/* Whether a member of a broken replica stays a member when it is re-formed. */
+static bool
+stays(const struct step *s, const struct ld_replica_entry *e, uint16_t i)
+{
+	const struct instance *in = step_instance(s, i);
+
+	if (lost(s, i) || in->leaving || slow(s, i))
+		return false;
+	if (instance_holds(in, e, s->p->now_ms) && !in->restarted)
+		return true;
+	return in->good_since_ms != 0 &&
+	    s->p->now_ms >=
+	    in->good_since_ms + instance_settle_ms(in, s->p->config);
+}
+
+static uint16_t
+count_staying(const struct step *s, const struct ld_replica_entry *e)
+{
+	uint16_t n = 0;
+
+	for (uint16_t m = 0; m < e->member_count; m++)
+		n += stays(s, e, e->members[m]);
+	return n;
+}
+
+/* ---- Moves of a single replica ---- */
+
+static bool
+complete(const struct step *s, const struct ld_replica_entry *e)
+{
+	for (uint16_t m = 0; m < e->member_count; m++) {
+		const struct instance *in = step_instance(s, e->members[m]);
+
+		if (!instance_holds(in, e, s->p->now_ms) || !in->view.ready ||
+		    in->view.state == LD_HEALTH_DEAD)
+			return false;
+	}
+	return true;
+}
+
+static void
+set_state(struct step *s, struct ld_replica_entry *e, enum ld_replica_state st)
+{
+	e->state = st;
+	s->changed = true;
+}
+
+/*
+ * A member can have left another replica by the write that made this one.
+ * Routers may rely on reports from before that for one report life, so this
+ * one serves only after it.
+ */
+static void
+step_forming(struct step *s, struct ld_replica_entry *e)
+{
+	if (s->p->now_ms < since_ms(s, e) + s->p->report_ttl_ms)
+		return;
+	if (complete(s, e))
+		set_state(s, e, LD_REPLICA_SERVING);
+}
+
+static bool
+must_drain(const struct step *s, const struct ld_replica_entry *e)
+{
+	bool spare = step_free(s) > 0;
+
+	for (uint16_t m = 0; m < e->member_count; m++) {
+		if (step_instance(s, e->members[m])->leaving)
+			return true;
+		if (spare && slow(s, e->members[m]))
+			return true;
+	}
+	return false;
+}
+
+static bool
+drained(const struct step *s, const struct ld_replica_entry *e)
+{
+	const struct instance *head = step_instance(s, e->members[0]);
+	uint64_t start = since_ms(s, e);
+
+	if (s->p->now_ms >= start + s->p->config->drain_ms)
+		return true;
+	if (s->p->now_ms < start + DRAIN_MIN_MS)
+		return false;
+	return instance_fresh(head, s->p->now_ms) && head->view.running == 0 &&
+	    head->view.waiting == 0;
+}
+
+/* ---- Re-forming ---- */
+
+/** struct broken_list - replicas to re-form, most needed first */
+struct broken_list {
+	uint16_t v[LD_REPLICA_MAX];
+	uint16_t n;
+};
+
+static size_t
+model_order(const struct step *s, const struct ld_replica_entry *e)
+{
+	const struct ld_replica_model *m = plan_model(s->p->config, e->model);
+
+	return m == NULL ? SIZE_MAX : (size_t)(m - s->p->config->models);
+}
+
+size_t
+plan_loads_missing(const struct instances *t, const struct ld_replica_entry *r,
+    uint64_t now_ms)
+{
+	size_t n = 0;
+
+	for (uint16_t m = 0; m < r->member_count; m++) {
+		const struct instance *in = &t->v[r->members[m]];
+
+		n += !instance_has_weights(in, r->model) ||
+		    !instance_fresh(in, now_ms);
+	}
+	return n;
+}
+
+static bool
+more_needed(const struct step *s, uint16_t a, uint16_t b)
+{
+	const struct ld_replica_entry *ea = &s->record->replicas[a];
+	const struct ld_replica_entry *eb = &s->record->replicas[b];
+
+	if (model_order(s, ea) != model_order(s, eb))
+		return model_order(s, ea) < model_order(s, eb);
+	return plan_loads_missing(s->p->instances, ea, s->p->now_ms) <
+	    plan_loads_missing(s->p->instances, eb, s->p->now_ms);
+}
+
+static void
+broken_add(const struct step *s, struct broken_list *l, uint16_t i)
+{
+	uint16_t at = l->n++;
+
+	while (at > 0 && more_needed(s, i, l->v[at - 1])) {
+		l->v[at] = l->v[at - 1];
+		at--;
+	}
+	l->v[at] = i;
+}
+
+/* Replaces what doesn't stay; the caller made sure that enough is free. */
+static void
+reform(struct step *s, struct ld_replica_entry *e)
+{
+	uint16_t kept[LD_REPLICA_MEMBERS_MAX];
+	uint16_t size = plan_model(s->p->config, e->model)->size;
+	uint16_t n = 0;
+
+	for (uint16_t m = 0; m < e->member_count; m++) {
+		if (stays(s, e, e->members[m]) && n < size)
+			kept[n++] = e->members[m];
+		else
+			s->owned[e->members[m]] = false;
+	}
+	while (n < size)
+		kept[n++] = step_take(s, e->model);
+	memcpy(e->members, kept, n * sizeof(kept[0]));
+	e->member_count = n;
+	e->epoch = s->p->next_epoch;
+	set_state(s, e, LD_REPLICA_FORMING);
+}
+
+/*
+ * Takes the staying members of the least needed broken replica for @need
+ * parts of a better one. The donor can't be re-formed now in any case.
+ */
+static bool
+take_from_donor(
+    struct step *s, const struct broken_list *l, uint16_t after, uint16_t need)
+{
+	for (uint16_t d = l->n; d-- > after + 1;) {
+		struct ld_replica_entry *e = &s->record->replicas[l->v[d]];
+
+		if (e->member_count == 0 || e->state == LD_REPLICA_DRAINING)
+			continue;
+		if (count_staying(s, e) < need)
+			continue;
+		step_remove(s, e);
+		return true;
+	}
+	return false;
+}
+
+/* No parts and none to come: hold the rest together, or use it meanwhile. */
+static void
+wait_or_dissolve(struct step *s, struct ld_replica_entry *e, uint16_t missing)
+{
+	const struct ld_replica_plan_config *c = s->p->config;
+	uint16_t idle = count_staying(s, e);
+
+	for (size_t i = 0; i < c->model_count; i++) {
+		if (c->models[i].fills && idle >= c->models[i].size &&
+		    step_idle_costs_more(s, idle, c->drain_ms + c->load_ms)) {
+			step_remove(s, e);
+			return;
+		}
+	}
+	s->awaited += missing;
+}
+
+static void
+reform_one(struct step *s, const struct broken_list *l, uint16_t at)
+{
+	struct ld_replica_entry *e = &s->record->replicas[l->v[at]];
+	const struct ld_replica_model *m = plan_model(s->p->config, e->model);
+	uint16_t staying, missing;
+
+	if (e->member_count == 0)
+		return;
+	staying = count_staying(s, e);
+	missing = staying < m->size ? m->size - staying : 0;
+	if (step_free(s) >= missing) {
+		reform(s, e);
+		return;
+	}
+	/* Parts of a filler come once it was drained; it waits until then. */
+	if (step_break_up(s, missing + s->reserved)) {
+		s->reserved += missing;
+		return;
+	}
+	if (take_from_donor(s, l, at, missing - step_free(s))) {
+		reform(s, e);
+		return;
+	}
+	wait_or_dissolve(s, e, missing);
+}
+
+/* ---- One step ---- */
+
+/* Frees the parts for a planned move while its replica still is drained. */
+static void
+order_parts(struct step *s, const struct ld_replica_entry *e)
+{
+	uint16_t missing = e->member_count - count_staying(s, e);
+
+	if (!step_wanted(s, e) || missing == 0)
+		return;
+	if (step_break_up(s, missing + s->reserved))
+		s->reserved += missing;
+}
+
+static void
+collect_drained(
+    struct step *s, struct ld_replica_entry *e, struct broken_list *l)
+{
+	if (!drained(s, e)) {
+		order_parts(s, e);
+		return;
+	}
+	if (!step_wanted(s, e))
+		step_remove(s, e);
+	else if (must_drain(s, e))
+		broken_add(s, l, (uint16_t)(e - s->record->replicas));
+	else /* the reason went away, and it still is whole */
+		set_state(s, e, LD_REPLICA_SERVING);
+}
+
+static void
+move(struct step *s, uint16_t i, struct broken_list *l)
+{
+	struct ld_replica_entry *e = &s->record->replicas[i];
+
+	if (broken(s, e)) {
+		/* A filler is cheaper to form anew than to mend. */
+		if (!step_wanted(s, e))
+			step_remove(s, e);
+		else
+			broken_add(s, l, i);
+		return;
+	}
+	switch (e->state) {
+	case LD_REPLICA_FORMING:
+		step_forming(s, e);
+		return;
+	case LD_REPLICA_SERVING:
+		if (must_drain(s, e))
+			set_state(s, e, LD_REPLICA_DRAINING);
+		return;
+	default:
+		collect_drained(s, e, l);
+	}
+}
+
+static uint16_t
+count_model(const struct step *s, const struct ld_replica_model *m)
+{
+	uint16_t n = 0;
+
+	for (uint16_t i = 0; i < s->record->count; i++) {
+		const struct ld_replica_entry *e = &s->record->replicas[i];
+
+		n += e->member_count > 0 &&
+		    plan_model(s->p->config, e->model) == m;
+	}
+	return n;
+}
+
+/* Forms wanted replicas that the record lacks, breaking up fillers for them. */
+static void
+form_wanted(struct step *s)
+{
+	const struct ld_replica_plan_config *c = s->p->config;
+
+	for (size_t i = 0; i < c->model_count; i++) {
+		const struct ld_replica_model *m = &c->models[i];
+
+		while (count_model(s, m) < m->wanted) {
+			if (step_free(s) >= m->size + s->reserved) {
+				if (!step_form(s, m))
+					return;
+				continue;
+			}
+			if (!m->fills &&
+			    step_break_up(s, m->size + s->reserved))
+				s->reserved += m->size;
+			break;
+		}
+	}
+}
+
+static void
+compact(struct ld_replica_record *r)
+{
+	uint16_t n = 0;
+
+	for (uint16_t i = 0; i < r->count; i++) {
+		if (r->replicas[i].member_count == 0)
+			continue;
+		if (n != i)
+			r->replicas[n] = r->replicas[i];
+		n++;
+	}
+	r->count = n;
+}
+
+static void
+mark_owned(struct step *s)
+{
+	for (uint16_t i = 0; i < s->record->count; i++) {
+		const struct ld_replica_entry *e = &s->record->replicas[i];
+
+		for (uint16_t m = 0; m < e->member_count; m++)
+			s->owned[e->members[m]] = true;
+	}
+}
+
+bool
+plan_step(const struct plan *p, struct ld_replica_record *record)
+{
+	struct step s = {.p = p, .record = record};
+	struct broken_list broken_ones = {.n = 0};
+	uint16_t count = record->count;
+
+	mark_owned(&s);
+	for (uint16_t i = 0; i < count; i++)
+		move(&s, i, &broken_ones);
+	for (uint16_t i = 0; i < broken_ones.n; i++)
+		reform_one(&s, &broken_ones, i);
+	form_wanted(&s);
+	step_fill(&s);
+	compact(record);
+	return s.changed;
+}
--- /dev/null
+++ b/lib/replica/replica_internal.h
@@ -0,0 +1,161 @@
+/* Inside of the controller of one fabric domain. */
+#ifndef REPLICA_INTERNAL_H
+#define REPLICA_INTERNAL_H
+
+#include "ld_replica.h"
+
+#define NO_INSTANCE UINT16_MAX
+
+/** struct instance - what the controller knows of one engine */
+struct instance {
+	char address[LD_HEALTH_ADDRESS_MAX];
+	bool used; /* the slot names an instance */
+	bool listed; /* in the live list */
+	bool leaving;
+	struct ld_health_view view;
+	bool seen; /* a view arrived */
+	uint64_t fresh_until_ms; /* life of the view's own answer */
+	uint64_t good_since_ms; /* 0 while in trouble */
+	uint64_t stale_since_ms; /* 0 while fresh */
+	uint64_t slow_since_ms; /* 0 while not a straggler */
+	uint32_t troubles; /* recent losses, lengthens the settling time */
+	bool restarted; /* incarnation changed while in its replica */
+	/* Model whose weights the present incarnation holds, "" for none. */
+	char weights[LD_HEALTH_NAME_MAX];
+	/* Last order and the (replica, epoch) it was about. */
+	uint64_t order_call;
+	uint64_t order_ms; /* 0: none */
+	uint64_t order_epoch;
+	bool order_from_store; /* it loads through the weight store */
+};
+
+/** struct instances - slots of all instances ever seen, reused when gone */
+struct instances {
+	struct instance *v;
+	uint16_t count;
+};
+
+uint16_t instances_find(const struct instances *t, struct ld_str address);
+/** instances_intern() - slot of @address, NO_INSTANCE when all are in use */
+uint16_t instances_intern(struct instances *t, struct ld_str address,
+    const struct ld_replica_record *record);
+
+/** struct plan - inputs of one planning step */
+struct plan {
+	const struct ld_replica_plan_config *config;
+	const struct instances *instances;
+	const char *fabric;
+	uint32_t report_ttl_ms;
+	/* Since when each replica of the record has its epoch and state. */
+	const uint64_t *since_ms;
+	uint64_t next_epoch;
+	uint64_t now_ms;
+};
+
+/**
+ * plan_step() - work out the next record
+ * @record: the confirmed record, changed in place
+ *
+ * Return: whether anything changed and a write is due.
+ */
+bool plan_step(const struct plan *p, struct ld_replica_record *record);
+
+/* What the plan and the orders ask of one instance. */
+bool instance_fresh(const struct instance *in, uint64_t now_ms);
+bool instance_holds(const struct instance *in, const struct ld_replica_entry *r,
+    uint64_t now_ms);
+/** instance_lost() - can't be relied on as a member any more */
+bool instance_lost(
+    const struct instance *in, uint32_t lost_ms, uint64_t now_ms);
+bool instance_has_weights(const struct instance *in, const char *model);
+uint32_t instance_settle_ms(
+    const struct instance *in, const struct ld_replica_plan_config *c);
+
+const struct ld_replica_model *plan_model(
+    const struct ld_replica_plan_config *c, const char *name);
+size_t plan_loads_missing(const struct instances *t,
+    const struct ld_replica_entry *r, uint64_t now_ms);
+
+/* ---- Record ---- */
+
+/** record_decode() - parse a value of the store; unknown addresses interned */
+enum ld_status record_decode(
+    struct ld_str value, struct instances *t, struct ld_replica_record *out);
+void record_encode(const struct ld_replica_record *r, const struct instances *t,
+    const char *fabric, struct ld_buf *out);
+struct ld_replica_entry *record_find(
+    struct ld_replica_record *r, const char *id);
+/** record_owner() - replica that instance @i stands in, or NULL */
+const struct ld_replica_entry *record_owner(
+    const struct ld_replica_record *r, uint16_t i);
+
+/* ---- Controller ---- */
+
+/** struct pending - one store call that was not answered yet */
+struct pending {
+	uint64_t call; /* 0: none */
+	enum ld_replica_action_type type;
+	uint64_t sent_ms;
+};
+
+struct ld_replica {
+	struct ld_replica_config config;
+	char self[LD_HEALTH_ADDRESS_MAX];
+	char fabric[LD_HEALTH_NAME_MAX];
+	char holder[2 * LD_HEALTH_ADDRESS_MAX]; /* value of the control key */
+	struct ld_rand rand;
+	struct instances instances;
+	bool listed; /* the live list was heard of */
+	size_t rank; /* of this node among the candidates */
+	bool stopped;
+
+	/* Lease. */
+	enum ld_replica_role role;
+	struct pending lease_call;
+	uint64_t attempt;
+	uint64_t lease;
+	uint64_t deadline_ms; /* last moment at which the lease surely holds */
+	uint64_t renewed_ms; /* when the last keepalive was sent */
+	uint64_t fence;
+	uint64_t takeover_ms; /* when orders of a predecessor have run out */
+	uint64_t next_poll_ms;
+	uint32_t failures; /* store calls failed in a row */
+
+	/* Record. */
+	struct pending record_call;
+	struct ld_replica_record record;
+	uint64_t since_ms[LD_REPLICA_MAX];
+	uint64_t revision;
+	uint64_t epoch_seen; /* highest epoch heard of anywhere */
+	bool record_known; /* read or written under the present lease */
+	bool record_exists;
+	uint64_t next_record_ms;
+	struct ld_replica_record draft; /* content of the write in progress */
+	struct ld_buf draft_json;
+	struct ld_buf holder_value;
+
+	/* Actions not taken yet. */
+	struct ld_replica_action *actions;
+	size_t action_head;
+	size_t action_count;
+	size_t action_cap;
+	uint64_t next_call;
+};
+
+struct ld_replica_action *action_push(
+    struct ld_replica *c, enum ld_replica_action_type type);
+/** lease_tick() - poll, renew, and give up what lapsed */
+void lease_tick(struct ld_replica *c, uint64_t now_ms);
+void lease_result(struct ld_replica *c, enum ld_replica_action_type type,
+    uint64_t sent_ms, const struct ld_replica_store_result *r, uint64_t now_ms);
+/** lease_valid() - whether an order may leave at @now_ms */
+bool lease_valid(const struct ld_replica *c, uint64_t now_ms);
+void lease_step_down(struct ld_replica *c, const char *why, uint64_t now_ms);
+void record_tick(struct ld_replica *c, uint64_t now_ms);
+void record_result(struct ld_replica *c, enum ld_replica_action_type type,
+    const struct ld_replica_store_result *r, uint64_t now_ms);
+/** orders_tick() - order what the record says and the engines don't hold */
+void orders_tick(struct ld_replica *c, uint64_t now_ms);
+uint32_t backoff_ms(struct ld_replica *c, uint32_t base_ms);
+
+#endif
