Add the clients of the store and of the live list

Cause: catalogue, bookings and control leases need the platform's store with outcomes that can be trusted, and routing needs the live list. Ruled out: repeating a write in the client, and settling an unknown write as not applied while the key is still as expected (the write may yet arrive). Change: etcd v3 JSON behind a codec; budget of calls, jittered back-off, several endpoints, answers older than the revision seen before the call or of another cluster refused and counted; watches read anew on a bounded interval; the live list never goes back in version unless it was restarted, and a leaving instance stays leaving across that.

--- /dev/null
+++ b/lib/platform/request.c
@@ -0,0 +1,340 @@
+/* One call to the store, from its encoding to its outcome. */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform_internal.h"
+
+/* Bytes of an answer: several values of up to 1 MB in base64. */
+#define ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
+#define MS_PER_S 1000
+
+static void start_try(struct store_request *r);
+
+static bool
+is_write(enum store_op_kind kind)
+{
+	return kind == STORE_OP_CAS || kind == STORE_OP_CAS_DELETE ||
+	    kind == STORE_OP_PUT;
+}
+
+static enum ld_store_kind
+counted_as(enum store_op_kind kind)
+{
+	if (kind == STORE_OP_READ)
+		return LD_STORE_READ;
+	return is_write(kind) ? LD_STORE_WRITE : LD_STORE_LEASE;
+}
+
+void
+store_request_free(struct store_request *r)
+{
+	ld_timer_stop(ld_loop_timers(r->store->loop), &r->timer);
+	if (r->http != NULL)
+		ld_http_cancel(r->http);
+	*r->link = r->next;
+	if (r->next != NULL)
+		r->next->link = r->link;
+	free(r->key);
+	free(r->value);
+	ld_buf_free(&r->body);
+	ld_buf_free(&r->answer);
+	free(r);
+}
+
+/* Hands over the answer of a whole call; @r is gone afterwards. */
+static void
+deliver(struct store_request *r, const struct ld_store_answer *answer)
+{
+	struct ld_store_call *call = r->call;
+
+	if (answer->outcome == LD_STORE_UNKNOWN && is_write(r->op.kind))
+		r->store->counters.unknown_writes++;
+	call->request = NULL;
+	store_request_free(r);
+	call->done(call, answer);
+}
+
+static uint64_t
+settle_wait(struct store_request *r, uint64_t now)
+{
+	uint64_t wait = backoff_next(&r->settle_backoff);
+
+	return now + wait < r->settle_deadline_ms ? wait
+						  : r->settle_deadline_ms - now;
+}
+
+/* A read of a settling ended: either that settles it or it is read again. */
+static void
+finish_settle_read(struct store_request *r, const struct ld_store_answer *read)
+{
+	uint64_t now = ld_loop_now(r->store->loop);
+	struct ld_store_answer answer;
+
+	if (!store_settle_step(r, read, &answer) &&
+	    now < r->settle_deadline_ms) {
+		ld_timer_after(ld_loop_timers(r->store->loop), &r->timer,
+		    settle_wait(r, now));
+		return;
+	}
+	deliver(r, &answer);
+}
+
+static void
+finish(struct store_request *r, const struct ld_store_answer *answer)
+{
+	if (answer->status != LD_OK && answer->status != LD_E_NOT_FOUND &&
+	    answer->status != LD_E_CONFLICT)
+		r->store->counters.failures[counted_as(r->op.kind)]++;
+	if (r->settling)
+		finish_settle_read(r, answer);
+	else
+		deliver(r, answer);
+}
+
+static void
+finish_failed(struct store_request *r, enum ld_status st, bool maybe_applied)
+{
+	struct ld_store_answer a = {.status = st};
+
+	a.outcome = maybe_applied ? LD_STORE_UNKNOWN : LD_STORE_NOT_APPLIED;
+	finish(r, &a);
+}
+
+/* ---- A whole answer ---- */
+
+/* Codes that a gateway gives before it has proposed a write. */
+static bool
+refused_before_applying(long code)
+{
+	return code == 400 || code == 401 || code == 403 || code == 404 ||
+	    code == 429;
+}
+
+static enum ld_status
+status_of_code(const struct store_request *r, long code)
+{
+	switch (code) {
+	case 401:
+	case 403:
+		return LD_E_AUTH;
+	case 404:
+		return r->op.lease != 0 ? LD_E_NOT_FOUND : LD_E_PROTOCOL;
+	case 429:
+		return LD_E_LIMIT;
+	case 400:
+		return LD_E_PROTOCOL;
+	default:
+		return LD_E_UNAVAILABLE;
+	}
+}
+
+static void
+judge(const struct store_request *r, const struct store_decoded *d,
+    struct ld_store_answer *a)
+{
+	a->outcome = LD_STORE_APPLIED;
+	switch (r->op.kind) {
+	case STORE_OP_CAS:
+	case STORE_OP_CAS_DELETE:
+	case STORE_OP_PUT:
+		if (!d->succeeded) {
+			a->status = LD_E_CONFLICT;
+			a->outcome = LD_STORE_CONFLICT;
+		}
+		break;
+	case STORE_OP_READ:
+		if (d->n == 0 && !r->op.prefix)
+			a->status = LD_E_NOT_FOUND;
+		break;
+	case STORE_OP_GRANT:
+	case STORE_OP_KEEPALIVE:
+		a->lease = d->lease;
+		a->ttl_ms = (uint64_t)d->ttl_s * MS_PER_S;
+		if (d->ttl_s == 0)
+			a->status = LD_E_NOT_FOUND;
+		break;
+	case STORE_OP_REVOKE:
+	case STORE_OP_WATCH:
+		break;
+	}
+}
+
+static void
+finish_decoded(struct store_request *r, struct store_decoded *d)
+{
+	struct ld_store_answer a = {.status = LD_OK, .revision = d->revision};
+	struct ld_store_kv *kvs;
+
+	store_strip_prefix(r->store, d);
+	kvs = ld_alloc(d->n * sizeof(*kvs));
+	for (size_t i = 0; i < d->n; i++)
+		kvs[i] = d->events[i].kv;
+	a.kvs = kvs;
+	a.n = d->n;
+	judge(r, d, &a);
+	r->store->alarm = false;
+	finish(r, &a);
+	free(kvs);
+}
+
+static void
+on_whole_answer(struct store_request *r, long code)
+{
+	struct store_decoded d = {0};
+	enum ld_status st;
+
+	if (code != 200) {
+		if (refused_before_applying(code) && code != 429)
+			store_connected(r->store);
+		else
+			store_failed(r->store);
+		finish_failed(
+		    r, status_of_code(r, code), !refused_before_applying(code));
+		return;
+	}
+	st = r->store->codec->ops->decode(&r->op, ld_buf_str(&r->answer), &d);
+	if (st == LD_OK)
+		st = store_check_source(r->store, &d, r->floor);
+	if (st == LD_OK) {
+		store_connected(r->store);
+		finish_decoded(r, &d);
+	} else {
+		store_failed(r->store);
+		finish_failed(r, st, true);
+	}
+	store_decoded_free(&d);
+}
+
+/* ---- The HTTP call ---- */
+
+static void
+on_body(struct ld_http_sink *sink, struct ld_str bytes)
+{
+	struct store_request *r = (struct store_request *)sink;
+
+	ld_buf_adds(&r->answer, bytes);
+}
+
+static void
+on_done(struct ld_http_sink *sink, const struct ld_http_result *result)
+{
+	struct store_request *r = (struct store_request *)sink;
+	struct ld_store *s = r->store;
+
+	r->http = NULL;
+	if (result->status == LD_OK) {
+		on_whole_answer(r, result->code);
+		return;
+	}
+	r->tries++;
+	if (!result->sent && r->tries < s->settings.n_endpoints &&
+	    ld_loop_now(s->loop) < r->deadline_ms) {
+		s->endpoint = (s->endpoint + 1) % s->settings.n_endpoints;
+		start_try(r);
+		return;
+	}
+	store_failed(s);
+	finish_failed(r, result->status, result->sent);
+}
+
+static const struct ld_http_sink_ops sink_ops = {
+    .body = on_body,
+    .done = on_done,
+};
+
+static void
+refuse(struct store_request *r, enum ld_status st)
+{
+	r->refusal = st;
+	ld_timer_after(ld_loop_timers(r->store->loop), &r->timer, 0);
+}
+
+/*
+ * Writes go over a connection of their own: on one that turns out dead,
+ * libcurl would send the same write again.
+ */
+static void
+start_try(struct store_request *r)
+{
+	static const char *const headers[] = {
+	    "Content-Type: application/json", NULL};
+	struct ld_store *s = r->store;
+	uint64_t now = ld_loop_now(s->loop);
+	char *url = store_url(s, r->path);
+	struct ld_http_request rq = {
+	    .method = "POST",
+	    .url = url,
+	    .headers = headers,
+	    .body = ld_buf_str(&r->body),
+	    .connect_timeout_ms = s->settings.connect_timeout_ms,
+	    .total_timeout_ms = now < r->deadline_ms ? r->deadline_ms - now : 1,
+	    .fresh = is_write(r->op.kind) || r->op.kind == STORE_OP_GRANT,
+	    .max_body = ANSWER_MAX_BYTES,
+	};
+
+	r->answer.len = 0;
+	r->http = ld_http_start(s->http, &rq, &r->sink);
+	if (r->http == NULL)
+		refuse(r, LD_E_INVALID);
+	free(url);
+}
+
+void
+store_request_start(struct store_request *r)
+{
+	enum ld_status st = store_admit(r->store, counted_as(r->op.kind));
+
+	if (st != LD_OK) {
+		refuse(r, st);
+		return;
+	}
+	r->tries = 0;
+	r->floor = r->store->revision;
+	r->deadline_ms =
+	    ld_loop_now(r->store->loop) + r->store->settings.call_timeout_ms;
+	if (r->settling && r->deadline_ms > r->settle_deadline_ms)
+		r->deadline_ms = r->settle_deadline_ms;
+	start_try(r);
+}
+
+/* Either refuses a call that was not made, or reads again to settle. */
+static void
+on_timer(struct ld_timer *t, uint64_t now_ms)
+{
+	struct store_request *r = (struct store_request *)((char *)t -
+	    offsetof(struct store_request, timer));
+	enum ld_status refusal = r->refusal;
+
+	r->refusal = LD_OK;
+	if (refusal != LD_OK)
+		finish_failed(r, refusal, false);
+	else
+		store_request_start(r);
+}
+
+struct store_request *
+store_request_new(struct ld_store *s, struct ld_store_call *call,
+    const struct store_op *op, struct ld_str key)
+{
+	struct store_request *r = ld_alloc(sizeof(*r));
+
+	assert(call->done != NULL && call->request == NULL);
+	r->sink.ops = &sink_ops;
+	r->store = s;
+	r->call = call;
+	call->request = r;
+	r->op = *op;
+	r->key = store_full_key(s, key);
+	r->op.key = (struct ld_str){r->key, strlen(s->prefix) + key.len};
+	r->value = ld_str_dup(op->value);
+	r->op.value.p = r->value;
+	r->path = s->codec->ops->encode(&r->op, &r->body);
+	r->timer.fn = on_timer;
+	r->next = s->requests;
+	r->link = &s->requests;
+	if (r->next != NULL)
+		r->next->link = &r->next;
+	s->requests = r;
+	return r;
+}
--- /dev/null
+++ b/lib/platform/store.c
@@ -0,0 +1,258 @@
+/*
+ * Client of the store: what every call has in common. Budget, back-off,
+ * endpoints, and the refusal of answers from the past or of another cluster.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform_internal.h"
+
+#define THOUSANDTHS 1000
+
+static const char *const outcome_names[LD_STORE_OUTCOME_COUNT] = {
+    [LD_STORE_NOT_APPLIED] = "not-applied",
+    [LD_STORE_APPLIED] = "applied",
+    [LD_STORE_CONFLICT] = "conflict",
+    [LD_STORE_UNKNOWN] = "unknown",
+};
+
+static const char *const kind_names[LD_STORE_KIND_COUNT] = {
+    [LD_STORE_READ] = "read",
+    [LD_STORE_WRITE] = "write",
+    [LD_STORE_LEASE] = "lease",
+    [LD_STORE_WATCH] = "watch",
+};
+
+const char *
+ld_store_outcome_name(enum ld_store_outcome o)
+{
+	if ((unsigned int)o >= LD_STORE_OUTCOME_COUNT)
+		return "unnamed";
+	return outcome_names[o];
+}
+
+const char *
+ld_store_kind_name(enum ld_store_kind kind)
+{
+	if ((unsigned int)kind >= LD_STORE_KIND_COUNT)
+		return "unnamed";
+	return kind_names[kind];
+}
+
+struct ld_store_expect
+ld_store_expect_of(const struct ld_store_kv *kv)
+{
+	struct ld_store_expect e = {0};
+
+	if (kv == NULL)
+		return e;
+	e.mod_revision = kv->mod_revision;
+	e.create_revision = kv->create_revision;
+	e.version = kv->version;
+	return e;
+}
+
+struct ld_store_settings
+ld_store_defaults(void)
+{
+	struct ld_store_settings s = {
+	    .prefix = "/lavenderdrift/",
+	    .connect_timeout_ms = 500,
+	    .call_timeout_ms = 2000,
+	    .watch_renew_ms = 30000,
+	    .backoff_min_ms = 100,
+	    .backoff_max_ms = 5000,
+	    .calls_per_s = 20,
+	    .calls_burst = 40,
+	};
+
+	return s;
+}
+
+struct ld_store *
+ld_store_new(struct ld_loop *loop, struct ld_http *http,
+    const struct ld_store_settings *settings,
+    const struct ld_store_codec *codec)
+{
+	struct ld_store *s = ld_alloc(sizeof(*s));
+
+	assert(settings->n_endpoints > 0 && settings->calls_per_s > 0);
+	s->codec = codec != NULL ? codec : ld_store_codec_etcd();
+	s->loop = loop;
+	s->http = http;
+	s->settings = *settings;
+	s->endpoints = ld_alloc(settings->n_endpoints * sizeof(*s->endpoints));
+	for (size_t i = 0; i < settings->n_endpoints; i++)
+		s->endpoints[i] = ld_strdup(settings->endpoints[i]);
+	s->settings.endpoints = NULL;
+	s->prefix = ld_strdup(settings->prefix);
+	s->settings.prefix = s->prefix;
+	if (settings->seed != 0)
+		ld_rand_seed(&s->rand, settings->seed);
+	else
+		ld_rand_seed_os(&s->rand);
+	/* Nodes start at different endpoints, so that each gets its share. */
+	s->endpoint = ld_rand_below(&s->rand, settings->n_endpoints);
+	s->backoff.min_ms = settings->backoff_min_ms;
+	s->backoff.max_ms = settings->backoff_max_ms;
+	s->backoff.rand = &s->rand;
+	s->tokens = settings->calls_burst * THOUSANDTHS;
+	s->tokens_at_ms = ld_loop_now(loop);
+	return s;
+}
+
+void
+ld_store_free(struct ld_store *s)
+{
+	if (s == NULL)
+		return;
+	while (s->requests != NULL)
+		ld_store_cancel(s->requests->call);
+	for (size_t i = 0; i < s->settings.n_endpoints; i++)
+		free(s->endpoints[i]);
+	free(s->endpoints);
+	free(s->prefix);
+	free(s);
+}
+
+const struct ld_store_counters *
+ld_store_counters(const struct ld_store *s)
+{
+	return &s->counters;
+}
+
+int64_t
+ld_store_revision(const struct ld_store *s)
+{
+	return s->revision;
+}
+
+bool
+ld_store_alarm(const struct ld_store *s)
+{
+	return s->alarm;
+}
+
+static void
+refill_budget(struct ld_store *s, uint64_t now)
+{
+	uint64_t cap = s->settings.calls_burst * THOUSANDTHS;
+	uint64_t elapsed = now - s->tokens_at_ms;
+
+	s->tokens_at_ms = now;
+	/* A call a second is a thousandth of a call a millisecond. */
+	if (elapsed > cap / s->settings.calls_per_s + 1)
+		s->tokens = cap;
+	else
+		s->tokens += elapsed * s->settings.calls_per_s;
+	if (s->tokens > cap)
+		s->tokens = cap;
+}
+
+enum ld_status
+store_admit(struct ld_store *s, enum ld_store_kind kind)
+{
+	uint64_t now = ld_loop_now(s->loop);
+
+	if (now < s->retry_at_ms) {
+		s->counters.in_backoff++;
+		return ld_fail(
+		    LD_E_UNAVAILABLE, "the store failed a moment ago");
+	}
+	refill_budget(s, now);
+	if (s->tokens < THOUSANDTHS) {
+		s->counters.over_budget++;
+		return ld_fail(
+		    LD_E_LIMIT, "this node's budget of store calls is spent");
+	}
+	s->tokens -= THOUSANDTHS;
+	s->counters.calls[kind]++;
+	return LD_OK;
+}
+
+char *
+store_url(const struct ld_store *s, const char *path)
+{
+	struct ld_buf b = {0};
+
+	ld_buf_printf(&b, "http://%s%s", s->endpoints[s->endpoint], path);
+	ld_buf_cstr(&b);
+	return b.p;
+}
+
+void
+store_connected(struct ld_store *s)
+{
+	s->backoff.failures = 0;
+	s->retry_at_ms = 0;
+}
+
+void
+store_failed(struct ld_store *s)
+{
+	uint64_t now = ld_loop_now(s->loop);
+
+	s->endpoint = (s->endpoint + 1) % s->settings.n_endpoints;
+	/* Calls that fail together are one failure. */
+	if (now < s->retry_at_ms)
+		return;
+	s->retry_at_ms = now + backoff_next(&s->backoff);
+}
+
+enum ld_status
+store_check_source(
+    struct ld_store *s, const struct store_decoded *d, int64_t floor)
+{
+	if (s->cluster_id != 0 && d->cluster_id != s->cluster_id) {
+		s->counters.other_cluster++;
+		s->alarm = true;
+		ld_log(LD_LOG_ERR, "store",
+		    "an answer came from cluster %llu instead of %llu",
+		    (unsigned long long)d->cluster_id,
+		    (unsigned long long)s->cluster_id);
+		return ld_fail(
+		    LD_E_PROTOCOL, "the answer is from another cluster");
+	}
+	s->cluster_id = d->cluster_id;
+	if (d->revision < floor) {
+		s->counters.stale++;
+		s->alarm = true;
+		ld_log(LD_LOG_ERR, "store",
+		    "an answer of revision %lld is older than %lld",
+		    (long long)d->revision, (long long)floor);
+		return ld_fail(LD_E_STALE,
+		    "the answer is of revision %lld, seen before was %lld",
+		    (long long)d->revision, (long long)floor);
+	}
+	if (d->revision > s->revision)
+		s->revision = d->revision;
+	return LD_OK;
+}
+
+char *
+store_full_key(const struct ld_store *s, struct ld_str key)
+{
+	struct ld_buf b = {0};
+
+	ld_buf_adds(&b, ld_str_c(s->prefix));
+	ld_buf_adds(&b, key);
+	ld_buf_cstr(&b);
+	return b.p;
+}
+
+void
+store_strip_prefix(const struct ld_store *s, struct store_decoded *d)
+{
+	size_t n = strlen(s->prefix);
+
+	for (size_t i = 0; i < d->n; i++) {
+		struct ld_str *key = &d->events[i].kv.key;
+
+		if (!ld_str_starts(*key, ld_str_c(s->prefix)))
+			continue;
+		/* Moved, not advanced: the start is what gets freed. */
+		memmove((char *)key->p, key->p + n, key->len - n);
+		key->len -= n;
+	}
+}
--- /dev/null
+++ b/lib/platform/watch.c
@@ -0,0 +1,274 @@
+/*
+ * Watches: a read of everything, then a stream of changes, both anew on a
+ * bounded interval, since a connection may have gone silent for good.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform_internal.h"
+
+/* Bytes of one line of the stream; a value of 1 MB in base64 fits. */
+#define LINE_MAX_BYTES ((size_t)4 * 1024 * 1024)
+/* The renewal of many nodes spreads over this part of the interval. */
+#define RENEW_JITTER_DIVISOR 5
+
+struct store_watch {
+	struct ld_http_sink sink;
+	struct ld_store_watch *owner;
+	struct ld_store *store;
+	char *key; /* without the store's prefix */
+	bool prefix;
+	struct ld_store_call read;
+	struct ld_http_call *stream;
+	struct ld_buf line;
+	size_t scanned; /* bytes of line known to hold no line feed */
+	struct ld_timer timer; /* renewal, or the next try after a failure */
+	struct backoff backoff;
+	uint64_t stream_since_ms;
+	int64_t revision; /* all changes up to it were handed over */
+};
+
+static void begin_read(struct store_watch *w);
+
+static void
+arm(struct store_watch *w, uint64_t delay_ms)
+{
+	ld_timer_after(ld_loop_timers(w->store->loop), &w->timer, delay_ms);
+}
+
+static void
+drop_stream(struct store_watch *w)
+{
+	if (w->stream != NULL)
+		ld_http_cancel(w->stream);
+	w->stream = NULL;
+	w->line.len = 0;
+	w->scanned = 0;
+}
+
+/* The owner may stop the watch from lost(): nothing may follow it. */
+static void
+fail(struct store_watch *w, enum ld_status st)
+{
+	drop_stream(w);
+	w->store->counters.watch_restarts++;
+	arm(w, backoff_next(&w->backoff));
+	w->owner->ops->lost(w->owner, st);
+}
+
+/* ---- The stream ---- */
+
+static bool
+is_stopped(const struct ld_store_watch *owner, const struct store_watch *w)
+{
+	return owner->state != w;
+}
+
+/* False when the owner stopped the watch meanwhile. */
+static bool
+hand_over(struct store_watch *w, const struct store_decoded *d)
+{
+	struct ld_store_watch *owner = w->owner;
+	int64_t seen = w->revision;
+
+	/* Several changes of one revision are one event list. */
+	for (size_t i = 0; i < d->n; i++) {
+		const struct store_event *e = &d->events[i];
+
+		if (e->kv.mod_revision <= seen)
+			continue;
+		if (e->kv.mod_revision > w->revision)
+			w->revision = e->kv.mod_revision;
+		owner->ops->change(owner, &e->kv, e->deleted);
+		if (is_stopped(owner, w))
+			return false;
+	}
+	return true;
+}
+
+static bool
+on_line(struct store_watch *w, struct ld_str line)
+{
+	struct store_decoded d = {0};
+	enum ld_status st;
+	bool alive = true;
+
+	st = w->store->codec->ops->decode_line(line, &d);
+	/* A stream may start behind a read elsewhere: it catches up. */
+	if (st == LD_OK)
+		st = store_check_source(w->store, &d, 0);
+	if (st == LD_OK && (d.compacted || d.canceled))
+		st = LD_E_CLOSED;
+	if (st == LD_OK) {
+		store_strip_prefix(w->store, &d);
+		alive = hand_over(w, &d);
+	} else {
+		fail(w, st);
+		alive = false;
+	}
+	store_decoded_free(&d);
+	return alive;
+}
+
+static void
+on_stream_body(struct ld_http_sink *sink, struct ld_str bytes)
+{
+	struct store_watch *w = (struct store_watch *)sink;
+	struct ld_str line;
+	char *end;
+
+	ld_buf_adds(&w->line, bytes);
+	while ((end = memchr(w->line.p + w->scanned, '\n',
+		    w->line.len - w->scanned)) != NULL) {
+		line = (struct ld_str){w->line.p, (size_t)(end - w->line.p)};
+		w->scanned = 0;
+		if (!on_line(w, line))
+			return;
+		ld_buf_consume(&w->line, line.len + 1);
+	}
+	w->scanned = w->line.len;
+	if (w->line.len > LINE_MAX_BYTES)
+		fail(w, LD_E_TOO_LARGE);
+}
+
+static void
+on_stream_done(struct ld_http_sink *sink, const struct ld_http_result *result)
+{
+	struct store_watch *w = (struct store_watch *)sink;
+	uint64_t lived = ld_loop_now(w->store->loop) - w->stream_since_ms;
+
+	w->stream = NULL;
+	if (lived >= w->backoff.max_ms)
+		w->backoff.failures = 0;
+	fail(w, result->status != LD_OK ? result->status : LD_E_CLOSED);
+}
+
+static const struct ld_http_sink_ops stream_ops = {
+    .body = on_stream_body,
+    .done = on_stream_done,
+};
+
+static void
+begin_stream(struct store_watch *w)
+{
+	static const char *const headers[] = {
+	    "Content-Type: application/json", NULL};
+	struct ld_store *s = w->store;
+	char *key = store_full_key(s, ld_str_c(w->key));
+	struct store_op op = {
+	    .kind = STORE_OP_WATCH,
+	    .key = ld_str_c(key),
+	    .prefix = w->prefix,
+	    .start_revision = w->revision + 1,
+	};
+	struct ld_buf body = {0};
+	struct ld_http_request rq = {
+	    .method = "POST",
+	    .headers = headers,
+	    .connect_timeout_ms = s->settings.connect_timeout_ms,
+	    .fresh = true,
+	};
+	char *url = store_url(s, s->codec->ops->encode(&op, &body));
+
+	rq.url = url;
+	rq.body = ld_buf_str(&body);
+	w->stream_since_ms = ld_loop_now(s->loop);
+	w->stream = ld_http_start(s->http, &rq, &w->sink);
+	free(url);
+	free(key);
+	ld_buf_free(&body);
+}
+
+/* ---- The read before it ---- */
+
+static uint64_t
+renewal_delay(struct store_watch *w)
+{
+	uint64_t ms = w->store->settings.watch_renew_ms;
+	uint64_t spread = ms / RENEW_JITTER_DIVISOR;
+
+	return ms - ld_rand_below(&w->store->rand, spread + 1);
+}
+
+static void
+on_read(struct ld_store_call *call, const struct ld_store_answer *a)
+{
+	struct store_watch *w = (struct store_watch *)((char *)call -
+	    offsetof(struct store_watch, read));
+	struct ld_store_watch *owner = w->owner;
+
+	if (a->status != LD_OK && a->status != LD_E_NOT_FOUND) {
+		fail(w, a->status);
+		return;
+	}
+	w->revision = a->revision;
+	owner->ops->snapshot(owner, a->revision, a->kvs, a->n);
+	if (is_stopped(owner, w))
+		return;
+	if (store_admit(w->store, LD_STORE_WATCH) != LD_OK) {
+		fail(w, LD_E_LIMIT);
+		return;
+	}
+	begin_stream(w);
+	arm(w, renewal_delay(w));
+}
+
+static void
+begin_read(struct store_watch *w)
+{
+	struct ld_str key = ld_str_c(w->key);
+
+	if (w->prefix)
+		ld_store_read_prefix(w->store, &w->read, key);
+	else
+		ld_store_read(w->store, &w->read, key);
+}
+
+static void
+on_timer(struct ld_timer *t, uint64_t now_ms)
+{
+	struct store_watch *w = (struct store_watch *)((char *)t -
+	    offsetof(struct store_watch, timer));
+
+	if (w->stream != NULL)
+		w->backoff.failures = 0;
+	drop_stream(w);
+	begin_read(w);
+}
+
+void
+ld_store_watch_start(struct ld_store *s, struct ld_store_watch *owner,
+    struct ld_str key, bool prefix)
+{
+	struct store_watch *w = ld_alloc(sizeof(*w));
+
+	assert(owner->state == NULL);
+	w->sink.ops = &stream_ops;
+	w->owner = owner;
+	w->store = s;
+	w->key = ld_str_dup(key);
+	w->prefix = prefix;
+	w->read.done = on_read;
+	w->timer.fn = on_timer;
+	w->backoff = s->backoff;
+	w->backoff.failures = 0;
+	owner->state = w;
+	begin_read(w);
+}
+
+void
+ld_store_watch_stop(struct ld_store_watch *owner)
+{
+	struct store_watch *w = owner->state;
+
+	if (w == NULL)
+		return;
+	owner->state = NULL;
+	ld_timer_stop(ld_loop_timers(w->store->loop), &w->timer);
+	ld_store_cancel(&w->read);
+	drop_stream(w);
+	ld_buf_free(&w->line);
+	free(w->key);
+	free(w);
+}
--- /dev/null
+++ b/tests/unit/test_platform.c
@@ -0,0 +1,354 @@
+/* Store codec, settling and live list: literal JSON, no sockets. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "ld_test.h"
+#include "platform_internal.h"
+
+#define HEADER(rev)                                            \
+	"\"header\":{\"cluster_id\":\"14841639068965178418\"," \
+	"\"revision\":\"" rev "\"}"
+/* "/p/k" and "v1" in base64. */
+#define KV                                          \
+	"{\"key\":\"L3Avaw==\",\"value\":\"djE=\"," \
+	"\"create_revision\":\"5\",\"mod_revision\":\"7\",\"version\":\"3\"}"
+
+static const char range_answer[] =
+    "{" HEADER("9") ",\"kvs\":[" KV "],\"count\":\"1\"}\n";
+static const char watch_line[] =
+    "{\"result\":{" HEADER("9") ",\"events\":["
+				"{\"kv\":" KV "},{\"type\":\"DELETE\",\"kv\":"
+				"{\"key\":\"L3Avaw==\","
+				"\"mod_revision\":\"8\"}}]}}";
+
+static const struct ld_store_codec_ops *
+codec(void)
+{
+	return ld_store_codec_etcd()->ops;
+}
+
+static void
+check_encoded(struct store_op op, const char *path, const char *expected)
+{
+	struct ld_buf body = {0};
+
+	op.key = LD_STR("/p/k");
+	CU_ASSERT_STRING_EQUAL(codec()->encode(&op, &body), path);
+	CU_ASSERT_STRING_EQUAL(ld_buf_cstr(&body), expected);
+	ld_buf_free(&body);
+}
+
+static void
+test_calls_are_encoded(void)
+{
+	check_encoded((struct store_op){.kind = STORE_OP_READ}, "/v3/kv/range",
+	    "{\"key\":\"L3Avaw==\"}");
+	check_encoded((struct store_op){.kind = STORE_OP_READ, .prefix = true},
+	    "/v3/kv/range",
+	    "{\"key\":\"L3Avaw==\",\"range_end\":\"L3AvbA==\"}");
+	check_encoded((struct store_op){.kind = STORE_OP_CAS,
+			  .value = LD_STR("v1"),
+			  .expected = 7,
+			  .lease = 12},
+	    "/v3/kv/txn",
+	    "{\"compare\":[{\"key\":\"L3Avaw==\",\"target\":\"MOD\","
+	    "\"result\":\"EQUAL\",\"mod_revision\":\"7\"}],"
+	    "\"failure\":[{\"request_range\":{\"key\":\"L3Avaw==\"}}],"
+	    "\"success\":[{\"request_put\":{\"key\":\"L3Avaw==\","
+	    "\"value\":\"djE=\",\"lease\":\"12\"}}]}");
+	check_encoded((struct store_op){.kind = STORE_OP_CAS_DELETE},
+	    "/v3/kv/txn",
+	    "{\"compare\":[{\"key\":\"L3Avaw==\",\"target\":\"MOD\","
+	    "\"result\":\"EQUAL\",\"mod_revision\":\"0\"}],"
+	    "\"failure\":[{\"request_range\":{\"key\":\"L3Avaw==\"}}],"
+	    "\"success\":[{\"request_delete_range\":{\"key\":\"L3Avaw==\"}}]}");
+	check_encoded((struct store_op){.kind = STORE_OP_GRANT, .ttl_s = 5},
+	    "/v3/lease/grant", "{\"TTL\":\"5\"}");
+	check_encoded((struct store_op){.kind = STORE_OP_KEEPALIVE, .lease = 8},
+	    "/v3/lease/keepalive", "{\"ID\":\"8\"}");
+	check_encoded(
+	    (struct store_op){.kind = STORE_OP_WATCH, .start_revision = 10},
+	    "/v3/watch",
+	    "{\"create_request\":{\"key\":\"L3Avaw==\","
+	    "\"start_revision\":\"10\",\"progress_notify\":true}}");
+}
+
+static void
+test_read_is_decoded(void)
+{
+	struct store_op op = {.kind = STORE_OP_READ};
+	struct store_decoded d;
+
+	CU_ASSERT_EQUAL(codec()->decode(&op, LD_STR(range_answer), &d), LD_OK);
+	CU_ASSERT_EQUAL(d.cluster_id, 14841639068965178418ULL);
+	CU_ASSERT_EQUAL(d.revision, 9);
+	CU_ASSERT_EQUAL(d.n, 1);
+	CU_ASSERT(ld_str_eq(d.events[0].kv.key, LD_STR("/p/k")));
+	CU_ASSERT(ld_str_eq(d.events[0].kv.value, LD_STR("v1")));
+	CU_ASSERT_EQUAL(d.events[0].kv.mod_revision, 7);
+	CU_ASSERT_EQUAL(d.events[0].kv.version, 3);
+	store_decoded_free(&d);
+}
+
+static void
+test_transaction_is_decoded(void)
+{
+	static const char applied[] = "{" HEADER(
+	    "9") ",\"succeeded\":true,\"responses\":[{\"response_put\":{}}]}";
+	static const char lost[] = "{" HEADER(
+	    "9") ",\"responses\":[{\"response_range\":{\"kvs\":[" KV "]}}]}";
+	static const char stub[] = "{" HEADER("9") "}";
+	struct store_op op = {.kind = STORE_OP_CAS};
+	struct store_decoded d;
+
+	CU_ASSERT_EQUAL(codec()->decode(&op, LD_STR(applied), &d), LD_OK);
+	CU_ASSERT_TRUE(d.succeeded);
+	store_decoded_free(&d);
+	CU_ASSERT_EQUAL(codec()->decode(&op, LD_STR(lost), &d), LD_OK);
+	CU_ASSERT_FALSE(d.succeeded);
+	CU_ASSERT_EQUAL(d.n, 1);
+	store_decoded_free(&d);
+	CU_ASSERT_EQUAL(codec()->decode(&op, LD_STR(stub), &d), LD_E_PROTOCOL);
+	store_decoded_free(&d);
+}
+
+static void
+test_watch_line_is_decoded(void)
+{
+	static const char gone[] = "{\"result\":{" HEADER(
+	    "9") ",\"canceled\":true,\"compact_revision\":\"6\"}}";
+	struct store_decoded d;
+
+	CU_ASSERT_EQUAL(codec()->decode_line(LD_STR(watch_line), &d), LD_OK);
+	CU_ASSERT_EQUAL(d.n, 2);
+	CU_ASSERT_FALSE(d.events[0].deleted);
+	CU_ASSERT_TRUE(d.events[1].deleted);
+	CU_ASSERT_EQUAL(d.events[1].kv.mod_revision, 8);
+	store_decoded_free(&d);
+	CU_ASSERT_EQUAL(codec()->decode_line(LD_STR(gone), &d), LD_OK);
+	CU_ASSERT_TRUE(d.canceled);
+	CU_ASSERT_TRUE(d.compacted);
+	store_decoded_free(&d);
+}
+
+/* ---- Settling ---- */
+
+static bool
+settle(const struct ld_store_kv *kv, struct ld_store_answer *out)
+{
+	struct store_request r = {
+	    .op = {.value = LD_STR("mine")},
+	    .expect = {.mod_revision = 7, .create_revision = 5, .version = 3},
+	};
+	struct ld_store_answer read = {
+	    .status = kv != NULL ? LD_OK : LD_E_NOT_FOUND,
+	    .kvs = kv,
+	    .n = kv != NULL ? 1 : 0,
+	};
+
+	return store_settle_step(&r, &read, out);
+}
+
+static void
+test_settling(void)
+{
+	struct ld_store_kv kv = {.create_revision = 5,
+	    .mod_revision = 7,
+	    .version = 3,
+	    .value = LD_STR("old")};
+	struct ld_store_answer a;
+
+	/* As expected: the write may still arrive. */
+	CU_ASSERT_FALSE(settle(&kv, &a));
+	CU_ASSERT_EQUAL(a.outcome, LD_STORE_UNKNOWN);
+	kv.mod_revision = 8;
+	kv.version = 4;
+	CU_ASSERT_TRUE(settle(&kv, &a));
+	CU_ASSERT_EQUAL(a.outcome, LD_STORE_NOT_APPLIED);
+	kv.value = LD_STR("mine");
+	CU_ASSERT_TRUE(settle(&kv, &a));
+	CU_ASSERT_EQUAL(a.outcome, LD_STORE_APPLIED);
+	CU_ASSERT_EQUAL(a.revision, 8);
+	/* Two writes on: this one may have been the first of them. */
+	kv.value = LD_STR("other");
+	kv.version = 5;
+	CU_ASSERT_TRUE(settle(&kv, &a));
+	CU_ASSERT_EQUAL(a.outcome, LD_STORE_UNKNOWN);
+	CU_ASSERT_TRUE(settle(NULL, &a));
+	CU_ASSERT_EQUAL(a.outcome, LD_STORE_UNKNOWN);
+}
+
+static void
+test_waits_double_with_jitter(void)
+{
+	struct ld_rand rand;
+	struct backoff b = {.min_ms = 100, .max_ms = 1000, .rand = &rand};
+
+	ld_rand_seed(&rand, 3);
+	for (uint64_t cap = 100; cap < 5000; cap *= 2) {
+		uint64_t bound = cap < 1000 ? cap : 1000;
+		uint64_t wait = backoff_next(&b);
+
+		CU_ASSERT(wait >= bound / 2 && wait <= bound);
+	}
+}
+
+/* ---- Live list ---- */
+
+static enum live_verdict
+apply(
+    struct live_state *s, int64_t version, const char *states, uint64_t now_ms)
+{
+	struct ld_buf json = {0};
+	struct live_doc doc;
+
+	ld_buf_printf(
+	    &json, "{\"version\":%lld,\"instances\":[", (long long)version);
+	for (size_t i = 0; states[i] != '\0'; i++) {
+		if (states[i] == '-')
+			continue;
+		ld_buf_printf(&json,
+		    "%s{\"address\":\"127.0.0.1:%zu\",\"role\":\"engine\","
+		    "\"fabric\":\"f1\",\"zone\":null,\"state\":\"%s\"}",
+		    json.p[json.len - 1] == '[' ? "" : ",", 9000 + i,
+		    states[i] == 'L' ? "live" : "leaving");
+	}
+	ld_buf_adds(&json, LD_STR("]}"));
+	CU_ASSERT_EQUAL(live_doc_parse(ld_buf_str(&json), &doc), LD_OK);
+	ld_buf_free(&json);
+	return live_state_apply(s, &doc, now_ms);
+}
+
+/* One letter for each instance in force, x for leaving. */
+static const char *
+in_force(const struct live_state *s)
+{
+	static char text[16];
+
+	memset(text, 0, sizeof(text));
+	for (size_t i = 0; i < s->doc.n; i++)
+		text[i] = s->doc.v[i].leaving ? 'x' : 'L';
+	return text;
+}
+
+static void
+test_live_list_never_goes_back(void)
+{
+	struct live_state s;
+
+	live_state_init(&s, 10000);
+	CU_ASSERT_EQUAL(apply(&s, 5, "LL", 0), LIVE_ADOPTED);
+	CU_ASSERT_EQUAL(apply(&s, 5, "LL", 10), LIVE_CONFIRMED);
+	CU_ASSERT_EQUAL(apply(&s, 6, "xL", 20), LIVE_ADOPTED);
+	CU_ASSERT_EQUAL(apply(&s, 5, "LL", 30), LIVE_REFUSED);
+	CU_ASSERT_STRING_EQUAL(in_force(&s), "xL");
+	/* A lagging copy that moves on is no restart while the other speaks. */
+	CU_ASSERT_EQUAL(apply(&s, 6, "xL", 9000), LIVE_CONFIRMED);
+	CU_ASSERT_EQUAL(apply(&s, 5, "LL", 12000), LIVE_REFUSED);
+	CU_ASSERT_EQUAL(apply(&s, 7, "LL", 13000), LIVE_ADOPTED);
+	CU_ASSERT_STRING_EQUAL(in_force(&s), "LL");
+	live_state_fini(&s);
+}
+
+static void
+test_restarted_list_keeps_leaving(void)
+{
+	struct live_state s;
+
+	live_state_init(&s, 10000);
+	apply(&s, 40, "xLx", 0);
+	CU_ASSERT_EQUAL(apply(&s, 1, "LLL", 1000), LIVE_REFUSED);
+	CU_ASSERT_EQUAL(apply(&s, 2, "LLL", 6000), LIVE_REFUSED);
+	CU_ASSERT_EQUAL(apply(&s, 2, "LLL", 11000), LIVE_RESTARTED);
+	CU_ASSERT_STRING_EQUAL(in_force(&s), "xLx");
+	CU_ASSERT_EQUAL(apply(&s, 3, "-LL", 12000), LIVE_ADOPTED);
+	CU_ASSERT_EQUAL(apply(&s, 4, "LLL", 13000), LIVE_ADOPTED);
+	CU_ASSERT_STRING_EQUAL(in_force(&s), "LLx");
+	CU_ASSERT_EQUAL(apply(&s, 41, "LLL", 14000), LIVE_ADOPTED);
+	CU_ASSERT_STRING_EQUAL(in_force(&s), "LLL");
+	live_state_fini(&s);
+}
+
+static void
+test_live_list_with_faults(void)
+{
+	static const char text[] =
+	    "{\"version\":3,\"instances\":[7,{\"address\":\"127.0.0.1:2\","
+	    "\"role\":\"service\",\"state\":\"live\"},{\"address\":"
+	    "\"127.0.0.1:2\",\"role\":\"service\",\"state\":\"leaving\"},"
+	    "{\"address\":\"127.0.0.1:1\",\"role\":\"cook\","
+	    "\"state\":\"live\"}]}";
+	struct live_doc doc;
+
+	CU_ASSERT_EQUAL(live_doc_parse(LD_STR(text), &doc), LD_OK);
+	CU_ASSERT_EQUAL(doc.n, 1);
+	CU_ASSERT_TRUE(doc.v[0].leaving);
+	live_doc_free(&doc);
+	CU_ASSERT_EQUAL(
+	    live_doc_parse(LD_STR("{\"instances\":[]}"), &doc), LD_E_PROTOCOL);
+	CU_ASSERT_EQUAL(live_doc_parse(LD_STR(""), &doc), LD_E_PROTOCOL);
+}
+
+/* ---- Mutated input ---- */
+
+static size_t
+mutate(struct ld_rand *r, char *text, const char *good, size_t len)
+{
+	memcpy(text, good, len);
+	for (uint64_t k = 1 + ld_rand_below(r, 3); k > 0; k--)
+		text[ld_rand_below(r, len)] = (char)ld_rand_u64(r);
+	return ld_rand_below(r, 4) == 0 ? ld_rand_below(r, len) : len;
+}
+
+static void
+test_mutated_answers(void)
+{
+	static const char list[] =
+	    "{\"version\":3,\"instances\":[{\"address\":\"127.0.0.1:2\","
+	    "\"role\":\"service\",\"zone\":\"z1\",\"state\":\"live\"}]}";
+	struct store_op op = {.kind = STORE_OP_READ};
+	struct store_decoded d;
+	struct live_doc doc;
+	struct ld_rand r;
+	char text[1024];
+	size_t len;
+
+	ld_rand_seed(&r, 12);
+	printf("seed 12\n");
+	ld_log_init("test_platform", LD_LOG_ERR);
+	for (int i = 0; i < 100000; i++) {
+		len = mutate(&r, text, range_answer, sizeof(range_answer) - 1);
+		codec()->decode(&op, (struct ld_str){text, len}, &d);
+		store_decoded_free(&d);
+		len = mutate(&r, text, watch_line, sizeof(watch_line) - 1);
+		codec()->decode_line((struct ld_str){text, len}, &d);
+		store_decoded_free(&d);
+		len = mutate(&r, text, list, sizeof(list) - 1);
+		live_doc_parse((struct ld_str){text, len}, &doc);
+		live_doc_free(&doc);
+	}
+	CU_PASS("nothing was read out of bounds");
+}
+
+int
+main(void)
+{
+	static const struct ld_test_case cases[] = {
+	    {"calls are encoded", test_calls_are_encoded},
+	    {"a read is decoded", test_read_is_decoded},
+	    {"a transaction is decoded", test_transaction_is_decoded},
+	    {"a line of a watch is decoded", test_watch_line_is_decoded},
+	    {"settling tells applied from not and unknown", test_settling},
+	    {"waits double with jitter", test_waits_double_with_jitter},
+	    {"the live list never goes back", test_live_list_never_goes_back},
+	    {"a restarted list keeps what is leaving",
+		test_restarted_list_keeps_leaving},
+	    {"a live list with faults", test_live_list_with_faults},
+	    {"mutated answers are refused cleanly", test_mutated_answers},
+	    {NULL, NULL},
+	};
+
+	if (ld_common_init() != LD_OK)
+		return 2;
+	return ld_test_main("platform", cases);
+}
