platform: sessions with stand-in processes under faults

Lost answers, cut connections, a frozen store, an old copy and another cluster answering, a lapsed lease, a spent budget, a silent watch, a restarted list.

--- /dev/null
+++ b/tests/faults/test_store.c
@@ -0,0 +1,616 @@
+/* The store and live list clients against stand-in processes with faults. */
+#include <arpa/inet.h>
+#include <libgen.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "ld_platform.h"
+#include "ld_test.h"
+
+#define ADDRESS_BYTES 32
+#define STEP_LIMIT_MS 10000
+#define CALL_TIMEOUT_MS 400
+
+static char standin_path[4096];
+static struct ld_loop *loop;
+static struct ld_http *http;
+
+/* ---- One stand-in process ---- */
+
+struct standin {
+	pid_t pid;
+	char address[ADDRESS_BYTES];
+	char port[8];
+};
+
+static void
+pick_port(struct standin *s)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET};
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_FATAL(bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0);
+	CU_ASSERT_FATAL(getsockname(fd, (struct sockaddr *)&a, &len) == 0);
+	close(fd);
+	snprintf(s->port, sizeof(s->port), "%u", ntohs(a.sin_port));
+	snprintf(s->address, sizeof(s->address), "127.0.0.1:%s", s->port);
+}
+
+static void
+standin_start(struct standin *s, const char *command)
+{
+	char line[8];
+	int out[2];
+
+	CU_ASSERT_FATAL(pipe(out) == 0);
+	s->pid = fork();
+	if (s->pid == 0) {
+		dup2(out[1], STDOUT_FILENO);
+		close(out[0]);
+		close(out[1]);
+		execl(standin_path, standin_path, command, "--port", s->port,
+		    (char *)NULL);
+		_exit(127);
+	}
+	close(out[1]);
+	/* Its first line says that it listens. */
+	CU_ASSERT_FATAL(read(out[0], line, sizeof(line)) > 0);
+	close(out[0]);
+}
+
+static void
+standin_stop(struct standin *s)
+{
+	kill(s->pid, SIGKILL);
+	waitpid(s->pid, NULL, 0);
+}
+
+/* ---- Driving the loop ---- */
+
+static bool timed_out;
+
+static void
+on_limit(struct ld_timer *t, uint64_t now_ms)
+{
+	timed_out = true;
+	ld_loop_stop(loop);
+}
+
+/* Runs until something stops the loop; false when nothing did. */
+static bool
+run(uint64_t limit_ms)
+{
+	struct ld_timer limit = {.fn = on_limit};
+
+	timed_out = false;
+	ld_timer_after(ld_loop_timers(loop), &limit, limit_ms);
+	ld_loop_run(loop);
+	ld_timer_stop(ld_loop_timers(loop), &limit);
+	return !timed_out;
+}
+
+static void
+on_post_body(struct ld_http_sink *sink, struct ld_str bytes)
+{
+}
+
+static void
+on_post_done(struct ld_http_sink *sink, const struct ld_http_result *result)
+{
+	CU_ASSERT_EQUAL(result->code, 200);
+	ld_loop_stop(loop);
+}
+
+static void
+post(const struct standin *s, const char *path, const char *body)
+{
+	static const struct ld_http_sink_ops ops = {
+	    .body = on_post_body, .done = on_post_done};
+	struct ld_http_sink sink = {&ops};
+	char url[128];
+	struct ld_http_request rq = {
+	    .method = "POST",
+	    .url = url,
+	    .body = ld_str_c(body),
+	    .fresh = true,
+	};
+
+	snprintf(url, sizeof(url), "http://%s%s", s->address, path);
+	ld_http_start(http, &rq, &sink);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+}
+
+/* ---- Store calls, one at a time ---- */
+
+struct outcome {
+	struct ld_store_call call;
+	enum ld_status status;
+	enum ld_store_outcome outcome;
+	int64_t revision;
+	int64_t lease;
+	struct ld_store_expect expect;
+	char value[32];
+};
+
+static void
+on_call_done(struct ld_store_call *call, const struct ld_store_answer *a)
+{
+	struct outcome *o = (struct outcome *)call;
+
+	o->status = a->status;
+	o->outcome = a->outcome;
+	o->revision = a->revision;
+	o->lease = a->lease;
+	o->expect = ld_store_expect_of(a->n > 0 ? &a->kvs[0] : NULL);
+	o->value[0] = '\0';
+	if (a->n > 0)
+		snprintf(o->value, sizeof(o->value), "%.*s",
+		    LD_FMT(a->kvs[0].value));
+	ld_loop_stop(loop);
+}
+
+static struct ld_store *
+store_new(const char *const *endpoints, size_t n)
+{
+	struct ld_store_settings settings = ld_store_defaults();
+
+	settings.endpoints = endpoints;
+	settings.n_endpoints = n;
+	settings.call_timeout_ms = CALL_TIMEOUT_MS;
+	settings.backoff_min_ms = 1;
+	settings.backoff_max_ms = 2;
+	settings.watch_renew_ms = 60000;
+	settings.calls_per_s = 1000;
+	settings.calls_burst = 1000;
+	settings.seed = 5;
+	return ld_store_new(loop, http, &settings, NULL);
+}
+
+static struct outcome
+do_cas(struct ld_store *s, const char *value, struct ld_store_expect expect)
+{
+	struct outcome o = {.call = {.done = on_call_done}};
+
+	ld_store_cas(s, &o.call, LD_STR("k"), ld_str_c(value), expect, 0);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	return o;
+}
+
+static struct outcome
+do_read(struct ld_store *s)
+{
+	struct outcome o = {.call = {.done = on_call_done}};
+
+	ld_store_read(s, &o.call, LD_STR("k"));
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	return o;
+}
+
+static struct outcome
+do_settle(struct ld_store *s, const char *value, struct ld_store_expect expect,
+    uint64_t within_ms)
+{
+	struct outcome o = {.call = {.done = on_call_done}};
+
+	ld_store_settle(s, &o.call, LD_STR("k"), ld_str_c(value), expect,
+	    ld_loop_now(loop) + within_ms);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	return o;
+}
+
+static void
+pass_ms(uint64_t ms)
+{
+	CU_ASSERT_FALSE(run(ms));
+}
+
+static void
+test_compare_and_swap(void)
+{
+	struct standin si;
+	const char *endpoints[] = {si.address};
+	struct ld_store_expect none = {0}, first;
+	struct ld_store *s;
+	struct outcome o;
+
+	pick_port(&si);
+	standin_start(&si, "store");
+	s = store_new(endpoints, 1);
+	CU_ASSERT_EQUAL(do_read(s).status, LD_E_NOT_FOUND);
+	o = do_cas(s, "one", none);
+	CU_ASSERT_EQUAL(o.outcome, LD_STORE_APPLIED);
+	o = do_read(s);
+	CU_ASSERT_STRING_EQUAL(o.value, "one");
+	first = o.expect;
+	CU_ASSERT_EQUAL(do_cas(s, "two", first).outcome, LD_STORE_APPLIED);
+	o = do_cas(s, "three", first);
+	CU_ASSERT_EQUAL(o.outcome, LD_STORE_CONFLICT);
+	CU_ASSERT_EQUAL(o.status, LD_E_CONFLICT);
+	CU_ASSERT_STRING_EQUAL(o.value, "two");
+	CU_ASSERT_EQUAL(ld_store_counters(s)->calls[LD_STORE_WRITE], 3);
+	ld_store_free(s);
+	standin_stop(&si);
+}
+
+static void
+test_lost_answers(void)
+{
+	struct standin si;
+	const char *endpoints[] = {si.address};
+	struct ld_store_expect none = {0}, first;
+	struct ld_store *s;
+	struct outcome o;
+
+	pick_port(&si);
+	standin_start(&si, "store");
+	s = store_new(endpoints, 1);
+	post(&si, "/fault", "{\"mode\":\"lose-answer\",\"count\":1}");
+	CU_ASSERT_EQUAL(do_cas(s, "one", none).outcome, LD_STORE_UNKNOWN);
+	o = do_settle(s, "one", none, 2000);
+	CU_ASSERT_EQUAL(o.outcome, LD_STORE_APPLIED);
+	first = o.expect;
+	pass_ms(5);
+	post(&si, "/fault", "{\"mode\":\"cut-before\",\"count\":1}");
+	CU_ASSERT_EQUAL(do_cas(s, "two", first).outcome, LD_STORE_UNKNOWN);
+	/* Unchanged is not settled: the write might still be on its way. */
+	o = do_settle(s, "two", first, 100);
+	CU_ASSERT_EQUAL(o.outcome, LD_STORE_UNKNOWN);
+	CU_ASSERT_EQUAL(o.status, LD_E_UNKNOWN);
+	CU_ASSERT_EQUAL(do_cas(s, "other", first).outcome, LD_STORE_APPLIED);
+	o = do_settle(s, "two", first, 2000);
+	CU_ASSERT_EQUAL(o.outcome, LD_STORE_NOT_APPLIED);
+	CU_ASSERT_EQUAL(ld_store_counters(s)->unknown_writes, 2);
+	ld_store_free(s);
+	standin_stop(&si);
+}
+
+static void
+test_outage(void)
+{
+	struct standin si;
+	const char *endpoints[] = {si.address};
+	struct ld_store_expect none = {0};
+	struct ld_store *s;
+	struct outcome o;
+
+	pick_port(&si);
+	s = store_new(endpoints, 1);
+	/* Nothing listens: no byte left, so it is certain. */
+	o = do_cas(s, "one", none);
+	CU_ASSERT_EQUAL(o.outcome, LD_STORE_NOT_APPLIED);
+	CU_ASSERT_EQUAL(o.status, LD_E_UNAVAILABLE);
+	standin_start(&si, "store");
+	pass_ms(5);
+	kill(si.pid, SIGSTOP);
+	o = do_cas(s, "one", none);
+	CU_ASSERT_EQUAL(o.outcome, LD_STORE_UNKNOWN);
+	CU_ASSERT_EQUAL(o.status, LD_E_TIMEOUT);
+	kill(si.pid, SIGCONT);
+	/* The frozen store may still carry out what reached it. */
+	o = do_settle(s, "one", none, 3000);
+	CU_ASSERT(
+	    o.outcome == LD_STORE_APPLIED || o.outcome == LD_STORE_UNKNOWN);
+	ld_store_free(s);
+	standin_stop(&si);
+}
+
+static void
+test_second_endpoint(void)
+{
+	struct standin dead, si;
+	const char *endpoints[] = {dead.address, si.address};
+	struct ld_store_expect none = {0};
+	struct ld_store *s;
+
+	pick_port(&dead);
+	pick_port(&si);
+	standin_start(&si, "store");
+	s = store_new(endpoints, 2);
+	CU_ASSERT_EQUAL(do_cas(s, "one", none).outcome, LD_STORE_APPLIED);
+	CU_ASSERT_STRING_EQUAL(do_read(s).value, "one");
+	ld_store_free(s);
+	standin_stop(&si);
+}
+
+static void
+test_old_and_foreign_answers(void)
+{
+	struct standin si;
+	const char *endpoints[] = {si.address};
+	struct ld_store_expect none = {0};
+	struct ld_store *s;
+	struct outcome o;
+
+	pick_port(&si);
+	standin_start(&si, "store");
+	s = store_new(endpoints, 1);
+	do_cas(s, "one", none);
+	post(&si, "/fault", "{\"mode\":\"stale\",\"revision\":1}");
+	o = do_read(s);
+	CU_ASSERT_EQUAL(o.status, LD_E_STALE);
+	CU_ASSERT_EQUAL(ld_store_counters(s)->stale, 1);
+	CU_ASSERT_TRUE(ld_store_alarm(s));
+	pass_ms(5);
+	post(&si, "/fault", "{\"mode\":\"ok\",\"cluster_id\":\"77\"}");
+	CU_ASSERT_EQUAL(do_read(s).status, LD_E_PROTOCOL);
+	CU_ASSERT_EQUAL(ld_store_counters(s)->other_cluster, 1);
+	pass_ms(5);
+	post(&si, "/fault",
+	    "{\"mode\":\"ok\",\"cluster_id\":\"14841639068965178418\"}");
+	CU_ASSERT_EQUAL(do_read(s).status, LD_OK);
+	CU_ASSERT_FALSE(ld_store_alarm(s));
+	ld_store_free(s);
+	standin_stop(&si);
+}
+
+static void
+test_leases(void)
+{
+	struct standin si;
+	const char *endpoints[] = {si.address};
+	struct ld_store *s;
+	struct outcome o = {.call = {.done = on_call_done}};
+	int64_t lease;
+
+	pick_port(&si);
+	standin_start(&si, "store");
+	s = store_new(endpoints, 1);
+	ld_store_lease_grant(s, &o.call, 5);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	CU_ASSERT_EQUAL(o.status, LD_OK);
+	lease = o.lease;
+	ld_store_put(s, &o.call, LD_STR("k"), LD_STR("held"), lease);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	CU_ASSERT_EQUAL(o.outcome, LD_STORE_APPLIED);
+	ld_store_lease_keepalive(s, &o.call, lease);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	CU_ASSERT_EQUAL(o.status, LD_OK);
+	ld_store_lease_revoke(s, &o.call, lease);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	CU_ASSERT_EQUAL(do_read(s).status, LD_E_NOT_FOUND);
+	ld_store_lease_keepalive(s, &o.call, lease);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	CU_ASSERT_EQUAL(o.status, LD_E_NOT_FOUND);
+	/* A write under a lease that is gone is certain not to be applied. */
+	ld_store_put(s, &o.call, LD_STR("k"), LD_STR("late"), lease);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	CU_ASSERT_EQUAL(o.status, LD_E_NOT_FOUND);
+	CU_ASSERT_EQUAL(o.outcome, LD_STORE_NOT_APPLIED);
+	ld_store_free(s);
+	standin_stop(&si);
+}
+
+static void
+test_budget(void)
+{
+	struct standin si;
+	const char *endpoints[] = {si.address};
+	struct ld_store_settings settings = ld_store_defaults();
+	struct ld_store *s;
+
+	pick_port(&si);
+	standin_start(&si, "store");
+	settings.endpoints = endpoints;
+	settings.n_endpoints = 1;
+	settings.calls_per_s = 1;
+	settings.calls_burst = 2;
+	s = ld_store_new(loop, http, &settings, NULL);
+	CU_ASSERT_EQUAL(do_read(s).status, LD_E_NOT_FOUND);
+	CU_ASSERT_EQUAL(do_read(s).status, LD_E_NOT_FOUND);
+	CU_ASSERT_EQUAL(do_read(s).status, LD_E_LIMIT);
+	CU_ASSERT_EQUAL(ld_store_counters(s)->over_budget, 1);
+	ld_store_free(s);
+	standin_stop(&si);
+}
+
+/* ---- Watch ---- */
+
+struct seen {
+	struct ld_store_watch watch;
+	unsigned int snapshots;
+	unsigned int changes;
+	unsigned int losses;
+	char value[32];
+};
+
+static void
+on_snapshot(struct ld_store_watch *w, int64_t revision,
+    const struct ld_store_kv *kvs, size_t n)
+{
+	struct seen *seen = (struct seen *)w;
+
+	seen->snapshots++;
+	if (n > 0)
+		snprintf(seen->value, sizeof(seen->value), "%.*s",
+		    LD_FMT(kvs[0].value));
+	ld_loop_stop(loop);
+}
+
+static void
+on_change(struct ld_store_watch *w, const struct ld_store_kv *kv, bool deleted)
+{
+	struct seen *seen = (struct seen *)w;
+
+	seen->changes++;
+	snprintf(seen->value, sizeof(seen->value), "%.*s", LD_FMT(kv->value));
+	ld_loop_stop(loop);
+}
+
+static void
+on_lost(struct ld_store_watch *w, enum ld_status status)
+{
+	((struct seen *)w)->losses++;
+}
+
+static const struct ld_store_watch_ops watch_ops = {
+    on_snapshot, on_change, on_lost};
+
+static void
+test_watch_survives_an_outage(void)
+{
+	struct seen seen = {.watch = {.ops = &watch_ops}};
+	struct ld_store_expect none = {0};
+	struct standin si;
+	const char *endpoints[] = {si.address};
+	struct ld_store *s, *writer;
+	struct outcome o = {.call = {.done = on_call_done}};
+
+	pick_port(&si);
+	standin_start(&si, "store");
+	s = store_new(endpoints, 1);
+	writer = store_new(endpoints, 1);
+	ld_store_watch_start(s, &seen.watch, LD_STR("k"), false);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	CU_ASSERT_EQUAL(seen.snapshots, 1);
+	ld_store_cas(writer, &o.call, LD_STR("k"), LD_STR("one"), none, 0);
+	while (seen.changes == 0 && run(STEP_LIMIT_MS))
+		;
+	CU_ASSERT_STRING_EQUAL(seen.value, "one");
+	post(&si, "/fault", "{\"mode\":\"down\",\"count\":3}");
+	while (seen.snapshots < 2 && run(STEP_LIMIT_MS))
+		;
+	CU_ASSERT(seen.losses > 0);
+	CU_ASSERT_EQUAL(seen.snapshots, 2);
+	CU_ASSERT_STRING_EQUAL(seen.value, "one");
+	ld_store_watch_stop(&seen.watch);
+	ld_store_free(writer);
+	ld_store_free(s);
+	standin_stop(&si);
+}
+
+/* A stream that is open but silent for good hides nothing for long. */
+static void
+test_silent_watch_is_renewed(void)
+{
+	struct seen seen = {.watch = {.ops = &watch_ops}};
+	struct ld_store_expect none = {0};
+	struct standin si;
+	const char *endpoints[] = {si.address};
+	struct ld_store_settings settings = ld_store_defaults();
+	struct ld_store *s;
+	struct outcome o = {.call = {.done = on_call_done}};
+
+	pick_port(&si);
+	standin_start(&si, "store");
+	settings.endpoints = endpoints;
+	settings.n_endpoints = 1;
+	settings.watch_renew_ms = 300;
+	s = ld_store_new(loop, http, &settings, NULL);
+	post(&si, "/fault", "{\"mode\":\"freeze-watch\"}");
+	ld_store_watch_start(s, &seen.watch, LD_STR("k"), false);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	ld_store_cas(s, &o.call, LD_STR("k"), LD_STR("one"), none, 0);
+	while (seen.snapshots < 3 && run(STEP_LIMIT_MS))
+		;
+	CU_ASSERT_STRING_EQUAL(seen.value, "one");
+	CU_ASSERT_EQUAL(seen.changes, 0);
+	ld_store_watch_stop(&seen.watch);
+	ld_store_free(s);
+	standin_stop(&si);
+}
+
+/* ---- Live list ---- */
+
+struct list_seen {
+	struct ld_live_listener listener;
+	int64_t version;
+	size_t n;
+	bool leaving;
+};
+
+static void
+on_list(struct ld_live_listener *l, const struct ld_live_list *list)
+{
+	struct list_seen *seen = (struct list_seen *)l;
+
+	seen->version = list->version;
+	seen->n = list->n;
+	seen->leaving = list->n > 0 && list->v[0].leaving;
+	ld_loop_stop(loop);
+}
+
+static void
+await_list(struct list_seen *seen, size_t n, bool leaving)
+{
+	while ((seen->n != n || seen->leaving != leaving) && run(STEP_LIMIT_MS))
+		;
+	CU_ASSERT_EQUAL(seen->n, n);
+	CU_ASSERT_EQUAL(seen->leaving, leaving);
+}
+
+static void
+test_live_list(void)
+{
+	static const struct ld_live_ops ops = {on_list};
+	struct list_seen seen = {.listener = {&ops}};
+	struct standin si;
+	const char *endpoints[] = {si.address};
+	struct ld_live_settings settings = ld_live_defaults();
+	struct ld_live *l;
+
+	pick_port(&si);
+	standin_start(&si, "list");
+	settings.endpoints = endpoints;
+	settings.n_endpoints = 1;
+	settings.restart_confirm_ms = 500;
+	settings.backoff_max_ms = 200;
+	settings.seed = 6;
+	l = ld_live_new(loop, http, &settings, &seen.listener);
+	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	post(&si, "/set",
+	    "{\"instances\":[{\"address\":\"127.0.0.1:1\",\"role\":\"engine\","
+	    "\"fabric\":\"f1\",\"zone\":\"z1\",\"state\":\"live\"}]}");
+	await_list(&seen, 1, false);
+	post(&si, "/set",
+	    "{\"instances\":[{\"address\":\"127.0.0.1:1\",\"role\":\"engine\","
+	    "\"fabric\":\"f1\",\"zone\":\"z1\",\"state\":\"leaving\"}]}");
+	await_list(&seen, 1, true);
+	/* The list restarts empty, at version 1. */
+	standin_stop(&si);
+	standin_start(&si, "list");
+	await_list(&seen, 0, false);
+	CU_ASSERT_EQUAL(ld_live_counters(l)->restarts, 1);
+	CU_ASSERT(ld_live_counters(l)->older > 0);
+	CU_ASSERT(ld_live_age_ms(l) < 5000);
+	ld_live_free(l);
+	standin_stop(&si);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct ld_test_case cases[] = {
+	    {"compare-and-swap", test_compare_and_swap},
+	    {"lost answers are settled by reading", test_lost_answers},
+	    {"an outage tells not applied from unknown", test_outage},
+	    {"the second endpoint is tried", test_second_endpoint},
+	    {"old and foreign answers are refused",
+		test_old_and_foreign_answers},
+	    {"leases", test_leases},
+	    {"the budget of calls holds", test_budget},
+	    {"a watch survives an outage", test_watch_survives_an_outage},
+	    {"a silent watch is renewed", test_silent_watch_is_renewed},
+	    {"the live list", test_live_list},
+	    {NULL, NULL},
+	};
+	char *self = ld_strdup(argv[0]);
+	int status;
+
+	snprintf(standin_path, sizeof(standin_path), "%.4000s/../ld_standin",
+	    dirname(self));
+	free(self);
+	if (ld_common_init() != LD_OK)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	loop = ld_loop_new();
+	http = ld_http_new(loop);
+	status = ld_test_main("store", cases);
+	ld_http_free(http);
+	ld_loop_free(loop);
+	return status;
+}
