Add the serving node: completions, services, operators, follow, drain

Cause: the whole path as separate processes comes first. Found by a test on one loop: libmicrohttpd does not wake its epoll descriptor when a connection is resumed in external mode, so a stream stopped after its first event; the listener now runs it itself.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wpointer-arith -Wno-unused-parameter \
 	-Wno-format-truncation -Werror
-INCS := $(addprefix -Ilib/,$(LIBS)) -Itests -Itests/standin -Ibench
+INCS := $(addprefix -Ilib/,$(LIBS)) -Itests -Itests/standin -Ibench -Iprograms
 CPPFLAGS := -D_GNU_SOURCE $(INCS) $(shell pkg-config --cflags $(PKGS))
 BASEFLAGS := -std=gnu11 -g $(WARN) -fno-strict-aliasing
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lev -lm -lpthread
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -24,14 +24,27 @@
 	struct ld_timers *ts = ld_loop_timers(e->loop);
 	MHD_UNSIGNED_LONG_LONG wait_ms;
 
+	e->resumed = false;
 	MHD_run(e->daemon);
-	if (MHD_get_timeout(e->daemon, &wait_ms) == MHD_YES)
+	if (e->resumed)
+		ld_timer_start(ts, &e->timer, ld_loop_now(e->loop));
+	else if (MHD_get_timeout(e->daemon, &wait_ms) == MHD_YES)
 		ld_timer_start(
 		    ts, &e->timer, ld_loop_now(e->loop) + (uint64_t)wait_ms);
 	else
 		ld_timer_stop(ts, &e->timer);
 }
 
+void
+listener_resumed(struct ld_listener *e)
+{
+	if (e->resumed)
+		return;
+	e->resumed = true;
+	ld_timer_start(
+	    ld_loop_timers(e->loop), &e->timer, ld_loop_now(e->loop));
+}
+
 static void
 on_io(struct ev_loop *ev, ev_io *io, int revents)
 {
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -32,7 +32,7 @@
 	size_t open;
 	struct ld_rand rand;
 	int listen_fd; /* -1 while the daemon owns it */
-	bool closing;
+	bool resumed; /* a connection was resumed since the last run */
 };
 
 /** struct ld_exchange - one request and its answer */
@@ -63,6 +63,14 @@
 	bool was_full; /* backlog passed its bound since drained() */
 };
 
+/**
+ * listener_resumed() - have libmicrohttpd run soon
+ *
+ * In its external mode it does not wake its own epoll descriptor when a
+ * connection is resumed.
+ */
+void listener_resumed(struct ld_listener *e);
+
 struct ld_exchange *exchange_new(struct ld_listener *e,
     struct MHD_Connection *mhd, const char *method, const char *path);
 void exchange_free(struct ld_exchange *x);
--- a/lib/entry/exchange.c
+++ b/lib/entry/exchange.c
@@ -113,6 +113,7 @@
 		return;
 	x->suspended = false;
 	MHD_resume_connection(x->mhd);
+	listener_resumed(x->entry);
 }
 
 /*
--- /dev/null
+++ b/lib/node/node_internal.h
@@ -0,0 +1,118 @@
+/* What the tasks of one node share: the node itself and their entry points. */
+#ifndef NODE_INTERNAL_H
+#define NODE_INTERNAL_H
+
+#include "ld_admit.h"
+#include "ld_backend.h"
+#include "ld_catalogue.h"
+#include "ld_entry.h"
+#include "ld_http.h"
+#include "ld_loop.h"
+#include "ld_node.h"
+#include "ld_platform.h"
+#include "ld_route.h"
+
+struct completion;
+struct service_call;
+struct edit;
+struct probes;
+
+/** enum node_phase - life of a node */
+enum node_phase {
+	NODE_STARTING,
+	NODE_SERVING,
+	NODE_DRAINING
+};
+
+/** struct node_counters - events of this process since its start */
+struct node_counters {
+	uint64_t requests;
+	uint64_t tokens;
+	uint64_t refused;
+	uint64_t retries;
+	uint64_t resumes;
+	uint64_t hangups;
+	uint64_t broken_streams;
+	uint64_t service_calls;
+	uint64_t service_unknown;
+};
+
+/** struct ld_node - one serving process */
+struct ld_node {
+	const struct ld_settings *settings;
+	struct ld_loop *loop;
+	struct ld_http *http;
+	struct ld_store *store;
+	struct ld_live *live;
+	struct ld_listener *entry;
+	struct ld_listener *operators;
+	struct ld_catalogue *catalogue; /* NULL until one is known */
+	struct ld_admit *admit;
+	struct ld_route *route;
+	struct probes *probes;
+	struct completion *completions;
+	uint64_t last_call; /* ids of calls given to lib/route */
+	enum node_phase phase;
+	struct node_counters counters;
+};
+
+static inline uint64_t
+node_now(const struct ld_node *n)
+{
+	return ld_loop_now(n->loop);
+}
+
+/* ---- Callers (completion.c, service_call.c, caller.c) ---- */
+
+/** caller_open() - open the callers' listener */
+enum ld_status caller_open(struct ld_node *n);
+/**
+ * caller_find() - the entry of whoever sent a request
+ *
+ * Return: NULL after a problem was answered.
+ */
+const struct ld_entry *caller_find(struct ld_node *n, struct ld_exchange *x);
+/** caller_refuse() - answer what admission refused */
+void caller_refuse(struct ld_node *n, struct ld_exchange *x,
+    enum ld_admit_reason reason, uint64_t retry_after_ms);
+/** refusal_problem() - the problem document of a refusal */
+struct ld_problem refusal_problem(
+    enum ld_admit_reason reason, uint64_t retry_after_ms);
+
+/** completion_start() - take a completion request */
+void completion_start(struct ld_node *n, struct ld_exchange *x);
+/** completion_gone() - its caller hung up */
+void completion_gone(struct completion *c);
+void completion_drained(struct completion *c);
+/** completions_act() - perform the actions of admission and routing */
+void completions_act(struct ld_node *n);
+
+/** service_start() - take a request below /services/ */
+void service_start(struct ld_node *n, struct ld_exchange *x);
+void service_gone(struct service_call *c);
+
+/* ---- Operators (operator.c) ---- */
+
+enum ld_status operator_open(struct ld_node *n);
+/** edit_start() - PUT of the catalogue (edit.c) */
+void edit_start(struct ld_node *n, struct ld_exchange *x);
+void edit_gone(struct edit *e);
+
+/* ---- Platform (follow.c) ---- */
+
+/** follow_open() - follow catalogue, placement records and live list */
+void follow_open(struct ld_node *n);
+void follow_close(struct ld_node *n);
+
+/* ---- Probes of servers (probe.c) ---- */
+
+void probes_open(struct ld_node *n);
+void probes_close(struct ld_node *n);
+/** probes_watch() - probe exactly these members from now on */
+void probes_watch(struct ld_node *n, const struct ld_str *addresses,
+    const struct ld_str *heads_of, size_t count);
+
+/** node_drain() - begin the drain; idempotent */
+void node_drain(struct ld_node *n);
+
+#endif
--- /dev/null
+++ b/lib/node/serve.c
@@ -0,0 +1,179 @@
+/* A serving process: opens its tasks, runs them, drains on a signal. */
+#include <ev.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include "node_internal.h"
+
+#define PART "node"
+#define DRAIN_POLL_MS 50
+/* Polls in a row without an open request that end a drain. */
+#define DRAIN_QUIET_POLLS 3
+
+/** struct serve_task - what only the process itself needs */
+struct serve_task {
+	struct ld_node node;
+	ev_signal term;
+	ev_signal interrupt;
+	struct ld_timer tick;
+	struct ld_timer drain;
+	uint64_t listen_until_ms;
+	unsigned int quiet_polls;
+};
+
+static struct serve_task *
+task_of(struct ld_node *n)
+{
+	return (struct serve_task *)n;
+}
+
+/* ---- Drain ---- */
+
+static void
+on_drain(struct ld_timer *t, uint64_t now_ms)
+{
+	struct serve_task *s = (struct serve_task *)((char *)t -
+	    offsetof(struct serve_task, drain));
+	struct ld_node *n = &s->node;
+	size_t open = ld_listener_open_exchanges(n->entry);
+
+	if (now_ms >= s->listen_until_ms)
+		ld_listener_stop_listening(n->entry);
+	s->quiet_polls = open == 0 ? s->quiet_polls + 1 : 0;
+	if (now_ms >= s->listen_until_ms &&
+	    s->quiet_polls >= DRAIN_QUIET_POLLS) {
+		ld_log(LD_LOG_NOTICE, PART, "drained");
+		ld_loop_stop(n->loop);
+		return;
+	}
+	ld_timer_after(ld_loop_timers(n->loop), t, DRAIN_POLL_MS);
+}
+
+void
+node_drain(struct ld_node *n)
+{
+	struct serve_task *s = task_of(n);
+
+	if (n->phase == NODE_DRAINING)
+		return;
+	n->phase = NODE_DRAINING;
+	s->listen_until_ms = node_now(n) + n->settings->entry_drain_notice_ms;
+	ld_log(LD_LOG_NOTICE, PART, "draining, %zu requests are open",
+	    ld_listener_open_exchanges(n->entry));
+	ld_timer_after(ld_loop_timers(n->loop), &s->drain, DRAIN_POLL_MS);
+}
+
+static void
+on_signal(struct ev_loop *ev, ev_signal *w, int revents)
+{
+	struct ld_node *n = w->data;
+
+	if (n->phase == NODE_DRAINING)
+		ld_log(LD_LOG_NOTICE, PART,
+		    "signal %d: draining already, nothing is cut off",
+		    w->signum);
+	node_drain(n);
+}
+
+static void
+watch_signal(struct serve_task *s, ev_signal *w, int signum)
+{
+	ev_signal_init(w, on_signal, signum);
+	w->data = &s->node;
+	ev_signal_start(ld_loop_ev(s->node.loop), w);
+}
+
+/* ---- Decisions that need time to pass ---- */
+
+static void
+on_tick(struct ld_timer *t, uint64_t now_ms)
+{
+	struct serve_task *s = (struct serve_task *)((char *)t -
+	    offsetof(struct serve_task, tick));
+	struct ld_node *n = &s->node;
+
+	ld_admit_capacity(
+	    n->admit, now_ms, ld_route_capacity(n->route, now_ms));
+	ld_admit_tick(n->admit, now_ms);
+	ld_route_tick(n->route, now_ms);
+	completions_act(n);
+	ld_timer_after(ld_loop_timers(n->loop), t, LD_ADMIT_TICK_MS);
+}
+
+/* ---- Start and end ---- */
+
+static void
+open_decisions(struct ld_node *n)
+{
+	struct ld_route_config route = {
+	    .domain = ld_str_c(n->settings->failure_domain),
+	    .policy = LD_ROUTE_TWO_CHOICES,
+	};
+	struct ld_admit_config admit = {0};
+	struct ld_rand rand;
+	struct ld_admit_member self = {
+	    .domain = ld_str_c(n->settings->failure_domain), .live = true};
+
+	ld_rand_seed_os(&rand);
+	route.seed = ld_rand_u64(&rand);
+	admit.seed = ld_rand_u64(&rand);
+	admit.node = ld_rand_u64(&rand) | 1;
+	admit.max_requests = (uint32_t)n->settings->entry_max_connections;
+	n->route = ld_route_new(&route);
+	n->admit = ld_admit_new(&admit, node_now(n));
+	self.node = admit.node;
+	ld_admit_members(n->admit, node_now(n), &self, 1);
+}
+
+static void
+close_all(struct serve_task *s)
+{
+	struct ld_node *n = &s->node;
+
+	ld_listener_free(n->entry);
+	ld_listener_free(n->operators);
+	probes_close(n);
+	follow_close(n);
+	ld_http_free(n->http);
+	ld_timer_stop(ld_loop_timers(n->loop), &s->tick);
+	ld_timer_stop(ld_loop_timers(n->loop), &s->drain);
+	ev_signal_stop(ld_loop_ev(n->loop), &s->term);
+	ev_signal_stop(ld_loop_ev(n->loop), &s->interrupt);
+	ld_admit_free(n->admit);
+	ld_route_free(n->route);
+	ld_loop_free(n->loop);
+}
+
+enum ld_status
+ld_node_serve(const struct ld_settings *settings)
+{
+	struct serve_task *s = ld_alloc(sizeof(*s));
+	struct ld_node *n = &s->node;
+	enum ld_status st;
+
+	signal(SIGPIPE, SIG_IGN);
+	n->settings = settings;
+	n->loop = ld_loop_new();
+	n->http = ld_http_new(n->loop);
+	open_decisions(n);
+	probes_open(n);
+	follow_open(n);
+	s->tick.fn = on_tick;
+	s->drain.fn = on_drain;
+	watch_signal(s, &s->term, SIGTERM);
+	watch_signal(s, &s->interrupt, SIGINT);
+	st = caller_open(n);
+	if (st == LD_OK)
+		st = operator_open(n);
+	if (st != LD_OK)
+		goto out;
+	n->phase = NODE_SERVING;
+	ld_timer_after(ld_loop_timers(n->loop), &s->tick, LD_ADMIT_TICK_MS);
+	ld_log(LD_LOG_NOTICE, PART, "serving callers on %s, operators on %s",
+	    settings->entry_listen.text, settings->operator_listen.text);
+	ld_loop_run(n->loop);
+out:
+	close_all(s);
+	free(s);
+	return st;
+}
