--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 HAVE := $(foreach l,$(LIBS),$(if $(wildcard lib/$(l)/*.c),$(l)))
 
 CC := gcc
-PKGS := libmicrohttpd libcurl jansson libxxhash libsodium
+PKGS := libmicrohttpd libcurl jansson libxxhash libsodium gsl
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wpointer-arith -Wno-unused-parameter \
 	-Wno-format-truncation -Werror
@@ -132,6 +132,6 @@
 
 $(B)/bench/%: $(B)/obj/bench/%.o $(REVERSED)
 	@mkdir -p $(@D)
-	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -lgsl -lgslcblas -o $@
+	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
 -include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/lib/metrics/ld_metrics.h
@@ -0,0 +1,140 @@
+/*
+ * Counters, gauges, latency histograms and service-level burn.
+ * Source: lib/metrics.
+ */
+#ifndef LD_METRICS_H
+#define LD_METRICS_H
+
+#include "ld_common.h"
+
+/* ---- Counters and gauges ---- */
+
+/** enum ld_metric - every counter and gauge of a process, see the table */
+enum ld_metric {
+	LD_M_REQUESTS,
+	LD_M_TOKENS,
+	LD_M_REFUSED,
+	LD_M_FAILED,
+	LD_M_RETRIES,
+	LD_M_RESUMES,
+	LD_M_BROKEN_STREAMS,
+	LD_M_CANCELLED_STREAMS,
+	LD_M_HANGUPS,
+	LD_M_SERVICE_CALLS,
+	LD_M_SERVICE_UNKNOWN,
+	LD_M_BOOKINGS,
+	LD_M_BOOKINGS_REPEATED,
+	LD_M_OPEN_REQUESTS,
+	LD_M_CONNECTIONS,
+	LD_M_PAUSES,
+	LD_M_CATALOGUE_REVISION,
+	LD_M_STORE_CALLS,
+	LD_M_STORE_FAILURES,
+	LD_M_STORE_STALE,
+	LD_M_STORE_OTHER_CLUSTER,
+	LD_M_STORE_OVER_BUDGET,
+	LD_M_STORE_REVISION,
+	LD_M_LIVE_LIST_VERSION,
+	LD_M_LIVE_LIST_AGE_MS,
+	LD_M_PEERS_ALIVE,
+	LD_M_PEERS_LINKS,
+	LD_M_PEER_BYTES_IN,
+	LD_M_PEER_BYTES_OUT,
+	LD_M_PEER_FRAMES_REFUSED,
+	LD_M_CAPACITY_SLOTS,
+	LD_M_REPLICAS_FIT,
+	LD_M_COUNT
+};
+
+/** struct ld_metric_row - one row of the table */
+struct ld_metric_row {
+	const char *name;
+	bool is_gauge;
+	const char *unit;
+	const char *help;
+};
+
+/** ld_metric_rows() - LD_M_COUNT rows in the order of enum ld_metric */
+const struct ld_metric_row *ld_metric_rows(void);
+
+/** enum ld_latency - every histogram of a process */
+enum ld_latency {
+	LD_L_FIRST_TOKEN,
+	LD_L_TOKEN_GAP,
+	LD_L_SERVICE,
+	LD_L_COUNT
+};
+
+struct ld_metrics;
+
+struct ld_metrics *ld_metrics_new(void);
+void ld_metrics_free(struct ld_metrics *m);
+void ld_metrics_add(struct ld_metrics *m, enum ld_metric id, uint64_t n);
+/** ld_metrics_set() - for gauges, and counters that a part keeps itself */
+void ld_metrics_set(struct ld_metrics *m, enum ld_metric id, uint64_t value);
+uint64_t ld_metrics_get(const struct ld_metrics *m, enum ld_metric id);
+/** ld_metrics_observe() - add one duration in ms to a histogram */
+void ld_metrics_observe(struct ld_metrics *m, enum ld_latency id, double ms);
+/** ld_metrics_write() - all of it in the text exposition format */
+void ld_metrics_write(const struct ld_metrics *m, struct ld_buf *out);
+
+/* ---- Service-level burn ---- */
+
+/** enum ld_objective - what is promised to callers */
+enum ld_objective {
+	LD_O_FIRST_TOKEN, /* first token within a threshold */
+	LD_O_TOKEN_GAP, /* time between tokens within a threshold */
+	LD_O_ANSWERED, /* neither refused within its limits nor failed */
+	LD_O_COUNT
+};
+
+const char *ld_objective_name(enum ld_objective o);
+
+/** enum ld_cause - through what an objective was missed */
+enum ld_cause {
+	LD_C_NONE,
+	LD_C_LIMIT, /* the caller's own limit: not counted as a miss */
+	LD_C_CAPACITY, /* no capacity for its class */
+	LD_C_NO_REPLICA, /* no complete replica */
+	LD_C_BACKEND, /* a backend server failed */
+	LD_C_SLOW, /* it came, but late */
+	LD_C_CATALOGUE, /* no catalogue in force */
+	LD_C_COUNT
+};
+
+const char *ld_cause_name(enum ld_cause c);
+
+/** struct ld_goal - threshold in ms (0: none) and target in 1/1000 */
+struct ld_goal {
+	uint64_t threshold_ms;
+	uint64_t target_permille;
+};
+
+/** Windows over which burn is told, in minutes, shortest first. */
+#define LD_BURN_WINDOWS 3
+extern const unsigned int ld_burn_window_min[LD_BURN_WINDOWS];
+
+struct ld_burn;
+
+/** ld_burn_new() - @goals: one per objective */
+struct ld_burn *ld_burn_new(const struct ld_goal goals[LD_O_COUNT]);
+void ld_burn_free(struct ld_burn *b);
+/**
+ * ld_burn_note() - count @good and @bad events of one caller
+ * @owner, @class: of the catalogue entry
+ * @cause: of the bad ones
+ */
+void ld_burn_note(struct ld_burn *b, uint64_t now_ms, struct ld_str owner,
+    struct ld_str class, enum ld_objective o, uint64_t good, uint64_t bad,
+    enum ld_cause cause);
+const struct ld_goal *ld_burn_goal(
+    const struct ld_burn *b, enum ld_objective o);
+/**
+ * ld_burn_write() - counts per caller, objective and window as JSON
+ *
+ * {"windows_min":[5,60,360],"goals":[..],"callers":[{"owner","class",
+ * "objective","good":[..],"bad":[..],"causes":{"slow":3}}]}
+ */
+void ld_burn_write(struct ld_burn *b, uint64_t now_ms, struct ld_buf *out);
+
+#endif
