node: count through lib/metrics, note burn, keep a history of revisions

Cause: operators need counters, burn by caller and cause, and what this fleet has seen of the catalogue.

--- a/lib/node/caller.c
+++ b/lib/node/caller.c
@@ -98,13 +98,27 @@
 	return p;
 }
 
+enum ld_cause
+refusal_cause(enum ld_admit_reason reason)
+{
+	switch (reason) {
+	case LD_ADMIT_R_CAPACITY:
+	case LD_ADMIT_R_OVERLOAD:
+		return LD_C_CAPACITY;
+	case LD_ADMIT_R_NO_CATALOGUE:
+		return LD_C_CATALOGUE;
+	default:
+		return LD_C_LIMIT;
+	}
+}
+
 void
 caller_refuse(struct ld_node *n, struct ld_exchange *x,
     enum ld_admit_reason reason, uint64_t retry_after_ms)
 {
 	struct ld_problem p = refusal_problem(reason, retry_after_ms);
 
-	n->counters.refused++;
+	node_count(n, LD_M_REFUSED);
 	ld_exchange_problem(x, &p);
 }
 
@@ -129,7 +143,7 @@
 	struct ld_node *n = ((struct caller_task *)h)->node;
 	const char *path = ld_exchange_path(x);
 
-	n->counters.requests++;
+	node_count(n, LD_M_REQUESTS);
 	if (is_service(path)) {
 		service_start(n, x);
 		return;
@@ -151,7 +165,7 @@
 	struct ld_node *n = ((struct caller_task *)h)->node;
 	void *owner = ld_exchange_owner(x);
 
-	n->counters.hangups++;
+	node_count(n, LD_M_HANGUPS);
 	if (owner == NULL)
 		return;
 	if (is_service(ld_exchange_path(x)))
--- a/lib/node/completion.c
+++ b/lib/node/completion.c
@@ -25,12 +25,17 @@
 	char *model;
 	char *replica;
 	char *excluded; /* replica that failed last */
-	char *content_type;
+	char *owner;
+	enum ld_class class;
 	uint64_t epoch;
 	uint64_t prefix;
 	uint64_t ticket;
 	uint64_t route_call;
 	uint64_t deadline_ms;
+	uint64_t started_ms;
+	uint64_t last_token_ms;
+	uint64_t gaps_good; /* not yet noted */
+	uint64_t gaps_bad;
 	uint64_t relayed; /* tokens given to the caller */
 	uint64_t max_tokens;
 	unsigned int attempts;
@@ -42,6 +47,56 @@
 
 static void attempt(struct completion *c);
 
+/* ---- Objectives ---- */
+
+static void
+note(struct completion *c, enum ld_objective o, uint64_t good, uint64_t bad,
+    enum ld_cause cause)
+{
+	ld_burn_note(c->node->burn, node_now(c->node), ld_str_c(c->owner),
+	    ld_str_c(ld_class_name(c->class)), o, good, bad, cause);
+}
+
+static void
+note_gaps(struct completion *c)
+{
+	if (c->gaps_good + c->gaps_bad == 0)
+		return;
+	note(c, LD_O_TOKEN_GAP, c->gaps_good, c->gaps_bad, LD_C_SLOW);
+	c->gaps_good = 0;
+	c->gaps_bad = 0;
+}
+
+static void
+note_first_token(struct completion *c, uint64_t now)
+{
+	const struct ld_goal *g = ld_burn_goal(c->node->burn, LD_O_FIRST_TOKEN);
+	uint64_t ms = now - c->started_ms;
+	bool good = ms <= g->threshold_ms;
+
+	ld_metrics_observe(c->node->metrics, LD_L_FIRST_TOKEN, (double)ms);
+	note(c, LD_O_FIRST_TOKEN, good, !good, LD_C_SLOW);
+}
+
+static void
+note_token(struct completion *c, uint64_t now)
+{
+	const struct ld_goal *g = ld_burn_goal(c->node->burn, LD_O_TOKEN_GAP);
+	uint64_t gap = now - c->last_token_ms;
+
+	if (c->last_token_ms == 0) {
+		note_first_token(c, now);
+	} else {
+		ld_metrics_observe(
+		    c->node->metrics, LD_L_TOKEN_GAP, (double)gap);
+		if (gap <= g->threshold_ms)
+			c->gaps_good++;
+		else
+			c->gaps_bad++;
+	}
+	c->last_token_ms = now;
+}
+
 /* ---- End ---- */
 
 static void
@@ -68,6 +123,7 @@
 completion_free(struct completion *c)
 {
 	stop_call(c);
+	note_gaps(c);
 	if (c->ticket != 0)
 		ld_admit_done(c->node->admit, node_now(c->node), c->ticket);
 	if (c->x != NULL)
@@ -78,7 +134,7 @@
 	free(c->model);
 	free(c->replica);
 	free(c->excluded);
-	free(c->content_type);
+	free(c->owner);
 	free(c);
 }
 
@@ -99,10 +155,12 @@
 }
 
 static void
-fail(struct completion *c, const struct ld_problem *p)
+fail(struct completion *c, const struct ld_problem *p, enum ld_cause cause)
 {
+	if (cause != LD_C_NONE && cause != LD_C_LIMIT)
+		note(c, LD_O_ANSWERED, 0, 1, cause);
 	if (c->begun) {
-		c->node->counters.broken_streams++;
+		node_count(c->node, LD_M_BROKEN_STREAMS);
 		end_stream_with(c, p);
 	} else {
 		ld_exchange_problem(c->x, p);
@@ -111,7 +169,8 @@
 }
 
 static void
-fail_unavailable(struct completion *c, const char *type, const char *title)
+fail_unavailable(struct completion *c, const char *type, const char *title,
+    enum ld_cause cause)
 {
 	struct ld_problem p = {
 	    .code = 503,
@@ -121,7 +180,8 @@
 	    .retry_after_ms = BROKEN_RETRY_MS,
 	};
 
-	fail(c, &p);
+	node_count(c->node, LD_M_FAILED);
+	fail(c, &p, cause);
 }
 
 /* ---- Relay ---- */
@@ -149,12 +209,13 @@
 	if (st != LD_OK || c->attempts >= ATTEMPTS_MAX) {
 		ld_log(LD_LOG_WARNING, PART, "gave up on a request: %s, %s",
 		    why, ld_status_name(st));
-		fail_unavailable(c, "no-answer", "No replica gave an answer");
+		fail_unavailable(
+		    c, "no-answer", "No replica gave an answer", LD_C_BACKEND);
 		return;
 	}
-	n->counters.retries++;
+	node_count(n, LD_M_RETRIES);
 	if (c->relayed > 0)
-		n->counters.resumes++;
+		node_count(n, LD_M_RESUMES);
 	attempt(c);
 }
 
@@ -171,7 +232,8 @@
 	}
 	begin_answer(c);
 	c->relayed++;
-	n->counters.tokens++;
+	node_count(n, LD_M_TOKENS);
+	note_token(c, now);
 	ld_exchange_write(c->x, event);
 	if (ld_exchange_backlog(c->x) > LD_ENTRY_BACKLOG_BYTES)
 		ld_engine_pause(c->call);
@@ -181,6 +243,7 @@
 static void
 finish_stream(struct completion *c)
 {
+	note(c, LD_O_ANSWERED, 1, 0, LD_C_NONE);
 	begin_answer(c);
 	ld_exchange_write(c->x, LD_STR("data: [DONE]\n\n"));
 	ld_exchange_end(c->x);
@@ -205,7 +268,8 @@
 	uint64_t tokens = tokens_of(body);
 	char *content_type = ld_str_dup(type);
 
-	n->counters.tokens += tokens;
+	note(c, LD_O_ANSWERED, 1, 0, LD_C_NONE);
+	ld_metrics_add(n->metrics, LD_M_TOKENS, tokens);
 	ld_admit_tokens(n->admit, node_now(n), c->ticket, tokens);
 	ld_exchange_answer(c->x, 200, content_type, NULL, body);
 	free(content_type);
@@ -223,7 +287,7 @@
 	    .ran = LD_RAN_UNKNOWN,
 	};
 
-	fail(c, &p);
+	fail(c, &p, LD_C_NONE);
 }
 
 static void
@@ -298,7 +362,8 @@
 	c->call = ld_engine_start(n->http, &rq, &engine_ops, c);
 	free(address);
 	if (c->call == NULL)
-		fail_unavailable(c, "no-answer", "No replica gave an answer");
+		fail_unavailable(
+		    c, "no-answer", "No replica gave an answer", LD_C_BACKEND);
 }
 
 static void
@@ -317,10 +382,11 @@
 		send_to(c, &choice);
 		break;
 	case LD_E_NOT_FOUND:
-		fail(c, &unknown);
+		fail(c, &unknown, LD_C_NONE);
 		break;
 	default:
-		fail_unavailable(c, "no-replica", "No replica is complete now");
+		fail_unavailable(c, "no-replica", "No replica is complete now",
+		    LD_C_NO_REPLICA);
 		break;
 	}
 }
@@ -385,7 +451,8 @@
 }
 
 static struct completion *
-completion_new(struct ld_node *n, struct ld_exchange *x, const json_t *doc)
+completion_new(struct ld_node *n, struct ld_exchange *x,
+    const struct ld_entry *e, const json_t *doc)
 {
 	struct completion *c = ld_alloc(sizeof(*c));
 	const json_t *max = json_object_get(doc, "max_tokens");
@@ -397,6 +464,9 @@
 	c->max_tokens = max != NULL ? (uint64_t)json_integer_value(max)
 				    : DEFAULT_MAX_TOKENS;
 	c->prefix = prefix_of(doc);
+	c->owner = ld_strdup(e->owner);
+	c->class = e->class;
+	c->started_ms = node_now(n);
 	c->deadline_ms = node_now(n) + n->settings->engine_request_timeout_ms;
 	c->next = n->completions;
 	c->link = &n->completions;
@@ -420,9 +490,9 @@
 		return;
 	}
 	c->ticket = 0;
-	c->node->counters.refused++;
+	node_count(c->node, LD_M_REFUSED);
 	p = refusal_problem(d->reason, d->retry_after_ms);
-	fail(c, &p);
+	fail(c, &p, refusal_cause(d->reason));
 }
 
 static void
@@ -446,6 +516,7 @@
 {
 	struct ld_route_choice ignored;
 	struct ld_problem p = {.ran = LD_RAN_NO};
+	enum ld_cause cause = LD_C_NONE;
 
 	switch (choose(c, &ignored)) {
 	case LD_OK:
@@ -460,9 +531,10 @@
 		p.type = "no-replica";
 		p.title = "No replica of this model is complete now";
 		p.retry_after_ms = NO_REPLICA_RETRY_MS;
+		cause = LD_C_NO_REPLICA;
 		break;
 	}
-	fail(c, &p);
+	fail(c, &p, cause);
 	return false;
 }
 
@@ -486,7 +558,7 @@
 		json_decref(doc);
 		return;
 	}
-	c = completion_new(n, x, doc);
+	c = completion_new(n, x, e, doc);
 	json_decref(doc);
 	if (is_servable(c))
 		admit(c, ld_str_c(e->owner));
@@ -537,7 +609,8 @@
 		return;
 	p = refusal_problem(d->reason, d->retry_after_ms);
 	p.ran = c->call != NULL ? LD_RAN_UNKNOWN : LD_RAN_NO;
-	fail(c, &p);
+	node_count(n, LD_M_CANCELLED_STREAMS);
+	fail(c, &p, refusal_cause(d->reason));
 }
 
 static void
--- a/lib/node/follow.c
+++ b/lib/node/follow.c
@@ -65,6 +65,7 @@
 		    (long long)kv->mod_revision, ld_last_message());
 		return;
 	}
+	history_add(n->history, node_now(n), n->catalogue, c);
 	ld_catalogue_unref(n->catalogue);
 	n->catalogue = c;
 	ld_log(LD_LOG_NOTICE, PART, "catalogue revision %lld is in force",
--- a/lib/node/node_internal.h
+++ b/lib/node/node_internal.h
@@ -8,6 +8,7 @@
 #include "ld_entry.h"
 #include "ld_http.h"
 #include "ld_loop.h"
+#include "ld_metrics.h"
 #include "ld_node.h"
 #include "ld_platform.h"
 #include "ld_route.h"
@@ -15,6 +16,7 @@
 struct completion;
 struct service_call;
 struct edit;
+struct history;
 struct probes;
 
 /** enum node_phase - life of a node */
@@ -24,19 +26,6 @@
 	NODE_DRAINING
 };
 
-/** struct node_counters - events of this process since its start */
-struct node_counters {
-	uint64_t requests;
-	uint64_t tokens;
-	uint64_t refused;
-	uint64_t retries;
-	uint64_t resumes;
-	uint64_t hangups;
-	uint64_t broken_streams;
-	uint64_t service_calls;
-	uint64_t service_unknown;
-};
-
 /** struct ld_node - one serving process */
 struct ld_node {
 	const struct ld_settings *settings;
@@ -53,7 +42,9 @@
 	struct completion *completions;
 	uint64_t last_call; /* ids of calls given to lib/route */
 	enum node_phase phase;
-	struct node_counters counters;
+	struct ld_metrics *metrics;
+	struct ld_burn *burn;
+	struct history *history; /* catalogue revisions seen, see follow.c */
 };
 
 static inline uint64_t
@@ -62,6 +53,12 @@
 	return ld_loop_now(n->loop);
 }
 
+static inline void
+node_count(struct ld_node *n, enum ld_metric id)
+{
+	ld_metrics_add(n->metrics, id, 1);
+}
+
 /* ---- Callers (completion.c, service_call.c, caller.c) ---- */
 
 /** caller_open() - open the callers' listener */
@@ -79,6 +76,9 @@
 struct ld_problem refusal_problem(
     enum ld_admit_reason reason, uint64_t retry_after_ms);
 
+/** refusal_cause() - what a refusal burns; LD_C_LIMIT burns nothing */
+enum ld_cause refusal_cause(enum ld_admit_reason reason);
+
 /** completion_start() - take a completion request */
 void completion_start(struct ld_node *n, struct ld_exchange *x);
 /** completion_gone() - its caller hung up */
@@ -112,6 +112,20 @@
 void probes_watch(struct ld_node *n, const struct ld_str *addresses,
     const struct ld_str *heads_of, size_t count);
 
+/* ---- What is shown to operators (gauges.c, history.c) ---- */
+
+/** node_gauges() - bring the gauges and the parts' own counters up to date */
+void node_gauges(struct ld_node *n);
+
+struct history *history_new(void);
+void history_free(struct history *h);
+/** history_add() - a catalogue came into force; @before may be NULL */
+void history_add(struct history *h, uint64_t now_ms,
+    const struct ld_catalogue *before, const struct ld_catalogue *after);
+/** history_write() - what this node has seen, newest first, as JSON */
+void history_write(
+    const struct history *h, uint64_t now_ms, struct ld_buf *out);
+
 /** node_drain() - begin the drain; idempotent */
 void node_drain(struct ld_node *n);
 
--- a/lib/node/operator.c
+++ b/lib/node/operator.c
@@ -90,33 +90,35 @@
 static void
 get_counters(struct ld_node *n, struct ld_exchange *x)
 {
-	const struct node_counters *c = &n->counters;
-	const struct {
-		const char *name;
-		uint64_t value;
-	} rows[] = {
-	    {"ld_requests_total", c->requests},
-	    {"ld_tokens_total", c->tokens},
-	    {"ld_refused_total", c->refused},
-	    {"ld_retries_total", c->retries},
-	    {"ld_resumes_total", c->resumes},
-	    {"ld_hangups_total", c->hangups},
-	    {"ld_broken_streams_total", c->broken_streams},
-	    {"ld_service_calls_total", c->service_calls},
-	    {"ld_service_unknown_total", c->service_unknown},
-	    {"ld_pauses_total", ld_loop_pauses(n->loop)},
-	};
 	struct ld_buf out = {0};
 
-	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
-		ld_buf_printf(&out, "# TYPE %s counter\n%s %llu\n",
-		    rows[i].name, rows[i].name,
-		    (unsigned long long)rows[i].value);
+	node_gauges(n);
+	ld_metrics_write(n->metrics, &out);
 	ld_exchange_answer(
 	    x, 200, "text/plain; version=0.0.4", NULL, ld_buf_str(&out));
 	ld_buf_free(&out);
 }
 
+static void
+get_burn(struct ld_node *n, struct ld_exchange *x)
+{
+	struct ld_buf out = {0};
+
+	ld_burn_write(n->burn, node_now(n), &out);
+	ld_exchange_answer(x, 200, "application/json", NULL, ld_buf_str(&out));
+	ld_buf_free(&out);
+}
+
+static void
+get_history(struct ld_node *n, struct ld_exchange *x)
+{
+	struct ld_buf out = {0};
+
+	history_write(n->history, node_now(n), &out);
+	ld_exchange_answer(x, 200, "application/json", NULL, ld_buf_str(&out));
+	ld_buf_free(&out);
+}
+
 static void
 get_catalogue(struct ld_node *n, struct ld_exchange *x)
 {
@@ -154,6 +156,8 @@
     {"GET", "/ready", get_ready},
     {"GET", "/status", get_status},
     {"GET", "/counters", get_counters},
+    {"GET", "/burn", get_burn},
+    {"GET", "/catalogue/history", get_history},
     {"GET", "/catalogue", get_catalogue},
     {"PUT", "/catalogue", edit_start},
     {"POST", "/drain", post_drain},
--- a/lib/node/serve.c
+++ b/lib/node/serve.c
@@ -102,6 +102,21 @@
 
 /* ---- Start and end ---- */
 
+static void
+open_burn(struct ld_node *n)
+{
+	const struct ld_settings *s = n->settings;
+	struct ld_goal goals[LD_O_COUNT] = {
+	    [LD_O_FIRST_TOKEN] = {s->objective_first_token_ms,
+		s->objective_first_token_permille},
+	    [LD_O_TOKEN_GAP] = {s->objective_token_gap_ms,
+		s->objective_token_gap_permille},
+	    [LD_O_ANSWERED] = {0, s->objective_answered_permille},
+	};
+
+	n->burn = ld_burn_new(goals);
+}
+
 static void
 open_decisions(struct ld_node *n)
 {
@@ -119,6 +134,8 @@
 	admit.seed = ld_rand_u64(&rand);
 	admit.node = ld_rand_u64(&rand) | 1;
 	admit.max_requests = (uint32_t)n->settings->entry_max_connections;
+	n->metrics = ld_metrics_new();
+	n->history = history_new();
 	n->route = ld_route_new(&route);
 	n->admit = ld_admit_new(&admit, node_now(n));
 	self.node = admit.node;
@@ -141,6 +158,9 @@
 	ev_signal_stop(ld_loop_ev(n->loop), &s->interrupt);
 	ld_admit_free(n->admit);
 	ld_route_free(n->route);
+	ld_burn_free(n->burn);
+	ld_metrics_free(n->metrics);
+	history_free(n->history);
 	ld_loop_free(n->loop);
 }
 
@@ -155,6 +175,7 @@
 	n->settings = settings;
 	n->loop = ld_loop_new();
 	n->http = ld_http_new(n->loop);
+	open_burn(n);
 	open_decisions(n);
 	probes_open(n);
 	follow_open(n);
--- a/lib/node/service_call.c
+++ b/lib/node/service_call.c
@@ -67,7 +67,7 @@
 	if (!c->maybe_ran || c->idempotent)
 		p.retry_after_ms = RETRY_AFTER_MS;
 	if (c->maybe_ran)
-		c->node->counters.service_unknown++;
+		node_count(c->node, LD_M_SERVICE_UNKNOWN);
 	ld_exchange_problem(c->x, &p);
 	service_free(c);
 }
@@ -99,7 +99,7 @@
 		st = ld_route_retry(
 		    n->route, node_now(n), repeatable, c->deadline_ms);
 	if (st == LD_OK) {
-		n->counters.retries++;
+		node_count(n, LD_M_RETRIES);
 		attempt(c);
 		return;
 	}
@@ -119,6 +119,7 @@
 
 	c->call = NULL;
 	c->maybe_ran |= r->sent;
+	ld_metrics_observe(c->node->metrics, LD_L_SERVICE, (double)r->ms);
 	ld_route_service_finished(c->node->route, node_now(c->node),
 	    ld_str_c(c->service->name), ld_str_c(c->server),
 	    r->status != LD_OK);
@@ -247,7 +248,7 @@
 		caller_refuse(n, x, d.reason, d.retry_after_ms);
 		return;
 	}
-	n->counters.service_calls++;
+	node_count(n, LD_M_SERVICE_CALLS);
 	c = call_new(n, x, svc, rest + name_len);
 	c->ticket = d.ticket;
 	ld_route_count_request(n->route, node_now(n));
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -68,6 +68,11 @@
 	uint64_t service_timeout_ms;
 	uint64_t booking_retention_ms;
 	uint64_t fleet_cut_off_ms;
+	uint64_t objective_first_token_ms;
+	uint64_t objective_first_token_permille;
+	uint64_t objective_token_gap_ms;
+	uint64_t objective_token_gap_permille;
+	uint64_t objective_answered_permille;
 	struct ld_service_settings *services;
 	size_t service_count;
 };
