--- a/tests/faults/test_store.c
+++ b/tests/faults/test_store.c
@@ -212,7 +212,7 @@
 static void
 test_compare_and_swap(void)
 {
-	struct standin si;
+	struct standin si = {0};
 	const char *endpoints[] = {si.address};
 	struct ld_store_expect none = {0}, first;
 	struct ld_store *s;
@@ -240,7 +240,7 @@
 static void
 test_lost_answers(void)
 {
-	struct standin si;
+	struct standin si = {0};
 	const char *endpoints[] = {si.address};
 	struct ld_store_expect none = {0}, first;
 	struct ld_store *s;
@@ -272,7 +272,7 @@
 static void
 test_outage(void)
 {
-	struct standin si;
+	struct standin si = {0};
 	const char *endpoints[] = {si.address};
 	struct ld_store_expect none = {0};
 	struct ld_store *s;
@@ -302,7 +302,7 @@
 static void
 test_second_endpoint(void)
 {
-	struct standin dead, si;
+	struct standin dead = {0}, si = {0};
 	const char *endpoints[] = {dead.address, si.address};
 	struct ld_store_expect none = {0};
 	struct ld_store *s;
@@ -320,7 +320,7 @@
 static void
 test_old_and_foreign_answers(void)
 {
-	struct standin si;
+	struct standin si = {0};
 	const char *endpoints[] = {si.address};
 	struct ld_store_expect none = {0};
 	struct ld_store *s;
@@ -351,7 +351,7 @@
 static void
 test_leases(void)
 {
-	struct standin si;
+	struct standin si = {0};
 	const char *endpoints[] = {si.address};
 	struct ld_store *s;
 	struct outcome o = {.call = {.done = on_call_done}};
@@ -388,7 +388,7 @@
 static void
 test_budget(void)
 {
-	struct standin si;
+	struct standin si = {0};
 	const char *endpoints[] = {si.address};
 	struct ld_store_settings settings = ld_store_defaults();
 	struct ld_store *s;
@@ -455,7 +455,7 @@
 {
 	struct seen seen = {.watch = {.ops = &watch_ops}};
 	struct ld_store_expect none = {0};
-	struct standin si;
+	struct standin si = {0};
 	const char *endpoints[] = {si.address};
 	struct ld_store *s, *writer;
 	struct outcome o = {.call = {.done = on_call_done}};
@@ -489,7 +489,7 @@
 {
 	struct seen seen = {.watch = {.ops = &watch_ops}};
 	struct ld_store_expect none = {0};
-	struct standin si;
+	struct standin si = {0};
 	const char *endpoints[] = {si.address};
 	struct ld_store_settings settings = ld_store_defaults();
 	struct ld_store *s;
@@ -548,7 +548,7 @@
 {
 	static const struct ld_live_ops ops = {on_list};
 	struct list_seen seen = {.listener = {&ops}};
-	struct standin si;
+	struct standin si = {0};
 	const char *endpoints[] = {si.address};
 	struct ld_live_settings settings = ld_live_defaults();
 	struct ld_live *l;
