Add membership, failure detection and dissemination on a partial mesh

Three rings give about seven links a node; pings each second carry the table hash, the catalogue revision and the place in a push tree; members flood, records follow the tree, and a bucketed digest mends what was lost. A connection that goes silent is dialled afresh before its node is suspected, and a death heard of is a suspicion to a node that still holds the member for live, so a healed partition buries nobody.

--- a/lib/peers/ld_peers.h
+++ b/lib/peers/ld_peers.h
@@ -144,8 +144,8 @@
 /**
  * ld_peers_next_action() - take the oldest action
  *
- * Return: false when there is none. Calls for links that are unknown (closed
- * meanwhile) are passed over, so the caller may act in any order.
+ * Return: false when there is none. Events of a link that the module has
+ * closed meanwhile are ignored.
  */
 bool ld_peers_next_action(struct ld_peers *p, struct ld_peers_action *a);
 
@@ -193,7 +193,7 @@
 /**
  * ld_peers_confirm_gone() - the live list no longer has @address
  *
- * Forgets a member that is dead or left; one that is alive here stays.
+ * Forgets a member that is suspect, dead or left; one that is alive stays.
  */
 void ld_peers_confirm_gone(
     struct ld_peers *p, uint64_t now_ms, struct ld_str address);
@@ -216,7 +216,9 @@
  * Without a link to that node one is dialled, kept while it is in use.
  *
  * Return: LD_OK when sent or queued, LD_E_TOO_LARGE beyond
- * LD_PEERS_DIRECT_MAX_BYTES, LD_E_LIMIT when too much waits for the dial.
+ * LD_PEERS_DIRECT_MAX_BYTES, LD_E_LIMIT when too much waits for the dial or
+ * too many links are open, LD_E_NOT_FOUND for an address that is no member,
+ * LD_E_UNAVAILABLE for a dead one or one whose last dial has just failed.
  */
 enum ld_status ld_peers_send(struct ld_peers *p, uint64_t now_ms,
     struct ld_str to, uint64_t to_incarnation, uint32_t kind,
--- /dev/null
+++ b/lib/peers/tree.c
@@ -0,0 +1,91 @@
+/*
+ * The push tree: each node takes the neighbour that is nearest to the root as
+ * its parent. All agree on the root, the live member with the least
+ * incarnation, and pings carry distances. Where a node or a neighbour has not
+ * settled, records go over all links, so the tree only ever saves bytes.
+ */
+#include "peers_internal.h"
+
+static uint64_t
+choose_root(const struct ld_peers *p)
+{
+	uint64_t root = UINT64_MAX;
+
+	for (size_t i = 0; i < p->member_count; i++) {
+		const struct member *m = p->members[i];
+
+		if (member_is_live(m) && m->incarnation < root)
+			root = m->incarnation;
+	}
+	return root;
+}
+
+static bool
+may_be_parent(const struct ld_peers *p, const struct link *l)
+{
+	return link_is_mesh(l) && l->peer_root == p->root &&
+	    l->peer_distance < DISTANCE_MAX && !l->peer_parent;
+}
+
+static void
+choose_parent(struct ld_peers *p)
+{
+	p->parent = 0;
+	p->distance = DISTANCE_NONE;
+	if (p->root == p->self->incarnation) {
+		p->distance = 0;
+		return;
+	}
+	for (struct link *l = p->links; l != NULL; l = l->next) {
+		uint32_t distance;
+
+		if (!may_be_parent(p, l))
+			continue;
+		distance = l->peer_distance + l->cost;
+		if (distance < p->distance) {
+			p->distance = distance;
+			p->parent = l->id;
+		}
+	}
+}
+
+void
+tree_update(struct ld_peers *p)
+{
+	uint64_t root = p->root;
+	uint32_t distance = p->distance;
+	uint32_t parent = p->parent;
+
+	if (p->root_stale)
+		p->root = choose_root(p);
+	p->root_stale = false;
+	choose_parent(p);
+	if (p->root == root && p->distance == distance && p->parent == parent)
+		return;
+	if (p->tree_due_ms != UINT64_MAX)
+		return;
+	p->tree_due_ms = p->tree_sent_ms + TREE_ANNOUNCE_MS;
+	if (p->tree_due_ms < p->now_ms)
+		p->tree_due_ms = p->now_ms;
+}
+
+void
+tree_announce(struct ld_peers *p)
+{
+	p->tree_due_ms = UINT64_MAX;
+	p->tree_sent_ms = p->now_ms;
+	for (struct link *l = p->links; l != NULL; l = l->next) {
+		if (link_is_mesh(l))
+			ping_send(p, l);
+	}
+}
+
+bool
+tree_has(const struct ld_peers *p, const struct link *l)
+{
+	if (l->id == p->parent || l->peer_parent)
+		return true;
+	if (p->distance == DISTANCE_NONE)
+		return true;
+	return l->peer_root != p->root || l->peer_distance >= DISTANCE_MAX;
+}
