--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wpointer-arith -Wno-unused-parameter \
 	-Wno-format-truncation -Werror
-INCS := $(addprefix -Ilib/,$(LIBS)) -Itests -Itests/standin -Ibench
+INCS := $(addprefix -Ilib/,$(LIBS)) -Itests -Itests/standin -Itests/faults -Ibench
 CPPFLAGS := -D_GNU_SOURCE $(INCS) $(shell pkg-config --cflags $(PKGS))
 BASEFLAGS := -std=gnu11 -g $(WARN) -fno-strict-aliasing
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lev -lm -lpthread
@@ -36,7 +36,9 @@
 PROGRAM := $(if $(wildcard programs/*.c),$(B)/lavenderdrift)
 STANDIN := $(if $(wildcard tests/standin/*.c),$(B)/ld_standin)
 UNIT := $(patsubst tests/unit/%.c,$(B)/unit/%,$(wildcard tests/unit/*.c))
-FAULTS := $(patsubst tests/faults/%.c,$(B)/faults/%,$(wildcard tests/faults/*.c))
+FAULTS := $(patsubst tests/faults/%.c,$(B)/faults/%,$(wildcard tests/faults/test_*.c))
+# What the failure sessions share.
+SESSION := $(call obj,$(wildcard tests/faults/ld_*.c))
 BENCH := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
 SOURCES := $(wildcard lib/*/*.[ch] programs/*.[ch] tests/*.[ch] \
 	tests/*/*.[ch] bench/*.[ch])
@@ -127,7 +129,7 @@
 	@mkdir -p $(@D)
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
 
-$(B)/faults/%: $(B)/obj/tests/faults/%.o $(REVERSED)
+$(B)/faults/%: $(B)/obj/tests/faults/%.o $(SESSION) $(REVERSED)
 	@mkdir -p $(@D)
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
 
