--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 # LIBS is in dependency order: a library may include only the headers of
 # libraries to its left, and only those that its README.md lists.
 
-LIBS := common loop http wire catalogue peers admit route booking replica \
-	platform metrics settings backend entry
+LIBS := common loop http wire catalogue peers admit route booking health \
+	replica platform metrics settings backend entry node
 # Folders that exist so far, in the order above.
 HAVE := $(foreach l,$(LIBS),$(if $(wildcard lib/$(l)/*.c),$(l)))
 
@@ -43,9 +43,8 @@
 SOURCES := $(wildcard lib/*/*.[ch] programs/*.[ch] tests/*.[ch] \
 	tests/*/*.[ch] bench/*.[ch])
 # Archives are searched right to left: dependents first.
-REVERSED := $(foreach l,entry backend settings metrics platform replica \
-	booking route admit peers catalogue wire http loop common,\
-	$(if $(filter $(l),$(HAVE)),$(B)/lib$(l).a))
+reverse = $(if $(1),$(call reverse,$(wordlist 2,$(words $(1)),$(1))) $(firstword $(1)))
+REVERSED := $(foreach l,$(call reverse,$(HAVE)),$(B)/lib$(l).a)
 
 .PHONY: help all check check-unit check-faults demo bench-path bench-policy \
 	bench-slopes format check-format lint check-deps clean programs-all
