--- a/tests/faults/ld_session_golden.c
+++ b/tests/faults/ld_session_golden.c
@@ -61,6 +61,17 @@
 	ld_buf_adds(&s->transcript, LD_STR("\n"));
 }
 
+static void
+alias_request(struct ld_session *s, const struct ld_reply *r)
+{
+	char name[32];
+
+	if (r->request_id[0] == '\0')
+		return;
+	snprintf(name, sizeof(name), "request-%u", ++s->request_ids);
+	ld_alias(s, r->request_id, name);
+}
+
 void
 ld_note_reply(struct ld_session *s, const struct ld_reply *r)
 {
--- a/tests/faults/ld_session_http.c
+++ b/tests/faults/ld_session_http.c
@@ -90,17 +90,6 @@
 	    &r->head, "\nX-Request-Id", r->request_id, sizeof(r->request_id));
 }
 
-static void
-alias_request(struct ld_session *s, const struct ld_reply *r)
-{
-	char name[32];
-
-	if (r->request_id[0] == '\0')
-		return;
-	snprintf(name, sizeof(name), "request-%u", ++s->request_ids);
-	ld_alias(s, r->request_id, name);
-}
-
 void
 ld_call(struct ld_session *s, const struct ld_call *c, struct ld_reply *r)
 {
@@ -112,7 +101,6 @@
 	perform(easy, r);
 	curl_easy_cleanup(easy);
 	curl_slist_free_all(headers);
-	alias_request(s, r);
 }
 
 void
@@ -244,7 +232,6 @@
 ld_stream_join(struct ld_stream *st)
 {
 	pthread_join(st->thread, NULL);
-	alias_request(st->session, &st->reply);
 }
 
 void
