--- a/tests/faults/ld_session.h
+++ b/tests/faults/ld_session.h
@@ -120,14 +120,14 @@
 /** struct ld_stream - a streamed completion read by a thread of its own */
 struct ld_stream {
 	struct ld_session *session;
+	pthread_t thread;
+	atomic_ullong last_token_ms;
 	struct ld_call call;
 	struct ld_reply reply;
-	pthread_t thread;
-	char body[256];
 	atomic_uint tokens;
-	atomic_ullong last_token_ms;
 	atomic_bool finished;
 	atomic_bool hang_up; /* set: the caller closes the connection */
+	char body[256];
 };
 
 /** ld_stream_start() - ask for @tokens tokens of @prompt, streamed */
