--- a/programs/commands.h
+++ b/programs/commands.h
@@ -4,9 +4,16 @@
 
 /* Exit statuses. */
 #define EXIT_FAILED 1 /* it was tried and failed */
-#define EXIT_USAGE 2 /* wrong arguments or settings */
+#define EXIT_USAGE 2 /* wrong arguments, settings or documents */
+#define EXIT_CONFLICT 3 /* somebody else changed the catalogue */
+#define EXIT_UNCONFIRMED 4 /* written, but not in force everywhere yet */
 
 int command_serve(int argc, char **argv);
 int command_check_settings(int argc, char **argv);
+int command_status(int argc, char **argv);
+int command_drain(int argc, char **argv);
+int command_counters(int argc, char **argv);
+int command_catalogue(int argc, char **argv);
+int command_report(int argc, char **argv);
 
 #endif
--- a/programs/main.c
+++ b/programs/main.c
@@ -19,6 +19,11 @@
 } commands[] = {
     {"serve", command_serve, "run one node"},
     {"check-settings", command_check_settings, "check a settings file"},
+    {"status", command_status, "show nodes and what they know"},
+    {"catalogue", command_catalogue, "show and edit the catalogue"},
+    {"drain", command_drain, "have nodes finish and stop"},
+    {"counters", command_counters, "show the counters of nodes"},
+    {"report", command_report, "report service-level burn"},
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
