peers: tell when the newest acknowledged ping was sent; services wait too

Cause: a node that reaches neither store nor peers must stop admitting, and a process that was frozen must not take buffered answers for new contact; and a plain service's call ignored that admission may decide later. Change: ld_peers_acked_ms(), counted from the sending; service calls wait for the decision like completions. Result: builds; no test of its own yet.

--- a/lib/node/completion.c
+++ b/lib/node/completion.c
@@ -622,6 +622,8 @@
 	case LD_ADMIT_SEND:
 		break; /* no peers yet */
 	case LD_ADMIT_DECIDED:
+		if (service_decided(n, &a->decision))
+			break;
 		c = find_ticket(n, a->decision.ticket);
 		if (c != NULL && c->waiting)
 			decided(c, &a->decision);
--- a/lib/node/node_internal.h
+++ b/lib/node/node_internal.h
@@ -40,6 +40,7 @@
 	struct ld_route *route;
 	struct probes *probes;
 	struct completion *completions;
+	struct service_call *service_calls;
 	uint64_t last_call; /* ids of calls given to lib/route */
 	enum node_phase phase;
 	struct ld_metrics *metrics;
@@ -90,6 +91,8 @@
 /** service_start() - take a request below /services/ */
 void service_start(struct ld_node *n, struct ld_exchange *x);
 void service_gone(struct service_call *c);
+/** service_decided() - admission decided; false when it is no such call */
+bool service_decided(struct ld_node *n, const struct ld_admit_decision *d);
 
 /* ---- Operators (operator.c) ---- */
 
--- a/lib/node/service_call.c
+++ b/lib/node/service_call.c
@@ -14,6 +14,8 @@
 
 /** struct service_call - one request below /services/ */
 struct service_call {
+	struct service_call *next;
+	struct service_call **link;
 	struct ld_node *node;
 	struct ld_exchange *x;
 	struct ld_service_call *call;
@@ -27,6 +29,7 @@
 	unsigned int attempts;
 	bool idempotent;
 	bool maybe_ran;
+	bool waiting; /* for the decision of admission */
 };
 
 static void attempt(struct service_call *c);
@@ -43,6 +46,9 @@
 		ld_admit_done(c->node->admit, node_now(c->node), c->ticket);
 	if (c->x != NULL)
 		ld_exchange_set_owner(c->x, NULL);
+	*c->link = c->next;
+	if (c->next != NULL)
+		c->next->link = c->link;
 	free(c->target);
 	free(c->server);
 	free(c->content_type);
@@ -222,10 +228,44 @@
 	c->key = key != NULL ? ld_strdup(key) : NULL;
 	c->idempotent = is_idempotent(svc, ld_exchange_method(x), target);
 	c->deadline_ms = node_now(n) + n->settings->service_timeout_ms;
+	c->next = n->service_calls;
+	c->link = &n->service_calls;
+	if (c->next != NULL)
+		c->next->link = &c->next;
+	n->service_calls = c;
 	ld_exchange_set_owner(x, c);
 	return c;
 }
 
+static void
+decided(struct service_call *c, const struct ld_admit_decision *d)
+{
+	c->waiting = false;
+	if (d->verdict == LD_ADMIT_NO) {
+		c->ticket = 0;
+		caller_refuse(c->node, c->x, d->reason, d->retry_after_ms);
+		service_free(c);
+		return;
+	}
+	c->ticket = d->ticket;
+	ld_route_count_request(c->node->route, node_now(c->node));
+	attempt(c);
+}
+
+bool
+service_decided(struct ld_node *n, const struct ld_admit_decision *d)
+{
+	struct service_call *c;
+
+	for (c = n->service_calls; c != NULL; c = c->next) {
+		if (!c->waiting || c->ticket != d->ticket)
+			continue;
+		decided(c, d);
+		return true;
+	}
+	return false;
+}
+
 void
 service_start(struct ld_node *n, struct ld_exchange *x)
 {
@@ -243,16 +283,15 @@
 		unknown_service(x);
 		return;
 	}
-	ld_admit_request(n->admit, node_now(n), ld_str_c(e->owner), 0, &d);
-	if (d.verdict == LD_ADMIT_NO) {
-		caller_refuse(n, x, d.reason, d.retry_after_ms);
-		return;
-	}
 	node_count(n, LD_M_SERVICE_CALLS);
 	c = call_new(n, x, svc, rest + name_len);
+	ld_admit_request(n->admit, node_now(n), ld_str_c(e->owner), 0, &d);
 	c->ticket = d.ticket;
-	ld_route_count_request(n->route, node_now(n));
-	attempt(c);
+	if (d.verdict == LD_ADMIT_WAIT)
+		c->waiting = true;
+	else
+		decided(c, &d);
+	completions_act(n);
 }
 
 void
--- a/lib/peers/ld_peers.h
+++ b/lib/peers/ld_peers.h
@@ -201,6 +201,13 @@
 void ld_peers_leave(struct ld_peers *p, uint64_t now_ms);
 /** ld_peers_links() - links that are up and part of the mesh */
 size_t ld_peers_links(const struct ld_peers *p);
+/**
+ * ld_peers_acked_ms() - when the newest ping that a peer answered was sent
+ *
+ * 0 before the first answer. Counted from the sending, so that answers read
+ * after a pause of this process don't pass for new.
+ */
+uint64_t ld_peers_acked_ms(const struct ld_peers *p);
 /** ld_peers_isolated() - no link is up although other nodes are known */
 bool ld_peers_isolated(const struct ld_peers *p);
 void ld_peers_counters(const struct ld_peers *p, struct ld_peers_counters *out);
--- a/lib/peers/peers_internal.h
+++ b/lib/peers/peers_internal.h
@@ -167,6 +167,7 @@
 	struct member *wanted[WANTED_MAX];
 	size_t wanted_count;
 
+	uint64_t acked_ms; /* newest ping acknowledged, when it was sent */
 	uint64_t root; /* of the push tree */
 	uint64_t tree_due_ms;
 	uint64_t tree_sent_ms;
--- a/lib/peers/ping.c
+++ b/lib/peers/ping.c
@@ -51,6 +51,22 @@
 		digest_start(p, l);
 }
 
+/* Only the newest ping's time is known: older acks say nothing new. */
+static void
+note_ack(struct ld_peers *p, const struct link *l, uint64_t seq)
+{
+	uint64_t sent_ms = l->ping_due_ms - PING_MS;
+
+	if (seq == l->ping_seq && sent_ms > p->acked_ms)
+		p->acked_ms = sent_ms;
+}
+
+uint64_t
+ld_peers_acked_ms(const struct ld_peers *p)
+{
+	return p->acked_ms;
+}
+
 void
 ping_received(struct ld_peers *p, struct link *l,
     const struct ld_wire_ping *ping, bool is_ack)
@@ -61,6 +77,8 @@
 	tree_update(p);
 	if (!is_ack)
 		ack_send(p, l, ping->seq);
+	else
+		note_ack(p, l, ping->seq);
 	catalogue_heard(p, l, ping->catalogue_revision);
 	if (link_is_mesh(l))
 		compare_tables(p, l, ping->table_hash);
