Add the peer task: TCP, sessions and real time around lib/peers

Listener and dials are bound to the address of the settings, with TCP_NODELAY, TCP_USER_TIMEOUT, a handshake deadline and a bounded output queue whose overflow closes the link. Calls of the owner are performed from the loop, so callbacks never run inside them.

--- /dev/null
+++ b/lib/node/peer_conn.c
@@ -0,0 +1,444 @@
+/* Sockets of the peer task: listening, dialling, reading and writing. */
+#include <errno.h>
+#include <fcntl.h>
+#include <netdb.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "peer_task_internal.h"
+
+/* A whole handshake, from connect() to the hello of the other side. */
+#define HANDSHAKE_MS 1500
+/* Unacknowledged data this old ends a connection. */
+#define USER_TIMEOUT_MS 5000
+#define READ_BYTES 65536
+#define READS_PER_EVENT 8
+/* Room for a whole catalogue and more; beyond, the other side is too slow. */
+#define QUEUE_MAX_BYTES ((size_t)4 * 1024 * 1024)
+/* A queue that has drained gives back its memory above this. */
+#define QUEUE_KEEP_BYTES 65536
+#define CONNS_MAX 1024
+#define BACKLOG 512
+
+static void on_readable(struct ev_loop *ev, ev_io *w, int revents);
+static void on_writable(struct ev_loop *ev, ev_io *w, int revents);
+static void on_deadline(struct ld_timer *timer, uint64_t now_ms);
+
+/* ---- Addresses ---- */
+
+enum ld_status
+peer_addr_parse(struct ld_str s, struct peer_addr *out)
+{
+	struct addrinfo hints = {0};
+	struct addrinfo *found = NULL;
+	enum ld_status st = LD_OK;
+	char *host = ld_str_dup(s);
+	char *name = host;
+	char *colon = strrchr(host, ':');
+
+	hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV;
+	hints.ai_socktype = SOCK_STREAM;
+	if (colon != NULL)
+		*colon = '\0';
+	if (*name == '[' && colon > name && colon[-1] == ']') {
+		colon[-1] = '\0';
+		name++;
+	}
+	if (colon == NULL ||
+	    getaddrinfo(name, colon + 1, &hints, &found) != 0) {
+		st = ld_fail(LD_E_INVALID, "not an IP:PORT: %.*s", LD_FMT(s));
+		goto out;
+	}
+	memcpy(&out->sa, found->ai_addr, found->ai_addrlen);
+	out->len = found->ai_addrlen;
+	freeaddrinfo(found);
+out:
+	free(host);
+	return st;
+}
+
+static void
+set_port_any(struct peer_addr *a)
+{
+	if (a->sa.ss_family == AF_INET6)
+		((struct sockaddr_in6 *)&a->sa)->sin6_port = 0;
+	else
+		((struct sockaddr_in *)&a->sa)->sin_port = 0;
+}
+
+/* ---- Connections ---- */
+
+static struct peer_conn *
+conn_new(struct ld_peer_task *t, int fd, bool dialled)
+{
+	struct peer_conn *c = ld_alloc(sizeof(*c));
+	unsigned int timeout = USER_TIMEOUT_MS;
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+	c->task = t;
+	c->fd = fd;
+	c->dialled = dialled;
+	c->session =
+	    ld_wire_session_new(dialled ? LD_WIRE_DIALER : LD_WIRE_ACCEPTOR,
+		ld_buf_str(&t->key), &t->rand);
+	ld_wire_hello(c->session, &c->out);
+	ev_io_init(&c->reader, on_readable, fd, EV_READ);
+	ev_io_init(&c->writer, on_writable, fd, EV_WRITE);
+	c->reader.data = c;
+	c->writer.data = c;
+	c->deadline.fn = on_deadline;
+	ld_timer_start(ld_loop_timers(t->loop), &c->deadline,
+	    ld_loop_now(t->loop) + HANDSHAKE_MS);
+	c->next = t->conns;
+	t->conns = c;
+	t->conn_count++;
+	return c;
+}
+
+struct peer_conn *
+peer_conn_find(const struct ld_peer_task *t, uint32_t link)
+{
+	for (struct peer_conn *c = t->conns; c != NULL; c = c->next) {
+		if (c->fd >= 0 && c->link == link)
+			return c;
+	}
+	return NULL;
+}
+
+void
+peer_conn_close(struct peer_conn *c)
+{
+	struct ev_loop *ev = ld_loop_ev(c->task->loop);
+
+	if (c->fd < 0)
+		return;
+	ev_io_stop(ev, &c->reader);
+	ev_io_stop(ev, &c->writer);
+	ld_timer_stop(ld_loop_timers(c->task->loop), &c->deadline);
+	close(c->fd);
+	c->fd = -1;
+}
+
+/* Closes for a reason that the peers do not know of yet. */
+static void
+conn_lost(struct peer_conn *c)
+{
+	struct ld_peer_task *t = c->task;
+
+	if (c->fd < 0)
+		return;
+	peer_conn_close(c);
+	if (c->link != 0)
+		ld_peers_closed(t->peers, ld_loop_now(t->loop), c->link);
+}
+
+void
+peer_conns_reap(struct ld_peer_task *t)
+{
+	struct peer_conn **at = &t->conns;
+
+	while (*at != NULL) {
+		struct peer_conn *c = *at;
+
+		if (c->fd >= 0) {
+			at = &c->next;
+			continue;
+		}
+		*at = c->next;
+		t->conn_count--;
+		ld_wire_session_free(c->session);
+		ld_buf_free(&c->in);
+		ld_buf_free(&c->out);
+		free(c);
+	}
+}
+
+static void
+on_deadline(struct ld_timer *timer, uint64_t now_ms)
+{
+	struct peer_conn *c = (struct peer_conn *)((char *)timer -
+	    offsetof(struct peer_conn, deadline));
+	struct ld_peer_task *t = c->task;
+
+	t->counters.handshake_timeouts++;
+	conn_lost(c);
+	peer_task_settle(t);
+}
+
+/* ---- Writing ---- */
+
+static void
+write_out(struct peer_conn *c)
+{
+	struct ev_loop *ev = ld_loop_ev(c->task->loop);
+
+	while (c->out_done < c->out.len) {
+		ssize_t n = send(c->fd, c->out.p + c->out_done,
+		    c->out.len - c->out_done, MSG_NOSIGNAL);
+
+		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+			ev_io_start(ev, &c->writer);
+			return;
+		}
+		if (n < 0) {
+			conn_lost(c);
+			return;
+		}
+		c->out_done += (size_t)n;
+		c->task->counters.bytes_out += (uint64_t)n;
+	}
+	ev_io_stop(ev, &c->writer);
+	c->out.len = 0;
+	c->out_done = 0;
+	if (c->out.cap > QUEUE_KEEP_BYTES)
+		ld_buf_free(&c->out);
+}
+
+void
+peer_conns_flush(struct ld_peer_task *t)
+{
+	for (struct peer_conn *c = t->conns; c != NULL; c = c->next) {
+		if (c->fd < 0 || c->state == CONN_CONNECTING ||
+		    c->out.len == 0 || ev_is_active(&c->writer))
+			continue;
+		write_out(c);
+	}
+}
+
+void
+peer_conn_send(struct peer_conn *c, struct ld_str payload)
+{
+	if (c->out.len - c->out_done + payload.len > QUEUE_MAX_BYTES) {
+		c->task->counters.slow_closed++;
+		ld_log(LD_LOG_WARNING, "peers",
+		    "a slow peer's output queue is full, closing its link");
+		conn_lost(c);
+		return;
+	}
+	ld_buf_consume(&c->out, c->out_done);
+	c->out_done = 0;
+	if (ld_wire_seal(c->session, payload, &c->out) == LD_OK)
+		c->task->counters.frames_out++;
+}
+
+static bool
+finish_connect(struct peer_conn *c)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &len) < 0 ||
+	    error != 0)
+		return false;
+	c->state = CONN_HELLO;
+	ev_io_start(ld_loop_ev(c->task->loop), &c->reader);
+	return true;
+}
+
+static void
+on_writable(struct ev_loop *ev, ev_io *w, int revents)
+{
+	struct peer_conn *c = w->data;
+	struct ld_peer_task *t = c->task;
+
+	if (c->state == CONN_CONNECTING && !finish_connect(c))
+		conn_lost(c);
+	else
+		write_out(c);
+	peer_task_settle(t);
+}
+
+/* ---- Reading ---- */
+
+static void
+count_refused(struct ld_peer_task *t, enum ld_status st)
+{
+	if (st == LD_E_AUTH)
+		t->counters.refused_auth++;
+	else if (st == LD_E_REPLAY)
+		t->counters.refused_replay++;
+	else
+		t->counters.refused_protocol++;
+	ld_log(LD_LOG_WARNING, "peers", "frame refused: %s: %s",
+	    ld_status_name(st), ld_last_message());
+}
+
+static void
+became_ready(struct peer_conn *c)
+{
+	struct ld_peer_task *t = c->task;
+	uint64_t now = ld_loop_now(t->loop);
+
+	c->state = CONN_OPEN;
+	ld_timer_stop(ld_loop_timers(t->loop), &c->deadline);
+	if (c->dialled)
+		ld_peers_connected(t->peers, now, c->link);
+	else
+		c->link = ld_peers_accepted(t->peers, now);
+}
+
+/* Hands over all whole frames that were received. */
+static void
+take_frames(struct peer_conn *c)
+{
+	struct ld_peer_task *t = c->task;
+
+	while (c->fd >= 0) {
+		enum ld_status st =
+		    ld_wire_open(c->session, &c->in, &t->payload);
+
+		if (c->state == CONN_HELLO && ld_wire_ready(c->session))
+			became_ready(c);
+		if (st == LD_E_AGAIN)
+			return;
+		if (st != LD_OK) {
+			count_refused(t, st);
+			conn_lost(c);
+			return;
+		}
+		t->counters.frames_in++;
+		ld_peers_message(t->peers, ld_loop_now(t->loop), c->link,
+		    ld_buf_str(&t->payload));
+	}
+}
+
+/* Return: true when more may be read at once. */
+static bool
+read_some(struct peer_conn *c)
+{
+	ssize_t n;
+
+	ld_buf_reserve(&c->in, READ_BYTES);
+	n = recv(c->fd, c->in.p + c->in.len, READ_BYTES, 0);
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return false;
+	if (n <= 0) {
+		if (c->state == CONN_OPEN && c->in.len > 0)
+			c->task->counters.refused_protocol++;
+		conn_lost(c);
+		return false;
+	}
+	c->in.len += (size_t)n;
+	c->task->counters.bytes_in += (uint64_t)n;
+	take_frames(c);
+	return n == READ_BYTES && c->fd >= 0;
+}
+
+static void
+on_readable(struct ev_loop *ev, ev_io *w, int revents)
+{
+	struct peer_conn *c = w->data;
+	struct ld_peer_task *t = c->task;
+
+	for (int i = 0; i < READS_PER_EVENT; i++) {
+		if (!read_some(c))
+			break;
+	}
+	if (c->in.len == 0)
+		ld_buf_free(&c->in);
+	peer_task_settle(t);
+}
+
+/* ---- Listening and dialling ---- */
+
+static void
+on_acceptable(struct ev_loop *ev, ev_io *w, int revents)
+{
+	struct ld_peer_task *t = w->data;
+	int fd;
+
+	fd = accept4(t->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (fd < 0) {
+		/* Out of descriptors: a level-triggered loop would spin. */
+		if (errno == EMFILE || errno == ENFILE || errno == ENOMEM)
+			ev_io_stop(ev, w);
+		return;
+	}
+	if (t->conn_count >= CONNS_MAX) {
+		close(fd);
+		return;
+	}
+	t->counters.accepts++;
+	conn_new(t, fd, false)->state = CONN_HELLO;
+	ev_io_start(ev, &t->conns->reader);
+	peer_task_settle(t);
+}
+
+void
+peer_accept_again(struct ld_peer_task *t)
+{
+	ev_io_start(ld_loop_ev(t->loop), &t->acceptor);
+}
+
+enum ld_status
+peer_listen(struct ld_peer_task *t, struct ld_str address)
+{
+	int on = 1;
+	enum ld_status st = peer_addr_parse(address, &t->local);
+
+	if (st != LD_OK)
+		return st;
+	t->listener = socket(t->local.sa.ss_family,
+	    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (t->listener < 0)
+		return ld_fail(LD_E_IO, "socket: %s", strerror(errno));
+	setsockopt(t->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(t->listener, (struct sockaddr *)&t->local.sa, t->local.len) <
+		0 ||
+	    listen(t->listener, BACKLOG) < 0)
+		return ld_fail(LD_E_IO, "can't listen at %.*s: %s",
+		    LD_FMT(address), strerror(errno));
+	ev_io_init(&t->acceptor, on_acceptable, t->listener, EV_READ);
+	t->acceptor.data = t;
+	ev_io_start(ld_loop_ev(t->loop), &t->acceptor);
+	return LD_OK;
+}
+
+/* Dials leave from the address of the listener, on any port. */
+static int
+dial_socket(const struct ld_peer_task *t, const struct peer_addr *to)
+{
+	struct peer_addr from = t->local;
+	int on = 1;
+	int fd = socket(
+	    to->sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	set_port_any(&from);
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+	if (to->sa.ss_family == from.sa.ss_family &&
+	    bind(fd, (struct sockaddr *)&from.sa, from.len) < 0)
+		goto fail;
+	if (connect(fd, (const struct sockaddr *)&to->sa, to->len) < 0 &&
+	    errno != EINPROGRESS)
+		goto fail;
+	return fd;
+fail:
+	close(fd);
+	return -1;
+}
+
+void
+peer_dial(struct ld_peer_task *t, uint32_t link, struct ld_str address)
+{
+	struct peer_addr to = {0};
+	struct peer_conn *c;
+	int fd = -1;
+
+	if (t->conn_count < CONNS_MAX && peer_addr_parse(address, &to) == LD_OK)
+		fd = dial_socket(t, &to);
+	if (fd < 0) {
+		ld_peers_closed(t->peers, ld_loop_now(t->loop), link);
+		return;
+	}
+	c = conn_new(t, fd, true);
+	c->link = link;
+	c->state = CONN_CONNECTING;
+	ev_io_start(ld_loop_ev(t->loop), &c->writer);
+}
--- a/lib/peers/actions.c
+++ b/lib/peers/actions.c
@@ -148,6 +148,12 @@
 	own(q, views, 2);
 }
 
+bool
+ld_peers_has_action(const struct ld_peers *p)
+{
+	return p->action_head != NULL;
+}
+
 static void
 queued_free(struct queued *q)
 {
--- a/lib/peers/ld_peers.h
+++ b/lib/peers/ld_peers.h
@@ -148,6 +148,8 @@
  * closed meanwhile are ignored.
  */
 bool ld_peers_next_action(struct ld_peers *p, struct ld_peers_action *a);
+/** ld_peers_has_action() - whether ld_peers_next_action() would give one */
+bool ld_peers_has_action(const struct ld_peers *p);
 
 /* ---- Records ---- */
 
