--- a/lib/replica/ld_replica.h
+++ b/lib/replica/ld_replica.h
@@ -158,8 +158,6 @@
  * @call: to be given back with the result
  * @value: of a create or write; valid until the next call into the module
  * @expected: revision of the record to compare with, 0 for absent
- * @fence: for a write: the control key must still have this create revision,
- *	where the store client can compare two keys in one transaction
  */
 struct ld_replica_action {
 	enum ld_replica_action_type type;
@@ -168,7 +166,6 @@
 	uint32_t ttl_ms;
 	struct ld_str value;
 	uint64_t expected;
-	uint64_t fence;
 	struct ld_replica_order order;
 };
 
--- a/lib/replica/plan.c
+++ b/lib/replica/plan.c
@@ -94,6 +94,11 @@
 
 /* ---- Moves of a single replica ---- */
 
+/*
+ * Every member is ready and has held this epoch for one report life. A router
+ * may rely on what a member reported before it changed over, also with an old
+ * record, until that report has expired.
+ */
 static bool
 complete(const struct step *s, const struct ld_replica_entry *e)
 {
@@ -103,6 +108,8 @@
 		if (!instance_holds(in, e, s->p->now_ms) || !in->view.ready ||
 		    in->view.state == LD_HEALTH_DEAD)
 			return false;
+		if (s->p->now_ms < in->holds_since_ms + s->p->report_ttl_ms)
+			return false;
 	}
 	return true;
 }
@@ -114,16 +121,9 @@
 	s->changed = true;
 }
 
-/*
- * A member can have left another replica by the write that made this one.
- * Routers may rely on reports from before that for one report life, so this
- * one serves only after it.
- */
 static void
 step_forming(struct step *s, struct ld_replica_entry *e)
 {
-	if (s->p->now_ms < since_ms(s, e) + s->p->report_ttl_ms)
-		return;
 	if (complete(s, e))
 		set_state(s, e, LD_REPLICA_SERVING);
 }
@@ -233,8 +233,18 @@
 	set_state(s, e, LD_REPLICA_FORMING);
 }
 
+static uint16_t
+count_fit(const struct step *s, const struct ld_replica_entry *e)
+{
+	uint16_t n = 0;
+
+	for (uint16_t m = 0; m < e->member_count; m++)
+		n += step_fit(s, e->members[m]);
+	return n;
+}
+
 /*
- * Takes the staying members of the least needed broken replica for @need
+ * Takes the members of the least needed broken replica for @need
  * parts of a better one. The donor can't be re-formed now in any case.
  */
 static bool
@@ -246,7 +256,7 @@
 
 		if (e->member_count == 0 || e->state == LD_REPLICA_DRAINING)
 			continue;
-		if (count_staying(s, e) < need)
+		if (count_fit(s, e) < need)
 			continue;
 		step_remove(s, e);
 		return true;
--- a/lib/replica/plan_internal.h
+++ b/lib/replica/plan_internal.h
@@ -17,8 +17,8 @@
 const struct instance *step_instance(const struct step *s, uint16_t i);
 /** step_wanted() - whether replicas of this model are wanted, not fillers */
 bool step_wanted(const struct step *s, const struct ld_replica_entry *e);
-/** step_usable() - free, and without trouble for long enough */
-bool step_usable(const struct step *s, uint16_t i);
+/** step_fit() - without trouble for long enough, be it free or not */
+bool step_fit(const struct step *s, uint16_t i);
 uint16_t step_free(const struct step *s);
 /** step_take() - best free instance for @model, now owned; or NO_INSTANCE */
 uint16_t step_take(struct step *s, const char *model);
--- a/lib/replica/recorder.c
+++ b/lib/replica/recorder.c
@@ -24,8 +24,6 @@
 	record_encode(&c->draft, &c->instances, c->fabric, &c->draft_json);
 	a->value = ld_buf_str(&c->draft_json);
 	a->expected = c->record_exists ? c->revision : 0;
-	a->fence = c->fence;
-	a->lease = c->lease;
 	c->record_call =
 	    (struct pending){a->call, LD_REPLICA_RECORD_WRITE, now_ms};
 }
@@ -168,7 +166,7 @@
 	 * Of all writers that compare with one revision a single one wins, so
 	 * a number above that revision names one version of a replica only.
 	 */
-	p.next_epoch = c->revision;
+	p.next_epoch = c->revision > c->fence ? c->revision : c->fence;
 	if (c->epoch_seen > p.next_epoch)
 		p.next_epoch = c->epoch_seen;
 	p.next_epoch++;
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -156,6 +156,15 @@
 	in->troubles++;
 }
 
+static void
+note_holding(
+    struct instance *in, const struct ld_health_view *v, uint64_t now_ms)
+{
+	if (in->holds_since_ms == 0 || in->view.epoch != v->epoch ||
+	    strcmp(in->view.replica, v->replica) != 0)
+		in->holds_since_ms = now_ms;
+}
+
 static void
 note_weights(struct ld_replica *c, struct instance *in)
 {
@@ -195,8 +204,10 @@
 	if (i == NO_INSTANCE)
 		return;
 	in = &c->instances.v[i];
-	if (v->fresh)
+	if (v->fresh) {
 		note_incarnation(c, i, v);
+		note_holding(in, v, now_ms);
+	}
 	in->seen = true;
 	if (v->fresh) {
 		in->view = *v;
--- a/lib/replica/replica_internal.h
+++ b/lib/replica/replica_internal.h
@@ -15,6 +15,7 @@
 	struct ld_health_view view;
 	bool seen; /* a view arrived */
 	uint64_t fresh_until_ms; /* life of the view's own answer */
+	uint64_t holds_since_ms; /* first told of its replica and epoch */
 	uint64_t good_since_ms; /* 0 while in trouble */
 	uint64_t stale_since_ms; /* 0 while fresh */
 	uint64_t slow_since_ms; /* 0 while not a straggler */
--- a/lib/replica/supply.c
+++ b/lib/replica/supply.c
@@ -31,19 +31,19 @@
 	return m != NULL && !m->fills;
 }
 
-/* Healthy and free, though perhaps not settled yet. */
+/* Healthy, though perhaps not settled yet. */
 static bool
 sound(const struct step *s, uint16_t i)
 {
 	const struct instance *in = step_instance(s, i);
 
-	return in->used && in->listed && !in->leaving && !s->owned[i] &&
+	return in->used && in->listed && !in->leaving &&
 	    instance_fresh(in, s->p->now_ms) &&
 	    in->view.state == LD_HEALTH_LIVE && !in->view.straggler;
 }
 
 bool
-step_usable(const struct step *s, uint16_t i)
+step_fit(const struct step *s, uint16_t i)
 {
 	const struct instance *in = step_instance(s, i);
 
@@ -52,13 +52,19 @@
 	    in->good_since_ms + instance_settle_ms(in, s->p->config);
 }
 
+static bool
+usable(const struct step *s, uint16_t i)
+{
+	return !s->owned[i] && step_fit(s, i);
+}
+
 uint16_t
 step_free(const struct step *s)
 {
 	uint16_t n = 0;
 
 	for (uint16_t i = 0; i < s->p->instances->count; i++)
-		n += step_usable(s, i);
+		n += usable(s, i);
 	return n;
 }
 
@@ -68,7 +74,7 @@
 	uint16_t n = 0;
 
 	for (uint16_t i = 0; i < s->p->instances->count; i++)
-		n += sound(s, i);
+		n += !s->owned[i] && sound(s, i);
 	return n;
 }
 
@@ -104,7 +110,7 @@
 	uint16_t best = NO_INSTANCE;
 
 	for (uint16_t i = 0; i < s->p->instances->count; i++) {
-		if (!step_usable(s, i))
+		if (!usable(s, i))
 			continue;
 		if (best == NO_INSTANCE || better(s, i, best, model))
 			best = i;
