node: join peers, catalogue freshness and edits

Cause: catalogue changes must be in force everywhere and be told truthfully. Ruled out: telling an edit accepted when only live nodes confirmed.

--- a/lib/node/caller.c
+++ b/lib/node/caller.c
@@ -34,7 +34,7 @@
 	struct ld_str key = ld_exchange_bearer(x);
 	const struct ld_entry *e;
 
-	if (n->catalogue == NULL) {
+	if (!catalogue_admits(n)) {
 		caller_refuse(
 		    n, x, LD_ADMIT_R_NO_CATALOGUE, NO_CATALOGUE_RETRY_MS);
 		return NULL;
--- a/lib/node/completion.c
+++ b/lib/node/completion.c
@@ -620,7 +620,8 @@
 
 	switch (a->type) {
 	case LD_ADMIT_SEND:
-		break; /* no peers yet */
+		fleet_send_admit(n->fleet, a->node, a->bytes);
+		break;
 	case LD_ADMIT_DECIDED:
 		if (service_decided(n, &a->decision))
 			break;
--- a/lib/node/edit.c
+++ b/lib/node/edit.c
@@ -1,97 +1,197 @@
-/* An operator's edit: a compare-and-swap of the catalogue, and its outcome. */
-#include <jansson.h>
+/* An operator's edit: performs what lib/catalogue decides about it. */
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "node_internal.h"
 
 #define KEY_CATALOGUE "catalogue"
-#define SETTLE_MS 3000
-#define DETAIL_BYTES 128
+#define POLL_MS 50
+#define STORE_RETRY_MS 1000
+#define DETAIL_BYTES 160
 
 /** struct edit - one PUT of the catalogue under way */
 struct edit {
-	struct ld_store_call call;
+	struct ld_store_call call; /* first member: its callbacks cast */
+	struct edit *next;
+	struct edit **link;
+	struct ld_timer timer;
 	struct ld_node *node;
 	struct ld_exchange *x; /* NULL once the operator hung up */
-	struct ld_buf document;
+	struct ld_edit *edit;
 	struct ld_store_expect expect;
-	bool settling;
+	bool written;
+	bool done;
 };
 
+static void act(struct edit *e);
+
 static void
 edit_free(struct edit *e)
 {
 	if (e->x != NULL)
 		ld_exchange_set_owner(e->x, NULL);
-	ld_buf_free(&e->document);
+	ld_store_cancel(&e->call);
+	ld_timer_stop(ld_loop_timers(e->node->loop), &e->timer);
+	ld_edit_free(e->edit);
+	*e->link = e->next;
+	if (e->next != NULL)
+		e->next->link = e->link;
 	free(e);
 }
 
+/* ---- Answer ---- */
+
 static void
-edit_fail(struct edit *e, unsigned int code, const char *type,
-    const char *title, enum ld_ran ran, int64_t current)
+answer_written(struct edit *e)
+{
+	struct ld_buf body = {0};
+
+	ld_edit_write_answer(e->edit, &body);
+	ld_exchange_answer(
+	    e->x, 200, "application/json", NULL, ld_buf_str(&body));
+	ld_buf_free(&body);
+}
+
+static void
+answer_problem(struct edit *e, unsigned int code, const char *type,
+    const char *title, enum ld_ran ran)
 {
 	char detail[DETAIL_BYTES];
 	struct ld_problem p = {
 	    .code = code, .type = type, .title = title, .ran = ran};
 
-	if (current > 0) {
-		snprintf(detail, sizeof(detail), "current revision %lld",
-		    (long long)current);
+	snprintf(detail, sizeof(detail), "current revision %lld",
+	    (long long)ld_edit_revision(e->edit));
+	if (ld_edit_revision(e->edit) > 0)
 		p.detail = detail;
-	}
 	if (code == 503)
-		p.retry_after_ms = 1000;
-	if (e->x != NULL)
-		ld_exchange_problem(e->x, &p);
-	edit_free(e);
+		p.retry_after_ms = STORE_RETRY_MS;
+	ld_exchange_problem(e->x, &p);
 }
 
 static void
-edit_accepted(struct edit *e, int64_t revision)
+answer(struct edit *e)
 {
-	struct ld_buf body = {0};
+	switch (ld_edit_result(e->edit)) {
+	case LD_EDIT_ACCEPTED:
+	case LD_EDIT_UNCONFIRMED:
+		answer_written(e);
+		break;
+	case LD_EDIT_CONFLICT:
+		answer_problem(e, 412, "conflict",
+		    "The catalogue was changed meanwhile", LD_RAN_NO);
+		break;
+	case LD_EDIT_NOT_WRITTEN:
+		answer_problem(e, 503, "store-unavailable",
+		    "The store did not take the change", LD_RAN_NO);
+		break;
+	default:
+		answer_problem(e, 504, "outcome-unknown",
+		    "The store did not tell whether it took the change",
+		    LD_RAN_UNKNOWN);
+		break;
+	}
+}
 
-	ld_buf_printf(&body, "{\"accepted\":true,\"revision\":%lld}\n",
-	    (long long)revision);
-	if (e->x != NULL)
-		ld_exchange_answer(
-		    e->x, 200, "application/json", NULL, ld_buf_str(&body));
-	ld_buf_free(&body);
-	edit_free(e);
+/* ---- Store ---- */
+
+static void
+on_read(struct ld_store_call *call, const struct ld_store_answer *a)
+{
+	struct edit *e = (struct edit *)call;
+	const struct ld_store_kv *kv = a->n > 0 ? &a->kvs[0] : NULL;
+	enum ld_status st = a->status;
+
+	if (st == LD_OK && kv == NULL)
+		st = LD_E_NOT_FOUND;
+	e->expect = ld_store_expect_of(kv);
+	ld_edit_read_done(
+	    e->edit, node_now(e->node), st, kv != NULL ? kv->mod_revision : 0);
+	act(e);
 }
 
 static void
 on_written(struct ld_store_call *call, const struct ld_store_answer *a)
 {
+	static const enum ld_edit_write outcomes[LD_STORE_OUTCOME_COUNT] = {
+	    [LD_STORE_NOT_APPLIED] = LD_EDIT_WRITE_NOT_APPLIED,
+	    [LD_STORE_APPLIED] = LD_EDIT_WRITE_APPLIED,
+	    [LD_STORE_CONFLICT] = LD_EDIT_WRITE_CONFLICT,
+	    [LD_STORE_UNKNOWN] = LD_EDIT_WRITE_UNKNOWN,
+	};
 	struct edit *e = (struct edit *)call;
-	int64_t current = a->n > 0 ? a->kvs[0].mod_revision : 0;
+	int64_t revision = a->n > 0 ? a->kvs[0].mod_revision : 0;
 
-	switch (a->outcome) {
-	case LD_STORE_APPLIED:
-		edit_accepted(e, a->revision);
-		return;
-	case LD_STORE_CONFLICT:
-		edit_fail(e, 412, "conflict",
-		    "The catalogue was changed meanwhile", LD_RAN_NO, current);
-		return;
-	case LD_STORE_UNKNOWN:
+	if (a->outcome == LD_STORE_APPLIED && revision == 0)
+		revision = a->revision;
+	ld_edit_write_done(
+	    e->edit, node_now(e->node), outcomes[a->outcome], revision);
+	act(e);
+}
+
+/* ---- Actions ---- */
+
+static void
+act_one(struct edit *e, const struct ld_edit_action *a)
+{
+	struct ld_node *n = e->node;
+
+	switch (a->kind) {
+	case LD_EDIT_READ:
+		e->call.done = on_read;
+		ld_store_read(n->store, &e->call, LD_STR(KEY_CATALOGUE));
+		break;
+	case LD_EDIT_WRITE:
+		e->call.done = on_written;
+		ld_store_cas(n->store, &e->call, LD_STR(KEY_CATALOGUE),
+		    a->bytes, e->expect, 0);
+		break;
+	case LD_EDIT_SETTLE:
+		e->call.done = on_written;
+		ld_store_settle(n->store, &e->call, LD_STR(KEY_CATALOGUE),
+		    a->bytes, e->expect, a->deadline_ms);
+		break;
+	case LD_EDIT_WRITTEN:
+		e->written = true;
+		catalogue_written(n, a->revision, a->bytes);
+		break;
+	case LD_EDIT_DONE:
+		e->done = true;
 		break;
-	default:
-		edit_fail(e, 503, "store-unavailable",
-		    "The store took no change", LD_RAN_NO, 0);
-		return;
 	}
-	if (e->settling) {
-		edit_fail(e, 504, "outcome-unknown",
-		    "The store did not tell whether it took the change",
-		    LD_RAN_UNKNOWN, current);
+}
+
+static void
+act(struct edit *e)
+{
+	struct ld_edit_action a;
+
+	while (!e->done && ld_edit_next_action(e->edit, &a))
+		act_one(e, &a);
+	if (!e->done)
 		return;
+	if (e->x != NULL)
+		answer(e);
+	edit_free(e);
+}
+
+static void
+on_timer(struct ld_timer *t, uint64_t now_ms)
+{
+	struct edit *e =
+	    (struct edit *)((char *)t - offsetof(struct edit, timer));
+	struct ld_str *names = NULL;
+	size_t n;
+
+	ld_timer_after(ld_loop_timers(e->node->loop), t, POLL_MS);
+	if (e->written) {
+		n = fleet_unconfirmed(
+		    e->node->fleet, ld_edit_revision(e->edit), &names);
+		ld_edit_unconfirmed(e->edit, now_ms, names, n);
+		fleet_names_free(names, n);
 	}
-	e->settling = true;
-	ld_store_settle(e->node->store, &e->call, LD_STR(KEY_CATALOGUE),
-	    ld_buf_str(&e->document), e->expect, node_now(e->node) + SETTLE_MS);
+	ld_edit_tick(e->edit, now_ms);
+	act(e);
 }
 
 /* ---- Request ---- */
@@ -113,61 +213,57 @@
 	ld_buf_free(&text);
 }
 
-static void
-on_current(struct ld_store_call *call, const struct ld_store_answer *a)
-{
-	struct edit *e = (struct edit *)call;
-	int64_t current = a->n > 0 ? a->kvs[0].mod_revision : 0;
-
-	if (a->status != LD_OK && a->status != LD_E_NOT_FOUND) {
-		edit_fail(e, 503, "store-unavailable",
-		    "The store can't be read", LD_RAN_NO, 0);
-		return;
-	}
-	if (current != e->expect.mod_revision) {
-		edit_fail(e, 412, "conflict",
-		    "The catalogue was changed meanwhile", LD_RAN_NO, current);
-		return;
-	}
-	e->expect = ld_store_expect_of(a->n > 0 ? &a->kvs[0] : NULL);
-	e->call.done = on_written;
-	ld_store_cas(e->node->store, &e->call, LD_STR(KEY_CATALOGUE),
-	    ld_buf_str(&e->document), e->expect, 0);
-}
-
-void
-edit_start(struct ld_node *n, struct ld_exchange *x)
+static bool
+read_revision(struct ld_exchange *x, int64_t *out)
 {
 	const char *match = ld_exchange_header(x, "If-Match");
-	struct ld_catalogue *c = NULL;
-	struct ld_faults faults = {0};
-	struct ld_problem missing = {
+	char *end = NULL;
+	struct ld_problem p = {
 	    .code = 428,
 	    .type = "revision-needed",
 	    .title = "If-Match must name the revision that is replaced",
 	    .detail = "0 when there is no catalogue yet",
 	    .ran = LD_RAN_NO,
 	};
+
+	if (match != NULL)
+		*out = strtoll(match, &end, 10);
+	if (match != NULL && end != match && *end == '\0' && *out >= 0)
+		return true;
+	ld_exchange_problem(x, &p);
+	return false;
+}
+
+void
+edit_start(struct ld_node *n, struct ld_exchange *x)
+{
+	struct ld_faults faults = {0};
+	struct ld_edit *decision = NULL;
+	int64_t revision = 0;
 	struct edit *e;
 
-	if (match == NULL) {
-		ld_exchange_problem(x, &missing);
+	if (!read_revision(x, &revision))
 		return;
-	}
-	if (ld_catalogue_parse(ld_exchange_body(x), 0, &c, &faults) != LD_OK) {
+	if (ld_edit_new(ld_exchange_body(x), revision, node_now(n), &decision,
+		&faults) != LD_OK) {
 		answer_faults(x, &faults);
 		ld_faults_free(&faults);
 		return;
 	}
-	ld_catalogue_unref(c);
+	ld_faults_free(&faults);
 	e = ld_alloc(sizeof(*e));
 	e->node = n;
 	e->x = x;
-	e->expect.mod_revision = strtoll(match, NULL, 10);
-	ld_buf_adds(&e->document, ld_exchange_body(x));
-	e->call.done = on_current;
+	e->edit = decision;
+	e->timer.fn = on_timer;
+	e->next = n->edits;
+	e->link = &n->edits;
+	if (e->next != NULL)
+		e->next->link = &e->next;
+	n->edits = e;
 	ld_exchange_set_owner(x, e);
-	ld_store_read(n->store, &e->call, LD_STR(KEY_CATALOGUE));
+	ld_timer_after(ld_loop_timers(n->loop), &e->timer, POLL_MS);
+	act(e);
 }
 
 void
@@ -175,3 +271,10 @@
 {
 	e->x = NULL;
 }
+
+void
+edits_close(struct ld_node *n)
+{
+	while (n->edits != NULL)
+		edit_free(n->edits);
+}
--- /dev/null
+++ b/lib/node/fleet.c
@@ -0,0 +1,389 @@
+/* The other nodes: membership for the decision modules, and their messages. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "node_internal.h"
+#include "peer_task.h"
+
+#define PART "fleet"
+#define TICK_MS 200
+/* The live list counts as evidence while it was confirmed so lately. */
+#define LIVE_LIST_FRESH_MS 10000
+
+/** enum fleet_direct - kinds of direct messages between nodes */
+enum fleet_direct {
+	FLEET_ADMIT = 1
+};
+
+/** struct fleet_member - one counted node as the decision modules know it */
+struct fleet_member {
+	uint64_t id;
+	struct ld_str address;
+	struct ld_str domain;
+	uint64_t incarnation;
+	enum ld_peers_state state;
+};
+
+/** struct fleet - the peer task and what follows from its members */
+struct fleet {
+	struct ld_node *node;
+	struct ld_peer_task *task;
+	struct ld_timer tick;
+	struct fleet_member *members;
+	size_t count;
+	bool stale; /* members changed since they were told */
+};
+
+/* ---- Members ---- */
+
+static uint64_t
+member_id(struct ld_str address, uint64_t incarnation)
+{
+	return ld_hash64(address, incarnation) | 1;
+}
+
+static bool
+add_member(void *arg, const struct ld_peers_member *m)
+{
+	struct fleet *f = arg;
+	struct fleet_member *to;
+
+	if (m->state == LD_PEERS_LEFT)
+		return true;
+	f->members =
+	    ld_realloc(f->members, (f->count + 1) * sizeof(*f->members));
+	to = &f->members[f->count++];
+	to->id = member_id(m->address, m->incarnation);
+	to->address = (struct ld_str){ld_str_dup(m->address), m->address.len};
+	to->domain = (struct ld_str){ld_str_dup(m->domain), m->domain.len};
+	to->incarnation = m->incarnation;
+	to->state = m->state;
+	return true;
+}
+
+static void
+drop_members(struct fleet *f)
+{
+	for (size_t i = 0; i < f->count; i++) {
+		free((void *)(uintptr_t)f->members[i].address.p);
+		free((void *)(uintptr_t)f->members[i].domain.p);
+	}
+	f->count = 0;
+}
+
+static bool
+is_live(const struct fleet_member *m)
+{
+	return m->state == LD_PEERS_ALIVE || m->state == LD_PEERS_SUSPECT;
+}
+
+static void
+tell_admission(struct fleet *f)
+{
+	struct ld_admit_member *list = ld_alloc(f->count * sizeof(*list));
+
+	for (size_t i = 0; i < f->count; i++) {
+		list[i].node = f->members[i].id;
+		list[i].domain = f->members[i].domain;
+		list[i].live = is_live(&f->members[i]);
+	}
+	ld_admit_members(f->node->admit, node_now(f->node), list, f->count);
+	free(list);
+}
+
+static void
+tell_catalogue(struct fleet *f)
+{
+	struct ld_fresh_node *list = ld_alloc(f->count * sizeof(*list));
+	struct ld_str *ids = ld_alloc(f->count * sizeof(*ids));
+	size_t n = 0;
+
+	for (size_t i = 0; i < f->count; i++) {
+		struct fleet_member *m = &f->members[i];
+		struct ld_buf id = {0};
+
+		if (!is_live(m))
+			continue;
+		ld_buf_printf(&id, "%.*s/%016llx", LD_FMT(m->address),
+		    (unsigned long long)m->incarnation);
+		ids[n] = ld_buf_str(&id);
+		list[n].id = ids[n];
+		list[n].domain = m->domain;
+		n++;
+	}
+	catalogue_members(f->node, list, n, f->count);
+	for (size_t i = 0; i < n; i++)
+		free((void *)(uintptr_t)ids[i].p);
+	free(ids);
+	free(list);
+}
+
+static void
+tell_members(struct fleet *f)
+{
+	f->stale = false;
+	drop_members(f);
+	ld_peers_each_member(ld_peer_task_peers(f->task), add_member, f);
+	tell_admission(f);
+	tell_catalogue(f);
+	completions_act(f->node);
+}
+
+/* ---- Members that are gone for good ---- */
+
+static bool
+is_listed(const struct ld_live_list *list, struct ld_str address)
+{
+	for (size_t i = 0; i < list->n; i++)
+		if (ld_str_eq(ld_str_c(list->v[i].address), address))
+			return true;
+	return false;
+}
+
+static void
+confirm_gone(struct fleet *f)
+{
+	struct ld_node *n = f->node;
+	const struct ld_live_list *list = ld_live_current(n->live);
+
+	if (list->version == 0 || ld_live_age_ms(n->live) > LIVE_LIST_FRESH_MS)
+		return;
+	for (size_t i = 0; i < f->count; i++) {
+		const struct fleet_member *m = &f->members[i];
+
+		if (m->state == LD_PEERS_DEAD && !is_listed(list, m->address))
+			ld_peer_task_confirm_gone(f->task, m->address);
+	}
+}
+
+/* ---- What the other nodes hold ---- */
+
+/** struct revisions - what the other live nodes said that they hold */
+struct revisions {
+	const struct ld_peers *peers;
+	size_t others;
+	size_t reported;
+	uint64_t newest;
+};
+
+static bool
+add_revision(void *arg, const struct ld_peers_member *m)
+{
+	struct revisions *r = arg;
+	uint64_t revision;
+
+	if (m->self || m->state != LD_PEERS_ALIVE)
+		return true;
+	r->others++;
+	revision = ld_peers_confirmed(r->peers, m->address);
+	r->reported += revision > 0;
+	if (revision > r->newest)
+		r->newest = revision;
+	return true;
+}
+
+static void
+on_tick(struct ld_timer *t, uint64_t now_ms)
+{
+	struct fleet *f =
+	    (struct fleet *)((char *)t - offsetof(struct fleet, tick));
+	const struct ld_peers *peers = ld_peer_task_peers(f->task);
+	struct revisions r = {.peers = peers};
+	uint64_t acked_ms = ld_peers_acked_ms(peers);
+
+	if (f->stale)
+		tell_members(f);
+	confirm_gone(f);
+	ld_peers_each_member(peers, add_revision, &r);
+	catalogue_peers(
+	    f->node, acked_ms, r.others, r.reported, (int64_t)r.newest);
+	ld_timer_after(ld_loop_timers(f->node->loop), &f->tick, TICK_MS);
+}
+
+/* ---- From the peer task ---- */
+
+static void
+on_member(void *arg, const struct ld_peers_member *m, bool gone)
+{
+	struct fleet *f = arg;
+	static const char *const names[] = {"alive", "suspect", "dead", "left"};
+
+	f->stale = true;
+	ld_log(LD_LOG_INFO, PART, "node %.*s is %s", LD_FMT(m->address),
+	    gone ? "gone" : names[m->state]);
+}
+
+static void
+on_catalogue(void *arg, uint64_t revision, struct ld_str bytes)
+{
+	struct fleet *f = arg;
+
+	catalogue_from_peer(f->node, (int64_t)revision, bytes);
+}
+
+static void
+on_direct(void *arg, struct ld_str from, uint64_t from_incarnation,
+    uint32_t kind, struct ld_str bytes)
+{
+	struct fleet *f = arg;
+	struct ld_node *n = f->node;
+
+	if (kind != FLEET_ADMIT)
+		return;
+	ld_admit_message(
+	    n->admit, node_now(n), member_id(from, from_incarnation), bytes);
+	completions_act(n);
+}
+
+void
+fleet_send_admit(struct fleet *f, uint64_t to, struct ld_str bytes)
+{
+	for (size_t i = 0; i < f->count; i++) {
+		const struct fleet_member *m = &f->members[i];
+
+		if (m->id != to)
+			continue;
+		ld_peer_task_send(
+		    f->task, m->address, m->incarnation, FLEET_ADMIT, bytes);
+		return;
+	}
+}
+
+/* ---- Catalogue snapshots ---- */
+
+void
+fleet_offer(struct fleet *f, int64_t revision, struct ld_str bytes)
+{
+	ld_peer_task_offer_catalogue(f->task, (uint64_t)revision, bytes);
+}
+
+void
+fleet_confirm(struct fleet *f, int64_t revision)
+{
+	ld_peer_task_confirm_catalogue(f->task, (uint64_t)revision);
+}
+
+/** struct names - addresses being gathered */
+struct names {
+	struct ld_str *at;
+	size_t count;
+};
+
+static void
+add_name(void *arg, const struct ld_peers_member *m)
+{
+	struct names *n = arg;
+
+	n->at = ld_realloc(n->at, (n->count + 1) * sizeof(*n->at));
+	n->at[n->count].p = ld_str_dup(m->address);
+	n->at[n->count].len = m->address.len;
+	n->count++;
+}
+
+size_t
+fleet_unconfirmed(struct fleet *f, int64_t revision, struct ld_str **names)
+{
+	struct names n = {0};
+
+	/* A dead node may still serve on the other side of a partition. */
+	ld_peers_unconfirmed(ld_peer_task_peers(f->task), (uint64_t)revision,
+	    true, add_name, &n);
+	*names = n.at;
+	return n.count;
+}
+
+void
+fleet_names_free(struct ld_str *names, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		free((void *)(uintptr_t)names[i].p);
+	free(names);
+}
+
+/* ---- Opening ---- */
+
+uint64_t
+fleet_self(const struct fleet *f)
+{
+	return member_id(ld_str_c(f->node->settings->peers_listen.text),
+	    ld_peer_task_incarnation(f->task));
+}
+
+void
+fleet_self_name(const struct fleet *f, struct ld_buf *out)
+{
+	ld_buf_printf(out, "%s/%016llx", f->node->settings->peers_listen.text,
+	    (unsigned long long)ld_peer_task_incarnation(f->task));
+}
+
+void
+fleet_gauges(const struct fleet *f, struct ld_metrics *m)
+{
+	const struct ld_peers *peers = ld_peer_task_peers(f->task);
+	struct ld_peer_task_counters c;
+
+	ld_peer_task_counters(f->task, &c);
+	ld_metrics_set(m, LD_M_PEERS_ALIVE, ld_peers_alive(peers));
+	ld_metrics_set(m, LD_M_PEERS_LINKS, ld_peers_links(peers));
+	ld_metrics_set(m, LD_M_PEER_BYTES_IN, c.bytes_in);
+	ld_metrics_set(m, LD_M_PEER_BYTES_OUT, c.bytes_out);
+	ld_metrics_set(m, LD_M_PEER_FRAMES_REFUSED,
+	    c.refused_auth + c.refused_replay + c.refused_protocol);
+}
+
+enum ld_status
+fleet_open(struct ld_node *n)
+{
+	static const struct ld_peer_task_ops ops = {.member = on_member,
+	    .catalogue = on_catalogue,
+	    .direct = on_direct};
+	const struct ld_settings *s = n->settings;
+	struct fleet *f = ld_alloc(sizeof(*f));
+	struct ld_peer_task_config config = {
+	    .listen = ld_str_c(s->peers_listen.text),
+	    .advertise = ld_str_c(s->peers_listen.text),
+	    .domain = ld_str_c(s->failure_domain),
+	    .region = ld_str_c(s->region),
+	    .seed_count = s->peers_seeds.count,
+	    .key = ld_str_c(s->peers_key),
+	};
+	struct ld_str *seeds = ld_alloc(config.seed_count * sizeof(*seeds));
+	enum ld_status st;
+
+	for (size_t i = 0; i < config.seed_count; i++)
+		seeds[i] = ld_str_c(s->peers_seeds.at[i].text);
+	config.seeds = seeds;
+	f->node = n;
+	f->tick.fn = on_tick;
+	f->stale = true;
+	n->fleet = f;
+	st = ld_peer_task_new(n->loop, &config, &ops, f, &f->task);
+	free(seeds);
+	return st;
+}
+
+void
+fleet_start(struct fleet *f)
+{
+	tell_members(f);
+	ld_timer_after(ld_loop_timers(f->node->loop), &f->tick, TICK_MS);
+}
+
+void
+fleet_leave(struct fleet *f)
+{
+	ld_peer_task_leave(f->task);
+}
+
+void
+fleet_close(struct fleet *f)
+{
+	if (f == NULL)
+		return;
+	ld_timer_stop(ld_loop_timers(f->node->loop), &f->tick);
+	if (f->task != NULL)
+		ld_peer_task_free(f->task);
+	drop_members(f);
+	free(f->members);
+	free(f);
+}
--- a/lib/node/follow.c
+++ b/lib/node/follow.c
@@ -1,4 +1,4 @@
-/* Follows the store's documents and the live list, and tells routing. */
+/* Follows placement records and the live list, and tells routing. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,7 +6,6 @@
 #include "node_internal.h"
 
 #define PART "follow"
-#define KEY_CATALOGUE "catalogue"
 #define KEY_PLACEMENT "placement/"
 
 /** struct placement_slot - the record of one fabric domain in force here */
@@ -17,7 +16,6 @@
 
 /** struct follow_task - watches of one node */
 struct follow_task {
-	struct ld_store_watch catalogue;
 	struct ld_store_watch placement;
 	struct ld_live_listener live;
 	struct ld_node *node;
@@ -26,72 +24,6 @@
 
 static struct follow_task follow;
 
-/* ---- Catalogue ---- */
-
-static void
-tell_admission(struct ld_node *n)
-{
-	size_t count = ld_catalogue_count(n->catalogue);
-	struct ld_admit_entry *entries = ld_alloc(count * sizeof(*entries));
-
-	for (size_t i = 0; i < count; i++) {
-		const struct ld_entry *e = ld_catalogue_at(n->catalogue, i);
-
-		entries[i].owner = ld_str_c(e->owner);
-		entries[i].class = (enum ld_admit_class)e->class;
-		entries[i].requests_per_s = e->limits.requests_per_s;
-		entries[i].tokens_per_s = e->limits.tokens_per_s;
-		entries[i].concurrent = e->limits.concurrent;
-		entries[i].promised = e->promised.concurrent;
-	}
-	ld_admit_catalogue(n->admit, node_now(n), entries, count);
-	free(entries);
-	completions_act(n);
-}
-
-static void
-adopt_catalogue(struct ld_node *n, const struct ld_store_kv *kv)
-{
-	struct ld_catalogue *c = NULL;
-	enum ld_status st;
-
-	if (n->catalogue != NULL &&
-	    kv->mod_revision <= ld_catalogue_revision(n->catalogue))
-		return;
-	st = ld_catalogue_parse(kv->value, kv->mod_revision, &c, NULL);
-	if (st != LD_OK) {
-		ld_log(LD_LOG_ERR, PART,
-		    "catalogue at revision %lld is refused: %s",
-		    (long long)kv->mod_revision, ld_last_message());
-		return;
-	}
-	history_add(n->history, node_now(n), n->catalogue, c);
-	ld_catalogue_unref(n->catalogue);
-	n->catalogue = c;
-	ld_log(LD_LOG_NOTICE, PART, "catalogue revision %lld is in force",
-	    (long long)kv->mod_revision);
-	tell_admission(n);
-}
-
-static void
-catalogue_snapshot(struct ld_store_watch *w, int64_t revision,
-    const struct ld_store_kv *kvs, size_t n)
-{
-	if (n > 0)
-		adopt_catalogue(follow.node, &kvs[0]);
-}
-
-static void
-catalogue_change(
-    struct ld_store_watch *w, const struct ld_store_kv *kv, bool deleted)
-{
-	if (!deleted)
-		adopt_catalogue(follow.node, kv);
-	else
-		ld_log(LD_LOG_ERR, PART,
-		    "the catalogue was deleted: the last one stays in force");
-}
-
 static void
 watch_lost(struct ld_store_watch *w, enum ld_status status)
 {
@@ -321,19 +253,19 @@
 void
 follow_open(struct ld_node *n)
 {
-	static const struct ld_store_watch_ops catalogue_ops = {
-	    catalogue_snapshot, catalogue_change, watch_lost};
-	static const struct ld_store_watch_ops placement_ops = {
-	    placement_snapshot, placement_change, watch_lost};
-
 	follow.node = n;
 	open_store(n);
 	open_live(n);
+}
+
+void
+follow_start(struct ld_node *n)
+{
+	static const struct ld_store_watch_ops ops = {
+	    placement_snapshot, placement_change, watch_lost};
+
 	tell_services(n, ld_live_current(n->live));
-	follow.catalogue.ops = &catalogue_ops;
-	follow.placement.ops = &placement_ops;
-	ld_store_watch_start(
-	    n->store, &follow.catalogue, LD_STR(KEY_CATALOGUE), false);
+	follow.placement.ops = &ops;
 	ld_store_watch_start(
 	    n->store, &follow.placement, LD_STR(KEY_PLACEMENT), true);
 }
@@ -343,7 +275,6 @@
 {
 	struct placement_slot *s;
 
-	ld_store_watch_stop(&follow.catalogue);
 	ld_store_watch_stop(&follow.placement);
 	ld_live_free(n->live);
 	ld_store_free(n->store);
@@ -352,5 +283,4 @@
 		ld_placement_free(s->placement);
 		free(s);
 	}
-	ld_catalogue_unref(n->catalogue);
 }
--- a/lib/node/gauges.c
+++ b/lib/node/gauges.c
@@ -29,6 +29,7 @@
 	    n->catalogue != NULL ? ld_catalogue_revision(n->catalogue) : 0;
 
 	store_gauges(n);
+	fleet_gauges(n->fleet, m);
 	ld_metrics_set(m, LD_M_CATALOGUE_REVISION, (uint64_t)revision);
 	ld_metrics_set(
 	    m, LD_M_OPEN_REQUESTS, ld_listener_open_exchanges(n->entry));
--- a/lib/node/node_internal.h
+++ b/lib/node/node_internal.h
@@ -15,7 +15,9 @@
 
 struct completion;
 struct service_call;
+struct catalogue_task;
 struct edit;
+struct fleet;
 struct history;
 struct probes;
 
@@ -36,6 +38,9 @@
 	struct ld_listener *entry;
 	struct ld_listener *operators;
 	struct ld_catalogue *catalogue; /* NULL until one is known */
+	struct catalogue_task *catalogue_task;
+	struct fleet *fleet;
+	struct edit *edits;
 	struct ld_admit *admit;
 	struct ld_route *route;
 	struct probes *probes;
@@ -100,11 +105,56 @@
 /** edit_start() - PUT of the catalogue (edit.c) */
 void edit_start(struct ld_node *n, struct ld_exchange *x);
 void edit_gone(struct edit *e);
+/** edits_close() - forget every edit under way */
+void edits_close(struct ld_node *n);
+
+/* ---- Other nodes (fleet.c) ---- */
+
+/** fleet_open() - bind and join; the decision modules are told by start */
+enum ld_status fleet_open(struct ld_node *n);
+void fleet_start(struct fleet *f);
+/** fleet_leave() - tell the others that this node stops for good */
+void fleet_leave(struct fleet *f);
+void fleet_close(struct fleet *f);
+/** fleet_self() - this node's id for admission */
+uint64_t fleet_self(const struct fleet *f);
+/** fleet_self_name() - this node's name with its incarnation */
+void fleet_self_name(const struct fleet *f, struct ld_buf *out);
+void fleet_send_admit(struct fleet *f, uint64_t to, struct ld_str bytes);
+void fleet_offer(struct fleet *f, int64_t revision, struct ld_str bytes);
+void fleet_confirm(struct fleet *f, int64_t revision);
+/** fleet_unconfirmed() - nodes that have not confirmed; free the names */
+size_t fleet_unconfirmed(
+    struct fleet *f, int64_t revision, struct ld_str **names);
+void fleet_names_free(struct ld_str *names, size_t n);
+void fleet_gauges(const struct fleet *f, struct ld_metrics *m);
+
+/* ---- Catalogue (catalogue_task.c) ---- */
+
+void catalogue_open(struct ld_node *n);
+void catalogue_close(struct ld_node *n);
+/** catalogue_members() - live nodes, and how many are counted */
+void catalogue_members(struct ld_node *n, const struct ld_fresh_node *nodes,
+    size_t count, size_t counted);
+/** catalogue_peers() - last contact to peers, and what they hold */
+void catalogue_peers(struct ld_node *n, uint64_t acked_ms, size_t others,
+    size_t reported, int64_t newest);
+void catalogue_from_peer(
+    struct ld_node *n, int64_t revision, struct ld_str bytes);
+/** catalogue_written() - this node wrote a new revision */
+void catalogue_written(
+    struct ld_node *n, int64_t revision, struct ld_str bytes);
+/** catalogue_admits() - whether callers may be admitted at this moment */
+bool catalogue_admits(const struct ld_node *n);
+unsigned int catalogue_alarms(const struct ld_node *n);
+bool catalogue_is_delegate(const struct ld_node *n);
 
 /* ---- Platform (follow.c) ---- */
 
-/** follow_open() - follow catalogue, placement records and live list */
+/** follow_open() - open the clients of store and live list */
 void follow_open(struct ld_node *n);
+/** follow_start() - follow placement records */
+void follow_start(struct ld_node *n);
 void follow_close(struct ld_node *n);
 
 /* ---- Probes of servers (probe.c) ---- */
--- a/lib/node/operator.c
+++ b/lib/node/operator.c
@@ -46,6 +46,23 @@
 
 /* ---- Reads ---- */
 
+/* ---- Unconfirmed nodes are told with the status ---- */
+
+static json_t *
+unconfirmed(struct ld_node *n, json_int_t revision)
+{
+	struct ld_str *names = NULL;
+	json_t *list = json_array();
+	size_t count;
+
+	count = fleet_unconfirmed(n->fleet, revision, &names);
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(
+		    list, json_stringn(names[i].p, names[i].len));
+	fleet_names_free(names, count);
+	return list;
+}
+
 static const char *
 phase_name(enum node_phase p)
 {
@@ -57,7 +74,7 @@
 static bool
 is_ready(const struct ld_node *n)
 {
-	return n->phase == NODE_SERVING && n->catalogue != NULL;
+	return n->phase == NODE_SERVING && catalogue_admits(n);
 }
 
 static void
@@ -77,14 +94,17 @@
 	    n->catalogue != NULL ? ld_catalogue_revision(n->catalogue) : 0;
 
 	answer_json(x, 200,
-	    json_pack("{s:s,s:b,s:s,s:I,s:I,s:b,s:I,s:I}", "phase",
+	    json_pack("{s:s,s:b,s:s,s:I,s:I,s:b,s:I,s:I,s:o,s:b,s:I}", "phase",
 		phase_name(n->phase), "ready", is_ready(n), "failure_domain",
 		n->settings->failure_domain, "catalogue_revision", revision,
 		"store_revision", (json_int_t)ld_store_revision(n->store),
 		"store_alarm", ld_store_alarm(n->store), "open_requests",
 		(json_int_t)ld_listener_open_exchanges(n->entry),
 		"capacity_slots",
-		(json_int_t)ld_route_capacity(n->route, node_now(n))));
+		(json_int_t)ld_route_capacity(n->route, node_now(n)),
+		"unconfirmed", unconfirmed(n, revision), "delegate",
+		catalogue_is_delegate(n), "catalogue_alarms",
+		(json_int_t)catalogue_alarms(n)));
 }
 
 static void
--- a/lib/node/serve.c
+++ b/lib/node/serve.c
@@ -7,6 +7,8 @@
 
 #define PART "node"
 #define DRAIN_POLL_MS 50
+/* A new node's share is used by nobody until all know of the node. */
+#define SETTLE_MS 2000
 /* Polls in a row without an open request that end a drain. */
 #define DRAIN_QUIET_POLLS 3
 
@@ -43,6 +45,7 @@
 	if (now_ms >= s->listen_until_ms &&
 	    s->quiet_polls >= DRAIN_QUIET_POLLS) {
 		ld_log(LD_LOG_NOTICE, PART, "drained");
+		fleet_leave(n->fleet);
 		ld_loop_stop(n->loop);
 		return;
 	}
@@ -126,20 +129,17 @@
 	};
 	struct ld_admit_config admit = {0};
 	struct ld_rand rand;
-	struct ld_admit_member self = {
-	    .domain = ld_str_c(n->settings->failure_domain), .live = true};
 
 	ld_rand_seed_os(&rand);
 	route.seed = ld_rand_u64(&rand);
 	admit.seed = ld_rand_u64(&rand);
-	admit.node = ld_rand_u64(&rand) | 1;
+	admit.node = fleet_self(n->fleet);
+	admit.settle_ms = SETTLE_MS;
 	admit.max_requests = (uint32_t)n->settings->entry_max_connections;
 	n->metrics = ld_metrics_new();
 	n->history = history_new();
 	n->route = ld_route_new(&route);
 	n->admit = ld_admit_new(&admit, node_now(n));
-	self.node = admit.node;
-	ld_admit_members(n->admit, node_now(n), &self, 1);
 }
 
 static void
@@ -149,8 +149,11 @@
 
 	ld_listener_free(n->entry);
 	ld_listener_free(n->operators);
+	edits_close(n);
+	catalogue_close(n);
 	probes_close(n);
 	follow_close(n);
+	fleet_close(n->fleet);
 	ld_http_free(n->http);
 	ld_timer_stop(ld_loop_timers(n->loop), &s->tick);
 	ld_timer_stop(ld_loop_timers(n->loop), &s->drain);
@@ -176,9 +179,15 @@
 	n->loop = ld_loop_new();
 	n->http = ld_http_new(n->loop);
 	open_burn(n);
-	open_decisions(n);
 	probes_open(n);
 	follow_open(n);
+	st = fleet_open(n);
+	if (st != LD_OK)
+		goto out;
+	open_decisions(n);
+	catalogue_open(n);
+	follow_start(n);
+	fleet_start(n->fleet);
 	s->tick.fn = on_tick;
 	s->drain.fn = on_drain;
 	watch_signal(s, &s->term, SIGTERM);
