--- /dev/null
+++ b/lib/catalogue/fresh_values.c
@@ -0,0 +1,121 @@
+/*
+ * Which catalogue is in force. Snapshots are ordered by the store revision of
+ * their key and are adopted only when newer, wherever they come from, so that
+ * what is in force never goes back.
+ */
+#include <stdlib.h>
+
+#include "fresh_internal.h"
+
+static void
+adopt(struct ld_fresh *f, uint64_t now_ms, struct ld_catalogue *c,
+    struct ld_str bytes)
+{
+	char *copy = ld_str_dup(bytes);
+	struct ld_fresh_action *a;
+
+	ld_catalogue_unref(f->current);
+	free(f->bytes);
+	f->current = c;
+	f->bytes = copy;
+	f->bytes_len = bytes.len;
+	f->adopted_ms = now_ms;
+	a = fresh_act(f, LD_FRESH_ADOPT);
+	a->catalogue = c;
+	a->revision = ld_catalogue_revision(c);
+	fresh_act(f, LD_FRESH_CONFIRM)->revision = ld_catalogue_revision(c);
+}
+
+static int64_t
+revision_in_force(const struct ld_fresh *f)
+{
+	return f->current != NULL ? ld_catalogue_revision(f->current) : 0;
+}
+
+/* Checks a newer document and puts it in force; false when it has faults. */
+static bool
+try_adopt(
+    struct ld_fresh *f, uint64_t now_ms, int64_t revision, struct ld_str bytes)
+{
+	struct ld_catalogue *c;
+
+	if (ld_catalogue_parse(bytes, revision, &c, NULL) != LD_OK) {
+		f->counters.invalid++;
+		return false;
+	}
+	adopt(f, now_ms, c, bytes);
+	return true;
+}
+
+static void
+offer(struct ld_fresh *f)
+{
+	struct ld_fresh_action *a = fresh_act(f, LD_FRESH_OFFER);
+
+	a->revision = revision_in_force(f);
+	a->bytes = (struct ld_str){f->bytes, f->bytes_len};
+}
+
+/*
+ * Alarms that a value not newer than the one in force gives reason for. A
+ * read that was sent before the adoption, or a push, may just be late.
+ */
+static unsigned int
+alarms_of_old(const struct ld_fresh *f, const struct ld_fresh_value *v)
+{
+	struct ld_str bytes = {f->bytes, f->bytes_len};
+
+	if (f->current == NULL)
+		return 0;
+	if (v->revision == revision_in_force(f))
+		return ld_str_eq(v->bytes, bytes) ? 0 : LD_FRESH_DIFFERENT;
+	if (v->asked_ms <= f->adopted_ms)
+		return f->alarms;
+	return v->revision == 0 ? LD_FRESH_ABSENT : LD_FRESH_OLDER;
+}
+
+void
+ld_fresh_store_value(
+    struct ld_fresh *f, uint64_t now_ms, const struct ld_fresh_value *v)
+{
+	unsigned int alarms = 0;
+
+	if (v->asked_ms != 0) {
+		f->reading_since_ms = NEVER;
+		fresh_note_contact(&f->store_contact_ms, v->asked_ms);
+	}
+	if (v->revision <= revision_in_force(f)) {
+		f->counters.older += v->revision < revision_in_force(f);
+		alarms = alarms_of_old(f, v);
+	} else if (try_adopt(f, now_ms, v->revision, v->bytes)) {
+		f->counters.adopted_from_store++;
+		offer(f);
+	} else {
+		alarms = LD_FRESH_INVALID;
+	}
+	fresh_set_alarms(f, alarms);
+	fresh_review(f, now_ms);
+}
+
+void
+ld_fresh_store_failed(
+    struct ld_fresh *f, uint64_t now_ms, enum ld_status status)
+{
+	f->reading_since_ms = NEVER;
+	if (status == LD_E_STALE || status == LD_E_PROTOCOL)
+		fresh_set_alarms(f, f->alarms | LD_FRESH_REFUSED);
+	fresh_review(f, now_ms);
+}
+
+void
+ld_fresh_peer_value(
+    struct ld_fresh *f, uint64_t now_ms, int64_t revision, struct ld_str bytes)
+{
+	if (revision > f->newest)
+		f->newest = revision;
+	if (revision <= revision_in_force(f))
+		f->counters.older++;
+	else if (try_adopt(f, now_ms, revision, bytes))
+		f->counters.adopted_from_peers++;
+	fresh_review(f, now_ms);
+}
