node: split the completion flow into files of one job

Change: request reading, objective counting and module actions stand in files of their own; no change of behaviour.

--- a/lib/node/completion.c
+++ b/lib/node/completion.c
@@ -1,102 +1,18 @@
 /* One completion: admission, a replica, the relay, resumes and its end. */
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "node_internal.h"
+#include "completion_internal.h"
 
 #define PART "completion"
 /* Sends of one request to engines, the first one included. */
 #define ATTEMPTS_MAX 4
-#define MODEL_MAX_BYTES 128
-#define PREFIX_BYTES 256
-#define DEFAULT_MAX_TOKENS 256
 #define NO_REPLICA_RETRY_MS 1000
 #define BROKEN_RETRY_MS 500
 
-/** struct completion - one request for a completion */
-struct completion {
-	struct completion *next;
-	struct completion **link;
-	struct ld_node *node;
-	struct ld_exchange *x; /* NULL once its caller is gone or answered */
-	struct ld_engine_call *call;
-	char *model;
-	char *replica;
-	char *excluded; /* replica that failed last */
-	char *owner;
-	enum ld_class class;
-	uint64_t epoch;
-	uint64_t prefix;
-	uint64_t ticket;
-	uint64_t route_call;
-	uint64_t deadline_ms;
-	uint64_t started_ms;
-	uint64_t last_token_ms;
-	uint64_t gaps_good; /* not yet noted */
-	uint64_t gaps_bad;
-	uint64_t relayed; /* tokens given to the caller */
-	uint64_t max_tokens;
-	unsigned int attempts;
-	bool stream;
-	bool begun; /* the head of a streamed answer was given */
-	bool waiting; /* for the decision of admission */
-	bool maybe_ran;
-};
-
 static void attempt(struct completion *c);
 
-/* ---- Objectives ---- */
-
-static void
-note(struct completion *c, enum ld_objective o, uint64_t good, uint64_t bad,
-    enum ld_cause cause)
-{
-	ld_burn_note(c->node->burn, node_now(c->node), ld_str_c(c->owner),
-	    ld_str_c(ld_class_name(c->class)), o, good, bad, cause);
-}
-
-static void
-note_gaps(struct completion *c)
-{
-	if (c->gaps_good + c->gaps_bad == 0)
-		return;
-	note(c, LD_O_TOKEN_GAP, c->gaps_good, c->gaps_bad, LD_C_SLOW);
-	c->gaps_good = 0;
-	c->gaps_bad = 0;
-}
-
-static void
-note_first_token(struct completion *c, uint64_t now)
-{
-	const struct ld_goal *g = ld_burn_goal(c->node->burn, LD_O_FIRST_TOKEN);
-	uint64_t ms = now - c->started_ms;
-	bool good = ms <= g->threshold_ms;
-
-	ld_metrics_observe(c->node->metrics, LD_L_FIRST_TOKEN, (double)ms);
-	note(c, LD_O_FIRST_TOKEN, good, !good, LD_C_SLOW);
-}
-
-static void
-note_token(struct completion *c, uint64_t now)
-{
-	const struct ld_goal *g = ld_burn_goal(c->node->burn, LD_O_TOKEN_GAP);
-	uint64_t gap = now - c->last_token_ms;
-
-	if (c->last_token_ms == 0) {
-		note_first_token(c, now);
-	} else {
-		ld_metrics_observe(
-		    c->node->metrics, LD_L_TOKEN_GAP, (double)gap);
-		if (gap <= g->threshold_ms)
-			c->gaps_good++;
-		else
-			c->gaps_bad++;
-	}
-	c->last_token_ms = now;
-}
-
 /* ---- End ---- */
 
 static void
@@ -123,7 +39,7 @@
 completion_free(struct completion *c)
 {
 	stop_call(c);
-	note_gaps(c);
+	completion_note_gaps(c);
 	if (c->ticket != 0)
 		ld_admit_done(c->node->admit, node_now(c->node), c->ticket);
 	if (c->x != NULL)
@@ -154,11 +70,12 @@
 	ld_buf_free(&doc);
 }
 
-static void
-fail(struct completion *c, const struct ld_problem *p, enum ld_cause cause)
+void
+completion_fail(
+    struct completion *c, const struct ld_problem *p, enum ld_cause cause)
 {
 	if (cause != LD_C_NONE && cause != LD_C_LIMIT)
-		note(c, LD_O_ANSWERED, 0, 1, cause);
+		completion_note(c, LD_O_ANSWERED, 0, 1, cause);
 	if (c->begun) {
 		node_count(c->node, LD_M_BROKEN_STREAMS);
 		end_stream_with(c, p);
@@ -181,7 +98,7 @@
 	};
 
 	node_count(c->node, LD_M_FAILED);
-	fail(c, &p, cause);
+	completion_fail(c, &p, cause);
 }
 
 /* ---- Relay ---- */
@@ -196,8 +113,8 @@
 	ld_exchange_begin(c->x, 200, "text/event-stream");
 }
 
-static void
-resume_elsewhere(struct completion *c, const char *why)
+void
+completion_move(struct completion *c, const char *why)
 {
 	struct ld_node *n = c->node;
 	enum ld_status st;
@@ -227,13 +144,13 @@
 	uint64_t now = node_now(n);
 
 	if (!ld_route_fit(n->route, now, ld_str_c(c->replica), c->epoch)) {
-		resume_elsewhere(c, "its replica is not fit");
+		completion_move(c, "its replica is not fit");
 		return;
 	}
 	begin_answer(c);
 	c->relayed++;
 	node_count(n, LD_M_TOKENS);
-	note_token(c, now);
+	completion_note_token(c, now);
 	ld_exchange_write(c->x, event);
 	if (ld_exchange_backlog(c->x) > LD_ENTRY_BACKLOG_BYTES)
 		ld_engine_pause(c->call);
@@ -243,7 +160,7 @@
 static void
 finish_stream(struct completion *c)
 {
-	note(c, LD_O_ANSWERED, 1, 0, LD_C_NONE);
+	completion_note(c, LD_O_ANSWERED, 1, 0, LD_C_NONE);
 	begin_answer(c);
 	ld_exchange_write(c->x, LD_STR("data: [DONE]\n\n"));
 	ld_exchange_end(c->x);
@@ -268,7 +185,7 @@
 	uint64_t tokens = tokens_of(body);
 	char *content_type = ld_str_dup(type);
 
-	note(c, LD_O_ANSWERED, 1, 0, LD_C_NONE);
+	completion_note(c, LD_O_ANSWERED, 1, 0, LD_C_NONE);
 	ld_metrics_add(n->metrics, LD_M_TOKENS, tokens);
 	ld_admit_tokens(n->admit, node_now(n), c->ticket, tokens);
 	ld_exchange_answer(c->x, 200, content_type, NULL, body);
@@ -287,7 +204,7 @@
 	    .ran = LD_RAN_UNKNOWN,
 	};
 
-	fail(c, &p, LD_C_NONE);
+	completion_fail(c, &p, LD_C_NONE);
 }
 
 static void
@@ -308,7 +225,7 @@
 	else if (finished && (r->code == 400 || r->code == 422))
 		finish_refused(c, r->code);
 	else
-		resume_elsewhere(c, ld_status_name(r->status));
+		completion_move(c, ld_status_name(r->status));
 }
 
 /* ---- Attempts ---- */
@@ -382,7 +299,7 @@
 		send_to(c, &choice);
 		break;
 	case LD_E_NOT_FOUND:
-		fail(c, &unknown, LD_C_NONE);
+		completion_fail(c, &unknown, LD_C_NONE);
 		break;
 	default:
 		fail_unavailable(c, "no-replica", "No replica is complete now",
@@ -393,92 +310,8 @@
 
 /* ---- Request ---- */
 
-static void
-bad_request(struct ld_exchange *x, const char *detail)
-{
-	struct ld_problem p = {
-	    .code = 400,
-	    .type = "bad-request",
-	    .title = "The request body can't be used",
-	    .detail = detail,
-	    .ran = LD_RAN_NO,
-	};
-
-	ld_exchange_problem(x, &p);
-}
-
-/* Hash of the start of the prompt: requests that share it share a cache. */
-static uint64_t
-prefix_of(const json_t *doc)
-{
-	const json_t *prompt = json_object_get(doc, "prompt");
-	const json_t *messages = json_object_get(doc, "messages");
-	uint64_t hash;
-	char *text;
-	size_t len;
-
-	text = json_dumps(
-	    prompt != NULL ? prompt : messages, JSON_ENCODE_ANY | JSON_COMPACT);
-	if (text == NULL)
-		return 0;
-	len = strnlen(text, PREFIX_BYTES);
-	hash = ld_hash64((struct ld_str){text, len}, 0);
-	free(text);
-	return hash;
-}
-
-static const char *
-check_body(const json_t *doc)
-{
-	const json_t *model = json_object_get(doc, "model");
-	const json_t *stream = json_object_get(doc, "stream");
-	const json_t *max = json_object_get(doc, "max_tokens");
-
-	if (!json_is_object(doc))
-		return "not a JSON object";
-	if (!json_is_string(model) || json_string_length(model) == 0 ||
-	    json_string_length(model) > MODEL_MAX_BYTES)
-		return "model: a name of 1 to 128 bytes is needed";
-	if (stream != NULL && !json_is_boolean(stream))
-		return "stream: true or false is needed";
-	if (max != NULL &&
-	    (!json_is_integer(max) || json_integer_value(max) < 1))
-		return "max_tokens: a whole number from 1 is needed";
-	if (json_object_get(doc, "prompt") == NULL &&
-	    !json_is_array(json_object_get(doc, "messages")))
-		return "prompt or messages: one is needed";
-	return NULL;
-}
-
-static struct completion *
-completion_new(struct ld_node *n, struct ld_exchange *x,
-    const struct ld_entry *e, const json_t *doc)
-{
-	struct completion *c = ld_alloc(sizeof(*c));
-	const json_t *max = json_object_get(doc, "max_tokens");
-
-	c->node = n;
-	c->x = x;
-	c->model = ld_strdup(json_string_value(json_object_get(doc, "model")));
-	c->stream = json_is_true(json_object_get(doc, "stream"));
-	c->max_tokens = max != NULL ? (uint64_t)json_integer_value(max)
-				    : DEFAULT_MAX_TOKENS;
-	c->prefix = prefix_of(doc);
-	c->owner = ld_strdup(e->owner);
-	c->class = e->class;
-	c->started_ms = node_now(n);
-	c->deadline_ms = node_now(n) + n->settings->engine_request_timeout_ms;
-	c->next = n->completions;
-	c->link = &n->completions;
-	if (c->next != NULL)
-		c->next->link = &c->next;
-	n->completions = c;
-	ld_exchange_set_owner(x, c);
-	return c;
-}
-
-static void
-decided(struct completion *c, const struct ld_admit_decision *d)
+void
+completion_decided(struct completion *c, const struct ld_admit_decision *d)
 {
 	struct ld_problem p;
 
@@ -492,7 +325,7 @@
 	c->ticket = 0;
 	node_count(c->node, LD_M_REFUSED);
 	p = refusal_problem(d->reason, d->retry_after_ms);
-	fail(c, &p, refusal_cause(d->reason));
+	completion_fail(c, &p, refusal_cause(d->reason));
 }
 
 static void
@@ -507,7 +340,7 @@
 		c->waiting = true;
 		return;
 	}
-	decided(c, &d);
+	completion_decided(c, &d);
 }
 
 /* A request that no replica can take must not use up the caller's limits. */
@@ -534,30 +367,23 @@
 		cause = LD_C_NO_REPLICA;
 		break;
 	}
-	fail(c, &p, cause);
+	completion_fail(c, &p, cause);
 	return false;
 }
 
 void
 completion_start(struct ld_node *n, struct ld_exchange *x)
 {
-	struct ld_str body = ld_exchange_body(x);
 	const struct ld_entry *e;
-	const char *wrong;
-	json_error_t err;
-	json_t *doc;
 	struct completion *c;
+	json_t *doc;
 
 	e = caller_find(n, x);
 	if (e == NULL)
 		return;
-	doc = json_loadb(body.p, body.len, JSON_REJECT_DUPLICATES, &err);
-	wrong = doc == NULL ? err.text : check_body(doc);
-	if (wrong != NULL) {
-		bad_request(x, wrong);
-		json_decref(doc);
+	doc = completion_read(x);
+	if (doc == NULL)
 		return;
-	}
 	c = completion_new(n, x, e, doc);
 	json_decref(doc);
 	if (is_servable(c))
@@ -578,75 +404,3 @@
 	if (c->call != NULL)
 		ld_engine_resume(c->call);
 }
-
-/* ---- Actions of the decision modules ---- */
-
-static struct completion *
-find_ticket(struct ld_node *n, uint64_t ticket)
-{
-	for (struct completion *c = n->completions; c != NULL; c = c->next)
-		if (c->ticket == ticket)
-			return c;
-	return NULL;
-}
-
-static struct completion *
-find_call(struct ld_node *n, uint64_t call)
-{
-	for (struct completion *c = n->completions; c != NULL; c = c->next)
-		if (c->route_call == call)
-			return c;
-	return NULL;
-}
-
-static void
-cancel(struct ld_node *n, const struct ld_admit_decision *d)
-{
-	struct completion *c = find_ticket(n, d->ticket);
-	struct ld_problem p;
-
-	if (c == NULL)
-		return;
-	p = refusal_problem(d->reason, d->retry_after_ms);
-	p.ran = c->call != NULL ? LD_RAN_UNKNOWN : LD_RAN_NO;
-	node_count(n, LD_M_CANCELLED_STREAMS);
-	fail(c, &p, refusal_cause(d->reason));
-}
-
-static void
-act_admit(struct ld_node *n, const struct ld_admit_action *a)
-{
-	struct completion *c;
-
-	switch (a->type) {
-	case LD_ADMIT_SEND:
-		fleet_send_admit(n->fleet, a->node, a->bytes);
-		break;
-	case LD_ADMIT_DECIDED:
-		if (service_decided(n, &a->decision))
-			break;
-		c = find_ticket(n, a->decision.ticket);
-		if (c != NULL && c->waiting)
-			decided(c, &a->decision);
-		break;
-	case LD_ADMIT_CANCEL:
-		cancel(n, &a->decision);
-		break;
-	}
-}
-
-void
-completions_act(struct ld_node *n)
-{
-	struct ld_admit_action a;
-	struct ld_route_action r;
-	struct completion *c;
-
-	while (ld_admit_next(n->admit, &a))
-		act_admit(n, &a);
-	while (ld_route_next(n->route, &r)) {
-		c = find_call(n, r.call);
-		if (c != NULL)
-			resume_elsewhere(c, "its replica lost a member");
-	}
-}
