node: placement records travel from delegates to the other nodes

Change: the catalogue's delegates watch and publish each record as a peers record; the others read the store once at start, then every 30 to 60 s, and when a record is too large to be published.

--- a/lib/node/fleet.c
+++ b/lib/node/fleet.c
@@ -235,6 +235,24 @@
 	completions_act(n);
 }
 
+static void
+on_record(void *arg, const struct ld_peers_record *r)
+{
+	struct fleet *f = arg;
+
+	if (r->kind == LD_PEERS_REC_PLACEMENT && r->value.len > 0)
+		placement_from_peer(f->node, r->key, r->value);
+}
+
+void
+fleet_publish(struct fleet *f, enum ld_peers_kind kind, struct ld_str key,
+    struct ld_str value)
+{
+	if (ld_peer_task_publish(f->task, kind, key, value) != LD_OK)
+		ld_log(LD_LOG_ERR, PART, "a record is refused: %s",
+		    ld_last_message());
+}
+
 void
 fleet_send_admit(struct fleet *f, uint64_t to, struct ld_str bytes)
 {
@@ -335,6 +353,7 @@
 fleet_open(struct ld_node *n)
 {
 	static const struct ld_peer_task_ops ops = {.member = on_member,
+	    .record = on_record,
 	    .catalogue = on_catalogue,
 	    .direct = on_direct};
 	const struct ld_settings *s = n->settings;
--- a/lib/node/node_internal.h
+++ b/lib/node/node_internal.h
@@ -10,6 +10,7 @@
 #include "ld_loop.h"
 #include "ld_metrics.h"
 #include "ld_node.h"
+#include "ld_peers.h"
 #include "ld_platform.h"
 #include "ld_route.h"
 
@@ -19,6 +20,7 @@
 struct edit;
 struct fleet;
 struct history;
+struct placement_task;
 struct probes;
 
 /** enum node_phase - life of a node */
@@ -41,6 +43,7 @@
 	struct catalogue_task *catalogue_task;
 	struct fleet *fleet;
 	struct edit *edits;
+	struct placement_task *placement_task;
 	struct ld_admit *admit;
 	struct ld_route *route;
 	struct probes *probes;
@@ -127,6 +130,9 @@
 size_t fleet_unconfirmed(
     struct fleet *f, int64_t revision, struct ld_str **names);
 void fleet_names_free(struct ld_str *names, size_t n);
+/** fleet_publish() - give a record of this node to all nodes */
+void fleet_publish(struct fleet *f, enum ld_peers_kind kind, struct ld_str key,
+    struct ld_str value);
 void fleet_gauges(const struct fleet *f, struct ld_metrics *m);
 
 /* ---- Catalogue (catalogue_task.c) ---- */
@@ -153,8 +159,20 @@
 
 /** follow_open() - open the clients of store and live list */
 void follow_open(struct ld_node *n);
-/** follow_start() - follow placement records */
+/** follow_start() - tell the parts what is known so far */
 void follow_start(struct ld_node *n);
+/** follow_zone() - failure domain of an address, empty when not listed */
+struct ld_str follow_zone(struct ld_node *n, const char *address);
+
+/* ---- Placement records (placement_task.c) ---- */
+
+void placement_open(struct ld_node *n);
+void placement_close(struct ld_node *n);
+/** placement_from_peer() - a delegate published a record */
+void placement_from_peer(
+    struct ld_node *n, struct ld_str fabric, struct ld_str value);
+/** placement_zones_changed() - the live list changed */
+void placement_zones_changed(struct ld_node *n);
 void follow_close(struct ld_node *n);
 
 /* ---- Probes of servers (probe.c) ---- */
--- a/lib/node/serve.c
+++ b/lib/node/serve.c
@@ -150,6 +150,7 @@
 	ld_listener_free(n->entry);
 	ld_listener_free(n->operators);
 	edits_close(n);
+	placement_close(n);
 	catalogue_close(n);
 	probes_close(n);
 	follow_close(n);
@@ -186,6 +187,7 @@
 		goto out;
 	open_decisions(n);
 	catalogue_open(n);
+	placement_open(n);
 	follow_start(n);
 	fleet_start(n->fleet);
 	s->tick.fn = on_tick;
--- a/lib/peers/ld_peers.h
+++ b/lib/peers/ld_peers.h
@@ -32,6 +32,7 @@
 	LD_PEERS_REC_LOAD = 3, /* load of a replica: fast, newest only */
 	LD_PEERS_REC_USAGE = 4, /* usage by entry: fast, newest only */
 	LD_PEERS_REC_DRAIN = 5, /* drain state of a node */
+	LD_PEERS_REC_PLACEMENT = 6, /* placement record of a fabric domain */
 	LD_PEERS_REC_KIND_END
 };
 
