peers: bound the busiest node, count one pause once, echo acks both ways

Cause: successor arcs abroad gave a node up to 20 links, the tree let one node feed all its neighbours, and the due times stayed in the past after a pause. Ruled out: a lower ping rate (12 links cost 2.6 KB/s of the 17). Change: rendezvous choice abroad, at most 3 children before others are sent to another parent, everything due at once after a pause. Pings carry an echo, so that a node whose links were all dialled by others also learns when it was last heard; only dialling ends knew before.

--- a/lib/peers/links.c
+++ b/lib/peers/links.c
@@ -50,7 +50,7 @@
 	l->dialled = dialled;
 	l->deadline_ms = p->now_ms + JOIN_TIMEOUT_MS;
 	l->wanted_ms = p->now_ms;
-	l->direct_ms = p->now_ms;
+
 	l->peer_distance = DISTANCE_NONE;
 	return l;
 }
@@ -62,6 +62,7 @@
 
 	l->state = LINK_DIALING;
 	l->self_mesh = mesh;
+	l->direct_ms = mesh ? 0 : p->now_ms;
 	l->address = ld_str_dup(address);
 	p->counters.dials++;
 	act_dial(p, l);
--- a/lib/peers/members.c
+++ b/lib/peers/members.c
@@ -121,6 +121,7 @@
 		free(m->region);
 		m->domain = ld_str_dup(in->domain);
 		m->region = ld_str_dup(in->region);
+		m->region_hash = ld_hash64(in->region, 0);
 		m->incarnation = in->incarnation;
 		m->confirmed = 0;
 		m->suspected_ms = 0;
--- a/lib/peers/mesh.c
+++ b/lib/peers/mesh.c
@@ -1,8 +1,9 @@
 /*
  * Which links a node wants: its successor on a ring of its failure domain and
- * on a ring of its region, and where there are other regions a successor
- * among their nodes, so that two links cross regions counting the one that a
- * node over there wants with this one.
+ * on a ring of its region, and where there are other regions the node over
+ * there that rendezvous hashing gives it. Rings give each node one link from
+ * its predecessor; a node that no one abroad has chosen takes a second link
+ * there, so that each node has at least two across regions.
  */
 #include "peers_internal.h"
 
@@ -14,20 +15,17 @@
 }
 
 static bool
-same_region(const struct ld_peers *p, const struct member *m)
+same_region(const struct member *a, const struct member *b)
 {
-	return ld_str_eq(ld_str_c(m->region), ld_str_c(p->self->region));
+	return a->region_hash == b->region_hash;
 }
 
 static bool
-in_ring(const struct ld_peers *p, const struct member *m, enum ring ring,
-    bool other_regions)
+in_ring(const struct ld_peers *p, const struct member *m, enum ring ring)
 {
-	if (!usable(p, m))
-		return false;
 	if (ring == RING_GLOBAL)
-		return !other_regions || !same_region(p, m);
-	if (!same_region(p, m))
+		return true;
+	if (!same_region(m, p->self))
 		return false;
 	return ring == RING_REGION ||
 	    ld_str_eq(ld_str_c(m->domain), ld_str_c(p->self->domain));
@@ -43,9 +41,16 @@
 	return false;
 }
 
+static void
+want(struct ld_peers *p, struct member *m)
+{
+	if (m != NULL)
+		p->wanted[p->wanted_count++] = m;
+}
+
 /* The next member on the ring that is not wanted already. */
 static void
-want_successor(struct ld_peers *p, enum ring ring, bool other_regions)
+want_successor(struct ld_peers *p, enum ring ring)
 {
 	struct member *best = NULL;
 	uint64_t best_gap = UINT64_MAX;
@@ -54,49 +59,70 @@
 		struct member *m = p->members[i];
 		uint64_t gap = m->ring[ring] - p->self->ring[ring];
 
-		if (gap >= best_gap || !in_ring(p, m, ring, other_regions))
-			continue;
-		if (is_wanted(p, m))
+		if (gap >= best_gap || !usable(p, m) || !in_ring(p, m, ring) ||
+		    is_wanted(p, m))
 			continue;
 		best = m;
 		best_gap = gap;
 	}
-	if (best != NULL)
-		p->wanted[p->wanted_count++] = best;
+	want(p, best);
 }
 
-/*
- * True when a node of another region has this one as its successor here: it
- * lies between this node and the one before it on the ring of this region.
- */
-static bool
-wanted_from_abroad(const struct ld_peers *p)
+/* Rendezvous weight; the finaliser of SplitMix64 mixes the two positions. */
+static uint64_t
+weight(const struct member *from, const struct member *to)
 {
-	uint64_t mine = p->self->ring[RING_GLOBAL];
-	uint64_t before = UINT64_MAX;
+	uint64_t v = from->ring[RING_GLOBAL] +
+	    to->ring[RING_GLOBAL] * UINT64_C(0x9e3779b97f4a7c15);
+
+	v = (v ^ v >> 30) * UINT64_C(0xbf58476d1ce4e5b9);
+	v = (v ^ v >> 27) * UINT64_C(0x94d049bb133111eb);
+	return v ^ v >> 31;
+}
+
+static struct member *
+best_abroad(const struct ld_peers *p)
+{
+	struct member *best = NULL;
+	uint64_t best_weight = 0;
 
 	for (size_t i = 0; i < p->member_count; i++) {
-		const struct member *m = p->members[i];
-		uint64_t gap = mine - m->ring[RING_GLOBAL];
+		struct member *m = p->members[i];
 
-		if (usable(p, m) && same_region(p, m) && gap < before)
-			before = gap;
+		if (!usable(p, m) || same_region(m, p->self) || is_wanted(p, m))
+			continue;
+		if (best != NULL && weight(p->self, m) <= best_weight)
+			continue;
+		best = m;
+		best_weight = weight(p->self, m);
 	}
+	return best;
+}
+
+/* Whether @other, in another region, has this node as its best abroad. */
+static bool
+chooses_self(const struct ld_peers *p, const struct member *other)
+{
+	uint64_t mine = weight(other, p->self);
+
 	for (size_t i = 0; i < p->member_count; i++) {
 		const struct member *m = p->members[i];
 
-		if (usable(p, m) && !same_region(p, m) &&
-		    mine - m->ring[RING_GLOBAL] < before)
-			return true;
+		if (usable(p, m) && !same_region(m, other) &&
+		    weight(other, m) > mine)
+			return false;
 	}
-	return false;
+	return true;
 }
 
 static bool
-other_regions_exist(const struct ld_peers *p)
+chosen_from_abroad(const struct ld_peers *p)
 {
 	for (size_t i = 0; i < p->member_count; i++) {
-		if (usable(p, p->members[i]) && !same_region(p, p->members[i]))
+		const struct member *m = p->members[i];
+
+		if (usable(p, m) && !same_region(m, p->self) &&
+		    !is_wanted(p, m) && chooses_self(p, m))
 			return true;
 	}
 	return false;
@@ -105,15 +131,18 @@
 void
 mesh_choose(struct ld_peers *p)
 {
-	bool abroad = other_regions_exist(p);
+	struct member *abroad;
 
 	p->wanted_count = 0;
 	p->wanted_stale = false;
-	want_successor(p, RING_GLOBAL, abroad);
-	if (abroad && !wanted_from_abroad(p))
-		want_successor(p, RING_GLOBAL, true);
-	want_successor(p, RING_DOMAIN, false);
-	want_successor(p, RING_REGION, false);
+	abroad = best_abroad(p);
+	want(p, abroad);
+	if (abroad == NULL)
+		want_successor(p, RING_GLOBAL);
+	else if (!chosen_from_abroad(p))
+		want(p, best_abroad(p));
+	want_successor(p, RING_DOMAIN);
+	want_successor(p, RING_REGION);
 }
 
 void
@@ -154,7 +183,8 @@
 static void
 give_up_unwanted(struct ld_peers *p, struct link *l)
 {
-	bool idle = p->now_ms >= l->direct_ms + DIRECT_IDLE_MS;
+	bool idle =
+	    l->direct_ms == 0 || p->now_ms >= l->direct_ms + DIRECT_IDLE_MS;
 
 	if (l->state != LINK_UP || p->now_ms < l->wanted_ms + UNWANTED_MS)
 		return;
--- a/lib/peers/peers.c
+++ b/lib/peers/peers.c
@@ -85,7 +85,17 @@
 	for (struct link *l = p->links; l != NULL; l = l->next) {
 		l->heard_ms += gap;
 		l->deadline_ms += gap;
+		if (l->ping_due_ms < p->now_ms)
+			l->ping_due_ms = p->now_ms;
 	}
+	/* All is due now, so that the next event sees no second pause. */
+	p->house_due_ms = p->now_ms;
+	if (p->flush_due_ms < p->now_ms)
+		p->flush_due_ms = p->now_ms;
+	if (p->tree_due_ms < p->now_ms)
+		p->tree_due_ms = p->now_ms;
+	if (p->request_due_ms < p->now_ms)
+		p->request_due_ms = p->now_ms;
 	for (size_t i = 0; i < p->member_count; i++) {
 		if (p->members[i]->state == LD_PEERS_SUSPECT)
 			p->members[i]->since_ms += gap;
--- a/lib/peers/peers_internal.h
+++ b/lib/peers/peers_internal.h
@@ -38,7 +38,7 @@
 #define WANTED_MAX 4
 #define UNREACHABLE_FAILURES 2 /* failed dials before a ring passes it over */
 
-/** enum ring - orders of the members in which links are chosen */
+/** enum ring - orders of the members in which successors are chosen */
 enum ring {
 	RING_DOMAIN,
 	RING_REGION,
@@ -50,6 +50,8 @@
 #define DISTANCE_MAX 64
 #define COST_NEAR 1
 #define COST_CROSS_REGION 4
+#define CHILDREN_MAX 3
+#define COST_FULL 8 /* told to children beyond CHILDREN_MAX */
 
 /**
  * struct item - member or record in the order in which it last changed
@@ -89,6 +91,7 @@
 	uint64_t since_ms;
 	bool gone; /* kept only so that old news does not bring it back */
 	uint64_t ring[RING_COUNT];
+	uint64_t region_hash;
 	uint64_t records_hash;
 	uint64_t confirmed; /* catalogue revision */
 	uint64_t suspected_ms; /* last suspicion raised by this node, 0: none */
@@ -120,9 +123,12 @@
 	uint64_t deadline_ms; /* of the dial and the join */
 	uint64_t heard_ms;
 	uint64_t ping_due_ms;
-	uint64_t ping_seq;
+	uint64_t ping_seq; /* of the last ping or ack sent */
+	uint64_t heard_seq; /* of the last one that came */
+	uint64_t timed_seq; /* the one whose echo is awaited, 0: none */
+	uint64_t timed_ms; /* when that one was sent */
 	uint64_t wanted_ms; /* last time that this node wanted it */
-	uint64_t direct_ms; /* last direct message */
+	uint64_t direct_ms; /* last direct message, 0: none */
 	uint64_t digest_ms; /* last exchange begun */
 	uint64_t mismatch_ms; /* since when tables differ, 0: they agree */
 	uint64_t sent_no;
@@ -272,6 +278,8 @@
 void tree_update(struct ld_peers *p);
 bool tree_has(const struct ld_peers *p, const struct link *l);
 void tree_announce(struct ld_peers *p);
+/** tree_children() - neighbours that have this node as their parent */
+unsigned int tree_children(const struct ld_peers *p);
 
 /* ---- links.c ---- */
 
--- a/lib/peers/ping.c
+++ b/lib/peers/ping.c
@@ -4,35 +4,64 @@
 /* Tables have to differ for this long before they are compared in detail. */
 #define MISMATCH_MS 1500
 
-static void
-fill(const struct ld_peers *p, const struct link *l, struct ld_wire_ping *ping)
+/* Further children make do with another parent, where there is one. */
+static uint32_t
+told_distance(const struct ld_peers *p, const struct link *l)
 {
-	ping->table_hash = table_hash(p);
-	ping->catalogue_revision = p->revision;
-	ping->root = p->root;
-	ping->distance = p->distance;
-	ping->parent = p->parent == l->id;
+	unsigned int children = 0;
+
+	if (p->distance == DISTANCE_NONE)
+		return DISTANCE_NONE;
+	for (const struct link *at = p->links; at != NULL; at = at->next) {
+		if (at == l)
+			break;
+		children += link_is_mesh(at) && at->peer_parent;
+	}
+	if (!l->peer_parent)
+		children = tree_children(p);
+	return children < CHILDREN_MAX ? p->distance : p->distance + COST_FULL;
 }
 
-void
-ping_send(struct ld_peers *p, struct link *l)
+static void
+send_kind(struct ld_peers *p, struct link *l, enum ld_wire_kind kind)
 {
-	struct ld_wire_msg m = {.kind = LD_WIRE_PING};
+	struct ld_wire_msg m = {.kind = kind};
 
 	m.ping.seq = ++l->ping_seq;
-	fill(p, l, &m.ping);
+	m.ping.echo = l->heard_seq;
+	m.ping.table_hash = table_hash(p);
+	m.ping.catalogue_revision = p->revision;
+	m.ping.root = p->root;
+	m.ping.distance = told_distance(p, l);
+	m.ping.parent = p->parent == l->id;
+	if (l->timed_seq == 0) {
+		l->timed_seq = l->ping_seq;
+		l->timed_ms = p->now_ms;
+	}
 	act_send(p, l, &m);
+}
+
+void
+ping_send(struct ld_peers *p, struct link *l)
+{
+	send_kind(p, l, LD_WIRE_PING);
 	l->ping_due_ms = p->now_ms + PING_MS;
 }
 
 static void
-ack_send(struct ld_peers *p, const struct link *l, uint64_t seq)
+note_echo(struct ld_peers *p, struct link *l, uint64_t echo)
 {
-	struct ld_wire_msg m = {.kind = LD_WIRE_ACK};
+	if (l->timed_seq == 0 || echo < l->timed_seq)
+		return;
+	if (l->timed_ms > p->acked_ms)
+		p->acked_ms = l->timed_ms;
+	l->timed_seq = 0;
+}
 
-	m.ping.seq = seq;
-	fill(p, l, &m.ping);
-	act_send(p, l, &m);
+uint64_t
+ld_peers_acked_ms(const struct ld_peers *p)
+{
+	return p->acked_ms;
 }
 
 /* Tables differ for a moment after each change; only lasting ones count. */
@@ -51,22 +80,6 @@
 		digest_start(p, l);
 }
 
-/* Only the newest ping's time is known: older acks say nothing new. */
-static void
-note_ack(struct ld_peers *p, const struct link *l, uint64_t seq)
-{
-	uint64_t sent_ms = l->ping_due_ms - PING_MS;
-
-	if (seq == l->ping_seq && sent_ms > p->acked_ms)
-		p->acked_ms = sent_ms;
-}
-
-uint64_t
-ld_peers_acked_ms(const struct ld_peers *p)
-{
-	return p->acked_ms;
-}
-
 void
 ping_received(struct ld_peers *p, struct link *l,
     const struct ld_wire_ping *ping, bool is_ack)
@@ -75,10 +88,10 @@
 	l->peer_distance = ping->distance;
 	l->peer_parent = ping->parent;
 	tree_update(p);
+	l->heard_seq = ping->seq;
+	note_echo(p, l, ping->echo);
 	if (!is_ack)
-		ack_send(p, l, ping->seq);
-	else
-		note_ack(p, l, ping->seq);
+		send_kind(p, l, LD_WIRE_ACK);
 	catalogue_heard(p, l, ping->catalogue_revision);
 	if (link_is_mesh(l))
 		compare_tables(p, l, ping->table_hash);
--- a/lib/peers/tree.c
+++ b/lib/peers/tree.c
@@ -80,6 +80,16 @@
 	}
 }
 
+unsigned int
+tree_children(const struct ld_peers *p)
+{
+	unsigned int n = 0;
+
+	for (const struct link *l = p->links; l != NULL; l = l->next)
+		n += link_is_mesh(l) && l->peer_parent;
+	return n;
+}
+
 bool
 tree_has(const struct ld_peers *p, const struct link *l)
 {
--- a/lib/wire/decode.c
+++ b/lib/wire/decode.c
@@ -109,6 +109,7 @@
 get_ping(struct fields *f, struct ld_wire_ping *m)
 {
 	m->seq = take_u64(f, UINT64_MAX);
+	m->echo = take_u64(f, UINT64_MAX);
 	m->table_hash = take_u64(f, UINT64_MAX);
 	m->catalogue_revision = take_u64(f, UINT64_MAX);
 	m->root = take_u64(f, UINT64_MAX);
--- a/lib/wire/encode.c
+++ b/lib/wire/encode.c
@@ -5,7 +5,7 @@
 
 /* Fields after the kind, and in the nested arrays. */
 #define JOIN_FIELDS 2
-#define PING_FIELDS 6
+#define PING_FIELDS 7
 #define DIGEST_FIELDS 4
 #define RECORDS_FIELDS 2
 #define CATALOGUE_FIELDS 2
@@ -76,6 +76,7 @@
 put_ping(msgpack_packer *pk, const struct ld_wire_ping *m)
 {
 	msgpack_pack_uint64(pk, m->seq);
+	msgpack_pack_uint64(pk, m->echo);
 	msgpack_pack_uint64(pk, m->table_hash);
 	msgpack_pack_uint64(pk, m->catalogue_revision);
 	msgpack_pack_uint64(pk, m->root);
--- a/lib/wire/ld_wire.h
+++ b/lib/wire/ld_wire.h
@@ -119,7 +119,8 @@
 
 /** struct ld_wire_ping - body of both ping and ack */
 struct ld_wire_ping {
-	uint64_t seq; /* an ack repeats the number of its ping */
+	uint64_t seq; /* of the pings and acks of one side */
+	uint64_t echo; /* the last seq that came from the other side */
 	uint64_t table_hash; /* over members and slow records */
 	uint64_t catalogue_revision; /* held by the sender */
 	uint64_t root; /* incarnation of the root of the push tree, 0: none */
--- a/tests/peers_net.h
+++ b/tests/peers_net.h
@@ -51,6 +51,7 @@
 	uint32_t link[2];
 	bool open[2];
 	uint64_t last_ms[2]; /* of a direction, whose messages stay in order */
+	bool silent; /* nothing passes any more, and nobody is told */
 };
 
 struct net_node {
@@ -87,6 +88,9 @@
 	FILE *trace; /* NULL: none */
 };
 
+/* Taken by the networks that are set up from then on. */
+static FILE *net_trace_to;
+
 static inline uint64_t
 net_now(const struct net *n)
 {
@@ -122,6 +126,8 @@
 static inline bool
 net_is_cut(const struct net *n, const struct net_conn *c)
 {
+	if (c->silent)
+		return true;
 	return n->cut &&
 	    n->node[c->node[0]].region != n->node[c->node[1]].region;
 }
@@ -438,6 +444,7 @@
 	n->events.next = &n->events;
 	n->events.prev = &n->events;
 	n->nodes = nodes;
+	n->trace = net_trace_to;
 	n->loss_per_mille = loss_per_mille;
 	for (int i = 0; i < nodes; i++) {
 		struct net_node *node = &n->node[i];
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -236,7 +236,7 @@
 		break;
 	case 1:
 		msg.kind = LD_WIRE_ACK;
-		msg.ping = (struct ld_wire_ping){5, 6, 7, 8, 9, true};
+		msg.ping = (struct ld_wire_ping){5, 6, 7, 8, 9, 10, true};
 		break;
 	case 2:
 		msg.kind = LD_WIRE_DIGEST;
