--- a/lib/health/health.c
+++ b/lib/health/health.c
@@ -51,6 +51,7 @@
 		return;
 	free(h->servers);
 	free(h->nodes);
+	free(h->reporters);
 	free(h->actions);
 	free(h);
 }
@@ -83,14 +84,36 @@
 
 /* ---- Lists ---- */
 
+static int
+compare_address(const void *address, const void *server)
+{
+	const struct ld_str *a = address;
+	const struct server *s = server;
+	struct ld_str b = ld_str_c(s->address);
+	size_t n = a->len < b.len ? a->len : b.len;
+	int order = n > 0 ? memcmp(a->p, b.p, n) : 0;
+
+	if (order != 0)
+		return order;
+	return (a->len > b.len) - (a->len < b.len);
+}
+
+static int
+compare_servers(const void *va, const void *vb)
+{
+	struct ld_str a = ld_str_c(((const struct server *)va)->address);
+
+	return compare_address(&a, vb);
+}
+
+/* Servers are kept sorted by address. */
 struct server *
 server_find(const struct ld_health *h, struct ld_str address)
 {
-	for (size_t i = 0; i < h->server_count; i++) {
-		if (ld_str_eq(ld_str_c(h->servers[i].address), address))
-			return &h->servers[i];
-	}
-	return NULL;
+	if (h->server_count == 0)
+		return NULL;
+	return bsearch(&address, h->servers, h->server_count,
+	    sizeof(*h->servers), compare_address);
 }
 
 void
@@ -108,6 +131,16 @@
 	assign_probers(h, now_ms);
 }
 
+/* The number of a probe says where its server stands in the array. */
+static void
+drop_moved_probes(struct ld_health *h)
+{
+	for (size_t i = 0; i < h->server_count; i++) {
+		if (probe_place(h->servers[i].probe) != i)
+			h->servers[i].probe = 0;
+	}
+}
+
 /* What is known of a server that stays in the list is kept. */
 void
 ld_health_set_servers(struct ld_health *h,
@@ -116,7 +149,7 @@
 	struct server *next = ld_alloc((n + 1) * sizeof(*next));
 
 	for (size_t i = 0; i < n; i++) {
-		struct server *old = server_find(h, servers[i].address);
+		const struct server *old = server_find(h, servers[i].address);
 		struct server *s = &next[i];
 
 		if (old != NULL)
@@ -124,13 +157,12 @@
 		copy_name(s->address, sizeof(s->address), servers[i].address);
 		copy_name(s->zone, sizeof(s->zone), servers[i].zone);
 		s->leaving = servers[i].leaving;
-		/* The number of a probe says where its server stands. */
-		if (old != NULL && old != &h->servers[i])
-			s->probe = 0;
 	}
+	qsort(next, n, sizeof(*next), compare_servers);
 	free(h->servers);
 	h->servers = next;
 	h->server_count = n;
+	drop_moved_probes(h);
 	assign_probers(h, now_ms);
 }
 
@@ -141,12 +173,14 @@
     struct ld_health *h, const struct ld_health_report *r, uint64_t now_ms)
 {
 	struct server *s = server_find(h, ld_str_c(r->address));
-	uint64_t answer_ms = r->age_ms < now_ms ? now_ms - r->age_ms : 0;
+	uint64_t answer_ms;
 	enum ld_status st;
 
 	if (s == NULL)
 		return ld_fail(LD_E_NOT_FOUND, "report on an unlisted server");
-	if (r->verdict == LD_HEALTH_OK && r->age_ms >= h->config.report_ttl_ms)
+	answer_ms = clocks_judge(h, r, now_ms);
+	if (r->verdict == LD_HEALTH_OK &&
+	    now_ms >= answer_ms + h->config.report_ttl_ms)
 		return ld_fail(LD_E_STALE, "report past its life");
 	if (r->never_answered)
 		answer_ms = 0;
@@ -219,7 +253,8 @@
 {
 	if (t->failed >= quorum(h) && t->ok == 0)
 		return LD_HEALTH_DEAD;
-	if (t->failed > 0 || t->failing >= quorum(h))
+	if (t->failed + t->failing >= quorum(h) ||
+	    (t->failed > 0 && t->ok == 0))
 		return LD_HEALTH_SUSPECT;
 	if (!fresh)
 		return LD_HEALTH_UNKNOWN;
@@ -269,6 +304,18 @@
 	return LD_OK;
 }
 
+void
+ld_health_each_view(const struct ld_health *h, uint64_t now_ms,
+    void (*fn)(void *arg, const struct ld_health_view *v), void *arg)
+{
+	struct ld_health_view v;
+
+	for (size_t i = 0; i < h->server_count; i++) {
+		fill_view(h, &h->servers[i], now_ms, &v);
+		fn(arg, &v);
+	}
+}
+
 bool
 ld_health_holds(const struct ld_health *h, struct ld_str address,
     struct ld_str replica, uint64_t epoch, uint64_t now_ms)
--- a/lib/health/health_internal.h
+++ b/lib/health/health_internal.h
@@ -54,6 +54,18 @@
 	char zone[LD_HEALTH_NAME_MAX];
 };
 
+/** struct reporter - how far another node's clock is from this one's */
+struct reporter {
+	char id[LD_HEALTH_ADDRESS_MAX];
+	uint64_t run;
+	uint64_t first_ms;
+	uint64_t last_ms;
+	/* Least of (arrival - sent), in this window and the one before. */
+	int64_t least_now;
+	int64_t least_before;
+	uint64_t window_ms;
+};
+
 struct ld_health {
 	struct ld_health_config config;
 	char self[LD_HEALTH_ADDRESS_MAX];
@@ -63,6 +75,9 @@
 	size_t server_count;
 	struct node *nodes;
 	size_t node_count;
+	struct reporter *reporters;
+	size_t reporter_count;
+	size_t reporter_cap;
 	uint64_t probes; /* number of the last one */
 	uint64_t seq;
 	struct ld_health_action *actions;
@@ -78,8 +93,18 @@
 
 /** assign_probers() - work out which servers this node probes */
 void assign_probers(struct ld_health *h, uint64_t now_ms);
+/** probe_place() - place in the array of the server of a probe number */
+size_t probe_place(uint64_t probe);
 void probe_soon(struct server *s, uint64_t now_ms);
 
+/**
+ * clocks_judge() - when the answer behind a report was asked for, at the latest
+ *
+ * Return: a time on this node's clock; 0 when nothing is known yet.
+ */
+uint64_t clocks_judge(
+    struct ld_health *h, const struct ld_health_report *r, uint64_t now_ms);
+
 /** heard_put() - keep @r as the latest word of its reporter */
 enum ld_status heard_put(struct server *s, const struct ld_health_report *r,
     uint64_t answer_ms, uint64_t now_ms);
--- a/lib/health/ld_health.h
+++ b/lib/health/ld_health.h
@@ -27,6 +27,8 @@
  * @dead_after_ms: without an answer for so long, a suspect server is dead
  * @slow_factor: answers slower than this many medians make a straggler
  * @slow_min_ms: answers below this never make a straggler
+ * @run: random number of this process; its reports are told from those of an
+ *	earlier process at the same address by it
  * @seed: of the jitter
  */
 struct ld_health_config {
@@ -41,6 +43,7 @@
 	uint32_t dead_after_ms;
 	uint32_t slow_factor;
 	uint32_t slow_min_ms;
+	uint64_t run;
 	uint64_t seed;
 };
 
@@ -71,9 +74,10 @@
 /**
  * struct ld_health_report - one reporter's latest word on one server
  * @replica: what the server itself said that it holds; "" for none
- * @seq: rises with each report of this reporter
- * @age_ms: time since before the last answered probe was sent; whoever
- *	receives a report adds what the transfer can have taken
+ * @run: of the reporter's process
+ * @seq: rises with each report of this run
+ * @sent_ms: when it was made, on the reporter's clock
+ * @age_ms: at @sent_ms, time since before the last answered probe was sent
  * @never_answered: no probe by this reporter was ever answered
  *
  * Self-contained with no pointers, so that tasks can post it as it is.
@@ -84,7 +88,9 @@
 	char replica[LD_HEALTH_NAME_MAX];
 	char incarnation[LD_HEALTH_NAME_MAX];
 	uint64_t epoch;
+	uint64_t run;
 	uint64_t seq;
+	uint64_t sent_ms;
 	enum ld_health_verdict verdict;
 	bool never_answered;
 	bool ready;
@@ -210,9 +216,24 @@
 void ld_health_call_result(struct ld_health *h, struct ld_str address,
     enum ld_health_outcome outcome, uint32_t token_ms, uint64_t now_ms);
 
+/** ld_health_report_encode() - append the report as it travels (msgpack) */
+void ld_health_report_encode(
+    const struct ld_health_report *r, struct ld_buf *out);
+/**
+ * ld_health_report_decode() - read what ld_health_report_encode() wrote
+ *
+ * Return: LD_OK or LD_E_PROTOCOL.
+ */
+enum ld_status ld_health_report_decode(
+    struct ld_str bytes, struct ld_health_report *out);
+
 /**
  * ld_health_peer_report() - a report of another node arrived
  *
+ * How long it was under way is worked out from the quickest report of that
+ * reporter. During the first report life after a reporter was first heard of
+ * there is nothing to compare with, so its answers don't count as fresh yet.
+ *
  * Return: LD_OK; LD_E_STALE when it is older than what is known of that
  * reporter or past its life; LD_E_NOT_FOUND for a server not in the list.
  */
@@ -230,6 +251,10 @@
 enum ld_status ld_health_view(const struct ld_health *h, struct ld_str address,
     uint64_t now_ms, struct ld_health_view *out);
 
+/** ld_health_each_view() - call @fn with the view of every listed server */
+void ld_health_each_view(const struct ld_health *h, uint64_t now_ms,
+    void (*fn)(void *arg, const struct ld_health_view *v), void *arg);
+
 /**
  * ld_health_holds() - whether a member may be relied on at @now_ms
  *
--- a/lib/health/probes.c
+++ b/lib/health/probes.c
@@ -13,6 +13,12 @@
 /* The adapter ends a probe by itself; this is for one it never ended. */
 #define PROBE_GRACE_MS 1000
 
+size_t
+probe_place(uint64_t probe)
+{
+	return probe & PLACE_MASK;
+}
+
 static uint64_t
 weight_of(const char *node, const char *address)
 {
@@ -152,7 +158,9 @@
 
 	memcpy(r->reporter, h->self, sizeof(r->reporter));
 	memcpy(r->address, s->address, sizeof(r->address));
+	r->run = h->config.run;
 	r->seq = ++h->seq;
+	r->sent_ms = now_ms;
 	r->verdict = own_verdict(h, s, now_ms);
 	r->never_answered = s->own_answer_ms == 0;
 	r->straggler = s->answers.straggler;
@@ -204,7 +212,7 @@
     enum ld_health_outcome outcome, const struct ld_health_answer *answer,
     uint64_t now_ms)
 {
-	size_t place = probe & PLACE_MASK;
+	size_t place = probe_place(probe);
 	struct server *s;
 
 	if (place >= h->server_count)
--- a/lib/health/reports.c
+++ b/lib/health/reports.c
@@ -35,7 +35,7 @@
 {
 	struct heard *e = find_reporter(s, r->reporter);
 
-	if (e != NULL && r->seq <= e->report.seq)
+	if (e != NULL && r->run == e->report.run && r->seq <= e->report.seq)
 		return ld_fail(LD_E_STALE, "older report of this reporter");
 	if (e == NULL)
 		e = new_slot(s);
--- a/lib/replica/recorder.c
+++ b/lib/replica/recorder.c
@@ -39,7 +39,7 @@
 adopt(struct ld_replica *c, const struct ld_replica_record *r,
     uint64_t revision, uint64_t now_ms)
 {
-	uint64_t since[LD_REPLICA_MAX];
+	uint64_t since[LD_REPLICA_MAX] = {0};
 
 	for (uint16_t i = 0; i < r->count; i++) {
 		const struct ld_replica_entry *e = &r->replicas[i];
