--- a/lib/node/node_internal.h
+++ b/lib/node/node_internal.h
@@ -10,13 +10,17 @@
 #include "ld_loop.h"
 #include "ld_metrics.h"
 #include "ld_node.h"
+#include "ld_peers.h"
 #include "ld_platform.h"
 #include "ld_route.h"
 
 struct completion;
 struct service_call;
+struct catalogue_task;
 struct edit;
+struct fleet;
 struct history;
+struct placement_task;
 struct probes;
 
 /** enum node_phase - life of a node */
@@ -36,10 +40,15 @@
 	struct ld_listener *entry;
 	struct ld_listener *operators;
 	struct ld_catalogue *catalogue; /* NULL until one is known */
+	struct catalogue_task *catalogue_task;
+	struct fleet *fleet;
+	struct edit *edits;
+	struct placement_task *placement_task;
 	struct ld_admit *admit;
 	struct ld_route *route;
 	struct probes *probes;
 	struct completion *completions;
+	struct service_call *service_calls;
 	uint64_t last_call; /* ids of calls given to lib/route */
 	enum node_phase phase;
 	struct ld_metrics *metrics;
@@ -90,6 +99,8 @@
 /** service_start() - take a request below /services/ */
 void service_start(struct ld_node *n, struct ld_exchange *x);
 void service_gone(struct service_call *c);
+/** service_decided() - admission decided; false when it is no such call */
+bool service_decided(struct ld_node *n, const struct ld_admit_decision *d);
 
 /* ---- Operators (operator.c) ---- */
 
@@ -97,11 +108,71 @@
 /** edit_start() - PUT of the catalogue (edit.c) */
 void edit_start(struct ld_node *n, struct ld_exchange *x);
 void edit_gone(struct edit *e);
+/** edits_close() - forget every edit under way */
+void edits_close(struct ld_node *n);
+
+/* ---- Other nodes (fleet.c) ---- */
+
+/** fleet_open() - bind and join; the decision modules are told by start */
+enum ld_status fleet_open(struct ld_node *n);
+void fleet_start(struct fleet *f);
+/** fleet_leave() - tell the others that this node stops for good */
+void fleet_leave(struct fleet *f);
+void fleet_close(struct fleet *f);
+/** fleet_self() - this node's id for admission */
+uint64_t fleet_self(const struct fleet *f);
+/** fleet_self_name() - this node's name with its incarnation */
+void fleet_self_name(const struct fleet *f, struct ld_buf *out);
+void fleet_send_admit(struct fleet *f, uint64_t to, struct ld_str bytes);
+void fleet_offer(struct fleet *f, int64_t revision, struct ld_str bytes);
+void fleet_confirm(struct fleet *f, int64_t revision);
+/** fleet_unconfirmed() - nodes that have not confirmed; free the names */
+size_t fleet_unconfirmed(
+    struct fleet *f, int64_t revision, struct ld_str **names);
+void fleet_names_free(struct ld_str *names, size_t n);
+/** fleet_publish() - give a record of this node to all nodes */
+void fleet_publish(struct fleet *f, enum ld_peers_kind kind, struct ld_str key,
+    struct ld_str value);
+void fleet_gauges(const struct fleet *f, struct ld_metrics *m);
+
+/* ---- Catalogue (catalogue_task.c) ---- */
+
+void catalogue_open(struct ld_node *n);
+void catalogue_close(struct ld_node *n);
+/** catalogue_members() - live nodes, and how many are counted */
+void catalogue_members(struct ld_node *n, const struct ld_fresh_node *nodes,
+    size_t count, size_t counted);
+/** catalogue_peers() - last contact to peers, and what they hold */
+void catalogue_peers(struct ld_node *n, uint64_t acked_ms, size_t others,
+    size_t reported, int64_t newest);
+void catalogue_from_peer(
+    struct ld_node *n, int64_t revision, struct ld_str bytes);
+/** catalogue_written() - this node wrote a new revision */
+void catalogue_written(
+    struct ld_node *n, int64_t revision, struct ld_str bytes);
+/** catalogue_admits() - whether callers may be admitted at this moment */
+bool catalogue_admits(const struct ld_node *n);
+unsigned int catalogue_alarms(const struct ld_node *n);
+bool catalogue_is_delegate(const struct ld_node *n);
 
 /* ---- Platform (follow.c) ---- */
 
-/** follow_open() - follow catalogue, placement records and live list */
+/** follow_open() - open the clients of store and live list */
 void follow_open(struct ld_node *n);
+/** follow_start() - tell the parts what is known so far */
+void follow_start(struct ld_node *n);
+/** follow_zone() - failure domain of an address, empty when not listed */
+struct ld_str follow_zone(struct ld_node *n, const char *address);
+
+/* ---- Placement records (placement_task.c) ---- */
+
+void placement_open(struct ld_node *n);
+void placement_close(struct ld_node *n);
+/** placement_from_peer() - a delegate published a record */
+void placement_from_peer(
+    struct ld_node *n, struct ld_str fabric, struct ld_str value);
+/** placement_zones_changed() - the live list changed */
+void placement_zones_changed(struct ld_node *n);
 void follow_close(struct ld_node *n);
 
 /* ---- Probes of servers (probe.c) ---- */
--- a/lib/peers/ld_peers.h
+++ b/lib/peers/ld_peers.h
@@ -32,6 +32,7 @@
 	LD_PEERS_REC_LOAD = 3, /* load of a replica: fast, newest only */
 	LD_PEERS_REC_USAGE = 4, /* usage by entry: fast, newest only */
 	LD_PEERS_REC_DRAIN = 5, /* drain state of a node */
+	LD_PEERS_REC_PLACEMENT = 6, /* placement record of a fabric domain */
 	LD_PEERS_REC_KIND_END
 };
 
@@ -148,6 +149,8 @@
  * closed meanwhile are ignored.
  */
 bool ld_peers_next_action(struct ld_peers *p, struct ld_peers_action *a);
+/** ld_peers_has_action() - whether ld_peers_next_action() would give one */
+bool ld_peers_has_action(const struct ld_peers *p);
 
 /* ---- Records ---- */
 
@@ -201,6 +204,13 @@
 void ld_peers_leave(struct ld_peers *p, uint64_t now_ms);
 /** ld_peers_links() - links that are up and part of the mesh */
 size_t ld_peers_links(const struct ld_peers *p);
+/**
+ * ld_peers_acked_ms() - when the newest ping that a peer answered was sent
+ *
+ * 0 before the first answer. Counted from the sending, so that answers read
+ * after a pause of this process don't pass for new.
+ */
+uint64_t ld_peers_acked_ms(const struct ld_peers *p);
 /** ld_peers_isolated() - no link is up although other nodes are known */
 bool ld_peers_isolated(const struct ld_peers *p);
 void ld_peers_counters(const struct ld_peers *p, struct ld_peers_counters *out);
