--- a/lib/node/control_task.c
+++ b/lib/node/control_task.c
@@ -224,6 +224,12 @@
 	return LD_E_UNKNOWN;
 }
 
+/* What the engine says beside its status is of no use. */
+static void
+on_order_body(struct ld_http_sink *s, struct ld_str bytes)
+{
+}
+
 static void
 on_order_done(struct ld_http_sink *s, const struct ld_http_result *r)
 {
@@ -281,7 +287,8 @@
 static void
 order_start(struct ld_control_task *t, const struct ld_replica_action *a)
 {
-	static const struct ld_http_sink_ops ops = {.done = on_order_done};
+	static const struct ld_http_sink_ops ops = {
+	    .body = on_order_body, .done = on_order_done};
 	struct order_op *op;
 
 	/* The clock is read here: the process may have stopped meanwhile. */
