--- a/lib/replica/orders.c
+++ b/lib/replica/orders.c
@@ -118,6 +118,7 @@
 
 /** struct turn - place of a forming replica in the order of loads */
 struct turn {
+	bool warming; /* nothing waits for it */
 	size_t model;
 	size_t missing;
 	uint16_t index;
@@ -133,6 +134,8 @@
 	const struct turn *a = va;
 	const struct turn *b = vb;
 
+	if (a->warming != b->warming)
+		return a->warming ? 1 : -1;
 	if (a->model != b->model)
 		return a->model < b->model ? -1 : 1;
 	if (a->missing != b->missing)
@@ -152,6 +155,7 @@
 
 		if (e->state != LD_REPLICA_FORMING || m == NULL)
 			continue;
+		out[n].warming = plan_warming(p, e);
 		out[n].model = (size_t)(m - p->models);
 		out[n].missing = plan_loads_missing(&c->instances, e, now_ms);
 		out[n].index = i;
--- a/lib/replica/plan.c
+++ b/lib/replica/plan.c
@@ -292,6 +292,7 @@
 		return;
 	staying = count_staying(s, e);
 	missing = staying < m->size ? m->size - staying : 0;
+	step_claim(s, missing);
 	if (step_free(s) >= missing) {
 		reform(s, e);
 		return;
@@ -343,6 +344,11 @@
 {
 	struct ld_replica_entry *e = &s->record->replicas[i];
 
+	if (step_warming(s, e)) {
+		if (broken(s, e))
+			step_remove(s, e);
+		return;
+	}
 	if (broken(s, e)) {
 		/* A filler is cheaper to form anew than to mend. */
 		if (!step_wanted(s, e))
@@ -372,7 +378,7 @@
 	for (uint16_t i = 0; i < s->record->count; i++) {
 		const struct ld_replica_entry *e = &s->record->replicas[i];
 
-		n += e->member_count > 0 &&
+		n += e->member_count > 0 && !step_warming(s, e) &&
 		    plan_model(s->p->config, e->model) == m;
 	}
 	return n;
@@ -388,6 +394,7 @@
 		const struct ld_replica_model *m = &c->models[i];
 
 		while (count_model(s, m) < m->wanted) {
+			step_claim(s, m->size + s->reserved);
 			if (step_free(s) >= m->size + s->reserved) {
 				if (!step_form(s, m))
 					return;
@@ -441,6 +448,7 @@
 		reform_one(&s, &broken_ones, i);
 	form_wanted(&s);
 	step_fill(&s);
+	step_warm(&s);
 	compact(record);
 	return s.changed;
 }
--- a/lib/replica/plan_internal.h
+++ b/lib/replica/plan_internal.h
@@ -20,6 +20,11 @@
 /** step_fit() - without trouble for long enough, be it free or not */
 bool step_fit(const struct step *s, uint16_t i);
 uint16_t step_free(const struct step *s);
+bool step_warming(const struct step *s, const struct ld_replica_entry *e);
+/** step_claim() - free warm spares until @need are free, where that helps */
+void step_claim(struct step *s, uint16_t need);
+/** step_warm() - have idle spares load the weights that will be needed */
+void step_warm(struct step *s);
 /** step_take() - best free instance for @model, now owned; or NO_INSTANCE */
 uint16_t step_take(struct step *s, const char *model);
 void step_release(struct step *s, const struct ld_replica_entry *e);
--- a/lib/replica/replica_internal.h
+++ b/lib/replica/replica_internal.h
@@ -72,6 +72,14 @@
 uint32_t instance_settle_ms(
     const struct instance *in, const struct ld_replica_plan_config *c);
 
+/**
+ * plan_warming() - an entry that only has a spare hold the weights ready
+ *
+ * It stands in the record as forming and never serves. It is taken out when
+ * its member is needed.
+ */
+bool plan_warming(
+    const struct ld_replica_plan_config *c, const struct ld_replica_entry *e);
 const struct ld_replica_model *plan_model(
     const struct ld_replica_plan_config *c, const char *name);
 size_t plan_loads_missing(const struct instances *t,
--- a/lib/replica/spares.c
+++ b/lib/replica/spares.c
@@ -41,7 +41,9 @@
 cost_per_hour(const struct ld_replica_plan_config *c, uint16_t instances, int k)
 {
 	double per_ms = instances * (c->loss_per_day / LOSS_UNIT) / MS_PER_DAY;
-	double wait_ms = can_break_up(c) ? c->drain_ms : c->refill_ms;
+	/* A spare is held with the weights loaded, so it saves the load too. */
+	double wait_ms =
+	    (can_break_up(c) ? c->drain_ms : c->refill_ms) + c->load_ms;
 	double none_left;
 
 	/* With k spares, the k-th loss within one refill finds none. */
--- a/lib/replica/supply.c
+++ b/lib/replica/supply.c
@@ -135,6 +135,144 @@
 	s->changed = true;
 }
 
+static void
+new_id(const struct step *s, char kind, char *out, size_t size)
+{
+	for (unsigned int n = 1;; n++) {
+		snprintf(out, size, "%.32s-%c%u", s->p->fabric, kind, n);
+		if (record_find(s->record, out) == NULL)
+			return;
+	}
+}
+
+/* Adds a forming entry with room for one member; the record has room. */
+static struct ld_replica_entry *
+add_entry(struct step *s, const char *model, char kind)
+{
+	struct ld_replica_entry *e = &s->record->replicas[s->record->count];
+
+	memset(e, 0, sizeof(*e));
+	new_id(s, kind, e->id, sizeof(e->id));
+	snprintf(e->model, sizeof(e->model), "%s", model);
+	e->state = LD_REPLICA_FORMING;
+	e->epoch = s->p->next_epoch;
+	e->member_count = 1;
+	s->record->count++;
+	s->changed = true;
+	return e;
+}
+
+/* ---- Warm spares ---- */
+
+bool
+plan_warming(
+    const struct ld_replica_plan_config *c, const struct ld_replica_entry *e)
+{
+	const struct ld_replica_model *m = plan_model(c, e->model);
+
+	return m != NULL && !m->fills && m->size > 1 && e->member_count == 1;
+}
+
+bool
+step_warming(const struct step *s, const struct ld_replica_entry *e)
+{
+	return plan_warming(s->p->config, e);
+}
+
+static uint16_t
+count_warming(const struct step *s)
+{
+	uint16_t n = 0;
+
+	for (uint16_t i = 0; i < s->record->count; i++)
+		n += step_warming(s, &s->record->replicas[i]);
+	return n;
+}
+
+static uint16_t
+count_filler_members(const struct step *s)
+{
+	uint16_t n = 0;
+
+	for (uint16_t i = 0; i < s->record->count; i++) {
+		const struct ld_replica_entry *e = &s->record->replicas[i];
+
+		if (!step_wanted(s, e))
+			n += e->member_count;
+	}
+	return n;
+}
+
+/* The warm spare to use first: one that has its weights already. */
+static struct ld_replica_entry *
+choose_warm(const struct step *s)
+{
+	struct ld_replica_entry *best = NULL;
+
+	for (uint16_t i = 0; i < s->record->count; i++) {
+		struct ld_replica_entry *e = &s->record->replicas[i];
+
+		if (!step_warming(s, e) || !step_fit(s, e->members[0]))
+			continue;
+		if (instance_has_weights(
+			step_instance(s, e->members[0]), e->model))
+			return e;
+		if (best == NULL)
+			best = e;
+	}
+	return best;
+}
+
+void
+step_claim(struct step *s, uint16_t need)
+{
+	struct ld_replica_entry *e;
+
+	if (step_free(s) + count_warming(s) + count_filler_members(s) < need)
+		return;
+	while (step_free(s) < need && (e = choose_warm(s)) != NULL)
+		step_remove(s, e);
+}
+
+/* The model whose replicas a spare will most likely have to mend. */
+static const struct ld_replica_model *
+model_to_warm(const struct step *s)
+{
+	const struct ld_replica_plan_config *c = s->p->config;
+	const struct ld_replica_model *best = NULL;
+
+	for (size_t i = 0; i < c->model_count; i++) {
+		const struct ld_replica_model *m = &c->models[i];
+
+		if (m->fills || m->size < 2 || m->wanted == 0)
+			continue;
+		if (best == NULL ||
+		    m->size * m->wanted > best->size * best->wanted)
+			best = m;
+	}
+	return best;
+}
+
+void
+step_warm(struct step *s)
+{
+	const struct ld_replica_model *m = model_to_warm(s);
+	char model[LD_HEALTH_NAME_MAX];
+
+	if (m == NULL || s->awaited + s->reserved > 0)
+		return;
+	snprintf(model, sizeof(model), "%.*s", LD_FMT(m->name));
+	for (uint16_t i = 0; i < s->p->instances->count; i++) {
+		if (s->record->count == LD_REPLICA_MAX)
+			return;
+		if (!usable(s, i) ||
+		    instance_has_weights(step_instance(s, i), model))
+			continue;
+		s->owned[i] = true;
+		add_entry(s, model, 's')->members[0] = i;
+	}
+}
+
 /* ---- Breaking up ---- */
 
 uint16_t
@@ -179,20 +317,6 @@
 	return best;
 }
 
-static uint16_t
-count_filler_members(const struct step *s)
-{
-	uint16_t n = 0;
-
-	for (uint16_t i = 0; i < s->record->count; i++) {
-		const struct ld_replica_entry *e = &s->record->replicas[i];
-
-		if (!step_wanted(s, e))
-			n += e->member_count;
-	}
-	return n;
-}
-
 bool
 step_break_up(struct step *s, uint16_t need)
 {
@@ -227,16 +351,6 @@
 
 /* ---- Forming ---- */
 
-static void
-new_id(const struct step *s, char *out, size_t size)
-{
-	for (unsigned int n = 1;; n++) {
-		snprintf(out, size, "%.32s-r%u", s->p->fabric, n);
-		if (record_find(s->record, out) == NULL)
-			return;
-	}
-}
-
 bool
 step_form(struct step *s, const struct ld_replica_model *m)
 {
@@ -246,16 +360,9 @@
 	if (s->record->count == LD_REPLICA_MAX || step_free(s) < m->size)
 		return false;
 	snprintf(model, sizeof(model), "%.*s", LD_FMT(m->name));
-	e = &s->record->replicas[s->record->count];
-	memset(e, 0, sizeof(*e));
-	new_id(s, e->id, sizeof(e->id));
-	memcpy(e->model, model, sizeof(model));
-	e->state = LD_REPLICA_FORMING;
-	e->epoch = s->p->next_epoch;
+	e = add_entry(s, model, 'r');
 	for (e->member_count = 0; e->member_count < m->size; e->member_count++)
 		e->members[e->member_count] = step_take(s, model);
-	s->record->count++;
-	s->changed = true;
 	return true;
 }
 
@@ -276,6 +383,7 @@
 {
 	const struct ld_replica_model *m = filler(s);
 	uint16_t keep = s->reserved;
+	uint16_t warming;
 
 	if (m == NULL)
 		return;
@@ -283,10 +391,13 @@
 	if (!step_idle_costs_more(s, s->awaited, s->p->config->drain_ms))
 		keep += s->awaited;
 	/* Instances that settle soon count: breaking up for them is waste. */
-	if (count_sound(s) + step_parts_coming(s) < keep)
-		step_break_up(s, keep);
-	while (step_free(s) >= keep + m->size) {
+	warming = count_warming(s);
+	if (count_sound(s) + warming + step_parts_coming(s) < keep)
+		step_break_up(s, keep - warming);
+	while (step_free(s) + warming >= keep + m->size) {
+		step_claim(s, m->size);
 		if (!step_form(s, m))
 			return;
+		warming = count_warming(s);
 	}
 }
--- a/tests/replica_world.h
+++ b/tests/replica_world.h
@@ -656,6 +656,7 @@
 	c.plan.settle_ms = 1000;
 	c.plan.drain_ms = 20000;
 	c.plan.max_loads = 2;
+	c.plan.fixed_spares = seed % 4 == 0 ? 1 : 0;
 	c.plan.models[0] =
 	    (struct ld_replica_model){LD_STR("large"), 3, 2, false};
 	c.plan.models[1] =
