--- a/tests/faults/ld_fleet.c
+++ b/tests/faults/ld_fleet.c
@@ -342,6 +342,39 @@
 	return ld_wait_until(is_ready, &c, LD_WAIT_MS);
 }
 
+long
+ld_fleet_lookup(struct ld_fleet *f, int i, const char *key, const char *lot)
+{
+	struct ld_reply r;
+	char path[96];
+
+	snprintf(path, sizeof(path), "/services/stock/status/%s", lot);
+	ld_call(&f->s,
+	    &(struct ld_call){
+		.address = f->nodes[i]->address, .path = path, .key = key},
+	    &r);
+	ld_reply_free(&r);
+	return r.ok ? r.code : 0;
+}
+
+static bool
+is_serving(void *arg)
+{
+	struct ready_check *c = arg;
+
+	return ld_fleet_lookup(c->f, c->i, LD_FLEET_SHOP_KEY, "warm-up") ==
+	    200 &&
+	    ld_fleet_lookup(c->f, c->i, LD_FLEET_QUAY_KEY, "warm-up") == 200;
+}
+
+bool
+ld_fleet_wait_serving(struct ld_fleet *f, int i)
+{
+	struct ready_check c = {f, i};
+
+	return ld_wait_until(is_serving, &c, LD_WAIT_MS);
+}
+
 /* ---- Whole ---- */
 
 static int
@@ -383,8 +416,9 @@
 	for (int i = 0; i < f->o.nodes; i++)
 		ld_fleet_start_node(f, i);
 	for (int i = 0; i < f->o.nodes; i++)
-		ld_session_expect(&f->s, ld_fleet_wait_ready(f, i),
-		    "a node does not become ready");
+		ld_session_expect(&f->s,
+		    ld_fleet_wait_ready(f, i) && ld_fleet_wait_serving(f, i),
+		    "a node does not become ready and serve");
 }
 
 void
--- a/tests/faults/ld_fleet.h
+++ b/tests/faults/ld_fleet.h
@@ -51,7 +51,17 @@
 
 /** ld_fleet_start_node() - start node @i, or start it anew after its end */
 void ld_fleet_start_node(struct ld_fleet *f, int i);
+/** ld_fleet_wait_ready() - until node @i is ready and knows every replica */
 bool ld_fleet_wait_ready(struct ld_fleet *f, int i);
+/**
+ * ld_fleet_wait_serving() - until node @i serves a lookup of both callers
+ *
+ * The lookups are of the lot "warm-up".
+ */
+bool ld_fleet_wait_serving(struct ld_fleet *f, int i);
+/** ld_fleet_lookup() - status code of a lookup of @lot through node @i */
+long ld_fleet_lookup(
+    struct ld_fleet *f, int i, const char *key, const char *lot);
 /** ld_fleet_status() - GET /status of node @i; caller decrefs */
 json_t *ld_fleet_status(struct ld_fleet *f, int i);
 /** ld_fleet_operate() - a call on the operators' listener of node @i */
--- a/tests/faults/ld_session_golden.c
+++ b/tests/faults/ld_session_golden.c
@@ -79,6 +79,7 @@
 	const char *at =
 	    r->head.len > 0 ? strcasestr(r->head.p, "\nRetry-After: ") : NULL;
 
+	alias_request(s, r);
 	if (at != NULL)
 		snprintf(retry, sizeof(retry), ", retry after %ld s",
 		    strtol(at + 14, NULL, 10));
--- a/tests/faults/test_catalogue_edit.c
+++ b/tests/faults/test_catalogue_edit.c
@@ -48,17 +48,7 @@
 static long
 ask_as_shop(int node)
 {
-	struct ld_reply r;
-
-	ld_call(&fleet.s,
-	    &(struct ld_call){
-		.address = fleet.nodes[node]->address,
-		.path = "/services/stock/status/lot-1",
-		.key = LD_FLEET_SHOP_KEY,
-	    },
-	    &r);
-	ld_reply_free(&r);
-	return r.code;
+	return ld_fleet_lookup(&fleet, node, LD_FLEET_SHOP_KEY, "lot-1");
 }
 
 static bool
--- a/tests/faults/test_path.c
+++ b/tests/faults/test_path.c
@@ -200,6 +200,24 @@
 	ld_fleet_end(&fleet);
 }
 
+/* A balancer sends callers as soon as a node says that it is ready. */
+static void
+test_ready_means_serving(void)
+{
+	ld_fleet_begin(&fleet, "ready", &(struct ld_fleet_options){0});
+	for (int i = 0; i < 3; i++) {
+		ld_kill(fleet.nodes[0]);
+		ld_fleet_start_node(&fleet, 0);
+		ld_session_expect(&fleet.s, ld_fleet_wait_ready(&fleet, 0),
+		    "the node does not become ready");
+		ld_session_expect(&fleet.s,
+		    ld_fleet_lookup(&fleet, 0, LD_FLEET_SHOP_KEY, "lot-1") ==
+			200,
+		    "ready, but the first request is refused");
+	}
+	ld_fleet_end(&fleet);
+}
+
 int
 main(void)
 {
@@ -207,6 +225,7 @@
 	    {"the whole path, golden", test_golden_session},
 	    {"a hang-up frees the place", test_hang_up_frees_the_place},
 	    {"half a request leaks nothing", test_half_a_request_leaks_nothing},
+	    {"ready means serving", test_ready_means_serving},
 	    {NULL, NULL},
 	};
 
