--- a/lib/node/operator.c
+++ b/lib/node/operator.c
@@ -46,6 +46,23 @@
 
 /* ---- Reads ---- */
 
+/* ---- Unconfirmed nodes are told with the status ---- */
+
+static json_t *
+unconfirmed(struct ld_node *n, json_int_t revision)
+{
+	struct ld_str *names = NULL;
+	json_t *list = json_array();
+	size_t count;
+
+	count = fleet_unconfirmed(n->fleet, revision, &names);
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(
+		    list, json_stringn(names[i].p, names[i].len));
+	fleet_names_free(names, count);
+	return list;
+}
+
 static const char *
 phase_name(enum node_phase p)
 {
@@ -57,7 +74,7 @@
 static bool
 is_ready(const struct ld_node *n)
 {
-	return n->phase == NODE_SERVING && n->catalogue != NULL;
+	return n->phase == NODE_SERVING && catalogue_admits(n);
 }
 
 static void
@@ -77,46 +94,51 @@
 	    n->catalogue != NULL ? ld_catalogue_revision(n->catalogue) : 0;
 
 	answer_json(x, 200,
-	    json_pack("{s:s,s:b,s:s,s:I,s:I,s:b,s:I,s:I}", "phase",
+	    json_pack("{s:s,s:b,s:s,s:I,s:I,s:b,s:I,s:I,s:o,s:b,s:I}", "phase",
 		phase_name(n->phase), "ready", is_ready(n), "failure_domain",
 		n->settings->failure_domain, "catalogue_revision", revision,
 		"store_revision", (json_int_t)ld_store_revision(n->store),
 		"store_alarm", ld_store_alarm(n->store), "open_requests",
 		(json_int_t)ld_listener_open_exchanges(n->entry),
 		"capacity_slots",
-		(json_int_t)ld_route_capacity(n->route, node_now(n))));
+		(json_int_t)ld_route_capacity(n->route, node_now(n)),
+		"unconfirmed", unconfirmed(n, revision), "delegate",
+		catalogue_is_delegate(n), "catalogue_alarms",
+		(json_int_t)catalogue_alarms(n)));
 }
 
 static void
 get_counters(struct ld_node *n, struct ld_exchange *x)
 {
-	const struct node_counters *c = &n->counters;
-	const struct {
-		const char *name;
-		uint64_t value;
-	} rows[] = {
-	    {"ld_requests_total", c->requests},
-	    {"ld_tokens_total", c->tokens},
-	    {"ld_refused_total", c->refused},
-	    {"ld_retries_total", c->retries},
-	    {"ld_resumes_total", c->resumes},
-	    {"ld_hangups_total", c->hangups},
-	    {"ld_broken_streams_total", c->broken_streams},
-	    {"ld_service_calls_total", c->service_calls},
-	    {"ld_service_unknown_total", c->service_unknown},
-	    {"ld_pauses_total", ld_loop_pauses(n->loop)},
-	};
 	struct ld_buf out = {0};
 
-	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
-		ld_buf_printf(&out, "# TYPE %s counter\n%s %llu\n",
-		    rows[i].name, rows[i].name,
-		    (unsigned long long)rows[i].value);
+	node_gauges(n);
+	ld_metrics_write(n->metrics, &out);
 	ld_exchange_answer(
 	    x, 200, "text/plain; version=0.0.4", NULL, ld_buf_str(&out));
 	ld_buf_free(&out);
 }
 
+static void
+get_burn(struct ld_node *n, struct ld_exchange *x)
+{
+	struct ld_buf out = {0};
+
+	ld_burn_write(n->burn, node_now(n), &out);
+	ld_exchange_answer(x, 200, "application/json", NULL, ld_buf_str(&out));
+	ld_buf_free(&out);
+}
+
+static void
+get_history(struct ld_node *n, struct ld_exchange *x)
+{
+	struct ld_buf out = {0};
+
+	history_write(n->history, node_now(n), &out);
+	ld_exchange_answer(x, 200, "application/json", NULL, ld_buf_str(&out));
+	ld_buf_free(&out);
+}
+
 static void
 get_catalogue(struct ld_node *n, struct ld_exchange *x)
 {
@@ -154,6 +176,8 @@
     {"GET", "/ready", get_ready},
     {"GET", "/status", get_status},
     {"GET", "/counters", get_counters},
+    {"GET", "/burn", get_burn},
+    {"GET", "/catalogue/history", get_history},
     {"GET", "/catalogue", get_catalogue},
     {"PUT", "/catalogue", edit_start},
     {"POST", "/drain", post_drain},
