--- a/lib/node/node_internal.h
+++ b/lib/node/node_internal.h
@@ -51,6 +51,8 @@
 	struct service_call *service_calls;
 	uint64_t last_call; /* ids of calls given to lib/route */
 	enum node_phase phase;
+	uint64_t
+	    settled_ms; /* its share of the limits is usable from then on */
 	struct ld_metrics *metrics;
 	struct ld_burn *burn;
 	struct history *history; /* catalogue revisions seen, see follow.c */
--- a/lib/node/operator.c
+++ b/lib/node/operator.c
@@ -74,7 +74,8 @@
 static bool
 is_ready(const struct ld_node *n)
 {
-	return n->phase == NODE_SERVING && catalogue_admits(n);
+	return n->phase == NODE_SERVING && catalogue_admits(n) &&
+	    node_now(n) >= n->settled_ms;
 }
 
 static void
--- a/lib/node/serve.c
+++ b/lib/node/serve.c
@@ -140,6 +140,7 @@
 	n->history = history_new();
 	n->route = ld_route_new(&route);
 	n->admit = ld_admit_new(&admit, node_now(n));
+	n->settled_ms = node_now(n) + SETTLE_MS;
 }
 
 static void
