--- a/lib/booking/booking_internal.h
+++ b/lib/booking/booking_internal.h
@@ -45,7 +45,6 @@
 struct claims {
 	char *writer; /* of this value */
 	uint64_t written_ms; /* time of day of the writer */
-	uint64_t other_ms; /* same of the last writer before that one */
 	struct record *v; /* oldest first */
 	size_t n;
 	size_t bytes; /* bound of the encoded size, with room for outcomes */
@@ -62,8 +61,7 @@
 size_t claims_add_bytes(struct claims *c, const struct record *r);
 struct record *claims_find(const struct claims *c, const char *key);
 /** claims_prune() - forget records older than @retention_ms; count them */
-size_t claims_prune(struct claims *c, const char *node, uint64_t wall_ms,
-    uint64_t retention_ms);
+size_t claims_prune(struct claims *c, uint64_t wall_ms, uint64_t retention_ms);
 
 /* ---- Operations on a shard (ops.c) ---- */
 
@@ -168,6 +166,8 @@
 	char *node;
 	struct ld_rand rand;
 	uint64_t wall_base_ms; /* time of day at the monotonic time 0 */
+	uint64_t other_base_ms; /* the same by the node heard last */
+	bool heard_other;
 	char **members;
 	size_t n_members;
 	struct shard *shards;
@@ -187,6 +187,16 @@
 /** booking_payload() - buffer that lives as long as the action just queued */
 struct ld_buf *booking_payload(struct ld_booking *b);
 uint64_t booking_wall(const struct ld_booking *b, uint64_t now_ms);
+/**
+ * booking_prune_time() - time of day by which keys may be forgotten
+ *
+ * Not later than that of the node heard last: one clock that runs ahead must
+ * not make keys be forgotten early. 0 while no other was heard.
+ */
+uint64_t booking_prune_time(const struct ld_booking *b, uint64_t now_ms);
+/** booking_hear_clock() - another node says that its time is @wall_ms */
+void booking_hear_clock(
+    struct ld_booking *b, uint64_t now_ms, uint64_t wall_ms);
 struct call *call_find(const struct ld_booking *b, uint64_t id);
 struct call *call_of_attempt(const struct ld_booking *b, uint64_t attempt);
 /** call_forget() - unlink and free */
@@ -230,6 +240,6 @@
 /** forward_timed_out() - the usual writer of @shard did not answer */
 void forward_timed_out(struct ld_booking *b, uint64_t now_ms, uint32_t shard);
 /** forward_reply() - tell the node that asked for @o what came of it */
-void forward_reply(struct ld_booking *b, const struct op *o);
+void forward_reply(struct ld_booking *b, uint64_t now_ms, const struct op *o);
 
 #endif
--- a/lib/booking/claim.c
+++ b/lib/booking/claim.c
@@ -110,7 +110,7 @@
 	struct call *c;
 
 	if (o->from != NULL) {
-		forward_reply(b, o);
+		forward_reply(b, now_ms, o);
 	} else if (o->kind == OP_CLAIM) {
 		c = call_of_attempt(b, o->rec.attempt);
 		assert(c != NULL && c->state == CALL_CLAIMING);
--- a/lib/booking/forward.c
+++ b/lib/booking/forward.c
@@ -47,13 +47,17 @@
 }
 
 static void
-send_message(struct ld_booking *b, const char *to, json_t *o)
+send_message(struct ld_booking *b, uint64_t now_ms, const char *to, json_t *o)
 {
 	struct ld_booking_action *a = booking_act(b, LD_BOOKING_MESSAGE);
 	struct ld_buf *payload = booking_payload(b);
-	char *text = json_dumps(o, JSON_COMPACT);
-	size_t len = strlen(text);
+	json_int_t wall = (json_int_t)booking_wall(b, now_ms);
+	char *text;
+	size_t len;
 
+	json_object_set_new(o, "wall", json_integer(wall));
+	text = json_dumps(o, JSON_COMPACT);
+	len = strlen(text);
 	/* One buffer holds the bytes and then the name. */
 	ld_buf_adds(payload, ld_str_c(text));
 	ld_buf_adds(payload, ld_str_c(to));
@@ -81,7 +85,7 @@
 	json_object_set_new(m, "shard", json_integer(o->shard));
 	json_object_set_new(m, "ms", json_integer((json_int_t)ms));
 	json_object_set_new(m, "record", record_json(&o->rec));
-	send_message(b, writer, m);
+	send_message(b, now_ms, writer, m);
 	o->forward_until_ms = now_ms + b->config.forward_timeout_ms;
 	b->counters.forwarded++;
 	return true;
@@ -99,7 +103,7 @@
 }
 
 void
-forward_reply(struct ld_booking *b, const struct op *o)
+forward_reply(struct ld_booking *b, uint64_t now_ms, const struct op *o)
 {
 	json_t *m = json_object();
 
@@ -111,7 +115,7 @@
 	json_object_set_new(m, "seen_absent", json_boolean(o->seen_absent));
 	if (o->found != NULL)
 		json_object_set_new(m, "found", record_json(o->found));
-	send_message(b, o->from, m);
+	send_message(b, now_ms, o->from, m);
 }
 
 /* ---- Messages that come in ---- */
@@ -222,6 +226,7 @@
     struct ld_str bytes)
 {
 	struct record rec = {0};
+	const json_t *wall;
 	json_t *m = NULL;
 	bool ok;
 
@@ -229,8 +234,12 @@
 	if (bytes.len > 0 && bytes.len <= MESSAGE_MAX_BYTES)
 		m = json_loadb(
 		    bytes.p, bytes.len, JSON_REJECT_DUPLICATES, NULL);
-	ok = from.len > 0 && json_is_object(m) &&
+	wall = json_object_get(m, "wall");
+	ok = from.len > 0 && json_is_integer(wall) &&
 	    record_parse(json_object_get(m, "record"), &rec);
+	if (ok)
+		booking_hear_clock(
+		    b, now_ms, (uint64_t)json_integer_value(wall));
 	if (ok && json_object_get(m, "ask") != NULL)
 		ok = take_ask(b, now_ms, from, m, &rec);
 	else if (ok)
--- a/lib/booking/record.c
+++ b/lib/booking/record.c
@@ -41,14 +41,19 @@
 	r->answer = NULL;
 }
 
-/* Room for the longest answer is kept from the claim on, so that an outcome
- * always fits. */
+/*
+ * Bound of the encoded size. A claim keeps room for the longest answer, so
+ * that an outcome always fits.
+ */
 static size_t
 record_bytes(const struct record *r)
 {
+	size_t answer = r->answer_len;
+
+	if (r->state == RECORD_CLAIMED)
+		answer = LD_BOOKING_ANSWER_KEPT_BYTES;
 	return RECORD_FIXED_BYTES + strlen(r->node) +
-	    sodium_base64_ENCODED_LEN(
-		LD_BOOKING_ANSWER_KEPT_BYTES, B64_VARIANT);
+	    sodium_base64_ENCODED_LEN(answer, B64_VARIANT);
 }
 
 static json_t *
@@ -241,7 +246,6 @@
 	o = json_loadb(bytes.p, bytes.len, JSON_REJECT_DUPLICATES, NULL);
 	ok = json_is_object(o) && get_node(o, "w", &out->writer) &&
 	    get_uint(o, "t", &out->written_ms) &&
-	    get_uint(o, "o", &out->other_ms) &&
 	    parse_records(json_object_get(o, "claims"), out);
 	json_decref(o);
 	return ok;
@@ -255,14 +259,11 @@
 	json_t *list = json_array();
 	char *text;
 
-	if (c->writer != NULL && strcmp(c->writer, node) != 0)
-		c->other_ms = c->written_ms;
 	free(c->writer);
 	c->writer = ld_strdup(node);
 	c->written_ms = wall_ms;
 	json_object_set_new(o, "w", json_string(node));
 	json_object_set_new(o, "t", json_integer((json_int_t)wall_ms));
-	json_object_set_new(o, "o", json_integer((json_int_t)c->other_ms));
 	for (size_t i = 0; i < c->n; i++)
 		json_array_append_new(list, record_json(&c->v[i]));
 	json_object_set_new(o, "claims", list);
@@ -282,26 +283,9 @@
 	return NULL;
 }
 
-/*
- * The time of day that a record's age is taken by: this node's, but not later
- * than what another writer said last. One clock that runs ahead can't make
- * keys be forgotten early.
- */
-static uint64_t
-agreed_time(const struct claims *c, const char *node, uint64_t wall_ms)
-{
-	uint64_t other = c->other_ms;
-
-	if (c->writer != NULL && strcmp(c->writer, node) != 0)
-		other = c->written_ms;
-	return other != 0 && other < wall_ms ? other : wall_ms;
-}
-
 size_t
-claims_prune(
-    struct claims *c, const char *node, uint64_t wall_ms, uint64_t retention_ms)
+claims_prune(struct claims *c, uint64_t now, uint64_t retention_ms)
 {
-	uint64_t now = agreed_time(c, node, wall_ms);
 	size_t kept = 0, pruned;
 
 	c->bytes = 0;
--- a/lib/booking/shard.c
+++ b/lib/booking/shard.c
@@ -12,6 +12,7 @@
 /* The store's client ends each call long before. */
 #define CALL_LOST_MS 10000
 #define BACKOFF_MAX_DOUBLINGS 4
+#define CONFLICT_MAX_DOUBLINGS 2
 /* First wait before looking again for a claim that may yet be written. */
 #define RECHECK_MS 1000
 
@@ -25,6 +26,16 @@
 	return wait / 2 + ld_rand_below(&b->rand, wait + 1);
 }
 
+/* The store is well and told its value: only spread the writers out. */
+static uint64_t
+conflict_wait(struct ld_booking *b, struct shard *s)
+{
+	if (s->failures < CONFLICT_MAX_DOUBLINGS)
+		s->failures++;
+	return ld_rand_below(
+	    &b->rand, (b->config.commit_interval_ms << s->failures) + 1);
+}
+
 void
 shard_submit(struct ld_booking *b, uint64_t now_ms, struct op *o)
 {
@@ -137,9 +148,9 @@
 {
 	struct shard *s = &b->shards[shard];
 
+	s->valid = false;
 	if (now_ms < s->next_read_ms)
 		return;
-	s->valid = false;
 	s->state = SHARD_READING;
 	s->busy_since_ms = now_ms;
 	s->next_read_ms = now_ms + b->config.commit_interval_ms;
@@ -212,8 +223,7 @@
 	/* Only a change of this same write stands in the way: judge it then. */
 	if (found == NULL && (result == OP_EXISTS || result == OP_APPLIED))
 		return false;
-	if (!is_fresh(s, o) && !(result == OP_EXISTS && is_final(found)) &&
-	    result != OP_APPLIED)
+	if (!is_fresh(s, o) && result != OP_APPLIED)
 		return true;
 	if (result == OP_ABSENT && o->unsure &&
 	    o->rec.state == RECORD_NOT_RUN) {
@@ -277,7 +287,7 @@
 	claims_fini(&s->next);
 	claims_copy(&s->next, &s->cache);
 	b->counters.pruned += claims_prune(
-	    &s->next, b->node, booking_wall(b, now_ms), b->config.retention_ms);
+	    &s->next, booking_prune_time(b, now_ms), b->config.retention_ms);
 	if (gather(b, s, now_ms, &s->next, &must_read))
 		begin_write(b, now_ms, shard);
 	else if (must_read)
@@ -315,17 +325,37 @@
 		return;
 	}
 	end_operations(s, OP_PENDING, outcome == LD_BOOKING_WRITE_UNKNOWN);
-	s->next_ms = now_ms + jittered_backoff(b, s);
 	if (outcome == LD_BOOKING_WRITE_CONFLICT) {
 		b->counters.conflicts++;
+		s->next_ms = now_ms + conflict_wait(b, s);
 		if (value == NULL || !fill_cache(b, s, value))
 			s->valid = false;
-	} else if (outcome == LD_BOOKING_WRITE_UNKNOWN) {
+		return;
+	}
+	s->next_ms = now_ms + jittered_backoff(b, s);
+	if (outcome == LD_BOOKING_WRITE_UNKNOWN) {
 		b->counters.unknown_writes++;
 		s->valid = false;
 	}
 }
 
+/* A final record needs neither a read nor a write to be told. */
+static void
+answer_from_cache(struct shard *s, uint64_t now_ms)
+{
+	for (struct op *o = s->ops; o != NULL; o = o->next) {
+		const struct record *found;
+
+		if (o->kind != OP_CLAIM || !is_due(o, now_ms))
+			continue;
+		found = claims_find(&s->cache, o->rec.key);
+		if (found == NULL || !is_final(found))
+			continue;
+		o->result = OP_EXISTS;
+		o->found = found;
+	}
+}
+
 /* ---- Events ---- */
 
 void
@@ -343,6 +373,8 @@
 		else
 			end_write(b, now_ms, s, LD_BOOKING_WRITE_UNKNOWN, NULL);
 	}
+	if (s->valid)
+		answer_from_cache(s, now_ms);
 	if (s->state != SHARD_IDLE || now_ms < s->next_ms ||
 	    !has_work(s, now_ms))
 		return;
--- a/lib/booking/state.c
+++ b/lib/booking/state.c
@@ -134,6 +134,24 @@
 	return b->wall_base_ms + now_ms;
 }
 
+uint64_t
+booking_prune_time(const struct ld_booking *b, uint64_t now_ms)
+{
+	uint64_t own = booking_wall(b, now_ms);
+	uint64_t other = b->other_base_ms + now_ms;
+
+	if (!b->heard_other)
+		return b->n_members > 1 ? 0 : own;
+	return own < other ? own : other;
+}
+
+void
+booking_hear_clock(struct ld_booking *b, uint64_t now_ms, uint64_t wall_ms)
+{
+	b->heard_other = true;
+	b->other_base_ms = wall_ms - now_ms;
+}
+
 void
 ld_booking_members(
     struct ld_booking *b, uint64_t now_ms, const struct ld_str *ids, size_t n)
