peers: bound claims of one address by two processes; test more faults

Two live processes given one address by mistake raised each other's generation without end; each claim now waits twice as long as the last, up to a minute.

--- a/lib/peers/ld_peers.h
+++ b/lib/peers/ld_peers.h
@@ -110,6 +110,7 @@
 	uint64_t messages_refused; /* malformed or from an impossible sender */
 	uint64_t suspicions; /* raised by this node */
 	uint64_t refutations; /* of suspicions against this node */
+	uint64_t address_claims; /* against another process at its address */
 	uint64_t deaths; /* that this node concluded or learned */
 	uint64_t pauses; /* gaps between calls beyond LD_PEERS_PAUSE_MS */
 	uint64_t records_new;
--- a/lib/peers/peers_internal.h
+++ b/lib/peers/peers_internal.h
@@ -26,6 +26,9 @@
 #define REJOIN_MAX_MS 60000
 #define BACKOFF_MIN_MS 500
 #define BACKOFF_MAX_MS 8000
+/* Between claims of an address that another process claims too. */
+#define CLAIM_MIN_MS 1000
+#define CLAIM_MAX_MS 60000
 #define SUSPECT_AGAIN_MS 60000 /* between suspicions of one node by this one */
 #define CATALOGUE_RETRY_MS 1000
 #define DIGEST_MS 2500 /* between exchanges begun on one link */
@@ -163,6 +166,8 @@
 	size_t member_cap;
 	struct member *self;
 	uint64_t next_seq; /* of the records of this node */
+	uint64_t claim_after_ms; /* its address may be claimed again then */
+	uint64_t claim_wait_ms;
 	uint64_t bucket[LD_WIRE_BUCKETS];
 	struct item changes; /* head of the circular list of items */
 	uint64_t change_no;
--- a/tests/peers_net.h
+++ b/tests/peers_net.h
@@ -80,6 +80,7 @@
 	int nodes;
 	unsigned int loss_per_mille;
 	bool cut; /* between the regions */
+	unsigned int changed_per_mille; /* messages with bytes changed */
 	bool confirm; /* nodes confirm each catalogue that comes */
 	struct net_conn *conns;
 	size_t conn_count;
@@ -241,6 +242,10 @@
 	n->node[n->conns[conn].node[1 - side]].bytes += size;
 	e = net_post(n, conn, 1 - side, NET_MESSAGE, 1);
 	ld_buf_adds(&e->bytes, a->bytes);
+	if (n->changed_per_mille > 0 &&
+	    ld_rand_below(&n->rand, 1000) < n->changed_per_mille)
+		e->bytes.p[ld_rand_below(&n->rand, e->bytes.len)] =
+		    (char)ld_rand_u64(&n->rand);
 }
 
 static inline void
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -257,6 +257,109 @@
 	net_free(&net);
 }
 
+static void
+test_acked_time_follows_the_links(void)
+{
+	uint64_t begin;
+
+	start(2, 1, 1, 0, 11);
+	net_run(&net, 10000);
+	/* Also at the end that only answers the other one's pings. */
+	for (int i = 0; i < 2; i++)
+		CU_ASSERT_TRUE(ld_peers_acked_ms(net.node[i].peers) + 2500 >
+		    net_now(&net));
+	begin = net_now(&net);
+	net.node[1].frozen = true;
+	net_run(&net, 10000);
+	CU_ASSERT_TRUE(ld_peers_acked_ms(net.node[0].peers) <= begin);
+	net_free(&net);
+}
+
+/* Two processes were given one address by mistake. */
+static void
+test_shared_address_is_no_storm(void)
+{
+	uint64_t claims = 0;
+
+	net_init(&net, SMALL, 1, 3, 0, 12);
+	snprintf(net.node[7].address, sizeof(net.node[7].address), "%s",
+	    net.node[6].address);
+	for (int i = 0; i < SMALL; i++)
+		net_start(&net, i);
+	net_run(&net, 2 * MINUTE_MS);
+	claims = counters(6).address_claims + counters(7).address_claims;
+	printf("%" PRIu64 " claims ", claims);
+	CU_ASSERT_TRUE(claims < 20);
+	net_free(&net);
+}
+
+/* Authentic peers that send nonsense: nothing breaks, the rest still join. */
+static void
+test_changed_messages_break_nothing(void)
+{
+	uint64_t refused = 0;
+
+	start(SMALL, 1, 3, 0, 13);
+	net.changed_per_mille = 200;
+	net_run(&net, 2 * MINUTE_MS);
+	for (int i = 0; i < SMALL; i++)
+		refused += counters(i).messages_refused;
+	CU_ASSERT_TRUE(refused > 0);
+	net_free(&net);
+}
+
+/* ---- The push tree ---- */
+
+static bool
+all_have_load(const char *value)
+{
+	for (int i = 0; i < net.nodes; i++) {
+		if (net.node[i].peers != NULL &&
+		    !has_record(
+			i, LD_PEERS_REC_LOAD, LD_STR("f1-r1"), ld_str_c(value)))
+			return false;
+	}
+	return true;
+}
+
+static int
+find_root(void)
+{
+	struct ld_peers_member m;
+	uint64_t least = UINT64_MAX;
+	int root = 0;
+
+	for (int i = 0; i < net.nodes; i++) {
+		ld_peers_find(
+		    net.node[i].peers, ld_str_c(net.node[i].address), &m);
+		if (m.incarnation >= least)
+			continue;
+		least = m.incarnation;
+		root = i;
+	}
+	return root;
+}
+
+static void
+test_tree_outlives_its_root(void)
+{
+	int root, from;
+
+	start(64, 2, 3, 0, 14);
+	net_run(&net, 10000);
+	root = find_root();
+	from = (root + 1) % net.nodes;
+	publish(from, LD_PEERS_REC_LOAD, LD_STR("f1-r1"), LD_STR("a"));
+	net_run(&net, 3000);
+	CU_ASSERT_TRUE(all_have_load("a"));
+	net_kill(&net, root);
+	net_run(&net, 8000);
+	publish(from, LD_PEERS_REC_LOAD, LD_STR("f1-r1"), LD_STR("b"));
+	net_run(&net, 3000);
+	CU_ASSERT_TRUE(all_have_load("b"));
+	net_free(&net);
+}
+
 /* ---- Direct messages ---- */
 
 static void
@@ -439,7 +542,7 @@
 static void
 test_fleet_heals_after_a_partition(void)
 {
-	uint64_t took;
+	uint64_t took, deaths;
 
 	start(FLEET, 2, 4, LOSS, 42);
 	net_run(&net, 10000);
@@ -450,11 +553,13 @@
 	spread_catalogue(0, 9, 100); /* one side moves on */
 	net_run(&net, 10000);
 	net.cut = false;
+	deaths = net_deaths(&net);
 	took = net_run_until_agree(&net, MINUTE_MS);
 	printf("healed in %" PRIu64 " ms ", took);
 	CU_ASSERT_TRUE(net_agree(&net));
 	net_run(&net, 5000);
 	CU_ASSERT_TRUE(all_hold(9));
+	CU_ASSERT_EQUAL(net_deaths(&net), deaths); /* nobody buried anew */
 	net_free(&net);
 }
 
@@ -550,6 +655,11 @@
 	    {"leaving is no death", test_leaving_is_no_death},
 	    {"a silent connection is replaced",
 		test_silent_connection_is_replaced},
+	    {"acked time", test_acked_time_follows_the_links},
+	    {"a shared address is no storm", test_shared_address_is_no_storm},
+	    {"changed messages break nothing",
+		test_changed_messages_break_nothing},
+	    {"the tree outlives its root", test_tree_outlives_its_root},
 	    {"direct messages", test_direct_messages},
 	    {"a catalogue never goes back", test_catalogue_never_goes_back},
 	    {"an unconfirmed node is named", test_unconfirmed_node_is_named},
