--- a/tests/faults/ld_fleet.h
+++ b/tests/faults/ld_fleet.h
@@ -54,9 +54,9 @@
 /** ld_fleet_wait_ready() - until node @i is ready and knows every replica */
 bool ld_fleet_wait_ready(struct ld_fleet *f, int i);
 /**
- * ld_fleet_wait_serving() - until node @i serves a lookup of both callers
+ * ld_fleet_wait_serving() - until node @i serves a completion of both callers
  *
- * The lookups are of the lot "warm-up".
+ * The prompt of these is "warm-up".
  */
 bool ld_fleet_wait_serving(struct ld_fleet *f, int i);
 /** ld_fleet_lookup() - status code of a lookup of @lot through node @i */
--- a/tests/faults/ld_session.h
+++ b/tests/faults/ld_session.h
@@ -148,6 +148,8 @@
  */
 const char *ld_stream_check(
     struct ld_stream *st, const char *prompt, unsigned int tokens);
+/** ld_stream_end() - the last bytes received, for messages */
+const char *ld_stream_end(const struct ld_stream *st);
 /** ld_expected_text() - the first @tokens tokens of @prompt */
 void ld_expected_text(
     const char *prompt, unsigned int tokens, struct ld_buf *out);
--- a/tests/faults/ld_session_http.c
+++ b/tests/faults/ld_session_http.c
@@ -8,6 +8,7 @@
 #include "ld_token.h"
 
 #define POLL_US 2000
+#define END_BYTES 300 /* shown of a stream that failed */
 #define TOKEN_MARK "data: {"
 
 /* ---- One call ---- */
@@ -240,6 +241,16 @@
 	ld_reply_free(&st->reply);
 }
 
+const char *
+ld_stream_end(const struct ld_stream *st)
+{
+	size_t len = st->reply.body.len;
+
+	if (len == 0)
+		return "";
+	return st->reply.body.p + (len > END_BYTES ? len - END_BYTES : 0);
+}
+
 /* ---- Content ---- */
 
 void
