--- /dev/null
+++ b/lib/node/completion.c
@@ -0,0 +1,406 @@
+/* One completion: admission, a replica, the relay, resumes and its end. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "completion_internal.h"
+
+#define PART "completion"
+/* Sends of one request to engines, the first one included. */
+#define ATTEMPTS_MAX 4
+#define NO_REPLICA_RETRY_MS 1000
+#define BROKEN_RETRY_MS 500
+
+static void attempt(struct completion *c);
+
+/* ---- End ---- */
+
+static void
+leave_replica(struct completion *c)
+{
+	if (c->route_call == 0)
+		return;
+	ld_route_finished(c->node->route, node_now(c->node), c->route_call);
+	c->route_call = 0;
+}
+
+static void
+stop_call(struct completion *c)
+{
+	struct ld_engine_call *call = c->call;
+
+	c->call = NULL;
+	if (call != NULL)
+		ld_engine_cancel(call);
+	leave_replica(c);
+}
+
+static void
+completion_free(struct completion *c)
+{
+	stop_call(c);
+	completion_note_gaps(c);
+	if (c->ticket != 0)
+		ld_admit_done(c->node->admit, node_now(c->node), c->ticket);
+	if (c->x != NULL)
+		ld_exchange_set_owner(c->x, NULL);
+	*c->link = c->next;
+	if (c->next != NULL)
+		c->next->link = c->link;
+	free(c->model);
+	free(c->replica);
+	free(c->excluded);
+	free(c->owner);
+	free(c);
+}
+
+/* A stream that can't go on ends with the problem as its last event. */
+static void
+end_stream_with(struct completion *c, const struct ld_problem *p)
+{
+	struct ld_buf event = {0};
+	struct ld_buf doc = {0};
+
+	ld_problem_json(p, ld_exchange_id(c->x), &doc);
+	ld_buf_printf(
+	    &event, "event: error\ndata: %.*s\n\n", (int)(doc.len - 1), doc.p);
+	ld_exchange_write(c->x, ld_buf_str(&event));
+	ld_exchange_end(c->x);
+	ld_buf_free(&event);
+	ld_buf_free(&doc);
+}
+
+void
+completion_fail(
+    struct completion *c, const struct ld_problem *p, enum ld_cause cause)
+{
+	if (cause != LD_C_NONE && cause != LD_C_LIMIT)
+		completion_note(c, LD_O_ANSWERED, 0, 1, cause);
+	if (c->begun) {
+		node_count(c->node, LD_M_BROKEN_STREAMS);
+		end_stream_with(c, p);
+	} else {
+		ld_exchange_problem(c->x, p);
+	}
+	completion_free(c);
+}
+
+static void
+fail_unavailable(struct completion *c, const char *type, const char *title,
+    enum ld_cause cause)
+{
+	struct ld_problem p = {
+	    .code = 503,
+	    .type = type,
+	    .title = title,
+	    .ran = c->maybe_ran ? LD_RAN_UNKNOWN : LD_RAN_NO,
+	    .retry_after_ms = BROKEN_RETRY_MS,
+	};
+
+	node_count(c->node, LD_M_FAILED);
+	completion_fail(c, &p, cause);
+}
+
+/* ---- Relay ---- */
+
+/* Starts the answer late, so that a refusal can still be a problem. */
+static void
+begin_answer(struct completion *c)
+{
+	if (c->begun)
+		return;
+	c->begun = true;
+	ld_exchange_begin(c->x, 200, "text/event-stream");
+}
+
+void
+completion_move(struct completion *c, const char *why)
+{
+	struct ld_node *n = c->node;
+	enum ld_status st;
+
+	free(c->excluded);
+	c->excluded = ld_strdup(c->replica);
+	stop_call(c);
+	st = ld_route_retry(n->route, node_now(n), true, c->deadline_ms);
+	if (st != LD_OK || c->attempts >= ATTEMPTS_MAX) {
+		ld_log(LD_LOG_WARNING, PART, "gave up on a request: %s, %s",
+		    why, ld_status_name(st));
+		fail_unavailable(
+		    c, "no-answer", "No replica gave an answer", LD_C_BACKEND);
+		return;
+	}
+	node_count(n, LD_M_RETRIES);
+	if (c->relayed > 0)
+		node_count(n, LD_M_RESUMES);
+	attempt(c);
+}
+
+static void
+on_token(void *owner, struct ld_str event)
+{
+	struct completion *c = owner;
+	struct ld_node *n = c->node;
+	uint64_t now = node_now(n);
+
+	if (!ld_route_fit(n->route, now, ld_str_c(c->replica), c->epoch)) {
+		completion_move(c, "its replica is not fit");
+		return;
+	}
+	begin_answer(c);
+	c->relayed++;
+	node_count(n, LD_M_TOKENS);
+	completion_note_token(c, now);
+	ld_exchange_write(c->x, event);
+	if (ld_exchange_backlog(c->x) > LD_ENTRY_BACKLOG_BYTES)
+		ld_engine_pause(c->call);
+	ld_admit_tokens(n->admit, now, c->ticket, 1);
+}
+
+static void
+finish_stream(struct completion *c)
+{
+	completion_note(c, LD_O_ANSWERED, 1, 0, LD_C_NONE);
+	begin_answer(c);
+	ld_exchange_write(c->x, LD_STR("data: [DONE]\n\n"));
+	ld_exchange_end(c->x);
+	completion_free(c);
+}
+
+static uint64_t
+tokens_of(struct ld_str body)
+{
+	json_t *doc = json_loadb(body.p, body.len, 0, NULL);
+	json_int_t n = json_integer_value(json_object_get(
+	    json_object_get(doc, "usage"), "completion_tokens"));
+
+	json_decref(doc);
+	return n > 0 ? (uint64_t)n : 0;
+}
+
+static void
+finish_whole(struct completion *c, struct ld_str type, struct ld_str body)
+{
+	struct ld_node *n = c->node;
+	uint64_t tokens = tokens_of(body);
+	char *content_type = ld_str_dup(type);
+
+	completion_note(c, LD_O_ANSWERED, 1, 0, LD_C_NONE);
+	ld_metrics_add(n->metrics, LD_M_TOKENS, tokens);
+	ld_admit_tokens(n->admit, node_now(n), c->ticket, tokens);
+	ld_exchange_answer(c->x, 200, content_type, NULL, body);
+	free(content_type);
+	completion_free(c);
+}
+
+/* The engine answered that it takes no such request: the caller's fault. */
+static void
+finish_refused(struct completion *c, long code)
+{
+	struct ld_problem p = {
+	    .code = (unsigned int)code,
+	    .type = "engine-refused",
+	    .title = "The model engine refused the request",
+	    .ran = LD_RAN_UNKNOWN,
+	};
+
+	completion_fail(c, &p, LD_C_NONE);
+}
+
+static void
+on_done(void *owner, const struct ld_http_result *r, bool finished,
+    struct ld_str type, struct ld_str body)
+{
+	struct completion *c = owner;
+	struct ld_node *n = c->node;
+	bool fit =
+	    ld_route_fit(n->route, node_now(n), ld_str_c(c->replica), c->epoch);
+
+	c->call = NULL;
+	c->maybe_ran |= r->sent;
+	if (finished && fit && r->code == 200 && c->stream)
+		finish_stream(c);
+	else if (finished && fit && r->code == 200)
+		finish_whole(c, type, body);
+	else if (finished && (r->code == 400 || r->code == 422))
+		finish_refused(c, r->code);
+	else
+		completion_move(c, ld_status_name(r->status));
+}
+
+/* ---- Attempts ---- */
+
+static const struct ld_engine_ops engine_ops = {
+    .token = on_token, .done = on_done};
+
+static enum ld_status
+choose(struct completion *c, struct ld_route_choice *choice)
+{
+	struct ld_route_request rq = {
+	    .model = ld_str_c(c->model),
+	    .prefix = c->prefix,
+	    .excluded = ld_str_c(c->excluded),
+	};
+
+	return ld_route_pick(c->node->route, node_now(c->node), &rq, choice);
+}
+
+static void
+send_to(struct completion *c, const struct ld_route_choice *choice)
+{
+	const struct ld_settings *s = c->node->settings;
+	struct ld_node *n = c->node;
+	uint64_t now = node_now(n);
+	char *address = ld_str_dup(choice->address);
+	struct ld_engine_request rq = {
+	    .address = address,
+	    .path = ld_exchange_path(c->x),
+	    .request_id = ld_exchange_id(c->x),
+	    .epoch = choice->epoch,
+	    .resume_from = c->relayed,
+	    .stream = c->stream,
+	    .body = ld_exchange_body(c->x),
+	    .connect_timeout_ms = s->engine_connect_timeout_ms,
+	    .progress_timeout_ms = s->engine_progress_timeout_ms,
+	};
+
+	free(c->replica);
+	c->replica = ld_str_dup(choice->replica);
+	c->epoch = choice->epoch;
+	c->attempts++;
+	c->route_call = ++n->last_call;
+	ld_route_started(
+	    n->route, now, ld_str_c(c->replica), c->epoch, c->route_call);
+	rq.replica = c->replica;
+	rq.total_timeout_ms = c->deadline_ms > now ? c->deadline_ms - now : 1;
+	/* A whole answer makes no progress that can be seen until its end. */
+	if (!c->stream)
+		rq.progress_timeout_ms = 0;
+	c->call = ld_engine_start(n->http, &rq, &engine_ops, c);
+	free(address);
+	if (c->call == NULL)
+		fail_unavailable(
+		    c, "no-answer", "No replica gave an answer", LD_C_BACKEND);
+}
+
+static void
+attempt(struct completion *c)
+{
+	struct ld_route_choice choice;
+	struct ld_problem unknown = {
+	    .code = 404,
+	    .type = "unknown-model",
+	    .title = "No replica of this model is placed",
+	    .ran = LD_RAN_NO,
+	};
+
+	switch (choose(c, &choice)) {
+	case LD_OK:
+		send_to(c, &choice);
+		break;
+	case LD_E_NOT_FOUND:
+		completion_fail(c, &unknown, LD_C_NONE);
+		break;
+	default:
+		fail_unavailable(c, "no-replica", "No replica is complete now",
+		    LD_C_NO_REPLICA);
+		break;
+	}
+}
+
+/* ---- Request ---- */
+
+void
+completion_decided(struct completion *c, const struct ld_admit_decision *d)
+{
+	struct ld_problem p;
+
+	c->waiting = false;
+	if (d->verdict == LD_ADMIT_YES) {
+		c->ticket = d->ticket;
+		ld_route_count_request(c->node->route, node_now(c->node));
+		attempt(c);
+		return;
+	}
+	c->ticket = 0;
+	node_count(c->node, LD_M_REFUSED);
+	p = refusal_problem(d->reason, d->retry_after_ms);
+	completion_fail(c, &p, refusal_cause(d->reason));
+}
+
+static void
+admit(struct completion *c, struct ld_str owner)
+{
+	struct ld_admit_decision d;
+
+	ld_admit_request(
+	    c->node->admit, node_now(c->node), owner, c->max_tokens, &d);
+	if (d.verdict == LD_ADMIT_WAIT) {
+		c->ticket = d.ticket;
+		c->waiting = true;
+		return;
+	}
+	completion_decided(c, &d);
+}
+
+/* A request that no replica can take must not use up the caller's limits. */
+static bool
+is_servable(struct completion *c)
+{
+	struct ld_route_choice ignored;
+	struct ld_problem p = {.ran = LD_RAN_NO};
+	enum ld_cause cause = LD_C_NONE;
+
+	switch (choose(c, &ignored)) {
+	case LD_OK:
+		return true;
+	case LD_E_NOT_FOUND:
+		p.code = 404;
+		p.type = "unknown-model";
+		p.title = "No replica of this model is placed";
+		break;
+	default:
+		p.code = 503;
+		p.type = "no-replica";
+		p.title = "No replica of this model is complete now";
+		p.retry_after_ms = NO_REPLICA_RETRY_MS;
+		cause = LD_C_NO_REPLICA;
+		break;
+	}
+	completion_fail(c, &p, cause);
+	return false;
+}
+
+void
+completion_start(struct ld_node *n, struct ld_exchange *x)
+{
+	const struct ld_entry *e;
+	struct completion *c;
+	json_t *doc;
+
+	e = caller_find(n, x);
+	if (e == NULL)
+		return;
+	doc = completion_read(x);
+	if (doc == NULL)
+		return;
+	c = completion_new(n, x, e, doc);
+	json_decref(doc);
+	if (is_servable(c))
+		admit(c, ld_str_c(e->owner));
+	completions_act(n);
+}
+
+void
+completion_gone(struct completion *c)
+{
+	c->x = NULL;
+	completion_free(c);
+}
+
+void
+completion_drained(struct completion *c)
+{
+	if (c->call != NULL)
+		ld_engine_resume(c->call);
+}
