--- a/bench/policy_fleet.h
+++ b/bench/policy_fleet.h
@@ -22,6 +22,7 @@
 #define FLEET_DETECT_MS 2000 /* until peers hold a silent node for dead */
 #define FLEET_DETECT_SPREAD_MS 1000
 #define FLEET_TICKETS 8192
+#define FLEET_MESSAGE_BYTES 192
 /* Framing, keyed hash and TCP/IP headers of a direct message. */
 #define FLEET_OVERHEAD_BYTES 90
 
@@ -36,7 +37,7 @@
 	uint64_t order;
 	enum fleet_event_type type;
 	unsigned int from, to;
-	char *bytes;
+	char bytes[FLEET_MESSAGE_BYTES];
 	size_t len;
 	uint64_t ticket;
 	unsigned int owner;
@@ -142,7 +143,8 @@
 		return;
 	e.at_ms = f->now_ms + (far ? FLEET_FAR_MS : FLEET_NEAR_MS) +
 	    ld_rand_below(&f->rand, FLEET_JITTER_MS + 1);
-	e.bytes = ld_str_dup(b);
+	assert(b.len <= sizeof(e.bytes));
+	memcpy(e.bytes, b.p, b.len);
 	e.len = b.len;
 	fleet_push(f, e);
 }
@@ -203,7 +205,6 @@
 	if (e->type == FLEET_MESSAGE) {
 		ld_admit_message(v->admit, f->now_ms, f->nodes[e->from].id,
 		    (struct ld_str){e->bytes, e->len});
-		free(e->bytes);
 	} else if (f->ended != NULL) {
 		f->ended(f, e->to, e->owner);
 	} else {
@@ -225,10 +226,8 @@
 		*slot = 0;
 		f->in_use[e.owner]--;
 	}
-	if (!v->alive) {
-		free(e.bytes);
+	if (!v->alive)
 		return;
-	}
 	if (!v->frozen) {
 		fleet_deliver(f, &e);
 		return;
@@ -400,13 +399,9 @@
 		struct fleet_node *v = &f->nodes[i];
 
 		ld_admit_free(v->admit);
-		for (size_t j = 0; j < v->held_count; j++)
-			free(v->held[j].bytes);
 		free(v->held);
 		free(v->running);
 	}
-	while (f->count > 0)
-		free(fleet_pop(f).bytes);
 	free(f->heap);
 	free(f->nodes);
 	free(f->in_use);
--- a/bench/policy_limits.c
+++ b/bench/policy_limits.c
@@ -355,7 +355,7 @@
 		entries[i] = l->owners[i].entry;
 	if (policy != NULL) {
 		l->policy = policy;
-		l->state = ld_alloc(nodes * l->n * sizeof(struct cell));
+		l->state = ld_alloc((size_t)nodes * l->n * sizeof(struct cell));
 		f.ended = baseline_ended;
 	} else {
 		fleet_capacity(&f, CAPACITY);
--- a/bench/policy_promise.c
+++ b/bench/policy_promise.c
@@ -8,7 +8,7 @@
 #define SEED 20261204
 #define NODES 8
 #define REPLICAS 16
-#define SLOTS_PER_REPLICA 16
+#define SLOTS_PER_REPLICA UINT64_C(16)
 #define CAPACITY (REPLICAS * SLOTS_PER_REPLICA)
 #define NOTICE_MS 300 /* until routing takes the lost replicas out */
 #define STREAM_MS 4000.0
@@ -44,7 +44,8 @@
 add_owners(struct load *l)
 {
 	double paid = PROMISED * PAID_PART / (STREAM_MS / 1000.0);
-	double others = CAPACITY * ASKED_TIMES / (STREAM_MS / 1000.0) / OTHERS;
+	double others =
+	    (double)CAPACITY * ASKED_TIMES / (STREAM_MS / 1000.0) / OTHERS;
 
 	for (unsigned int i = 0; i < PAID; i++)
 		load_add(l, LD_ADMIT_PAID, 1000, 2L * PROMISED, PROMISED, paid,
@@ -230,7 +231,7 @@
 		return 2;
 	printf(
 	    "seed %d, %d nodes, %d slots, half lost, others ask %.0f times\n",
-	    SEED, NODES, CAPACITY, ASKED_TIMES);
+	    SEED, NODES, (int)CAPACITY, ASKED_TIMES);
 	printf("%-8s %-8s %9s %9s %9s %7s %7s %7s\n", "policy", "phase", "kept",
 	    "1st s", "used", "over ms", "cancel", "blank");
 	run(NULL);
--- a/bench/policy_retry.c
+++ b/bench/policy_retry.c
@@ -164,10 +164,11 @@
 				s->tail = &s->head;
 			attempt(s, p, now);
 		}
-		for (; next <= (double)now;
-		     next += -log(1.0 - ld_rand_unit(&s->rand)) * 1000.0 /
-			 REQUESTS_PER_S)
+		while (next <= (double)now) {
 			first_attempt(s, now);
+			next += -log(1.0 - ld_rand_unit(&s->rand)) * 1000.0 /
+			    REQUESTS_PER_S;
+		}
 	}
 }
 
--- a/lib/admit/pool.c
+++ b/lib/admit/pool.c
@@ -77,10 +77,10 @@
 		if (h->lenders[i].nodes > nodes)
 			nodes = h->lenders[i].nodes;
 	}
-	if (nodes == 0 || !c->listed)
+	if (lent == 0 || !c->listed)
 		return 0;
-	if (lent > nodes)
-		lent = nodes;
+	if (nodes < lent)
+		nodes = lent;
 	pool = whole_pool(a, c, k) * lent / nodes;
 	if (c != a->leftover)
 		return pool;
--- a/lib/route/retry.c
+++ b/lib/route/retry.c
@@ -1,7 +1,7 @@
 /* The retry budget of a node: a token bucket filled by first attempts. */
 #include "route_internal.h"
 
-#define MILLI 1000
+#define MILLI UINT64_C(1000)
 /* Retries stay below this share of the requests while all calls fail. */
 #define RETRY_MILLI_PER_REQUEST 80
 /* Lets a node with few requests repeat one now and then. */
