--- a/lib/admit/pool.c
+++ b/lib/admit/pool.c
@@ -8,7 +8,7 @@
 #define RATE_GRANT_PERCENT 95
 /* Nodes get a rate above their demand, so that few have to ask. */
 #define RATE_HEADROOM_PERCENT 125
-#define RATE_AT_LIMIT_PERCENT 40
+#define RATE_AT_LIMIT_PERCENT 25
 /* A lower demand has no rate of its own: small buckets overflow between the
  * few requests, and what overflows is lost to the others. Its node asks. */
 #define RATE_MIN_MILLI 2000
