--- a/bench/policy_limits.c
+++ b/bench/policy_limits.c
@@ -17,7 +17,8 @@
 };
 
 static const struct phase phases[] = {
-    {"warm", 25000, 0.7},
+    {"warm", 25000, 0.2},
+    {"light", 15000, 0.2},
     {"normal", 15000, 0.7},
     {"steady", 20000, 1.5},
     {"kill", 20000, 1.5},
@@ -32,19 +33,19 @@
 begin_phase(struct fleet *f, size_t phase)
 {
 	switch (phase) {
-	case 3:
+	case 4:
 		fleet_kill(f, f->n / 3);
 		break;
-	case 4:
+	case 5:
 		fleet_freeze(f, 0);
 		break;
-	case 5:
+	case 6:
 		fleet_resume(f, 0);
 		break;
-	case 6:
+	case 7:
 		fleet_split(f, 1);
 		break;
-	case 7:
+	case 8:
 		f->split_ms = 0;
 		break;
 	default:
--- a/lib/admit/admit_internal.h
+++ b/lib/admit/admit_internal.h
@@ -181,6 +181,7 @@
 	uint64_t pool;
 	uint64_t level; /* nobody gets more */
 	uint64_t percent; /* of the demand, for rates */
+	uint64_t least; /* a lower demand gets no rate */
 	uint64_t used; /* slots */
 	uint64_t active; /* nodes with demand */
 };
--- a/lib/admit/pool.c
+++ b/lib/admit/pool.c
@@ -8,6 +8,7 @@
 #define RATE_GRANT_PERCENT 95
 /* Nodes get a rate above their demand, so that few have to ask. */
 #define RATE_HEADROOM_PERCENT 125
+#define RATE_PLENTY_PERCENT 300
 #define RATE_AT_LIMIT_PERCENT 25
 /* A lower demand has no rate of its own: small buckets overflow between the
  * few requests, and what overflows is lost to the others. Its node asks. */
@@ -151,9 +152,9 @@
 
 static uint64_t
 rate_want(const struct ld_admit *a, const struct lender *l, enum kind k,
-    uint64_t now_ms)
+    uint64_t least, uint64_t now_ms)
 {
-	if (!is_fresh(a, l, now_ms) || l->demand[K_REQUESTS] < RATE_MIN_MILLI)
+	if (!is_fresh(a, l, now_ms) || l->demand[K_REQUESTS] < least)
 		return 0;
 	return l->demand[k];
 }
@@ -166,27 +167,50 @@
 }
 
 /*
- * Below its limit a caller gets headroom at each node. At the limit a rate
- * that overflows its bucket at one node is lost to the others: nodes get less
- * than their demand, and the rest by asking.
+ * Far below the limit every node gets a rate, so that few requests ask; only
+ * while one unit in the bucket of each is no more than BUCKET_DEPTH_MS of the
+ * limit.
  */
 static void
-plan_rates(const struct ld_admit *a, const struct home *h, enum kind k,
-    uint64_t *want, struct plan *p, uint64_t now_ms)
+choose_percent(const struct ld_admit *a, const struct home *h, enum kind k,
+    struct plan *p, uint64_t now_ms)
 {
-	uint64_t all = 0, small = 0;
+	uint64_t all = 0, active = 0;
 
 	for (size_t i = 0; i < h->count; i++) {
-		want[i] = rate_want(a, &h->lenders[i], k, now_ms);
 		if (!is_fresh(a, &h->lenders[i], now_ms))
 			continue;
 		all += h->lenders[i].demand[k];
-		if (want[i] == 0)
-			small += h->lenders[i].demand[k];
+		active += h->lenders[i].demand[k] > 0;
 	}
+	p->least = RATE_MIN_MILLI;
 	p->percent = RATE_AT_LIMIT_PERCENT;
 	if (all * RATE_HEADROOM_PERCENT / 100 <= p->pool)
 		p->percent = RATE_HEADROOM_PERCENT;
+	if (all * (RATE_PLENTY_PERCENT + 100) / 100 <= p->pool &&
+	    active * MILLI * MS_PER_S <= p->pool * BUCKET_DEPTH_MS) {
+		p->percent = RATE_PLENTY_PERCENT;
+		p->least = 1;
+	}
+}
+
+/*
+ * Below its limit a caller gets headroom at each node. At the limit a rate
+ * that overflows its bucket at one node is lost to the others: nodes get less
+ * than their demand, and the rest by asking.
+ */
+static void
+plan_rates(const struct ld_admit *a, const struct home *h, enum kind k,
+    uint64_t *want, struct plan *p, uint64_t now_ms)
+{
+	uint64_t small = 0;
+
+	choose_percent(a, h, k, p, now_ms);
+	for (size_t i = 0; i < h->count; i++) {
+		want[i] = rate_want(a, &h->lenders[i], k, p->least, now_ms);
+		if (want[i] == 0 && is_fresh(a, &h->lenders[i], now_ms))
+			small += h->lenders[i].demand[k];
+	}
 	for (size_t i = 0; i < h->count; i++)
 		want[i] = want[i] * p->percent / 100;
 	/* Nodes that ask need their part as well. */
@@ -258,7 +282,7 @@
 	uint64_t mine;
 
 	if (k < RATE_KINDS) {
-		mine = rate_want(a, l, k, now_ms) * p->percent / 100;
+		mine = rate_want(a, l, k, p->least, now_ms) * p->percent / 100;
 		return mine < p->level ? mine : p->level;
 	}
 	mine = slots_want(a, l, k, now_ms);
