Tell of free slots sooner when a pool is tight

Requests within a promise were refused although a slot was free: the node where a stream had ended told of it with its next report, up to 400 ms later. Homes now call a pool tight from 80 % held on, before the first refusal.

--- a/lib/admit/home.c
+++ b/lib/admit/home.c
@@ -21,6 +21,8 @@
 #define RATE_STEP_PERCENT 20
 /* A pool counts as scarce for so long after a question fell short. */
 #define SCARCE_MS 1000
+/* Slots held beyond this part of the pool make it scarce. */
+#define TIGHT_PERCENT 80
 #define HANDOVER_GAP_MS 200
 
 static bool
@@ -88,7 +90,7 @@
 	g->echo = l->node_ts;
 	g->seq = ++a->next_seq;
 	g->grant_ms = a->terms.grant;
-	g->scarce = now_ms < c->side.scarce_until_ms;
+	g->scarce = g->scarce || now_ms < c->side.scarce_until_ms;
 	for (int k = 0; k < K_COUNT; k++) {
 		value = k < RATE_KINDS ? g->rate[k] : g->slots[SLOT(k)];
 		if (now_ms >= l->commit_until_ms)
@@ -320,6 +322,16 @@
 		g->hold_ms = SHORT_HOLD_MS;
 }
 
+/* The next questions may fall short: nodes tell of free slots soon. */
+static bool
+is_tight(const struct ld_admit *a, const struct account *c, enum kind k,
+    uint64_t now_ms)
+{
+	uint64_t pool = ld_admit_pool(a, c, k, now_ms);
+
+	return ld_admit_held_sum(a, c, k, now_ms) * 100 >= pool * TIGHT_PERCENT;
+}
+
 #define WANT_MAX 64 /* requests answered in one ask */
 
 static void
@@ -346,6 +358,8 @@
 		assert(l->node == node);
 	}
 	g.preempt = is_short(a, c, now_ms);
+	g.scarce = is_tight(a, c, K_SLOTS, now_ms) ||
+	    is_tight(a, c, K_PROMISED, now_ms);
 	send_grant(a, c, l, &g, now_ms);
 }
 
