node: a displaced request needs no retry budget; a relayed one has run

Cause: when a replica lost a member, three of six streams ended with no-answer although another replica was whole: moves that this node itself caused took from the budget of retries. And the problem that ended a stream with relayed tokens said ran: no. Ruled out: a larger retry budget, which would amplify a full outage. Change: up to two displaced moves of a request take no budget; a call that may have been sent marks the request as possibly run before it is cancelled.

--- a/lib/backend/engine.c
+++ b/lib/backend/engine.c
@@ -215,6 +215,12 @@
 		engine_free(c);
 }
 
+bool
+ld_engine_maybe_sent(struct ld_engine_call *c)
+{
+	return c->call == NULL || ld_http_maybe_sent(c->call);
+}
+
 void
 ld_engine_pause(struct ld_engine_call *c)
 {
--- a/lib/backend/ld_backend.h
+++ b/lib/backend/ld_backend.h
@@ -84,6 +84,8 @@
     void *owner);
 /** ld_engine_cancel() - stop reading and free the place on the engine */
 void ld_engine_cancel(struct ld_engine_call *c);
+/** ld_engine_maybe_sent() - whether the engine may have the request */
+bool ld_engine_maybe_sent(struct ld_engine_call *c);
 void ld_engine_pause(struct ld_engine_call *c);
 void ld_engine_resume(struct ld_engine_call *c);
 
--- a/lib/node/completion.c
+++ b/lib/node/completion.c
@@ -8,6 +8,8 @@
 #define PART "completion"
 /* Sends of one request to engines, the first one included. */
 #define ATTEMPTS_MAX 4
+/* Moves of one request that need no retry budget. */
+#define DISPLACED_MAX 2
 #define NO_REPLICA_RETRY_MS 1000
 #define BROKEN_RETRY_MS 500
 
@@ -30,8 +32,10 @@
 	struct ld_engine_call *call = c->call;
 
 	c->call = NULL;
-	if (call != NULL)
+	if (call != NULL) {
+		c->maybe_ran |= ld_engine_maybe_sent(call);
 		ld_engine_cancel(call);
+	}
 	leave_replica(c);
 }
 
@@ -113,8 +117,28 @@
 	ld_exchange_begin(c->x, 200, "text/event-stream");
 }
 
+/*
+ * A request that this node takes off a replica adds no call to a failing
+ * server, since its old call is cancelled: it needs no retry budget.
+ */
+static enum ld_status
+may_move(struct completion *c, enum completion_why why)
+{
+	struct ld_node *n = c->node;
+	uint64_t now = node_now(n);
+
+	if (c->attempts >= ATTEMPTS_MAX)
+		return LD_E_LIMIT;
+	if (why == MOVE_DISPLACED && c->displaced < DISPLACED_MAX) {
+		c->displaced++;
+		return now < c->deadline_ms ? LD_OK : LD_E_TIMEOUT;
+	}
+	return ld_route_retry(n->route, now, true, c->deadline_ms);
+}
+
 void
-completion_move(struct completion *c, const char *why)
+completion_move(
+    struct completion *c, enum completion_why why, const char *cause)
 {
 	struct ld_node *n = c->node;
 	enum ld_status st;
@@ -122,15 +146,16 @@
 	free(c->excluded);
 	c->excluded = ld_strdup(c->replica);
 	stop_call(c);
-	st = ld_route_retry(n->route, node_now(n), true, c->deadline_ms);
-	if (st != LD_OK || c->attempts >= ATTEMPTS_MAX) {
+	st = may_move(c, why);
+	if (st != LD_OK) {
 		ld_log(LD_LOG_WARNING, PART, "gave up on a request: %s, %s",
-		    why, ld_status_name(st));
+		    cause, ld_status_name(st));
 		fail_unavailable(
 		    c, "no-answer", "No replica gave an answer", LD_C_BACKEND);
 		return;
 	}
-	node_count(n, LD_M_RETRIES);
+	if (why == MOVE_FAILED)
+		node_count(n, LD_M_RETRIES);
 	if (c->relayed > 0)
 		node_count(n, LD_M_RESUMES);
 	attempt(c);
@@ -144,7 +169,7 @@
 	uint64_t now = node_now(n);
 
 	if (!ld_route_fit(n->route, now, ld_str_c(c->replica), c->epoch)) {
-		completion_move(c, "its replica is not fit");
+		completion_move(c, MOVE_DISPLACED, "its replica is not fit");
 		return;
 	}
 	begin_answer(c);
@@ -225,7 +250,8 @@
 	else if (finished && (r->code == 400 || r->code == 422))
 		finish_refused(c, r->code);
 	else
-		completion_move(c, ld_status_name(r->status));
+		completion_move(c, fit ? MOVE_FAILED : MOVE_DISPLACED,
+		    ld_status_name(r->status));
 }
 
 /* ---- Attempts ---- */
--- a/lib/node/completion_act.c
+++ b/lib/node/completion_act.c
@@ -67,6 +67,7 @@
 	while (ld_route_next(n->route, &r)) {
 		c = find_call(n, r.call);
 		if (c != NULL)
-			completion_move(c, "its replica lost a member");
+			completion_move(
+			    c, MOVE_DISPLACED, "its replica lost a member");
 	}
 }
--- a/lib/node/completion_internal.h
+++ b/lib/node/completion_internal.h
@@ -30,6 +30,7 @@
 	uint64_t relayed; /* tokens given to the caller */
 	uint64_t max_tokens;
 	unsigned int attempts;
+	unsigned int displaced; /* moves that this node caused */
 	bool stream;
 	bool begun; /* the head of a streamed answer was given */
 	bool waiting; /* for the decision of admission */
@@ -66,7 +67,14 @@
 /** completion_decided() - admission decided about it */
 void completion_decided(
     struct completion *c, const struct ld_admit_decision *d);
+/** enum completion_why - why a request leaves its replica */
+enum completion_why {
+	MOVE_FAILED, /* its call failed: another one is a retry */
+	MOVE_DISPLACED /* the replica is not fit: this node ended the call */
+};
+
 /** completion_move() - go on at another replica, or give up */
-void completion_move(struct completion *c, const char *why);
+void completion_move(
+    struct completion *c, enum completion_why why, const char *cause);
 
 #endif
