--- a/lib/node/completion.c
+++ b/lib/node/completion.c
@@ -118,8 +118,9 @@
 }
 
 /*
- * A request that this node takes off a replica adds no call to a failing
- * server, since its old call is cancelled: it needs no retry budget.
+ * A request that this node takes off a replica, or whose stream got on before
+ * it broke, adds no call to a server that fails at once: such a move needs no
+ * retry budget, but is bounded for each request.
  */
 static enum ld_status
 may_move(struct completion *c, enum completion_why why)
@@ -129,6 +130,8 @@
 
 	if (c->attempts >= ATTEMPTS_MAX)
 		return LD_E_LIMIT;
+	if (c->relayed > c->relayed_before)
+		why = MOVE_DISPLACED;
 	if (why == MOVE_DISPLACED && c->displaced < DISPLACED_MAX) {
 		c->displaced++;
 		return now < c->deadline_ms ? LD_OK : LD_E_TIMEOUT;
@@ -294,6 +297,7 @@
 	c->replica = ld_str_dup(choice->replica);
 	c->epoch = choice->epoch;
 	c->attempts++;
+	c->relayed_before = c->relayed;
 	c->route_call = ++n->last_call;
 	ld_route_started(
 	    n->route, now, ld_str_c(c->replica), c->epoch, c->route_call);
--- a/lib/node/completion_internal.h
+++ b/lib/node/completion_internal.h
@@ -28,6 +28,7 @@
 	uint64_t gaps_good; /* not yet noted */
 	uint64_t gaps_bad;
 	uint64_t relayed; /* tokens given to the caller */
+	uint64_t relayed_before; /* by the attempts before this one */
 	uint64_t max_tokens;
 	unsigned int attempts;
 	unsigned int displaced; /* moves that this node caused */
