--- a/tests/booking_world.h
+++ b/tests/booking_world.h
@@ -585,7 +585,7 @@
 static inline void
 world_dispatch(struct world *w, struct event *e)
 {
-	struct world_node *n = e->node >= 0 ? &w->nodes[e->node] : NULL;
+	struct world_node *n = &w->nodes[e->node >= 0 ? e->node : 0];
 	bool at_node = e->kind != EV_STORE_READ && e->kind != EV_STORE_WRITE &&
 	    e->kind != EV_SERVICE && e->kind != EV_CALL && e->kind != EV_FAULT;
 
