catalogue: a new node counts its wait for peers from its first catalogue

Ruled out: waiting without a bound, which a lone node could never end. Change: the wait begins once the node holds a catalogue. The test of a lone node now expects 2 s after that, not after the start: as strict.

--- a/lib/catalogue/fresh.c
+++ b/lib/catalogue/fresh.c
@@ -80,7 +80,8 @@
 
 /*
  * Whether a new node may rely on what it holds: as new as what its peers hold,
- * or no peer holds any, or none was heard of for long enough.
+ * or no peer holds any, or none was heard of for long enough since it got it.
+ * Before that it may have been cut off, and not hearing means nothing.
  */
 static bool
 is_settled(const struct ld_fresh *f, uint64_t now_ms)
@@ -91,7 +92,7 @@
 		return false;
 	return f->newest > 0 || !f->config.expects_peers ||
 	    (f->others > 0 && f->reported >= f->others) ||
-	    now_ms >= f->started_ms + f->config.bootstrap_peer_ms;
+	    now_ms >= f->first_held_ms + f->config.bootstrap_peer_ms;
 }
 
 bool
@@ -239,8 +240,8 @@
 		due =
 		    earliest(f->reading_since_ms + READ_LOST_MS, f->unwatch_ms);
 	if (!f->settled && f->current != NULL)
-		due =
-		    earliest(due, f->started_ms + f->config.bootstrap_peer_ms);
+		due = earliest(
+		    due, f->first_held_ms + f->config.bootstrap_peer_ms);
 	if (!f->admitting)
 		return due;
 	contact = f->store_contact_ms != NEVER ? f->store_contact_ms : 0;
@@ -259,7 +260,7 @@
 	f->self = ld_str_dup(config->self);
 	f->config.self = ld_str_c(f->self);
 	ld_rand_seed(&f->rand, config->seed);
-	f->started_ms = now_ms;
+	f->first_held_ms = NEVER;
 	f->unwatch_ms = NEVER;
 	f->peer_contact_ms = NEVER;
 	f->store_contact_ms = NEVER;
--- a/lib/catalogue/fresh_internal.h
+++ b/lib/catalogue/fresh_internal.h
@@ -17,7 +17,7 @@
 	bool picked; /* among the delegates by the last members */
 	bool watching;
 	uint64_t unwatch_ms; /* NEVER: not about to stop */
-	uint64_t started_ms;
+	uint64_t first_held_ms; /* NEVER: no catalogue yet */
 	size_t others; /* nodes alive besides this one */
 	size_t reported; /* of them: said what they hold */
 	int64_t newest; /* highest revision heard of from peers */
--- a/lib/catalogue/fresh_values.c
+++ b/lib/catalogue/fresh_values.c
@@ -20,6 +20,8 @@
 	f->bytes = copy;
 	f->bytes_len = bytes.len;
 	f->adopted_ms = now_ms;
+	if (f->first_held_ms == NEVER)
+		f->first_held_ms = now_ms;
 	a = fresh_act(f, LD_FRESH_ADOPT);
 	a->catalogue = c;
 	a->revision = ld_catalogue_revision(c);
--- a/lib/catalogue/ld_catalogue.h
+++ b/lib/catalogue/ld_catalogue.h
@@ -228,7 +228,8 @@
  * @linger_ms: a node no longer picked stays a delegate for so long
  * @expects_peers: other nodes are to be found through the settings
  * @bootstrap_wait_ms: a new node reads the store within this time
- * @bootstrap_peer_ms: a new node waits so long to hear what its peers hold
+ * @bootstrap_peer_ms: a new node that holds a catalogue waits so long to hear
+ *	what its peers hold
  * @cut_off_ms: without contact to store or peers for so long, admit nobody
  * @min_reach_percent: part of the counted nodes that must be alive for peers
  *	to stand in for the store
--- a/tests/unit/test_fresh.c
+++ b/tests/unit/test_fresh.c
@@ -156,8 +156,10 @@
 	members(f, 0, "a", 1);
 	store_value(f, 100, 50, 5, "one");
 	CU_ASSERT_FALSE(ld_fresh_admits(f, 100));
-	pass(f, 100, 2000);
-	CU_ASSERT_TRUE(ld_fresh_admits(f, 2000));
+	pass(f, 100, 2099);
+	CU_ASSERT_FALSE(ld_fresh_admits(f, 2099));
+	pass(f, 2099, 2100);
+	CU_ASSERT_TRUE(ld_fresh_admits(f, 2100));
 	ld_fresh_free(f);
 	ld_buf_free(&trace);
 }
