--- a/lib/peers/links.c
+++ b/lib/peers/links.c
@@ -248,20 +248,6 @@
 	return other == l;
 }
 
-/* Tells the other side what is held against it, so that it can refute. */
-static void
-tell_verdict(struct ld_peers *p, struct link *l, struct ld_str address)
-{
-	struct member *m = member_at(p, address);
-	struct batch b = {0};
-
-	if (m->incarnation == l->incarnation && m->state == LD_PEERS_ALIVE)
-		return;
-	batch_member(p, l, &b, m);
-	batch_send(p, l, &b);
-	batch_fini(&b);
-}
-
 static void
 become_up(struct ld_peers *p, struct link *l, const struct ld_wire_member *who)
 {
@@ -284,7 +270,6 @@
 	m->dial_after_ms = 0;
 	p->seed_failures = 0;
 	direct_flush(p, l);
-	tell_verdict(p, l, who->address);
 	if (!resolve_duplicate(p, l))
 		return;
 	if (l->dialled && l->self_mesh)
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -417,6 +417,59 @@
 	net_free(&net);
 }
 
+/* The link of node @i on some open connection. */
+static uint32_t
+some_link(int i)
+{
+	for (size_t at = 0; at < net.conn_count; at++) {
+		for (int s = 0; s < 2; s++) {
+			if (net.conns[at].open[s] && net.conns[at].node[s] == i)
+				return net.conns[at].link[s];
+		}
+	}
+	return 0;
+}
+
+/* A snapshot that was long under way comes after a newer one. */
+static void
+test_late_snapshot_is_passed_over(void)
+{
+	struct ld_wire_msg m = {.kind = LD_WIRE_CATALOGUE_SNAPSHOT};
+	struct ld_buf payload = {0};
+	struct ld_str held;
+
+	start(SMALL, 1, 3, 0, 15);
+	spread_catalogue(0, 41, 10000);
+	m.catalogue.revision = 40;
+	m.catalogue.bytes = LD_STR("old");
+	ld_wire_encode(&m, &payload);
+	ld_peers_message(net.node[5].peers, net_now(&net), some_link(5),
+	    ld_buf_str(&payload));
+	net_act(&net, 5);
+	CU_ASSERT_EQUAL(ld_peers_catalogue(net.node[5].peers, &held), 41);
+	CU_ASSERT_FALSE(ld_str_eq(held, LD_STR("old")));
+	CU_ASSERT_EQUAL(net.node[5].revision, 41);
+	ld_buf_free(&payload);
+	net_free(&net);
+}
+
+/* Every message is lost for a moment in which no link breaks. */
+static void
+test_lost_records_are_mended(void)
+{
+	start(SMALL, 1, 3, 0, 16);
+	net_run(&net, 10000);
+	net.loss_per_mille = 1000;
+	publish(2, LD_PEERS_REC_HEALTH, LD_STR("a"), LD_STR("up"));
+	net_run(&net, 300);
+	net.loss_per_mille = 0;
+	net_run(&net, 10000);
+	for (int i = 0; i < SMALL; i++)
+		CU_ASSERT_TRUE(has_record(
+		    i, LD_PEERS_REC_HEALTH, LD_STR("a"), LD_STR("up")));
+	net_free(&net);
+}
+
 static void
 note_address(void *arg, const struct ld_peers_member *m)
 {
@@ -662,6 +715,9 @@
 	    {"the tree outlives its root", test_tree_outlives_its_root},
 	    {"direct messages", test_direct_messages},
 	    {"a catalogue never goes back", test_catalogue_never_goes_back},
+	    {"a late snapshot is passed over",
+		test_late_snapshot_is_passed_over},
+	    {"lost records are mended", test_lost_records_are_mended},
 	    {"an unconfirmed node is named", test_unconfirmed_node_is_named},
 	    {"rolling replacement",
 		test_rolling_replacement_keeps_the_catalogue},
