--- a/lib/node/peer_task_internal.h
+++ b/lib/node/peer_task_internal.h
@@ -58,12 +58,19 @@
 	struct ld_peer_task_counters counters;
 };
 
-/* ---- peer_conn.c ---- */
+/* ---- peer_listen.c ---- */
 
 enum ld_status peer_addr_parse(struct ld_str s, struct peer_addr *out);
 enum ld_status peer_listen(struct ld_peer_task *t, struct ld_str address);
+/** peer_accept_again() - listen again after accept() ran out of something */
+void peer_accept_again(struct ld_peer_task *t);
 /** peer_dial() - start connecting; a failure at once is told to the peers */
 void peer_dial(struct ld_peer_task *t, uint32_t link, struct ld_str address);
+
+/* ---- peer_conn.c ---- */
+
+/** peer_conn_new() - take over socket @fd; the handshake has a deadline */
+struct peer_conn *peer_conn_new(struct ld_peer_task *t, int fd, bool dialled);
 struct peer_conn *peer_conn_find(const struct ld_peer_task *t, uint32_t link);
 /** peer_conn_send() - seal @payload into the output queue of @c */
 void peer_conn_send(struct peer_conn *c, struct ld_str payload);
@@ -72,8 +79,6 @@
 /** peer_conns_flush() - write what is queued, as far as the sockets take it */
 void peer_conns_flush(struct ld_peer_task *t);
 void peer_conns_reap(struct ld_peer_task *t);
-/** peer_accept_again() - listen again after accept() ran out of something */
-void peer_accept_again(struct ld_peer_task *t);
 
 /* ---- peer_task.c ---- */
 
--- a/lib/peers/peers_internal.h
+++ b/lib/peers/peers_internal.h
@@ -246,6 +246,14 @@
 uint64_t table_hash(const struct ld_peers *p);
 size_t bucket_of(uint64_t incarnation);
 
+/** member_changed() - spread and tell a change of @m that came from @from */
+void member_changed(struct ld_peers *p, struct member *m, uint32_t from);
+
+/* ---- self.c ---- */
+
+/** self_learn() - answer words on this node that it cannot let stand */
+void self_learn(struct ld_peers *p, const struct ld_wire_member *in);
+
 /* ---- records.c ---- */
 
 bool kind_is_fast(enum ld_peers_kind kind);
@@ -298,14 +306,17 @@
 /** link_lost() - forget @l; its node is probed when it was part of the mesh */
 void link_lost(struct ld_peers *p, struct link *l);
 void link_free(struct ld_peers *p, struct link *l);
-void link_send_join(struct ld_peers *p, const struct link *l);
-void link_joined(
-    struct ld_peers *p, struct link *l, const struct ld_wire_join *join);
 void links_of_old_incarnation(
     struct ld_peers *p, const char *address, uint64_t incarnation);
 void links_tick(struct ld_peers *p);
 uint64_t links_due(const struct ld_peers *p);
 
+/* ---- join.c ---- */
+
+void link_send_join(struct ld_peers *p, const struct link *l);
+void link_joined(
+    struct ld_peers *p, struct link *l, const struct ld_wire_join *join);
+
 /* ---- ping.c ---- */
 
 void ping_send(struct ld_peers *p, struct link *l);
