--- a/lib/replica/supply.c
+++ b/lib/replica/supply.c
@@ -317,12 +317,19 @@
 	return best;
 }
 
+/* What can be had without breaking up anything. */
+static uint16_t
+available(const struct step *s)
+{
+	return step_free(s) + count_warming(s);
+}
+
 bool
 step_break_up(struct step *s, uint16_t need)
 {
-	if (step_free(s) + count_filler_members(s) < need)
+	if (available(s) + count_filler_members(s) < need)
 		return false;
-	while (step_free(s) + step_parts_coming(s) < need) {
+	while (available(s) + step_parts_coming(s) < need) {
 		struct ld_replica_entry *e = choose_victim(s);
 
 		if (e == NULL)
@@ -393,7 +400,7 @@
 	/* Instances that settle soon count: breaking up for them is waste. */
 	warming = count_warming(s);
 	if (count_sound(s) + warming + step_parts_coming(s) < keep)
-		step_break_up(s, keep - warming);
+		step_break_up(s, keep);
 	while (step_free(s) + warming >= keep + m->size) {
 		step_claim(s, m->size);
 		if (!step_form(s, m))
