--- a/lib/peers/peers_internal.h
+++ b/lib/peers/peers_internal.h
@@ -26,6 +26,9 @@
 #define REJOIN_MAX_MS 60000
 #define BACKOFF_MIN_MS 500
 #define BACKOFF_MAX_MS 8000
+/* Between claims of an address that another process claims too. */
+#define CLAIM_MIN_MS 1000
+#define CLAIM_MAX_MS 60000
 #define SUSPECT_AGAIN_MS 60000 /* between suspicions of one node by this one */
 #define CATALOGUE_RETRY_MS 1000
 #define DIGEST_MS 2500 /* between exchanges begun on one link */
@@ -38,7 +41,7 @@
 #define WANTED_MAX 4
 #define UNREACHABLE_FAILURES 2 /* failed dials before a ring passes it over */
 
-/** enum ring - orders of the members in which links are chosen */
+/** enum ring - orders of the members in which successors are chosen */
 enum ring {
 	RING_DOMAIN,
 	RING_REGION,
@@ -50,6 +53,8 @@
 #define DISTANCE_MAX 64
 #define COST_NEAR 1
 #define COST_CROSS_REGION 4
+#define CHILDREN_MAX 3
+#define COST_FULL 8 /* told to children beyond CHILDREN_MAX */
 
 /**
  * struct item - member or record in the order in which it last changed
@@ -89,6 +94,7 @@
 	uint64_t since_ms;
 	bool gone; /* kept only so that old news does not bring it back */
 	uint64_t ring[RING_COUNT];
+	uint64_t region_hash;
 	uint64_t records_hash;
 	uint64_t confirmed; /* catalogue revision */
 	uint64_t suspected_ms; /* last suspicion raised by this node, 0: none */
@@ -120,9 +126,12 @@
 	uint64_t deadline_ms; /* of the dial and the join */
 	uint64_t heard_ms;
 	uint64_t ping_due_ms;
-	uint64_t ping_seq;
+	uint64_t ping_seq; /* of the last ping or ack sent */
+	uint64_t heard_seq; /* of the last one that came */
+	uint64_t timed_seq; /* the one whose echo is awaited, 0: none */
+	uint64_t timed_ms; /* when that one was sent */
 	uint64_t wanted_ms; /* last time that this node wanted it */
-	uint64_t direct_ms; /* last direct message */
+	uint64_t direct_ms; /* last direct message, 0: none */
 	uint64_t digest_ms; /* last exchange begun */
 	uint64_t mismatch_ms; /* since when tables differ, 0: they agree */
 	uint64_t sent_no;
@@ -157,6 +166,8 @@
 	size_t member_cap;
 	struct member *self;
 	uint64_t next_seq; /* of the records of this node */
+	uint64_t claim_after_ms; /* its address may be claimed again then */
+	uint64_t claim_wait_ms;
 	uint64_t bucket[LD_WIRE_BUCKETS];
 	struct item changes; /* head of the circular list of items */
 	uint64_t change_no;
@@ -272,6 +283,8 @@
 void tree_update(struct ld_peers *p);
 bool tree_has(const struct ld_peers *p, const struct link *l);
 void tree_announce(struct ld_peers *p);
+/** tree_children() - neighbours that have this node as their parent */
+unsigned int tree_children(const struct ld_peers *p);
 
 /* ---- links.c ---- */
 
--- a/tests/peers_net.h
+++ b/tests/peers_net.h
@@ -51,6 +51,7 @@
 	uint32_t link[2];
 	bool open[2];
 	uint64_t last_ms[2]; /* of a direction, whose messages stay in order */
+	bool silent; /* nothing passes any more, and nobody is told */
 };
 
 struct net_node {
@@ -79,6 +80,7 @@
 	int nodes;
 	unsigned int loss_per_mille;
 	bool cut; /* between the regions */
+	unsigned int changed_per_mille; /* messages with bytes changed */
 	bool confirm; /* nodes confirm each catalogue that comes */
 	struct net_conn *conns;
 	size_t conn_count;
@@ -87,6 +89,9 @@
 	FILE *trace; /* NULL: none */
 };
 
+/* Taken by the networks that are set up from then on. */
+static FILE *net_trace_to;
+
 static inline uint64_t
 net_now(const struct net *n)
 {
@@ -122,6 +127,8 @@
 static inline bool
 net_is_cut(const struct net *n, const struct net_conn *c)
 {
+	if (c->silent)
+		return true;
 	return n->cut &&
 	    n->node[c->node[0]].region != n->node[c->node[1]].region;
 }
@@ -235,6 +242,10 @@
 	n->node[n->conns[conn].node[1 - side]].bytes += size;
 	e = net_post(n, conn, 1 - side, NET_MESSAGE, 1);
 	ld_buf_adds(&e->bytes, a->bytes);
+	if (n->changed_per_mille > 0 &&
+	    ld_rand_below(&n->rand, 1000) < n->changed_per_mille)
+		e->bytes.p[ld_rand_below(&n->rand, e->bytes.len)] =
+		    (char)ld_rand_u64(&n->rand);
 }
 
 static inline void
@@ -438,6 +449,7 @@
 	n->events.next = &n->events;
 	n->events.prev = &n->events;
 	n->nodes = nodes;
+	n->trace = net_trace_to;
 	n->loss_per_mille = loss_per_mille;
 	for (int i = 0; i < nodes; i++) {
 		struct net_node *node = &n->node[i];
