--- a/lib/health/health_internal.h
+++ b/lib/health/health_internal.h
@@ -11,11 +11,14 @@
 	uint64_t heard_ms;
 };
 
-/** struct speed - smoothed duration, and whether it is out of line */
+/* Recent durations kept of each server. */
+#define SPEED_SAMPLES 5
+
+/** struct speed - recent durations, and whether they are out of line */
 struct speed {
-	double mean_ms;
-	uint32_t samples;
-	uint32_t slow; /* samples in a row that were out of line */
+	uint32_t recent_ms[SPEED_SAMPLES];
+	uint32_t samples; /* ever taken */
+	uint32_t typical_ms; /* median of the recent ones */
 	bool straggler;
 };
 
--- a/lib/health/reports.c
+++ b/lib/health/reports.c
@@ -88,10 +88,6 @@
 
 /* ---- Speed ---- */
 
-/* Weight of a new sample in the smoothed duration. */
-#define SMOOTHING 0.3
-/* Samples in a row out of line before a server counts as a straggler. */
-#define SLOW_SAMPLES 3
 /* Fewer servers to compare with say nothing about what is in line. */
 #define COMPARE_MIN 3
 
@@ -102,57 +98,71 @@
 }
 
 static int
-compare_doubles(const void *va, const void *vb)
+compare_durations(const void *va, const void *vb)
 {
-	double a = *(const double *)va;
-	double b = *(const double *)vb;
+	uint32_t a = *(const uint32_t *)va;
+	uint32_t b = *(const uint32_t *)vb;
 
 	return (a > b) - (a < b);
 }
 
+static uint32_t
+median_of(uint32_t *v, size_t n)
+{
+	qsort(v, n, sizeof(*v), compare_durations);
+	return v[(n - 1) / 2];
+}
+
 /* Median over the servers measured here, 0 when there are too few. */
-static double
-median_ms(struct ld_health *h, enum speed_kind kind)
+static uint32_t
+common_ms(struct ld_health *h, enum speed_kind kind)
 {
-	double *v = ld_alloc((h->server_count + 1) * sizeof(*v));
-	double median = 0.0;
+	uint32_t *v = ld_alloc((h->server_count + 1) * sizeof(*v));
+	uint32_t median = 0;
 	size_t n = 0;
 
 	for (size_t i = 0; i < h->server_count; i++) {
 		const struct speed *sp = speed_of(&h->servers[i], kind);
 
 		if (sp->samples > 0)
-			v[n++] = sp->mean_ms;
+			v[n++] = sp->typical_ms;
 	}
-	qsort(v, n, sizeof(*v), compare_doubles);
 	if (n >= COMPARE_MIN)
-		median = v[(n - 1) / 2];
+		median = median_of(v, n);
 	free(v);
 	return median;
 }
 
+/* A median, so that a lost packet now and then makes nobody a straggler. */
+static void
+take_sample(struct speed *sp, uint32_t ms)
+{
+	uint32_t sorted[SPEED_SAMPLES];
+	size_t n;
+
+	sp->recent_ms[sp->samples % SPEED_SAMPLES] = ms;
+	sp->samples++;
+	n = sp->samples < SPEED_SAMPLES ? sp->samples : SPEED_SAMPLES;
+	memcpy(sorted, sp->recent_ms, sizeof(sorted));
+	sp->typical_ms = median_of(sorted, n);
+}
+
 void
 speed_add(
     struct ld_health *h, struct server *s, enum speed_kind kind, uint32_t ms)
 {
 	struct speed *sp = speed_of(s, kind);
-	double bound;
+	uint32_t bound;
 
-	sp->samples++;
-	if (sp->samples == 1)
-		sp->mean_ms = ms;
-	else
-		sp->mean_ms += SMOOTHING * (ms - sp->mean_ms);
-	bound = median_ms(h, kind) * h->config.slow_factor;
+	take_sample(sp, ms);
+	if (sp->samples < SPEED_SAMPLES)
+		return;
+	bound = common_ms(h, kind) * h->config.slow_factor;
 	if (bound < h->config.slow_min_ms)
 		bound = h->config.slow_min_ms;
-	if (sp->mean_ms > bound)
-		sp->slow++;
-	else
-		sp->slow = 0;
-	if (sp->slow >= SLOW_SAMPLES)
+	if (sp->typical_ms > bound)
 		sp->straggler = true;
 	/* The way back asks for half, so that the mark doesn't flap. */
-	else if (sp->mean_ms < bound / 2)
+	else if (sp->typical_ms < bound / 2)
 		sp->straggler = false;
 }
