--- a/lib/admit/admit_internal.h
+++ b/lib/admit/admit_internal.h
@@ -20,6 +20,8 @@
 #define BUCKET_DEPTH_MS 500
 /* Streams on a lapsed grant run on for so long, then are cancelled. */
 #define RUN_ON_MS 10000
+/* Slots that other nodes hold idle are back after this: worth waiting for. */
+#define SHORT_HOLD_MS 20
 
 enum kind {
 	K_REQUESTS,
@@ -172,6 +174,17 @@
 	uint64_t until_ms;
 };
 
+/** struct plan - how a home means to divide one kind; kept for a short time */
+struct plan {
+	bool valid;
+	uint64_t made_ms;
+	uint64_t pool;
+	uint64_t level; /* nobody gets more */
+	uint64_t percent; /* of the demand, for rates */
+	uint64_t used; /* slots */
+	uint64_t active; /* nodes with demand */
+};
+
 /** struct home - the side of a pool that grants */
 struct home {
 	struct lender *lenders;
@@ -180,6 +193,7 @@
 	uint64_t told_used; /* last promise_msg */
 	uint64_t told_ms;
 	uint64_t scarce_until_ms;
+	struct plan plan[K_COUNT];
 	struct used_promise *used; /* pool of the left over */
 	size_t used_count;
 };
@@ -210,6 +224,7 @@
 	bool news; /* report at once */
 	bool scarce; /* the home lacks slots */
 	bool ask_open;
+	bool ask_due; /* a request waits for an ask to be sent */
 	uint64_t ask_ts;
 	uint64_t deny_until_ms[K_COUNT];
 	uint64_t deny_retry_ms[K_COUNT];
@@ -323,7 +338,7 @@
 uint64_t ld_admit_held_sum(const struct ld_admit *a, const struct account *c,
     enum kind k, uint64_t now_ms);
 /** ld_admit_target() - the fair part of @l, whatever others hold now */
-uint64_t ld_admit_target(const struct ld_admit *a, const struct account *c,
+uint64_t ld_admit_target(const struct ld_admit *a, struct account *c,
     const struct lender *l, enum kind k, uint64_t now_ms);
 /** ld_admit_level() - highest level at which sum(min(want, level)) fits */
 uint64_t ld_admit_level(const uint64_t *want, size_t n, uint64_t pool);
--- a/lib/admit/home.c
+++ b/lib/admit/home.c
@@ -6,11 +6,11 @@
 #include "admit_internal.h"
 
 /* Least time between two grants that take idle amounts back from a node. */
-#define RECALL_GAP_MS 100
+#define RECALL_GAP_MS 50
 /* Nodes asked for idle amounts when one question falls short. */
 #define RECALLS_MAX 4
 /* A denied node asks again after this, and this for each other asker. */
-#define HOLD_MIN_MS 100
+#define HOLD_MIN_MS 50
 #define HOLD_MS_PER_ASKER 3
 #define ASKER_WINDOW_MS 1000
 #define RETRY_MIN_MS 200
@@ -127,8 +127,8 @@
 
 /* The amount of @k that @l may get now: its fair part, if nobody holds it. */
 static uint64_t
-amount(const struct ld_admit *a, const struct account *c,
-    const struct lender *l, enum kind k, uint64_t extra, uint64_t now_ms)
+amount(const struct ld_admit *a, struct account *c, const struct lender *l,
+    enum kind k, uint64_t extra, uint64_t now_ms)
 {
 	uint64_t pool = ld_admit_pool(a, c, k, now_ms);
 	uint64_t others =
@@ -157,7 +157,8 @@
 		rate = pool > held ? pool - held : 0;
 		b->micro += (int64_t)(rate * (now_ms - b->filled_ms));
 		b->filled_ms = now_ms;
-		depth = (int64_t)ld_admit_depth(rate, (enum kind)k);
+		/* All of the pool: bursts go where the requests come. */
+		depth = (int64_t)ld_admit_depth(pool, (enum kind)k);
 		if (b->micro > depth)
 			b->micro = depth;
 	}
@@ -209,7 +210,7 @@
 /* ---- Taking back ---- */
 
 static bool
-above_target(const struct ld_admit *a, const struct account *c,
+above_target(const struct ld_admit *a, struct account *c,
     const struct lender *l, enum kind k, uint64_t now_ms)
 {
 	uint64_t target;
@@ -238,7 +239,7 @@
 }
 
 /* Idle amounts of other nodes come back for the next question. */
-static void
+static bool
 recall(struct ld_admit *a, struct account *c, uint64_t asker, enum kind k,
     uint64_t now_ms)
 {
@@ -246,8 +247,6 @@
 	struct lender *l;
 	size_t start, sent = 0;
 
-	if (h->count == 0)
-		return;
 	start = ld_rand_below(&a->rand, h->count);
 	for (size_t i = 0; i < h->count && sent < RECALLS_MAX; i++) {
 		l = &h->lenders[(start + i) % h->count];
@@ -257,6 +256,7 @@
 		send_shrunk(a, c, l, k, now_ms);
 		sent++;
 	}
+	return sent > 0;
 }
 
 /* ---- Answering ---- */
@@ -316,7 +316,8 @@
 	g->hold_ms = hold_ms(&c->side, now_ms);
 	g->retry_ms = retry_ms(
 	    a, c, k, k < RATE_KINDS ? lump_need(r, k, r->want) : 0, now_ms);
-	recall(a, c, l->node, k, now_ms);
+	if (recall(a, c, l->node, k, now_ms) && k >= K_SLOTS)
+		g->hold_ms = SHORT_HOLD_MS;
 }
 
 #define WANT_MAX 64 /* requests answered in one ask */
@@ -400,46 +401,60 @@
 
 /* ---- Changes of the pool ---- */
 
-/* What @l may keep of @k, no more than it has. */
-static uint64_t
-kept(const struct ld_admit *a, const struct account *c, const struct lender *l,
-    enum kind k, uint64_t now_ms)
+/* Finds the kinds of which nodes hold more than the pool has now. */
+static bool
+find_over(struct ld_admit *a, struct account *c, bool *over, uint64_t now_ms)
 {
-	uint64_t target;
+	bool any = false;
 
-	if (ld_admit_held_sum(a, c, k, now_ms) <=
-	    ld_admit_pool(a, c, k, now_ms))
-		return l->granted[k];
-	target = ld_admit_target(a, c, l, k, now_ms);
-	return target < l->granted[k] ? target : l->granted[k];
+	for (int k = 0; k < K_COUNT; k++) {
+		c->side.plan[k].valid = false;
+		over[k] = ld_admit_held_sum(a, c, (enum kind)k, now_ms) >
+		    ld_admit_pool(a, c, (enum kind)k, now_ms);
+		any = any || over[k];
+	}
+	return any;
+}
+
+static void
+shrink_to_target(struct ld_admit *a, struct account *c, struct lender *l,
+    const bool *over, bool preempt, uint64_t now_ms)
+{
+	struct grant_msg g = {.preempt = preempt};
+	uint64_t keep[K_COUNT], target;
+	bool less = false;
+
+	for (int k = 0; k < K_COUNT; k++) {
+		keep[k] = l->granted[k];
+		if (!over[k])
+			continue;
+		target = ld_admit_target(a, c, l, (enum kind)k, now_ms);
+		if (target >= keep[k])
+			continue;
+		keep[k] = target;
+		less = true;
+	}
+	if (!less)
+		return;
+	memcpy(g.rate, keep, sizeof(g.rate));
+	memcpy(g.slots, keep + K_SLOTS, sizeof(g.slots));
+	send_grant(a, c, l, &g, now_ms);
 }
 
 void
 ld_admit_home_replan(struct ld_admit *a, struct account *c, uint64_t now_ms)
 {
 	struct home *h = &c->side;
-	bool preempt = is_short(a, c, now_ms);
-	uint64_t keep[K_COUNT];
-	struct grant_msg g;
-	bool less;
+	bool over[K_COUNT];
+	bool preempt;
 
+	if (h->count == 0 || !find_over(a, c, over, now_ms))
+		return;
+	preempt = is_short(a, c, now_ms);
 	for (size_t i = 0; i < h->count; i++) {
-		struct lender *l = &h->lenders[i];
-
-		if (now_ms >= l->commit_until_ms)
-			continue;
-		less = false;
-		for (int k = 0; k < K_COUNT; k++) {
-			keep[k] = kept(a, c, l, (enum kind)k, now_ms);
-			less = less || keep[k] < l->granted[k];
-		}
-		if (!less)
-			continue;
-		memset(&g, 0, sizeof(g));
-		memcpy(g.rate, keep, sizeof(g.rate));
-		memcpy(g.slots, keep + K_SLOTS, sizeof(g.slots));
-		g.preempt = preempt;
-		send_grant(a, c, l, &g, now_ms);
+		if (now_ms < h->lenders[i].commit_until_ms)
+			shrink_to_target(
+			    a, c, &h->lenders[i], over, preempt, now_ms);
 	}
 }
 
