node: join bookings, server health and control of replicas

Cause: the decisions of lib/booking, lib/health and lib/replica were not yet performed by a serving node; each node probed every member by itself. Change: booking_task claims in the store by compare-and-swap before a call that is not idempotent is sent; servers.c shares health reports through peer records, tells routing, reports own calls as evidence, and runs one control task per fabric domain; deployment.models and control.* settings; drain hands control leases over and waits for outcomes that are not recorded yet. Removed: deployment.engines_check_fencing, which no code needs: orders carry the fence always, and nothing relies on its being checked.

--- a/lib/node/completion.c
+++ b/lib/node/completion.c
@@ -55,6 +55,7 @@
 	free(c->replica);
 	free(c->excluded);
 	free(c->owner);
+	free(c->address);
 	free(c);
 }
 
@@ -176,7 +177,8 @@
 		return;
 	}
 	begin_answer(c);
-	c->relayed++;
+	if (c->relayed++ == c->relayed_before)
+		c->first_token_ms = now;
 	node_count(n, LD_M_TOKENS);
 	completion_note_token(c, now);
 	ld_exchange_write(c->x, event);
@@ -235,6 +237,16 @@
 	completion_fail(c, &p, LD_C_NONE);
 }
 
+static uint32_t
+mean_gap_ms(const struct completion *c)
+{
+	uint64_t n = c->relayed - c->relayed_before;
+
+	if (n < 2)
+		return 0;
+	return (uint32_t)((c->last_token_ms - c->first_token_ms) / (n - 1));
+}
+
 static void
 on_done(void *owner, const struct ld_http_result *r, bool finished,
     struct ld_str type, struct ld_str body)
@@ -246,6 +258,8 @@
 
 	c->call = NULL;
 	c->maybe_ran |= r->sent;
+	servers_called(
+	    n, c->address, finished ? LD_OK : r->status, mean_gap_ms(c));
 	if (finished && fit && r->code == 200 && c->stream)
 		finish_stream(c);
 	else if (finished && fit && r->code == 200)
@@ -280,9 +294,7 @@
 	const struct ld_settings *s = c->node->settings;
 	struct ld_node *n = c->node;
 	uint64_t now = node_now(n);
-	char *address = ld_str_dup(choice->address);
 	struct ld_engine_request rq = {
-	    .address = address,
 	    .path = ld_exchange_path(c->x),
 	    .request_id = ld_exchange_id(c->x),
 	    .epoch = choice->epoch,
@@ -293,6 +305,9 @@
 	    .progress_timeout_ms = s->engine_progress_timeout_ms,
 	};
 
+	free(c->address);
+	c->address = ld_str_dup(choice->address);
+	rq.address = c->address;
 	free(c->replica);
 	c->replica = ld_str_dup(choice->replica);
 	c->epoch = choice->epoch;
@@ -307,7 +322,6 @@
 	if (!c->stream)
 		rq.progress_timeout_ms = 0;
 	c->call = ld_engine_start(n->http, &rq, &engine_ops, c);
-	free(address);
 	if (c->call == NULL)
 		fail_unavailable(
 		    c, "no-answer", "No replica gave an answer", LD_C_BACKEND);
--- a/lib/node/completion_internal.h
+++ b/lib/node/completion_internal.h
@@ -15,6 +15,7 @@
 	struct ld_engine_call *call;
 	char *model;
 	char *replica;
+	char *address; /* of the replica's head */
 	char *excluded; /* replica that failed last */
 	char *owner;
 	enum ld_class class;
@@ -24,6 +25,7 @@
 	uint64_t route_call;
 	uint64_t deadline_ms;
 	uint64_t started_ms;
+	uint64_t first_token_ms; /* of this attempt */
 	uint64_t last_token_ms;
 	uint64_t gaps_good; /* not yet noted */
 	uint64_t gaps_bad;
--- a/lib/node/fleet.c
+++ b/lib/node/fleet.c
@@ -12,7 +12,8 @@
 
 /** enum fleet_direct - kinds of direct messages between nodes */
 enum fleet_direct {
-	FLEET_ADMIT = 1
+	FLEET_ADMIT = 1,
+	FLEET_BOOKING = 2
 };
 
 /** struct fleet_member - one counted node as the decision modules know it */
@@ -92,30 +93,32 @@
 }
 
 static void
-tell_catalogue(struct fleet *f)
+tell_live(struct fleet *f)
 {
-	struct ld_fresh_node *list = ld_alloc(f->count * sizeof(*list));
-	struct ld_str *ids = ld_alloc(f->count * sizeof(*ids));
+	struct ld_fresh_node *fresh = ld_alloc(f->count * sizeof(*fresh));
+	struct servers_node *nodes = ld_alloc(f->count * sizeof(*nodes));
 	size_t n = 0;
 
 	for (size_t i = 0; i < f->count; i++) {
 		struct fleet_member *m = &f->members[i];
-		struct ld_buf id = {0};
+		struct ld_buf name = {0};
 
 		if (!is_live(m))
 			continue;
-		ld_buf_printf(&id, "%.*s/%016llx", LD_FMT(m->address),
+		ld_buf_printf(&name, "%.*s/%016llx", LD_FMT(m->address),
 		    (unsigned long long)m->incarnation);
-		ids[n] = ld_buf_str(&id);
-		list[n].id = ids[n];
-		list[n].domain = m->domain;
+		nodes[n] = (struct servers_node){
+		    m->address, m->domain, ld_buf_str(&name)};
+		fresh[n] = (struct ld_fresh_node){nodes[n].name, m->domain};
 		n++;
 	}
-	catalogue_members(f->node, list, n, f->count);
+	catalogue_members(f->node, fresh, n, f->count);
+	servers_nodes(f->node, nodes, n);
+	booking_members(f->node, nodes, n);
 	for (size_t i = 0; i < n; i++)
-		free((void *)(uintptr_t)ids[i].p);
-	free(ids);
-	free(list);
+		free((void *)(uintptr_t)nodes[i].name.p);
+	free(nodes);
+	free(fresh);
 }
 
 static void
@@ -125,7 +128,7 @@
 	drop_members(f);
 	ld_peers_each_member(ld_peer_task_peers(f->task), add_member, f);
 	tell_admission(f);
-	tell_catalogue(f);
+	tell_live(f);
 	completions_act(f->node);
 }
 
@@ -228,11 +231,34 @@
 	struct fleet *f = arg;
 	struct ld_node *n = f->node;
 
-	if (kind != FLEET_ADMIT)
-		return;
-	ld_admit_message(
-	    n->admit, node_now(n), member_id(from, from_incarnation), bytes);
-	completions_act(n);
+	if (kind == FLEET_ADMIT) {
+		ld_admit_message(n->admit, node_now(n),
+		    member_id(from, from_incarnation), bytes);
+		completions_act(n);
+	} else if (kind == FLEET_BOOKING) {
+		struct ld_buf name = {0};
+
+		ld_buf_printf(&name, "%.*s/%016llx", LD_FMT(from),
+		    (unsigned long long)from_incarnation);
+		booking_message(n, ld_buf_str(&name), bytes);
+		ld_buf_free(&name);
+	}
+}
+
+/* A node's name is its address, a slash and its incarnation in hex. */
+void
+fleet_send_booking(struct fleet *f, struct ld_str name, struct ld_str bytes)
+{
+	struct ld_str address = name;
+	char *copy = ld_str_dup(name);
+	char *slash = strrchr(copy, '/');
+
+	if (slash != NULL) {
+		address.len = (size_t)(slash - copy);
+		ld_peer_task_send(f->task, address,
+		    strtoull(slash + 1, NULL, 16), FLEET_BOOKING, bytes);
+	}
+	free(copy);
 }
 
 static void
@@ -242,6 +268,8 @@
 
 	if (r->kind == LD_PEERS_REC_PLACEMENT && r->value.len > 0)
 		placement_from_peer(f->node, r->key, r->value);
+	if (r->kind == LD_PEERS_REC_HEALTH && r->value.len > 0)
+		servers_report(f->node, r->value);
 }
 
 void
--- a/lib/node/follow.c
+++ b/lib/node/follow.c
@@ -73,6 +73,7 @@
 		ld_route_leaving(n->route, now, ld_str_c(list->v[i].address),
 		    list->v[i].leaving);
 	tell_services(n, list);
+	servers_listed(n, list);
 	placement_zones_changed(n);
 	completions_act(n);
 }
--- a/lib/node/node_internal.h
+++ b/lib/node/node_internal.h
@@ -16,12 +16,13 @@
 
 struct completion;
 struct service_call;
+struct booking_task;
 struct catalogue_task;
 struct edit;
 struct fleet;
 struct history;
 struct placement_task;
-struct probes;
+struct servers;
 
 /** enum node_phase - life of a node */
 enum node_phase {
@@ -43,10 +44,11 @@
 	struct catalogue_task *catalogue_task;
 	struct fleet *fleet;
 	struct edit *edits;
+	struct booking_task *booking_task;
 	struct placement_task *placement_task;
 	struct ld_admit *admit;
 	struct ld_route *route;
-	struct probes *probes;
+	struct servers *servers;
 	struct completion *completions;
 	struct service_call *service_calls;
 	uint64_t last_call; /* ids of calls given to lib/route */
@@ -101,6 +103,8 @@
 /** service_start() - take a request below /services/ */
 void service_start(struct ld_node *n, struct ld_exchange *x);
 void service_gone(struct service_call *c);
+/** services_close() - end what is under way */
+void services_close(struct ld_node *n);
 /** service_decided() - admission decided; false when it is no such call */
 bool service_decided(struct ld_node *n, const struct ld_admit_decision *d);
 
@@ -125,6 +129,9 @@
 uint64_t fleet_self(const struct fleet *f);
 /** fleet_self_name() - this node's name with its incarnation */
 void fleet_self_name(const struct fleet *f, struct ld_buf *out);
+/** fleet_send_booking() - @name is a node's name with its incarnation */
+void fleet_send_booking(
+    struct fleet *f, struct ld_str name, struct ld_str bytes);
 void fleet_send_admit(struct fleet *f, uint64_t to, struct ld_str bytes);
 void fleet_offer(struct fleet *f, int64_t revision, struct ld_str bytes);
 void fleet_confirm(struct fleet *f, int64_t revision);
@@ -177,13 +184,40 @@
 void placement_zones_changed(struct ld_node *n);
 void follow_close(struct ld_node *n);
 
-/* ---- Probes of servers (probe.c) ---- */
+/* ---- Servers (servers.c) ---- */
 
-void probes_open(struct ld_node *n);
-void probes_close(struct ld_node *n);
-/** probes_watch() - probe exactly these members from now on */
-void probes_watch(struct ld_node *n, const struct ld_str *addresses,
-    const struct ld_str *heads_of, size_t count);
+/** struct servers_node - a live node; @name has its incarnation */
+struct servers_node {
+	struct ld_str address;
+	struct ld_str domain;
+	struct ld_str name;
+};
+
+void servers_open(struct ld_node *n);
+/** servers_resign() - hand control leases over */
+void servers_resign(struct ld_node *n);
+void servers_close(struct ld_node *n);
+void servers_nodes(
+    struct ld_node *n, const struct servers_node *nodes, size_t count);
+/** servers_listed() - the live list changed */
+void servers_listed(struct ld_node *n, const struct ld_live_list *list);
+/** servers_report() - another node published a health report */
+void servers_report(struct ld_node *n, struct ld_str report);
+/** servers_called() - how an own call of an engine ended */
+void servers_called(struct ld_node *n, const char *address,
+    enum ld_status status, uint32_t token_ms);
+
+/* ---- Bookings (booking_task.c) ---- */
+
+void booking_open(struct ld_node *n);
+void booking_close(struct ld_node *n);
+void booking_members(
+    struct ld_node *n, const struct servers_node *nodes, size_t count);
+/** booking_message() - from the booking task of another node */
+void booking_message(
+    struct ld_node *n, struct ld_str from, struct ld_str bytes);
+/** booking_busy() - calls under way and outcomes not yet recorded */
+size_t booking_busy(const struct ld_node *n);
 
 /* ---- What is shown to operators (gauges.c, history.c) ---- */
 
--- a/lib/node/placement_task.c
+++ b/lib/node/placement_task.c
@@ -36,7 +36,7 @@
 	bool watching;
 };
 
-/* ---- Telling routing and probes ---- */
+/* ---- Telling routing ---- */
 
 static void
 place(struct ld_node *n, const struct ld_placement *p)
@@ -79,34 +79,6 @@
 	return NULL;
 }
 
-static void
-probe_members(struct placement_task *t)
-{
-	struct ld_node *n = t->node;
-	struct ld_str *addresses = NULL;
-	struct ld_str *heads_of = NULL;
-	size_t count = 0;
-
-	for (struct placement_slot *s = t->slots; s != NULL; s = s->next) {
-		for (size_t i = 0; i < s->placement->n_replicas; i++) {
-			const struct ld_placed *r = &s->placement->replicas[i];
-			size_t want =
-			    (count + r->n_members) * sizeof(*addresses);
-
-			addresses = ld_realloc(addresses, want);
-			heads_of = ld_realloc(heads_of, want);
-			for (size_t j = 0; j < r->n_members; j++) {
-				addresses[count] = ld_str_c(r->members[j]);
-				heads_of[count++] =
-				    ld_str_c(j == 0 ? r->id : NULL);
-			}
-		}
-	}
-	probes_watch(n, addresses, heads_of, count);
-	free(addresses);
-	free(heads_of);
-}
-
 /* ---- Adopting ---- */
 
 /* Returns true when the record is newer than the one in force. */
@@ -143,7 +115,6 @@
 static void
 changed(struct placement_task *t)
 {
-	probe_members(t);
 	completions_act(t->node);
 }
 
--- a/lib/node/serve.c
+++ b/lib/node/serve.c
@@ -37,7 +37,7 @@
 	struct serve_task *s = (struct serve_task *)((char *)t -
 	    offsetof(struct serve_task, drain));
 	struct ld_node *n = &s->node;
-	size_t open = ld_listener_open_exchanges(n->entry);
+	size_t open = ld_listener_open_exchanges(n->entry) + booking_busy(n);
 
 	if (now_ms >= s->listen_until_ms)
 		ld_listener_stop_listening(n->entry);
@@ -60,6 +60,7 @@
 	if (n->phase == NODE_DRAINING)
 		return;
 	n->phase = NODE_DRAINING;
+	servers_resign(n);
 	s->listen_until_ms = node_now(n) + n->settings->entry_drain_notice_ms;
 	ld_log(LD_LOG_NOTICE, PART, "draining, %zu requests are open",
 	    ld_listener_open_exchanges(n->entry));
@@ -150,10 +151,12 @@
 
 	ld_listener_free(n->entry);
 	ld_listener_free(n->operators);
+	services_close(n);
 	edits_close(n);
+	booking_close(n);
 	placement_close(n);
 	catalogue_close(n);
-	probes_close(n);
+	servers_close(n);
 	follow_close(n);
 	fleet_close(n->fleet);
 	ld_http_free(n->http);
@@ -181,13 +184,14 @@
 	n->loop = ld_loop_new();
 	n->http = ld_http_new(n->loop);
 	open_burn(n);
-	probes_open(n);
 	follow_open(n);
 	st = fleet_open(n);
 	if (st != LD_OK)
 		goto out;
 	open_decisions(n);
 	catalogue_open(n);
+	servers_open(n);
+	booking_open(n);
 	placement_open(n);
 	follow_start(n);
 	fleet_start(n->fleet);
--- a/lib/node/service_call.c
+++ b/lib/node/service_call.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "node_internal.h"
+#include "service_internal.h"
 
 #define PART "service"
 #define SERVICES_PREFIX "/services/"
@@ -12,29 +12,7 @@
 #define ATTEMPTS_MAX 3
 #define KEY_MAX_BYTES 256
 
-/** struct service_call - one request below /services/ */
-struct service_call {
-	struct service_call *next;
-	struct service_call **link;
-	struct ld_node *node;
-	struct ld_exchange *x;
-	struct ld_service_call *call;
-	const struct ld_service_settings *service;
-	char *target; /* path and query at the service */
-	char *server;
-	char *content_type;
-	char *key;
-	uint64_t ticket;
-	uint64_t deadline_ms;
-	unsigned int attempts;
-	bool idempotent;
-	bool maybe_ran;
-	bool waiting; /* for the decision of admission */
-};
-
-static void attempt(struct service_call *c);
-
-static void
+void
 service_free(struct service_call *c)
 {
 	if (c->call != NULL) {
@@ -53,11 +31,22 @@
 	free(c->server);
 	free(c->content_type);
 	free(c->key);
+	free(c->owner);
 	free(c);
 }
 
 /* ---- End ---- */
 
+void
+service_fail(struct service_call *c, const struct ld_problem *p)
+{
+	if (p->ran == LD_RAN_UNKNOWN)
+		node_count(c->node, LD_M_SERVICE_UNKNOWN);
+	if (c->x != NULL)
+		ld_exchange_problem(c->x, p);
+	service_free(c);
+}
+
 static void
 fail(struct service_call *c, unsigned int code, const char *type,
     const char *title)
@@ -67,46 +56,42 @@
 	    .type = type,
 	    .title = title,
 	    .ran = c->maybe_ran ? LD_RAN_UNKNOWN : LD_RAN_NO,
+	    .retry_after_ms = RETRY_AFTER_MS,
 	};
 
-	/* A call in doubt that may not be repeated isn't worth repeating. */
-	if (!c->maybe_ran || c->idempotent)
-		p.retry_after_ms = RETRY_AFTER_MS;
-	if (c->maybe_ran)
-		node_count(c->node, LD_M_SERVICE_UNKNOWN);
-	ld_exchange_problem(c->x, &p);
-	service_free(c);
+	service_fail(c, &p);
 }
 
-static void
-answer(
-    struct service_call *c, long code, struct ld_str type, struct ld_str body)
+void
+service_answer(struct service_call *c, long code, struct ld_str type,
+    struct ld_str body, bool recorded)
 {
-	static const char *const ran[] = {"X-Ran", "yes", NULL};
+	const char *headers[] = {"X-Ran", "yes", "X-Recorded", "yes", NULL};
 	char *content_type = ld_str_dup(type);
 
-	ld_exchange_answer(c->x, (unsigned int)code,
-	    type.len > 0 ? content_type : NULL, ran, body);
+	if (!recorded)
+		headers[2] = NULL;
+	if (c->x != NULL)
+		ld_exchange_answer(c->x, (unsigned int)code,
+		    type.len > 0 ? content_type : NULL, headers, body);
 	free(content_type);
 	service_free(c);
 }
 
 /* ---- Attempts ---- */
 
-/* A call that surely was not sent may go to another server, whatever it is. */
 static void
 retry_or_fail(struct service_call *c, const struct ld_http_result *r)
 {
 	struct ld_node *n = c->node;
-	bool repeatable = c->idempotent || !r->sent;
 	enum ld_status st = LD_E_LIMIT;
 
 	if (c->attempts < ATTEMPTS_MAX)
-		st = ld_route_retry(
-		    n->route, node_now(n), repeatable, c->deadline_ms);
+		st =
+		    ld_route_retry(n->route, node_now(n), true, c->deadline_ms);
 	if (st == LD_OK) {
 		node_count(n, LD_M_RETRIES);
-		attempt(c);
+		service_send(c);
 		return;
 	}
 	ld_log(LD_LOG_WARNING, PART, "no answer from %s: %s", c->server,
@@ -129,14 +114,28 @@
 	ld_route_service_finished(c->node->route, node_now(c->node),
 	    ld_str_c(c->service->name), ld_str_c(c->server),
 	    r->status != LD_OK);
-	if (r->status == LD_OK)
-		answer(c, r->code, type, body);
+	if (c->booking != 0)
+		booking_sent(c, r, type, body);
+	else if (r->status == LD_OK)
+		service_answer(c, r->code, type, body, false);
 	else
 		retry_or_fail(c, r);
 }
 
+/* Nothing was sent by this attempt. */
 static void
-attempt(struct service_call *c)
+refuse_unsent(struct service_call *c)
+{
+	struct ld_http_result r = {.status = LD_E_UNAVAILABLE};
+
+	if (c->booking != 0)
+		booking_sent(c, &r, ld_str_c(NULL), ld_str_c(NULL));
+	else
+		fail(c, 503, "no-server", "No server of the service is there");
+}
+
+void
+service_send(struct service_call *c)
 {
 	static const struct ld_service_ops ops = {.done = on_done};
 	struct ld_node *n = c->node;
@@ -155,7 +154,7 @@
 
 	if (ld_route_service_pick(n->route, now, ld_str_c(c->service->name),
 		ld_str_c(c->server), &server) != LD_OK) {
-		fail(c, 503, "no-server", "No server of the service is there");
+		refuse_unsent(c);
 		return;
 	}
 	free(c->server);
@@ -169,7 +168,7 @@
 	    n->route, ld_str_c(c->service->name), ld_str_c(c->server));
 	c->call = ld_service_start(n->http, &rq, &ops, c);
 	if (c->call == NULL)
-		fail(c, 502, "service-broken", "The service can't be called");
+		refuse_unsent(c);
 }
 
 /* ---- Request ---- */
@@ -214,7 +213,8 @@
 
 static struct service_call *
 call_new(struct ld_node *n, struct ld_exchange *x,
-    const struct ld_service_settings *svc, const char *target)
+    const struct ld_service_settings *svc, const char *target,
+    const char *owner)
 {
 	struct service_call *c = ld_alloc(sizeof(*c));
 	const char *type = ld_exchange_header(x, "Content-Type");
@@ -223,6 +223,7 @@
 	c->node = n;
 	c->x = x;
 	c->service = svc;
+	c->owner = ld_strdup(owner);
 	c->target = ld_strdup(target);
 	c->content_type = type != NULL ? ld_strdup(type) : NULL;
 	c->key = key != NULL ? ld_strdup(key) : NULL;
@@ -249,7 +250,10 @@
 	}
 	c->ticket = d->ticket;
 	ld_route_count_request(c->node->route, node_now(c->node));
-	attempt(c);
+	if (c->idempotent)
+		service_send(c);
+	else
+		booking_start(c);
 }
 
 bool
@@ -284,7 +288,7 @@
 		return;
 	}
 	node_count(n, LD_M_SERVICE_CALLS);
-	c = call_new(n, x, svc, rest + name_len);
+	c = call_new(n, x, svc, rest + name_len, e->owner);
 	ld_admit_request(n->admit, node_now(n), ld_str_c(e->owner), 0, &d);
 	c->ticket = d.ticket;
 	if (d.verdict == LD_ADMIT_WAIT)
@@ -298,5 +302,15 @@
 service_gone(struct service_call *c)
 {
 	c->x = NULL;
-	service_free(c);
+	if (c->booking != 0)
+		booking_gone(c);
+	else
+		service_free(c);
+}
+
+void
+services_close(struct ld_node *n)
+{
+	while (n->service_calls != NULL)
+		service_free(n->service_calls);
 }
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -32,6 +32,18 @@
 	size_t rule_count;
 };
 
+/** struct ld_model_settings - one model that control keeps replicas of */
+struct ld_model_settings {
+	char *name;
+	uint64_t size; /* instances of one replica */
+	uint64_t wanted; /* replicas in each fabric domain */
+};
+
+/** Models of a deployment. */
+#define LD_SETTINGS_MODELS_MAX 16
+/** Value of control.spares: work the number out from the weights. */
+#define LD_SPARES_AUTO 1024
+
 /** struct ld_settings - everything a process is told at its start */
 struct ld_settings {
 	char *failure_domain;
@@ -55,9 +67,12 @@
 	uint64_t live_list_wait_ms;
 	char **fabrics;
 	size_t fabric_count;
-	bool engines_check_fencing;
+	struct ld_model_settings *models;
+	size_t model_count;
 	bool control_enabled;
 	uint64_t control_spares;
+	uint64_t control_accelerators;
+	uint64_t control_max_loads;
 	uint64_t control_downtime_weight_percent;
 	uint64_t engine_connect_timeout_ms;
 	uint64_t engine_progress_timeout_ms;
@@ -85,7 +100,8 @@
 	LD_SETTING_STRING_LIST,
 	LD_SETTING_UINT,
 	LD_SETTING_BOOL,
-	LD_SETTING_SERVICES
+	LD_SETTING_SERVICES,
+	LD_SETTING_MODELS
 };
 
 /**
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -13,6 +13,8 @@
 #define FILE_MAX_BYTES 1048576
 #define PATH_MAX_BYTES 160
 #define SHOWN_MAX_BYTES 60
+#define MODEL_SIZE_MAX 64
+#define MODEL_WANTED_MAX 128
 #define SUGGESTION_CANDIDATES_MAX 64
 
 /** struct check - one run over the settings */
@@ -272,6 +274,51 @@
 	check_service_names(ck);
 }
 
+/* ---- Models ---- */
+
+static bool
+read_bounded(const json_t *v, const char *name, json_int_t max, uint64_t *out)
+{
+	const json_t *member = json_object_get(v, name);
+	json_int_t n = json_integer_value(member);
+
+	if (!json_is_integer(member) || n < 1 || n > max)
+		return false;
+	*out = (uint64_t)n;
+	return true;
+}
+
+static void
+read_models(struct check *ck, const struct ld_setting *row, const json_t *v)
+{
+	size_t n = json_array_size(v);
+	char at[PATH_MAX_BYTES];
+
+	if (!json_is_array(v) || n > row->max) {
+		fault(ck, row->path, v, "a list of at most 16 models");
+		return;
+	}
+	ck->out->models = ld_alloc(n * sizeof(*ck->out->models));
+	for (size_t i = 0; i < n; i++) {
+		struct ld_model_settings *m = &ck->out->models[i];
+		const json_t *model = json_array_get(v, i);
+		const json_t *name = json_object_get(model, "name");
+
+		snprintf(at, sizeof(at), "%s[%zu]", row->path, i);
+		ck->out->model_count++;
+		if (!json_is_string(name) || json_string_length(name) == 0 ||
+		    json_object_size(model) != 3 ||
+		    !read_bounded(model, "size", MODEL_SIZE_MAX, &m->size) ||
+		    !read_bounded(
+			model, "wanted", MODEL_WANTED_MAX, &m->wanted)) {
+			fault(ck, at, model,
+			    "{name, size from 1 to 64, wanted from 1 to 128}");
+			continue;
+		}
+		m->name = ld_strdup(json_string_value(name));
+	}
+}
+
 /* ---- Rows ---- */
 
 static void
@@ -320,6 +367,9 @@
 	case LD_SETTING_SERVICES:
 		read_services(ck, row, v);
 		return true;
+	case LD_SETTING_MODELS:
+		read_models(ck, row, v);
+		return true;
 	}
 	return false;
 }
@@ -523,5 +573,8 @@
 	for (size_t i = 0; i < s->service_count; i++)
 		service_fini(&s->services[i]);
 	free(s->services);
+	for (size_t i = 0; i < s->model_count; i++)
+		free(s->models[i].name);
+	free(s->models);
 	free(s);
 }
--- a/lib/settings/table.c
+++ b/lib/settings/table.c
@@ -55,12 +55,17 @@
 	"Longest wait of one long poll, ms."),
     ROW("deployment.fabrics", STRING_LIST, fabrics, 0, LIST_MAX, "[]",
 	"Fabric domains with model engines."),
-    ROW("deployment.engines_check_fencing", BOOL, engines_check_fencing, 0, 0,
-	"false", "Whether engines refuse an old fencing number."),
+    ROW("deployment.models", MODELS, models, 0, LD_SETTINGS_MODELS_MAX, "[]",
+	"Models: name, size in instances, replicas wanted in each fabric "
+	"domain."),
     ROW("control.enabled", BOOL, control_enabled, 0, 0, "true",
 	"Whether this node may form replicas."),
-    ROW("control.spares", UINT, control_spares, 0, 1024, "1",
-	"Spare instances kept per fabric domain."),
+    ROW("control.spares", UINT, control_spares, 0, LD_SPARES_AUTO, "1024",
+	"Spare instances kept per fabric domain; 1024 works it out."),
+    ROW("control.accelerators", UINT, control_accelerators, 1, 64, "8",
+	"Accelerators of one instance."),
+    ROW("control.max_loads", UINT, control_max_loads, 1, 1024, "8",
+	"Loads from the weight store at once in a fabric domain."),
     ROW("control.downtime_weight_percent", UINT,
 	control_downtime_weight_percent, 0, 100, "50",
 	"Weight of group downtime against stranded accelerators, percent."),
@@ -70,9 +75,9 @@
 	HOUR_MS, "5000", "A stream without a byte for so long is broken, ms."),
     ROW("engine.request_timeout_ms", UINT, engine_request_timeout_ms, 100,
 	HOUR_MS, "600000", "Deadline of one completion, ms."),
-    ROW("health.interval_ms", UINT, health_interval_ms, 50, 60000, "500",
+    ROW("health.interval_ms", UINT, health_interval_ms, 50, 60000, "1000",
 	"Time between two probes of a server, ms."),
-    ROW("health.stale_ms", UINT, health_stale_ms, 100, 60000, "2000",
+    ROW("health.stale_ms", UINT, health_stale_ms, 100, 60000, "3000",
 	"Age at which a health report counts no more, ms."),
     ROW("service.connect_timeout_ms", UINT, service_connect_timeout_ms, 10,
 	60000, "500", "Deadline for connecting to a plain service, ms."),
@@ -108,7 +113,7 @@
 {
 	static const char *const names[] = {"string", "address",
 	    "list of addresses", "list of strings", "whole number",
-	    "true or false", "list of services"};
+	    "true or false", "list of services", "list of models"};
 
 	return names[t];
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -59,7 +59,7 @@
  "store":{"endpoints":["$FLEET_HOST:8001"]},
  "live_list":{"address":"$FLEET_HOST:8002"},
  "control":${FLEET_CONTROL:-{\"enabled\":false\}},
- "deployment":{"fabrics":["f1"]},
+ "deployment":{"fabrics":["f1"],"models":${FLEET_MODELS:-[]}},
  "services":[{"name":"stock","servers":["$FLEET_HOST:8003"],
   "not_idempotent":[{"method":"POST","path":"/transfers"}]}]}
 JSON
--- a/tests/unit/test_pages.sh
+++ b/tests/unit/test_pages.sh
@@ -7,7 +7,7 @@
 
 in_code=$(cat lib/node/caller.c lib/node/completion*.c lib/node/service_call.c \
     lib/node/booking_task.c lib/entry/exchange.c 2>/dev/null | tr -s '\n\t ' ' ' |
-    grep -oE '(type = |answer\( ?x, [0-9]+, |(completion_)?fail\( ?c, [0-9]+, |fail_unavailable\( ?c, )"[a-z-]+"' |
+    grep -oE '(type = |\{[0-9]+, |answer\( ?x, [0-9]+, |(completion_)?fail\( ?c, [0-9]+, |fail_unavailable\( ?c, )"[a-z-]+"' |
     grep -oE '"[a-z-]+"$' | tr -d '"' | sort -u)
 in_page=$(sed -n 's/^| `\([a-z-]*\)` | [0-9]xx.*/\1/p; s/^| `\([a-z-]*\)` | [0-9]* .*/\1/p' docs/API.md |
     sort -u)
