--- a/lib/admit/account.c
+++ b/lib/admit/account.c
@@ -8,8 +8,6 @@
 #define SILENT_REPORTS 2
 /* Changes of demand below this are no news, in thousandths per second. */
 #define DEMAND_NEWS_MILLI 500
-/* Free slots of a scarce pool are told after this part of the gap. */
-#define SCARCE_PART 8
 
 /* ---- What may be used now ---- */
 
@@ -360,7 +358,7 @@
 	if (!c->home_heard)
 		return now_ms - c->told_ms >= 2 * a->terms.gap;
 	if (c->scarce && c->in_use[0] < c->told.in_use[0] &&
-	    now_ms - c->told_ms >= a->terms.gap / SCARCE_PART)
+	    now_ms - c->told_ms >= a->terms.soon)
 		return true;
 	if (now_ms - c->told_ms < a->terms.gap)
 		return false;
--- a/lib/admit/admit_internal.h
+++ b/lib/admit/admit_internal.h
@@ -38,6 +38,7 @@
 struct terms {
 	uint64_t report; /* between two reports without news */
 	uint64_t gap; /* least time between two reports with news */
+	uint64_t soon; /* the same for free slots of a scarce pool */
 	uint64_t grant; /* life of a grant */
 	uint64_t lend; /* life of a loan */
 };
--- a/lib/admit/members.c
+++ b/lib/admit/members.c
@@ -9,6 +9,8 @@
 #define REPORT_MIN_MS 800
 #define GAP_MS_PER_NODE 5
 #define GAP_MIN_MS 400
+#define SOON_MS_PER_NODE 1
+#define SOON_MIN_MS 42
 #define GRANT_SLACK_MS 2000
 #define LEND_SLACK_MS 500
 
@@ -24,6 +26,7 @@
 	t->gap = n * GAP_MS_PER_NODE;
 	if (t->gap < GAP_MIN_MS)
 		t->gap = GAP_MIN_MS;
+	t->soon = SOON_MIN_MS + n * SOON_MS_PER_NODE;
 	/* One lost report must not let a grant lapse. */
 	t->grant = 2 * t->report + GRANT_SLACK_MS;
 	/* The echo in a report is up to two reports old when it is replaced. */
