booking: a task over the store, for the node to use

Cause: the decisions need store calls, real time and a way to send; lib/node has none for them yet. Found by its test: a claim given up was looked for during a whole minute, also once another attempt stood there, and kept a drain busy. Now four times in 15 s, and not counted as busy.

--- a/lib/booking/booking.c
+++ b/lib/booking/booking.c
@@ -319,7 +319,8 @@
 	for (uint32_t i = 0; i < b->config.shards; i++) {
 		for (const struct op *o = b->shards[i].ops; o != NULL;
 		     o = o->next)
-			n += o->kind == OP_OUTCOME && o->from == NULL;
+			n += o->kind == OP_OUTCOME && o->from == NULL &&
+			    o->rechecks == 0;
 	}
 	return n;
 }
--- a/lib/booking/shard.c
+++ b/lib/booking/shard.c
@@ -15,6 +15,7 @@
 #define CONFLICT_MAX_DOUBLINGS 2
 /* First wait before looking again for a claim that may yet be written. */
 #define RECHECK_MS 1000
+#define RECHECKS_MAX 4
 
 static uint64_t
 jittered_backoff(struct ld_booking *b, struct shard *s)
@@ -225,8 +226,9 @@
 		return false;
 	if (!is_fresh(s, o) && result != OP_APPLIED)
 		return true;
-	if (result == OP_ABSENT && o->unsure &&
-	    o->rec.state == RECORD_NOT_RUN) {
+	/* Once another attempt stands there a delayed write can't be applied. */
+	if (result == OP_ABSENT && o->unsure && found == NULL &&
+	    o->rechecks < RECHECKS_MAX) {
 		recheck_later(o, now_ms);
 		return false;
 	}
--- /dev/null
+++ b/lib/node/booking_task.c
@@ -0,0 +1,295 @@
+/* Performs what lib/booking decides: store calls, timers, sends, answers. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "booking_task.h"
+
+#define CLOCK_INTERVAL_MS 10000
+#define KEY_BYTES 32
+
+/** struct shard_call - the one store call of a shard that is under way */
+struct shard_call {
+	struct ld_store_call call; /* first member: done() casts */
+	struct ld_booking_task *task;
+	uint32_t shard;
+	bool writing;
+};
+
+struct ld_booking_task {
+	struct ld_loop *loop;
+	struct ld_store *store;
+	struct ld_booking *booking;
+	const struct ld_booking_task_ops *ops;
+	void *arg;
+	struct shard_call *shards;
+	uint32_t n_shards;
+	struct ld_timer timer;
+	struct ld_timer clock;
+};
+
+/** struct pending - an action with its own copy of the bytes it shows */
+struct pending {
+	struct ld_booking_action action;
+	char *bytes;
+	char *to;
+	char *body;
+};
+
+static void act(struct ld_booking_task *t);
+
+static uint64_t
+now(const struct ld_booking_task *t)
+{
+	return ld_loop_now(t->loop);
+}
+
+/* ---- Store ---- */
+
+static enum ld_booking_write
+outcome_of(const struct ld_store_answer *a)
+{
+	switch (a->outcome) {
+	case LD_STORE_APPLIED:
+		return LD_BOOKING_WRITE_APPLIED;
+	case LD_STORE_CONFLICT:
+		return LD_BOOKING_WRITE_CONFLICT;
+	case LD_STORE_NOT_APPLIED:
+		return LD_BOOKING_WRITE_NOT_APPLIED;
+	default:
+		return LD_BOOKING_WRITE_UNKNOWN;
+	}
+}
+
+static void
+on_store(struct ld_store_call *call, const struct ld_store_answer *a)
+{
+	struct shard_call *s = (struct shard_call *)call;
+	struct ld_booking_task *t = s->task;
+	bool read_ok = a->status == LD_OK || a->status == LD_E_NOT_FOUND;
+	struct ld_booking_value v = {0};
+
+	if (a->n > 0) {
+		v.revision = a->kvs[0].mod_revision;
+		v.bytes = a->kvs[0].value;
+	}
+	if (s->writing && a->outcome == LD_STORE_APPLIED)
+		v.revision = a->revision;
+	if (s->writing)
+		ld_booking_write_done(
+		    t->booking, now(t), s->shard, outcome_of(a), &v);
+	else
+		ld_booking_read_done(
+		    t->booking, now(t), s->shard, read_ok ? &v : NULL);
+	act(t);
+}
+
+static void
+call_store(struct ld_booking_task *t, const struct ld_booking_action *a)
+{
+	struct shard_call *s = &t->shards[a->shard];
+	struct ld_store_expect expect = {.mod_revision = a->expect};
+	char key[KEY_BYTES];
+
+	/* A call that the module gave up on: its answer is of no use. */
+	ld_store_cancel(&s->call);
+	snprintf(key, sizeof(key), "claims/%u", a->shard);
+	s->writing = a->kind == LD_BOOKING_WRITE;
+	if (s->writing)
+		ld_store_cas(
+		    t->store, &s->call, ld_str_c(key), a->bytes, expect, 0);
+	else
+		ld_store_read(t->store, &s->call, ld_str_c(key));
+}
+
+/* ---- Actions ---- */
+
+static void
+act_one(struct ld_booking_task *t, const struct ld_booking_action *a)
+{
+	switch (a->kind) {
+	case LD_BOOKING_READ:
+	case LD_BOOKING_WRITE:
+		call_store(t, a);
+		break;
+	case LD_BOOKING_SEND:
+		t->ops->send(t->arg, a->id, a->try);
+		break;
+	case LD_BOOKING_ANSWER:
+		t->ops->answer(t->arg, a);
+		break;
+	case LD_BOOKING_MESSAGE:
+		t->ops->message(t->arg, a->to, a->bytes);
+		break;
+	}
+}
+
+static char *
+own(struct ld_str *view)
+{
+	char *copy = ld_str_dup(*view);
+
+	view->p = copy;
+	return copy;
+}
+
+/*
+ * Takes all actions out before the first is performed: performing one may
+ * report an event, after which the views of the others would be gone.
+ */
+static size_t
+take_all(struct ld_booking_task *t, struct pending **out)
+{
+	struct pending *v = NULL;
+	struct ld_booking_action a;
+	size_t n = 0;
+
+	while (ld_booking_next_action(t->booking, &a)) {
+		v = ld_realloc(v, (n + 1) * sizeof(*v));
+		v[n].action = a;
+		v[n].bytes = own(&v[n].action.bytes);
+		v[n].to = own(&v[n].action.to);
+		v[n].body = own(&v[n].action.body);
+		n++;
+	}
+	*out = v;
+	return n;
+}
+
+static void
+act(struct ld_booking_task *t)
+{
+	struct pending *v;
+	size_t n = take_all(t, &v);
+	uint64_t due;
+
+	for (size_t i = 0; i < n; i++) {
+		act_one(t, &v[i].action);
+		free(v[i].bytes);
+		free(v[i].to);
+		free(v[i].body);
+	}
+	free(v);
+	due = ld_booking_next_due(t->booking);
+	if (due == UINT64_MAX)
+		ld_timer_stop(ld_loop_timers(t->loop), &t->timer);
+	else
+		ld_timer_start(ld_loop_timers(t->loop), &t->timer, due);
+}
+
+static void
+on_timer(struct ld_timer *timer, uint64_t now_ms)
+{
+	struct ld_booking_task *t = (struct ld_booking_task *)((char *)timer -
+	    offsetof(struct ld_booking_task, timer));
+
+	ld_booking_tick(t->booking, now(t));
+	act(t);
+}
+
+static void
+on_clock(struct ld_timer *timer, uint64_t now_ms)
+{
+	struct ld_booking_task *t = (struct ld_booking_task *)((char *)timer -
+	    offsetof(struct ld_booking_task, clock));
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	ld_booking_clock(t->booking, now(t),
+	    (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000);
+	ld_timer_after(ld_loop_timers(t->loop), timer, CLOCK_INTERVAL_MS);
+}
+
+/* ---- Calls of the owner ---- */
+
+struct ld_booking_task *
+ld_booking_task_new(struct ld_loop *loop, struct ld_store *store,
+    const struct ld_booking_config *config,
+    const struct ld_booking_task_ops *ops, void *arg)
+{
+	struct ld_booking_task *t = ld_alloc(sizeof(*t));
+
+	t->loop = loop;
+	t->store = store;
+	t->ops = ops;
+	t->arg = arg;
+	t->booking = ld_booking_new(config, now(t));
+	t->n_shards = config->shards;
+	t->shards = ld_alloc(t->n_shards * sizeof(*t->shards));
+	for (uint32_t i = 0; i < t->n_shards; i++) {
+		t->shards[i].call.done = on_store;
+		t->shards[i].task = t;
+		t->shards[i].shard = i;
+	}
+	t->timer.fn = on_timer;
+	t->clock.fn = on_clock;
+	on_clock(&t->clock, 0);
+	return t;
+}
+
+void
+ld_booking_task_free(struct ld_booking_task *t)
+{
+	if (t == NULL)
+		return;
+	ld_timer_stop(ld_loop_timers(t->loop), &t->timer);
+	ld_timer_stop(ld_loop_timers(t->loop), &t->clock);
+	for (uint32_t i = 0; i < t->n_shards; i++)
+		ld_store_cancel(&t->shards[i].call);
+	ld_booking_free(t->booking);
+	free(t->shards);
+	free(t);
+}
+
+enum ld_status
+ld_booking_task_start(
+    struct ld_booking_task *t, const struct ld_booking_call *call)
+{
+	enum ld_status st = ld_booking_start(t->booking, now(t), call);
+
+	act(t);
+	return st;
+}
+
+bool
+ld_booking_task_may_send(const struct ld_booking_task *t, uint64_t id)
+{
+	return ld_booking_may_send(t->booking, now(t), id);
+}
+
+void
+ld_booking_task_sent(struct ld_booking_task *t, uint64_t id,
+    enum ld_booking_result result, int status, struct ld_str body)
+{
+	ld_booking_sent(t->booking, now(t), id, result, status, body);
+	act(t);
+}
+
+void
+ld_booking_task_gone(struct ld_booking_task *t, uint64_t id)
+{
+	ld_booking_gone(t->booking, now(t), id);
+	act(t);
+}
+
+void
+ld_booking_task_members(
+    struct ld_booking_task *t, const struct ld_str *ids, size_t n)
+{
+	ld_booking_members(t->booking, now(t), ids, n);
+}
+
+void
+ld_booking_task_message(
+    struct ld_booking_task *t, struct ld_str from, struct ld_str bytes)
+{
+	ld_booking_message(t->booking, now(t), from, bytes);
+	act(t);
+}
+
+const struct ld_booking *
+ld_booking_task_module(const struct ld_booking_task *t)
+{
+	return t->booking;
+}
--- a/tests/faults/test_store.c
+++ b/tests/faults/test_store.c
@@ -1,130 +1,13 @@
 /* The store and live list clients against stand-in processes with faults. */
-#include <arpa/inet.h>
-#include <libgen.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "ld_platform.h"
-#include "ld_test.h"
+#include "standin_process.h"
 
-#define ADDRESS_BYTES 32
-#define STEP_LIMIT_MS 10000
 #define CALL_TIMEOUT_MS 400
 
-static char standin_path[4096];
-static struct ld_loop *loop;
-static struct ld_http *http;
-
-/* ---- One stand-in process ---- */
-
-struct standin {
-	pid_t pid;
-	char address[ADDRESS_BYTES];
-	char port[8];
-};
-
-static void
-pick_port(struct standin *s)
-{
-	struct sockaddr_in a = {.sin_family = AF_INET};
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	CU_ASSERT_FATAL(bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0);
-	CU_ASSERT_FATAL(getsockname(fd, (struct sockaddr *)&a, &len) == 0);
-	close(fd);
-	snprintf(s->port, sizeof(s->port), "%u", ntohs(a.sin_port));
-	snprintf(s->address, sizeof(s->address), "127.0.0.1:%s", s->port);
-}
-
-static void
-standin_start(struct standin *s, const char *command)
-{
-	char line[8];
-	int out[2];
-
-	CU_ASSERT_FATAL(pipe(out) == 0);
-	s->pid = fork();
-	if (s->pid == 0) {
-		dup2(out[1], STDOUT_FILENO);
-		close(out[0]);
-		close(out[1]);
-		execl(standin_path, standin_path, command, "--port", s->port,
-		    (char *)NULL);
-		_exit(127);
-	}
-	close(out[1]);
-	/* Its first line says that it listens. */
-	CU_ASSERT_FATAL(read(out[0], line, sizeof(line)) > 0);
-	close(out[0]);
-}
-
-static void
-standin_stop(struct standin *s)
-{
-	kill(s->pid, SIGKILL);
-	waitpid(s->pid, NULL, 0);
-}
-
-/* ---- Driving the loop ---- */
-
-static bool timed_out;
-
-static void
-on_limit(struct ld_timer *t, uint64_t now_ms)
-{
-	timed_out = true;
-	ld_loop_stop(loop);
-}
-
-/* Runs until something stops the loop; false when nothing did. */
-static bool
-run(uint64_t limit_ms)
-{
-	struct ld_timer limit = {.fn = on_limit};
-
-	timed_out = false;
-	ld_timer_after(ld_loop_timers(loop), &limit, limit_ms);
-	ld_loop_run(loop);
-	ld_timer_stop(ld_loop_timers(loop), &limit);
-	return !timed_out;
-}
-
-static void
-on_post_body(struct ld_http_sink *sink, struct ld_str bytes)
-{
-}
-
-static void
-on_post_done(struct ld_http_sink *sink, const struct ld_http_result *result)
-{
-	CU_ASSERT_EQUAL(result->code, 200);
-	ld_loop_stop(loop);
-}
-
-static void
-post(const struct standin *s, const char *path, const char *body)
-{
-	static const struct ld_http_sink_ops ops = {
-	    .body = on_post_body, .done = on_post_done};
-	struct ld_http_sink sink = {&ops};
-	char url[128];
-	struct ld_http_request rq = {
-	    .method = "POST",
-	    .url = url,
-	    .body = ld_str_c(body),
-	    .fresh = true,
-	};
-
-	snprintf(url, sizeof(url), "http://%s%s", s->address, path);
-	ld_http_start(http, &rq, &sink);
-	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
-}
-
 /* ---- Store calls, one at a time ---- */
 
 struct outcome {
@@ -598,19 +481,11 @@
 	    {"the live list", test_live_list},
 	    {NULL, NULL},
 	};
-	char *self = ld_strdup(argv[0]);
 	int status;
 
-	snprintf(standin_path, sizeof(standin_path), "%.4000s/../ld_standin",
-	    dirname(self));
-	free(self);
-	if (ld_common_init() != LD_OK)
+	if (!standin_open(argv[0]))
 		return 2;
-	signal(SIGPIPE, SIG_IGN);
-	loop = ld_loop_new();
-	http = ld_http_new(loop);
 	status = ld_test_main("store", cases);
-	ld_http_free(http);
-	ld_loop_free(loop);
+	standin_close();
 	return status;
 }
