--- a/lib/booking/booking.c
+++ b/lib/booking/booking.c
@@ -242,9 +242,8 @@
 	}
 	if (c->keyed)
 		call_record_not_run(b, now_ms, &c->rec, c->shard, false);
-	if (!c->hung_up)
-		call_answer(b, c, LD_BOOKING_NOT_RUN, LD_BOOKING_RAN_NO,
-		    LD_BOOKING_RAN_NO, RETRY_AFTER_MS);
+	call_answer(b, c, LD_BOOKING_NOT_RUN, LD_BOOKING_RAN_NO,
+	    LD_BOOKING_RAN_NO, RETRY_AFTER_MS);
 	call_forget(b, c);
 }
 
@@ -283,7 +282,7 @@
 		record_answer(b, now_ms, c, status, body);
 	else if (c->keyed)
 		call_record(b, now_ms, &rec, c->shard, false);
-	if (result == LD_BOOKING_BROKEN && !c->hung_up)
+	if (result == LD_BOOKING_BROKEN)
 		call_answer(b, c, LD_BOOKING_UNKNOWN, LD_BOOKING_RAN_UNKNOWN,
 		    LD_BOOKING_RAN_UNKNOWN, 0);
 	call_forget(b, c);
@@ -319,7 +318,8 @@
 	for (uint32_t i = 0; i < b->config.shards; i++) {
 		for (const struct op *o = b->shards[i].ops; o != NULL;
 		     o = o->next)
-			n += o->kind == OP_OUTCOME && o->from == NULL;
+			n += o->kind == OP_OUTCOME && o->from == NULL &&
+			    o->rechecks == 0;
 	}
 	return n;
 }
