--- a/tests/unit/test_peers_fleet.c
+++ b/tests/unit/test_peers_fleet.c
@@ -39,7 +39,7 @@
 }
 
 static void
-test_fleet_budget_and_catalogue(void)
+test_fleet_budget_catalogue_and_loss(void)
 {
 	static uint64_t before[FLEET];
 	uint64_t highest, took;
@@ -59,6 +59,7 @@
 	took = spread_catalogue(7, 5, 2 * CATALOGUE_LIMIT_MS);
 	printf("catalogue everywhere in %" PRIu64 " ms ", took);
 	CU_ASSERT_TRUE(took < CATALOGUE_LIMIT_MS);
+	net_run(&net, 10 * MINUTE_MS);
 	CU_ASSERT_EQUAL(net_deaths(&net), 0);
 	net_free(&net);
 }
@@ -114,7 +115,8 @@
 main(void)
 {
 	static const struct ld_test_case cases[] = {
-	    {"390: budget and catalogue", test_fleet_budget_and_catalogue},
+	    {"390: budget, catalogue, 10 min of loss",
+		test_fleet_budget_catalogue_and_loss},
 	    {"390: a partition heals", test_fleet_heals_after_a_partition},
 	    {"390: a domain is lost", test_fleet_loses_a_domain},
 	    {NULL, NULL},
