--- a/bench/placement_day.c
+++ b/bench/placement_day.c
@@ -8,7 +8,8 @@
 #define SEEDS 2
 
 static const struct pm_setting settings[] = {
-    {"downtime weighs more", 10.0, 0.1, -1},
+    {"downtime weighs 100 to 1", 10.0, 0.1, -1},
+    {"downtime weighs 20 to 1", 10.0, 0.5, -1},
     {"stranding weighs more", 0.1, 10.0, -1},
     {"first fit, no spares", 0.0, 0.0, 0},
     {"one spare per domain", 0.0, 0.0, 1},
@@ -28,7 +29,8 @@
 static void
 add_day(struct total *t, uint64_t seed, const struct pm_setting *s)
 {
-	struct pm *w = ld_alloc(sizeof(*w));
+	static struct pm day;
+	struct pm *w = &day;
 
 	pm_run(w, seed, s, PM_DAY_MS);
 	t->down += w->down_minutes;
@@ -44,7 +46,6 @@
 	    s->name, (unsigned long long)seed, w->down_minutes, w->dark_minutes,
 	    w->stranded_hours, w->spare_hours, (unsigned long long)w->orders,
 	    (unsigned long long)w->writes);
-	free(w);
 }
 
 int
--- a/lib/health/health.c
+++ b/lib/health/health.c
@@ -277,8 +277,7 @@
 	out->fresh =
 	    n != NULL && now_ms < n->answer_ms + h->config.report_ttl_ms;
 	out->state = judge(h, s, &t, out->fresh, now_ms);
-	out->straggler =
-	    s->tokens.straggler || (t.ok > 0 && 2 * t.slow >= t.ok);
+	out->straggler = s->tokens.straggler || t.slow >= quorum(h);
 	if (!out->fresh)
 		return;
 	memcpy(out->replica, n->report.replica, sizeof(out->replica));
--- a/lib/replica/orders.c
+++ b/lib/replica/orders.c
@@ -118,10 +118,10 @@
 
 /** struct turn - place of a forming replica in the order of loads */
 struct turn {
-	bool warming; /* nothing waits for it */
 	size_t model;
 	size_t missing;
 	uint16_t index;
+	bool warming; /* nothing waits for it */
 };
 
 /*
--- a/tests/placement_model.h
+++ b/tests/placement_model.h
@@ -11,19 +11,19 @@
 
 #include "ld_replica.h"
 
-#define PM_STEP_MS 5000
-#define PM_MS_PER_MINUTE 60000
-#define PM_DAY_MS ((uint64_t)24 * 60 * PM_MS_PER_MINUTE)
+#define PM_STEP_MS UINT64_C(5000)
+#define PM_MS_PER_MINUTE UINT64_C(60000)
+#define PM_DAY_MS (UINT64_C(1440) * PM_MS_PER_MINUTE)
 /* Forming at the start isn't part of the day. */
-#define PM_WARM_UP_MS ((uint64_t)90 * PM_MS_PER_MINUTE)
+#define PM_WARM_UP_MS (90 * PM_MS_PER_MINUTE)
 #define PM_DOMAINS 7
 #define PM_DOMAIN_MAX 100
 #define PM_ACCELERATORS 8
 #define PM_LARGE_SIZE 32
 #define PM_SMALL_SIZE 2
-#define PM_REPORT_TTL_MS 60000
+#define PM_REPORT_TTL_MS 60000U
 /* One load alone; loads beyond the store's rate share it. */
-#define PM_LOAD_MS 120000
+#define PM_LOAD_MS 120000U
 #define PM_RELOAD_MS 15000
 #define PM_STORE_LOADS 32
 #define PM_REFILL_MS (20 * PM_MS_PER_MINUTE)
@@ -115,8 +115,9 @@
 pm_view(struct pm *w, struct pm_domain *d, struct pm_engine *e)
 {
 	struct ld_health_view v;
-	uint64_t sign = e->epoch * 16 + e->up * 8 + e->ready * 4 +
-	    (w->now_ms < e->idle_ms) * 2 + (e->replica[0] != '\0');
+	uint64_t sign = e->epoch << 4 | (uint64_t)e->up << 3 |
+	    (uint64_t)e->ready << 2 | (uint64_t)(w->now_ms < e->idle_ms) << 1 |
+	    (uint64_t)(e->replica[0] != '\0');
 
 	if (sign == e->told && w->now_ms < e->told_ms + PM_REPORT_TTL_MS / 3)
 		return;
@@ -279,7 +280,7 @@
 {
 	struct pm_domain *d = &w->d[domain];
 	const struct ld_replica_record *r = ld_replica_record(d->c);
-	double minutes = (double)PM_STEP_MS / PM_MS_PER_MINUTE;
+	double minutes = (double)PM_STEP_MS / (double)PM_MS_PER_MINUTE;
 	int serving = 0, at_work = 0, placed = 0, up = 0;
 
 	for (uint16_t i = 0; i < r->count; i++) {
@@ -434,9 +435,9 @@
 	c->plan.stranded_weight = s->stranded_weight;
 	c->plan.fixed_spares = s->fixed_spares;
 	c->plan.accelerators = PM_ACCELERATORS;
-	c->plan.loss_per_day = 1000 * PM_EVENTS / 600;
-	c->plan.refill_ms = PM_REFILL_MS;
-	c->plan.drain_ms = PM_REQUEST_MS;
+	c->plan.loss_per_day = 1000U * PM_EVENTS / 600U;
+	c->plan.refill_ms = (uint32_t)PM_REFILL_MS;
+	c->plan.drain_ms = (uint32_t)PM_REQUEST_MS;
 	c->plan.load_ms = PM_LOAD_MS;
 	c->plan.settle_ms = 30000;
 	c->plan.max_loads = 16;
--- a/tests/unit/test_health.c
+++ b/tests/unit/test_health.c
@@ -233,7 +233,7 @@
 		    w.nodes[i].h, a, LD_HEALTH_TIMED_OUT, 0, now);
 		CU_ASSERT_EQUAL(hw_view(&w, i, 0).state, LD_HEALTH_SUSPECT);
 		before = w.probes;
-		hw_run(&w, HW_TURN_STEPS * HW_STEP_MS);
+		hw_run(&w, (uint64_t)HW_TURN_STEPS * HW_STEP_MS);
 		CU_ASSERT(w.probes > before);
 		hw_run(&w, 1000);
 		CU_ASSERT_EQUAL(hw_view(&w, i, 0).state, LD_HEALTH_LIVE);
