--- a/lib/replica/plan.c
+++ b/lib/replica/plan.c
@@ -2,7 +2,7 @@
  * The plan: moves each replica through forming, serving and draining, and
  * re-forms what broke. One step turns the confirmed record into the next one.
  */
-#include <stdlib.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "plan_internal.h"
@@ -292,7 +292,7 @@
 		return;
 	staying = count_staying(s, e);
 	missing = staying < m->size ? m->size - staying : 0;
-	step_claim(s, missing);
+	step_claim(s, missing, e->model);
 	if (step_free(s) >= missing) {
 		reform(s, e);
 		return;
@@ -392,9 +392,11 @@
 
 	for (size_t i = 0; i < c->model_count; i++) {
 		const struct ld_replica_model *m = &c->models[i];
+		char name[LD_HEALTH_NAME_MAX];
 
+		snprintf(name, sizeof(name), "%.*s", LD_FMT(m->name));
 		while (count_model(s, m) < m->wanted) {
-			step_claim(s, m->size + s->reserved);
+			step_claim(s, m->size + s->reserved, name);
 			if (step_free(s) >= m->size + s->reserved) {
 				if (!step_form(s, m))
 					return;
--- a/lib/replica/plan_internal.h
+++ b/lib/replica/plan_internal.h
@@ -21,8 +21,11 @@
 bool step_fit(const struct step *s, uint16_t i);
 uint16_t step_free(const struct step *s);
 bool step_warming(const struct step *s, const struct ld_replica_entry *e);
-/** step_claim() - free warm spares until @need are free, where that helps */
-void step_claim(struct step *s, uint16_t need);
+/**
+ * step_claim() - free warm spares until @need are free, where that helps
+ * @model: those that hold its weights go first, even before free ones
+ */
+void step_claim(struct step *s, uint16_t need, const char *model);
 /** step_warm() - have idle spares load the weights that will be needed */
 void step_warm(struct step *s);
 /** step_take() - best free instance for @model, now owned; or NO_INSTANCE */
--- a/lib/replica/supply.c
+++ b/lib/replica/supply.c
@@ -203,34 +203,46 @@
 	return n;
 }
 
-/* The warm spare to use first: one that has its weights already. */
+/* A warm spare to use: one that holds @model's weights, or with NULL any. */
 static struct ld_replica_entry *
-choose_warm(const struct step *s)
+choose_warm(const struct step *s, const char *model)
 {
-	struct ld_replica_entry *best = NULL;
-
 	for (uint16_t i = 0; i < s->record->count; i++) {
 		struct ld_replica_entry *e = &s->record->replicas[i];
 
 		if (!step_warming(s, e) || !step_fit(s, e->members[0]))
 			continue;
-		if (instance_has_weights(
-			step_instance(s, e->members[0]), e->model))
+		if (model == NULL ||
+		    instance_has_weights(
+			step_instance(s, e->members[0]), model))
 			return e;
-		if (best == NULL)
-			best = e;
 	}
-	return best;
+	return NULL;
+}
+
+static uint16_t
+count_free_with_weights(const struct step *s, const char *model)
+{
+	uint16_t n = 0;
+
+	for (uint16_t i = 0; i < s->p->instances->count; i++)
+		n += usable(s, i) &&
+		    instance_has_weights(step_instance(s, i), model);
+	return n;
 }
 
 void
-step_claim(struct step *s, uint16_t need)
+step_claim(struct step *s, uint16_t need, const char *model)
 {
 	struct ld_replica_entry *e;
 
 	if (step_free(s) + count_warming(s) + count_filler_members(s) < need)
 		return;
-	while (step_free(s) < need && (e = choose_warm(s)) != NULL)
+	/* Also where cold instances are free: those become the next spares. */
+	while (count_free_with_weights(s, model) < need &&
+	    (e = choose_warm(s, model)) != NULL)
+		step_remove(s, e);
+	while (step_free(s) < need && (e = choose_warm(s, NULL)) != NULL)
 		step_remove(s, e);
 }
 
@@ -391,6 +403,7 @@
 	const struct ld_replica_model *m = filler(s);
 	uint16_t keep = s->reserved;
 	uint16_t warming;
+	char model[LD_HEALTH_NAME_MAX];
 
 	if (m == NULL)
 		return;
@@ -398,11 +411,12 @@
 	if (!step_idle_costs_more(s, s->awaited, s->p->config->drain_ms))
 		keep += s->awaited;
 	/* Instances that settle soon count: breaking up for them is waste. */
+	snprintf(model, sizeof(model), "%.*s", LD_FMT(m->name));
 	warming = count_warming(s);
 	if (count_sound(s) + warming + step_parts_coming(s) < keep)
 		step_break_up(s, keep);
 	while (step_free(s) + warming >= keep + m->size) {
-		step_claim(s, m->size);
+		step_claim(s, m->size, model);
 		if (!step_form(s, m))
 			return;
 		warming = count_warming(s);
