http: a call may start inside a callback

Cause: a stream that broke off inside the body callback was resumed there, but libcurl refuses new handles inside its callbacks, so that the resume ended with no-answer though another replica was whole. Ruled out: the retry budget (no "gave up" line was logged). Change: calls started while libcurl is on the stack are added after it.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -24,6 +24,7 @@
 	struct ld_timer timer;
 	struct ld_http_call *calls; /* all that are running or unreaped */
 	struct ld_http_call *dead; /* cancelled inside a callback */
+	struct ld_http_call *added; /* started inside a callback */
 	CURL *spare[SPARE_HANDLES_MAX];
 	size_t spares;
 	unsigned int depth; /* > 0 while libcurl is on the stack */
@@ -34,6 +35,7 @@
 	struct ld_http_call *next;
 	struct ld_http_call **link;
 	struct ld_http_call *next_dead;
+	struct ld_http_call *next_added;
 	CURL *easy;
 	struct curl_slist *headers;
 	char *body;
@@ -48,6 +50,7 @@
 	bool head_seen;
 	bool paused;
 	bool dying;
+	bool adding; /* libcurl does not have it yet */
 };
 
 /** struct watcher - libev watcher of one socket of libcurl */
@@ -142,13 +145,29 @@
 
 /* ---- One call ---- */
 
+static void
+forget_added(struct ld_http_call *c)
+{
+	struct ld_http_call **p;
+
+	for (p = &c->http->added; *p != NULL; p = &(*p)->next_added) {
+		if (*p != c)
+			continue;
+		*p = c->next_added;
+		return;
+	}
+}
+
 static void
 call_free(struct ld_http_call *c)
 {
 	struct ld_http *h = c->http;
 
 	ld_timer_stop(ld_loop_timers(h->loop), &c->progress);
-	curl_multi_remove_handle(h->multi, c->easy);
+	if (c->adding)
+		forget_added(c);
+	else
+		curl_multi_remove_handle(h->multi, c->easy);
 	if (h->spares < SPARE_HANDLES_MAX) {
 		curl_easy_reset(c->easy);
 		h->spare[h->spares++] = c->easy;
@@ -175,6 +194,30 @@
 	}
 }
 
+static void finish(struct ld_http_call *c, enum ld_status status);
+
+static void
+add_call(struct ld_http_call *c)
+{
+	c->adding = false;
+	if (c->dying)
+		return;
+	if (curl_multi_add_handle(c->http->multi, c->easy) != CURLM_OK)
+		finish(c, LD_E_UNAVAILABLE);
+}
+
+/* libcurl refuses new handles inside its callbacks: add them after. */
+static void
+add_started(struct ld_http *h)
+{
+	while (h->depth == 0 && h->added != NULL) {
+		struct ld_http_call *c = h->added;
+
+		h->added = c->next_added;
+		add_call(c);
+	}
+}
+
 static void
 call_kill(struct ld_http_call *c)
 {
@@ -262,6 +305,7 @@
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &c);
 		finish(c, status_of(c, code));
 	}
+	add_started(h);
 	reap_dead(h);
 }
 
@@ -419,6 +463,12 @@
 	if (c->progress_timeout_ms > 0)
 		ld_timer_start(ld_loop_timers(h->loop), &c->progress,
 		    c->started_ms + c->progress_timeout_ms);
+	if (h->depth > 0) {
+		c->adding = true;
+		c->next_added = h->added;
+		h->added = c;
+		return c;
+	}
 	if (curl_multi_add_handle(h->multi, c->easy) != CURLM_OK) {
 		call_kill(c);
 		return NULL;
@@ -450,6 +500,7 @@
 	h->depth++;
 	curl_easy_pause(c->easy, CURLPAUSE_CONT);
 	h->depth--;
+	add_started(h);
 	reap_dead(h);
 }
 
@@ -479,6 +530,7 @@
 
 	if (h == NULL)
 		return;
+	add_started(h);
 	for (struct ld_http_call *c = h->calls; c != NULL; c = next) {
 		next = c->next;
 		call_kill(c);
--- a/tests/unit/test_entry.c
+++ b/tests/unit/test_entry.c
@@ -27,9 +27,13 @@
 	unsigned int gone;
 	unsigned int requests;
 	bool done;
+	bool nest; /* start another call from inside the body callback */
 };
 
 static struct bench *bench;
+
+static void send_request(
+    const char *url, const char *method, struct ld_str body);
 static struct ld_timer watchdog;
 
 static void
@@ -71,6 +75,12 @@
 on_body(struct ld_http_sink *s, struct ld_str bytes)
 {
 	ld_buf_adds(&bench->body, bytes);
+	if (bench->nest) {
+		bench->nest = false;
+		ld_http_cancel(bench->call);
+		send_request(URL "/echo", "POST", LD_STR("nested"));
+		return;
+	}
 	if (bench->open == NULL)
 		return;
 	ld_exchange_write(bench->open, LD_STR("data: [DONE]\n\n"));
@@ -155,6 +165,20 @@
 	bench_close();
 }
 
+/* A stream that breaks off is resumed from inside the body callback. */
+static void
+test_call_starts_inside_a_callback(void)
+{
+	bench_open();
+	bench->nest = true;
+	send_request(URL "/echo", "POST", LD_STR("outer"));
+	ld_loop_run(bench->loop);
+	CU_ASSERT_TRUE(bench->done);
+	CU_ASSERT_EQUAL(bench->result.code, 200);
+	CU_ASSERT_STRING_EQUAL(ld_buf_cstr(&bench->body), "nested");
+	bench_close();
+}
+
 static void
 test_stream_ends_whole(void)
 {
@@ -248,6 +272,8 @@
 	static const struct ld_test_case cases[] = {
 	    {"whole answers", test_whole_answers},
 	    {"a stream ends whole", test_stream_ends_whole},
+	    {"a call starts inside a callback",
+		test_call_starts_inside_a_callback},
 	    {"a hang-up is noticed while waiting",
 		test_hang_up_is_noticed_while_waiting},
 	    {"a large body is refused", test_large_body_is_refused},
