--- a/lib/node/serve.c
+++ b/lib/node/serve.c
@@ -7,6 +7,8 @@
 
 #define PART "node"
 #define DRAIN_POLL_MS 50
+#define MANY_STREAMS 200
+#define COLLECT_S 0.001
 /* A new node's share is used by nobody until all know of the node. */
 #define SETTLE_MS 2000
 /* Polls in a row without an open request that end a drain. */
@@ -89,6 +91,18 @@
 
 /* ---- Decisions that need time to pass ---- */
 
+/*
+ * With many streams, waiting a moment before each turn lets one turn of
+ * libmicrohttpd carry many tokens; with few it would only add delay.
+ */
+static void
+set_collecting(struct ld_node *n)
+{
+	bool many = ld_listener_open_exchanges(n->entry) > MANY_STREAMS;
+
+	ev_set_io_collect_interval(ld_loop_ev(n->loop), many ? COLLECT_S : 0.0);
+}
+
 static void
 on_tick(struct ld_timer *t, uint64_t now_ms)
 {
@@ -101,6 +115,7 @@
 	ld_admit_tick(n->admit, now_ms);
 	ld_route_tick(n->route, now_ms);
 	completions_act(n);
+	set_collecting(n);
 	ld_timer_after(ld_loop_timers(n->loop), t, LD_ADMIT_TICK_MS);
 }
 
