replica: count the time in which a filler restores a spare

The number of spares was worked out with the refill of a lost instance, though a filler that is broken up restores a spare within drain and load.

--- a/lib/replica/spares.c
+++ b/lib/replica/spares.c
@@ -46,8 +46,11 @@
 	    (can_break_up(c) ? c->drain_ms : c->refill_ms) + c->load_ms;
 	double none_left;
 
-	/* With k spares, the k-th loss within one refill finds none. */
-	none_left = k == 0 ? 1.0 : chance_of_more(per_ms * c->refill_ms, k - 1);
+	/*
+	 * A spare that was used is restored from a filler in the same time, so
+	 * with k spares the k-th loss within that time finds none.
+	 */
+	none_left = k == 0 ? 1.0 : chance_of_more(per_ms * wait_ms, k - 1);
 	return c->stranded_weight * k * c->accelerators +
 	    c->downtime_weight * per_ms * MS_PER_HOUR * none_left * wait_ms /
 	    MS_PER_MINUTE;
