Ask loans back from a home that isn't named any more

A live node that all others hold for dead goes on as home by its own view: the loans to it stayed out until their terms ended, and nothing was granted meanwhile. Nodes now ask their loan back; the old home ends their grants first and returns a loan once the loans that stay cover what others hold.

--- a/bench/policy_fleet.h
+++ b/bench/policy_fleet.h
@@ -65,6 +65,7 @@
 	unsigned int n;
 	uint64_t now_ms;
 	uint64_t split_ms; /* partition since, 0: none */
+	unsigned int suspected; /* 1 + a node that all others hold for dead */
 	struct ld_rand rand;
 	struct fleet_event *heap;
 	size_t count, cap;
@@ -246,6 +247,8 @@
 
 	if (who == whom)
 		return true;
+	if (f->suspected == whom + 1)
+		return false;
 	if (b->silent_ms != 0 && f->now_ms >= b->silent_ms + a->detect_ms)
 		return false;
 	return f->split_ms == 0 || a->side == b->side ||
--- a/lib/admit/account.c
+++ b/lib/admit/account.c
@@ -8,6 +8,7 @@
 #define SILENT_REPORTS 2
 /* Changes of demand below this are no news, in thousandths per second. */
 #define DEMAND_NEWS_MILLI 500
+#define ASKS_BACK_PER_GAP 8
 
 /* ---- What may be used now ---- */
 
@@ -218,6 +219,23 @@
 	ld_admit_send(a, to, &m);
 }
 
+/* The home that holds the loan isn't named any more: ask the loan back. */
+static void
+ask_back(struct ld_admit *a, struct account *c, uint64_t now_ms)
+{
+	struct any_msg m = {.type = MSG_REPORT};
+
+	if (c->lent_to == 0 || c->lent_to == c->home ||
+	    now_ms >= c->lent_until_ms ||
+	    now_ms - c->left_ms < a->terms.gap / ASKS_BACK_PER_GAP)
+		return;
+	c->left_ms = now_ms;
+	fill_report(a, c, &m.u.report, c->lent_to, now_ms);
+	m.u.report.confirm = true;
+	m.u.report.leave = true;
+	ld_admit_send(a, c->lent_to, &m);
+}
+
 /* ---- Grants ---- */
 
 static bool
@@ -388,6 +406,7 @@
 	if (c->waiting.head != NULL)
 		ld_admit_retry_waiting(a, c, now_ms);
 	check_lapse(a, c, now_ms);
+	ask_back(a, c, now_ms);
 	if (!c->listed || !a->have_catalogue)
 		return;
 	if (is_news(a, c, now_ms) || now_ms - c->told_ms >= a->terms.report)
--- a/lib/admit/admit_internal.h
+++ b/lib/admit/admit_internal.h
@@ -59,6 +59,7 @@
 	uint64_t have[K_COUNT];
 	bool want_promised;
 	bool confirm; /* only an ack, to a node that is not the home */
+	bool leave; /* give the loan back: another home is named */
 };
 
 /** struct grant_msg - what the home lets a node use */
@@ -166,6 +167,7 @@
 	uint64_t demand[RATE_KINDS];
 	uint64_t in_use[SLOT_KINDS];
 	uint64_t asked_ms;
+	bool leaving; /* wants its loan back */
 };
 
 /** struct used_promise - promised slots of one owner, as its home says */
@@ -215,6 +217,7 @@
 	uint64_t lent_to;
 	uint64_t lent_until_ms;
 	uint64_t lent_ts; /* ts of the newest report that lent */
+	uint64_t left_ms; /* the loan was asked back last */
 	struct grant grant;
 	struct bucket bucket[RATE_KINDS];
 	uint64_t lump[RATE_KINDS]; /* granted once, for who waits now */
--- a/lib/admit/codec.c
+++ b/lib/admit/codec.c
@@ -43,7 +43,9 @@
 	put(f, r->tokens_each);
 	for (int k = 0; k < K_COUNT; k++)
 		put(f, r->have[k]);
-	put(f, (uint64_t)r->want_promised << 1 | (uint64_t)r->confirm);
+	put(f,
+	    (uint64_t)r->leave << 2 | (uint64_t)r->want_promised << 1 |
+		(uint64_t)r->confirm);
 }
 
 static void
@@ -66,6 +68,7 @@
 	for (int k = 0; k < K_COUNT; k++)
 		r->have[k] = get(f);
 	flags = get(f);
+	r->leave = (flags & 4) != 0;
 	r->want_promised = (flags & 2) != 0;
 	r->confirm = (flags & 1) != 0;
 }
--- a/lib/admit/home.c
+++ b/lib/admit/home.c
@@ -384,10 +384,51 @@
 	if (r->lend_ms == 0 || r->nodes == 0 || r->echo > now_ms)
 		return;
 	l->nodes = r->nodes;
+	l->leaving = false;
 	if (r->echo + r->lend_ms > l->lent_until_ms)
 		l->lent_until_ms = r->echo + r->lend_ms;
 }
 
+static bool
+holds_any(const struct lender *l, uint64_t now_ms)
+{
+	return now_ms < l->commit_until_ms &&
+	    (l->committed[0] | l->committed[1] | l->committed[2] |
+		l->committed[3]) != 0;
+}
+
+static bool
+is_over(const struct ld_admit *a, const struct account *c, uint64_t now_ms)
+{
+	for (int k = 0; k < K_COUNT; k++) {
+		if (ld_admit_held_sum(a, c, (enum kind)k, now_ms) >
+		    ld_admit_pool(a, c, (enum kind)k, now_ms))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The node named another home. Its grant ends first; its loan goes back once
+ * the loans that stay cover what others hold.
+ */
+static void
+take_leave(
+    struct ld_admit *a, struct account *c, struct lender *l, uint64_t now_ms)
+{
+	struct grant_msg g = {.pool = 0};
+
+	l->leaving = true;
+	memset(l->in_use, 0, sizeof(l->in_use));
+	memset(l->demand, 0, sizeof(l->demand));
+	if (is_over(a, c, now_ms))
+		ld_admit_home_replan(a, c, now_ms);
+	g.release = !holds_any(l, now_ms) && !is_over(a, c, now_ms);
+	if (g.release)
+		l->lent_until_ms = now_ms;
+	send_grant(a, c, l, &g, now_ms);
+}
+
 void
 ld_admit_on_report(
     struct ld_admit *a, uint64_t now_ms, uint64_t from, const struct report *r)
@@ -405,10 +446,17 @@
 	l->heard_ms = now_ms;
 	memcpy(l->demand, r->demand, sizeof(l->demand));
 	memcpy(l->in_use, r->in_use, sizeof(l->in_use));
-	if (is_home(a, c)) {
+	if (r->leave) {
+		take_leave(a, c, l, now_ms);
+	} else if (r->confirm) {
+		/* Its zero grant is confirmed: nothing may be left to wait for. */
+		if (l->leaving && now_ms < l->lent_until_ms &&
+		    !holds_any(l, now_ms) && !is_over(a, c, now_ms))
+			take_leave(a, c, l, now_ms);
+	} else if (is_home(a, c)) {
 		take_loan(l, r, now_ms);
 		answer(a, c, l, r, now_ms);
-	} else if (!r->confirm) {
+	} else {
 		answer_empty(a, c, l, r, now_ms);
 	}
 }
@@ -556,9 +604,7 @@
 
 		l->in_use[0] = 0;
 		l->in_use[1] = 0;
-		if (now_ms >= l->commit_until_ms ||
-		    (l->committed[0] | l->committed[1] | l->committed[2] |
-			l->committed[3]) == 0)
+		if (!holds_any(l, now_ms))
 			continue;
 		held = true;
 		if (now_ms < l->shrunk_ms + HANDOVER_GAP_MS)
--- a/lib/admit/pool.c
+++ b/lib/admit/pool.c
@@ -72,7 +72,8 @@
 
 	for (size_t i = 0; i < h->count; i++) {
 		/* A grant made now must end before the loans behind it. */
-		if (h->lenders[i].lent_until_ms < now_ms + a->terms.grant)
+		if (h->lenders[i].leaving ||
+		    h->lenders[i].lent_until_ms < now_ms + a->terms.grant)
 			continue;
 		lent++;
 		if (h->lenders[i].nodes > nodes)
--- a/tests/unit/test_admit_fleet.c
+++ b/tests/unit/test_admit_fleet.c
@@ -116,6 +116,36 @@
 	world_fini(&w);
 }
 
+/*
+ * Homes move off a live node that all others hold for dead, one after the
+ * other: loans are asked back, nothing waits for their terms.
+ */
+static void
+test_homes_hand_over(void)
+{
+	struct world w;
+	const double limit = 40.0 * 5.0;
+	double got, sum = 0.0;
+	size_t from;
+
+	world_init(&w, CAPACITY);
+	add_limited(w.load);
+	world_start(&w, 1.0);
+	load_run(w.load, 6000);
+	for (unsigned int i = 0; i < NODES; i++) {
+		from = load_bin(w.load);
+		w.fleet.suspected = i + 1;
+		load_run(w.load, 5000);
+		got = (double)load_sum(
+		    w.load->owners[0].admitted, from, load_bin(w.load));
+		CU_ASSERT_TRUE(got >= 0.55 * limit);
+		sum += got;
+	}
+	CU_ASSERT_TRUE(sum >= 0.85 * NODES * limit);
+	check_bounds(w.load);
+	world_fini(&w);
+}
+
 static void
 test_resumed_node_holds_nothing(void)
 {
@@ -254,6 +284,7 @@
 	static const struct ld_test_case cases[] = {
 	    {"95 % usable at a skew of 10 to 1", test_usable_at_a_skew},
 	    {"no excess through faults", test_no_excess_through_faults},
+	    {"homes hand over", test_homes_hand_over},
 	    {"a resumed node holds nothing", test_resumed_node_holds_nothing},
 	    {"promises kept at half the capacity",
 		test_promise_kept_at_half_capacity},
