--- a/lib/admit/ld_admit.h
+++ b/lib/admit/ld_admit.h
@@ -65,8 +65,11 @@
 /**
  * struct ld_admit_member - one node of the fleet, this one among them
  *
- * Nodes that died stay in the list until the platform's list says that they
- * are gone: their share can't be handed out while they may still use it.
+ * The list holds every node that may admit, whoever knows it: those of the
+ * peers and those of the platform's list. Nodes that died stay in it until the
+ * platform's list says that they are gone: their share can't be handed out
+ * while they may still use it. A list that is too short lets through more than
+ * the limits.
  */
 struct ld_admit_member {
 	uint64_t node;
