--- a/lib/booking/ld_booking.h
+++ b/lib/booking/ld_booking.h
@@ -3,7 +3,8 @@
  *
  * The module holds no socket and no clock: each event takes the time in ms of
  * one monotonic clock that counts pauses, and what is to be done is taken out
- * with ld_booking_next_action(), all of it after each event.
+ * with ld_booking_next_action(), all of it after each event. Performing an
+ * action may cause further events; their actions follow those that wait.
  */
 #ifndef LD_BOOKING_H
 #define LD_BOOKING_H
@@ -93,7 +94,8 @@
 };
 
 /**
- * struct ld_booking_action - views are valid until the next event
+ * struct ld_booking_action - views are valid until the next event that comes
+ * when no action waits
  * @expect: mod_revision that the write replaces, 0 for none
  * @try: 0 for the first server, 1 for the next one
  * @ran: of this call
@@ -162,7 +164,9 @@
 /**
  * ld_booking_gone() - the caller hung up
  *
- * A call not yet sent won't be; one that was sent goes on, for its record.
+ * A call that awaits its claim is forgotten at once. One that is to be sent
+ * won't be; one that was sent goes on, for its record: both still end by
+ * ld_booking_sent() and, unless answered, by an LD_BOOKING_ANSWER.
  */
 void ld_booking_gone(struct ld_booking *b, uint64_t now_ms, uint64_t id);
 /**
