booking: wait for each store call to its end

Cause: store.timeout_ms may be set to 60 s, while the module gave a call up after 10 s: the answer of an old write could then be taken for that of the next one, and a claim that does not stand be sent. An edit would have started a second call beside the first. Ruled out: numbering the calls, which the adapter would have to keep. Change: a shard waits until its call ends; claims still end by their own deadline. A write of an edit ends by the store's client alone. Before: 'a slow write is waited for' failed on the former shard.c.

--- a/lib/booking/ld_booking.h
+++ b/lib/booking/ld_booking.h
@@ -200,7 +200,12 @@
 	struct ld_str bytes;
 };
 
-/** ld_booking_read_done() - @value is NULL when the read failed */
+/**
+ * ld_booking_read_done() - @value is NULL when the read failed
+ *
+ * Each read and write must end by exactly one such event, in time or not: an
+ * answer is matched to its call by there being one at a time in a shard.
+ */
 void ld_booking_read_done(struct ld_booking *b, uint64_t now_ms, uint32_t shard,
     const struct ld_booking_value *value);
 
--- a/lib/booking/shard.c
+++ b/lib/booking/shard.c
@@ -9,8 +9,6 @@
 
 #include "booking_internal.h"
 
-/* The store's client ends each call long before. */
-#define CALL_LOST_MS 10000
 #define BACKOFF_MAX_DOUBLINGS 4
 #define CONFLICT_MAX_DOUBLINGS 2
 /* First wait before looking again for a claim that may yet be written. */
@@ -127,8 +125,6 @@
 
 	if (!s->valid && s->next_read_ms > free_ms)
 		free_ms = s->next_read_ms;
-	if (s->state != SHARD_IDLE && s->ops != NULL)
-		due = s->busy_since_ms + CALL_LOST_MS;
 	for (const struct op *o = s->ops; o != NULL; o = o->next) {
 		uint64_t at = o->recheck_ms > free_ms ? o->recheck_ms : free_ms;
 
@@ -368,13 +364,6 @@
 	if (s->ops == NULL)
 		return;
 	expire(b, now_ms, s);
-	if (s->state != SHARD_IDLE &&
-	    now_ms >= s->busy_since_ms + CALL_LOST_MS) {
-		if (s->state == SHARD_READING)
-			end_read(b, now_ms, s, NULL);
-		else
-			end_write(b, now_ms, s, LD_BOOKING_WRITE_UNKNOWN, NULL);
-	}
 	if (s->valid)
 		answer_from_cache(s, now_ms);
 	if (s->state != SHARD_IDLE || now_ms < s->next_ms ||
--- a/lib/catalogue/edit.c
+++ b/lib/catalogue/edit.c
@@ -11,8 +11,6 @@
 #define NEVER UINT64_MAX
 /* Without an answer to the first read the edit ends as not written. */
 #define READ_TIMEOUT_MS 4000
-/* The store's client ends a write long before; then it is settled. */
-#define WRITE_TIMEOUT_MS 10000
 /* READ, WRITE, SETTLE, WRITTEN, DONE: each at most once. */
 #define EDIT_ACTIONS_MAX 5
 
@@ -134,7 +132,8 @@
 		return;
 	}
 	e->phase = WRITING;
-	e->due_ms = now_ms + WRITE_TIMEOUT_MS;
+	/* The store's client bounds it; another call meanwhile would not do. */
+	e->due_ms = NEVER;
 	act(e, LD_EDIT_WRITE);
 }
 
@@ -214,7 +213,6 @@
 		finish(e, LD_EDIT_NOT_WRITTEN, 0);
 		break;
 	case WRITING:
-		begin_settling(e, now_ms);
 		break;
 	case SETTLING:
 		finish(e, LD_EDIT_UNKNOWN, 0);
--- a/lib/catalogue/ld_catalogue.h
+++ b/lib/catalogue/ld_catalogue.h
@@ -385,7 +385,8 @@
 
 enum ld_edit_action_kind {
 	LD_EDIT_READ, /* read the key, report by ld_edit_read_done() */
-	LD_EDIT_WRITE, /* compare-and-swap @bytes on the key as read */
+	LD_EDIT_WRITE, /* compare-and-swap @bytes on the key as read; must end
+	                * by ld_edit_write_done() */
 	LD_EDIT_SETTLE, /* read back until @deadline_ms, never write */
 	LD_EDIT_WRITTEN, /* give @revision, @bytes to ld_fresh_store_value() */
 	LD_EDIT_DONE, /* answer the operator; see ld_edit_result() */
--- a/tests/unit/test_booking.c
+++ b/tests/unit/test_booking.c
@@ -304,6 +304,67 @@
 	ld_booking_free(b);
 }
 
+/* A very late answer belongs to its own write, not to a later one. */
+static void
+test_slow_write_is_waited_for(void)
+{
+	struct ld_booking *b = single_node();
+	struct ld_booking_value none = {0}, written = {.revision = 1};
+	struct ld_booking_action a;
+
+	start_call(b, 10, 1, "shop", "one", "lot 7");
+	next(b, LD_BOOKING_READ);
+	ld_booking_read_done(b, 20, 0, &none);
+	next(b, LD_BOOKING_WRITE);
+	ld_booking_tick(b, 3000);
+	CU_ASSERT_EQUAL(next(b, LD_BOOKING_ANSWER).answer, LD_BOOKING_REFUSED);
+	start_call(b, 12000, 2, "shop", "two", "lot 8");
+	CU_ASSERT_FALSE(ld_booking_next_action(b, &a));
+	ld_booking_write_done(b, 12500, 0, LD_BOOKING_WRITE_APPLIED, &written);
+	CU_ASSERT_EQUAL(next(b, LD_BOOKING_WRITE).expect, 1);
+	CU_ASSERT_FALSE(ld_booking_next_action(b, &a));
+	ld_booking_free(b);
+}
+
+/* A clock a week ahead must not make a booked key be forgotten. */
+static void
+test_wrong_clock_forgets_nothing(void)
+{
+	static const uint64_t week_ms = 7ULL * 86400000;
+	static const char value[] =
+	    "{\"w\":\"n1/1\",\"t\":1000,\"claims\":[{\"k\":"
+	    "\"6e87d05b5cd35edb7bcd1d1fe1192323\",\"b\":"
+	    "\"51b29616960d159ea657ec7238037b03\",\"s\":\"u\",\"n\":\"n1/1\","
+	    "\"a\":\"43b3e0f386fd3fcc\",\"t\":1000,\"d\":7000}]}";
+	static const char ask[] =
+	    "{\"ask\":\"claim\",\"shard\":0,\"ms\":900,\"wall\":2000,"
+	    "\"record\":{\"k\":\"00000000000000000000000000000000\",\"b\":"
+	    "\"51b29616960d159ea657ec7238037b03\",\"s\":\"c\",\"n\":\"n1/1\","
+	    "\"a\":\"43b3e0f386fd3fcd\",\"t\":2000,\"d\":7000}}";
+	const struct ld_str members[] = {LD_STR("n0/1"), LD_STR("n1/1")};
+	struct ld_booking_value v = {.revision = 1, .bytes = LD_STR(value)};
+	struct ld_booking *b = single_node();
+
+	ld_booking_clock(b, 0, week_ms);
+	ld_booking_members(b, 0, members, 2);
+	ld_booking_message(b, 10, LD_STR("n1/1"), LD_STR(ask));
+	next(b, LD_BOOKING_READ);
+	ld_booking_read_done(b, 20, 0, &v);
+	CU_ASSERT_PTR_NOT_NULL(strstr(next(b, LD_BOOKING_WRITE).bytes.p,
+	    "6e87d05b5cd35edb7bcd1d1fe1192323"));
+	CU_ASSERT_EQUAL(ld_booking_counters(b)->pruned, 0);
+	ld_booking_free(b);
+	/* Alone, a node has only its own clock to go by. */
+	b = single_node();
+	ld_booking_clock(b, 0, week_ms);
+	start_call(b, 10, 1, "shop", "key", "lot 7");
+	next(b, LD_BOOKING_READ);
+	ld_booking_read_done(b, 20, 0, &v);
+	next(b, LD_BOOKING_WRITE);
+	CU_ASSERT_EQUAL(ld_booking_counters(b)->pruned, 1);
+	ld_booking_free(b);
+}
+
 /* The first of two calls finds no server while the second waits its turn. */
 static void
 test_event_while_actions_wait(void)
@@ -416,6 +477,8 @@
 		test_keys_belong_to_an_owner_and_a_body},
 	    {"calls without a key", test_without_a_key},
 	    {"a frozen holder does not send", test_frozen_holder_does_not_send},
+	    {"a slow write is waited for", test_slow_write_is_waited_for},
+	    {"a wrong clock forgets nothing", test_wrong_clock_forgets_nothing},
 	    {"an event while actions wait", test_event_while_actions_wait},
 	    {"mutated messages and values", test_mutated_messages_and_values},
 	    {"golden session", test_golden_session},
