--- a/tests/unit/test_booking.c
+++ b/tests/unit/test_booking.c
@@ -304,6 +304,30 @@
 	ld_booking_free(b);
 }
 
+/* The first of two calls finds no server while the second waits its turn. */
+static void
+test_event_while_actions_wait(void)
+{
+	struct ld_booking *b = single_node();
+	struct ld_booking_value none = {0}, written = {.revision = 1};
+
+	start_call(b, 10, 1, "shop", "one", "lot 7");
+	next(b, LD_BOOKING_READ);
+	start_call(b, 11, 2, "shop", "two", "lot 8");
+	ld_booking_read_done(b, 20, 0, &none);
+	next(b, LD_BOOKING_WRITE);
+	ld_booking_write_done(b, 30, 0, LD_BOOKING_WRITE_APPLIED, &written);
+	CU_ASSERT_EQUAL(next(b, LD_BOOKING_SEND).id, 1);
+	ld_booking_sent(b, 31, 1, LD_BOOKING_NOT_SENT, 0, LD_STR(""));
+	CU_ASSERT_EQUAL(next(b, LD_BOOKING_SEND).id, 2);
+	CU_ASSERT_EQUAL(next(b, LD_BOOKING_SEND).id, 1);
+	/* A caller that hung up still gets the end of its call. */
+	ld_booking_gone(b, 32, 2);
+	ld_booking_sent(b, 33, 2, LD_BOOKING_BROKEN, 0, LD_STR(""));
+	CU_ASSERT_EQUAL(next(b, LD_BOOKING_ANSWER).id, 2);
+	ld_booking_free(b);
+}
+
 static void
 test_mutated_messages_and_values(void)
 {
@@ -392,6 +416,7 @@
 		test_keys_belong_to_an_owner_and_a_body},
 	    {"calls without a key", test_without_a_key},
 	    {"a frozen holder does not send", test_frozen_holder_does_not_send},
+	    {"an event while actions wait", test_event_while_actions_wait},
 	    {"mutated messages and values", test_mutated_messages_and_values},
 	    {"golden session", test_golden_session},
 	    {NULL, NULL},
