Keep the linter clean; run four test programs at once

Change: next pointers kept before a free; run.sh starts four programs at once, each with its own output and ports.

--- a/lib/node/booking_task.c
+++ b/lib/node/booking_task.c
@@ -419,11 +419,14 @@
 booking_close(struct ld_node *n)
 {
 	struct booking_task *t = n->booking_task;
+	struct claim_call *next;
 
 	if (t == NULL)
 		return;
-	while (t->claims != NULL)
-		claim_free(t->claims);
+	for (struct claim_call *c = t->claims; c != NULL; c = next) {
+		next = c->next;
+		claim_free(c);
+	}
 	ld_timer_stop(ld_loop_timers(n->loop), &t->timer);
 	ld_booking_free(t->booking);
 	free(t);
--- a/lib/node/edit.c
+++ b/lib/node/edit.c
@@ -275,6 +275,10 @@
 void
 edits_close(struct ld_node *n)
 {
-	while (n->edits != NULL)
-		edit_free(n->edits);
+	struct edit *next;
+
+	for (struct edit *e = n->edits; e != NULL; e = next) {
+		next = e->next;
+		edit_free(e);
+	}
 }
--- a/lib/node/service_call.c
+++ b/lib/node/service_call.c
@@ -311,6 +311,10 @@
 void
 services_close(struct ld_node *n)
 {
-	while (n->service_calls != NULL)
-		service_free(n->service_calls);
+	struct service_call *next;
+
+	for (struct service_call *c = n->service_calls; c != NULL; c = next) {
+		next = c->next;
+		service_free(c);
+	}
 }
--- a/programs/report_html.c
+++ b/programs/report_html.c
@@ -60,6 +60,7 @@
 		double burn = report_burn(l, w);
 		double shown = burn < BURN_SHOWN_MAX ? burn : BURN_SHOWN_MAX;
 		size_t y = w * BAR_STEP + 2;
+		unsigned long long all = l->good[w] + l->bad[w];
 
 		fprintf(out,
 		    "<text x=\"0\" y=\"%zu\">%u min</text>"
@@ -71,8 +72,7 @@
 		    y + 12, r->windows_min[w], y, BAR_WIDTH, BAR_HEIGHT, y,
 		    shown / BURN_SHOWN_MAX * BAR_WIDTH, BAR_HEIGHT,
 		    colour(burn), BAR_WIDTH + 66, y + 12, burn,
-		    (unsigned long long)l->bad[w],
-		    (unsigned long long)(l->good[w] + l->bad[w]));
+		    (unsigned long long)l->bad[w], all);
 	}
 	fprintf(out,
 	    "<line x1=\"%.1f\" x2=\"%.1f\" y1=\"0\" y2=\"%zu\" "
--- a/tests/faults/test_booking_once.c
+++ b/tests/faults/test_booking_once.c
@@ -107,7 +107,7 @@
 static void
 hurt_node(enum fault f, int node)
 {
-	usleep((useconds_t)ld_rand_below(&rng, 1500 * SERVICE_MS));
+	usleep((useconds_t)ld_rand_below(&rng, 1500ULL * SERVICE_MS));
 	if (f == FAULT_NODE_KILLED) {
 		ld_kill(fleet.nodes[node]);
 	} else if (f == FAULT_NODE_FROZEN) {
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -12,19 +12,28 @@
 known=0
 export ASAN_OPTIONS="detect_leaks=1:abort_on_error=0"
 export UBSAN_OPTIONS="print_stacktrace=1"
-out=$(mktemp)
-trap 'rm -f "$out"' EXIT
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+# Test programs at once.
+AT_ONCE=4
 
 is_known_red() {
 	[ -f KNOWN-RED.txt ] && grep -q "^$1 " KNOWN-RED.txt
 }
 
+# Runs one program; its output and its counts go to files of its own.
 run_one() {
 	name=$1
 	shift
-	timeout 300 "$@" >"$out" 2>&1
-	status=$?
-	line=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' "$out" | tail -n 1)
+	timeout 300 "$@" >"$dir/$name.out" 2>&1
+	echo "$?" >"$dir/$name.status"
+}
+
+count_one() {
+	name=$1
+	status=$(cat "$dir/$name.status")
+	line=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' "$dir/$name.out" |
+	    tail -n 1)
 	p=$(echo "$line" | cut -d' ' -f1)
 	f=$(echo "$line" | cut -d' ' -f3)
 	if [ -z "$line" ] || { [ "$status" -ne 0 ] && [ "$f" = 0 ]; }; then
@@ -32,7 +41,7 @@
 		f=1
 	fi
 	if [ "$f" -ne 0 ]; then
-		tail -n 60 "$out"
+		tail -n 60 "$dir/$name.out"
 		if is_known_red "$name"; then
 			echo "KNOWN RED $name"
 			known=$((known + f))
@@ -44,16 +53,33 @@
 	failed=$((failed + f))
 }
 
+# Programs share no port or file, so a few run at once.
+names=""
+running=0
+start() {
+	run_one "$@" &
+	names="$names $1"
+	running=$((running + 1))
+	if [ "$running" -ge "$AT_ONCE" ]; then
+		wait
+		running=0
+	fi
+}
+
 for group in "$@"; do
 	for program in "$build/$group"/test_*; do
 		[ -x "$program" ] || continue
-		run_one "$(basename "$program")" "$program"
+		start "$(basename "$program")" "$program"
 	done
 	for script in tests/"$group"/test_*.sh; do
 		[ -f "$script" ] || continue
-		run_one "$(basename "$script" .sh)" bash "$script" "$build"
+		start "$(basename "$script" .sh)" bash "$script" "$build"
 	done
 done
+wait
+for name in $names; do
+	count_one "$name"
+done
 [ "$known" -eq 0 ] || echo "$known known red, see KNOWN-RED.txt"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
