--- a/Makefile
+++ b/Makefile
@@ -93,7 +93,7 @@
 lint: ## clang-tidy and cppcheck, warnings as errors
 	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 8 -n 1 sh -c \
 	    'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null || \
-	    { echo "clang-tidy failed: $$*"; exit 255; }' sh
+	    { echo "clang-tidy failed: $$*"; exit 1; }' sh
 	cppcheck --quiet --error-exitcode=1 --inline-suppr -j 8 \
 	    --enable=warning,performance,portability \
 	    --suppress=missingIncludeSystem --suppress=nullPointerOutOfMemory \
--- a/tests/unit/test_metrics.c
+++ b/tests/unit/test_metrics.c
@@ -4,7 +4,7 @@
 #include "ld_metrics.h"
 #include "ld_test.h"
 
-#define MINUTE_MS 60000
+#define MINUTE_MS 60000ULL
 
 static void
 test_page_lists_every_counter(void)
