booking: an earlier call that may have run makes the answer unknown

Cause: a repeat during the first call was told 409 with ran: no, although the booking ran; a caller told so may book again under another key. Found by test_booking_once. Ruled out: a second member for earlier calls beside ran: callers read ran. Change: ran is no only when neither this nor an earlier call with the key can have run; the KNOWN-RED entry goes.

--- a/lib/node/booking_task.c
+++ b/lib/node/booking_task.c
@@ -197,9 +197,9 @@
 		    a->kept ? a->body : ld_str_c(NULL), true);
 		return;
 	}
-	if (a->earlier != LD_BOOKING_RAN_NO)
-		p.detail = "An earlier call with this key may have run; "
-			   "\"ran\" speaks of this call alone";
+	/* A caller who is told "no" may book again under another key. */
+	if (p.ran == LD_RAN_NO)
+		p.ran = ran_of(a->earlier);
 	service_fail(c, &p);
 }
 
