--- a/lib/admit/admit_internal.h
+++ b/lib/admit/admit_internal.h
@@ -22,6 +22,7 @@
 #define RUN_ON_MS 10000
 /* Slots that other nodes hold idle are back after this: worth waiting for. */
 #define SHORT_HOLD_MS 20
+#define ASKS_MAX 6 /* questions for one request */
 
 enum kind {
 	K_REQUESTS,
@@ -310,17 +311,42 @@
 void ld_admit_account_tick(
     struct ld_admit *a, struct account *c, uint64_t now_ms);
 
+/** struct lack - what keeps a request from being admitted */
+struct lack {
+	struct account *account;
+	enum kind kind;
+};
+
+/* place.c */
+struct request *ld_admit_find(const struct ld_admit *a, uint64_t ticket);
+struct request *ld_admit_request_new(
+    struct ld_admit *a, struct account *c, uint64_t tokens);
+void ld_admit_request_free(struct ld_admit *a, struct request *q);
+/** ld_admit_take() - take all that @q needs, or nothing and set @lack */
+bool ld_admit_take(
+    struct ld_admit *a, struct request *q, struct lack *lack, uint64_t now_ms);
+void ld_admit_give_back(struct ld_admit *a, struct request *q);
+/** ld_admit_upgrade() - move left-over streams into promised slots */
+void ld_admit_upgrade(struct ld_admit *a, struct account *c, uint64_t now_ms);
+void ld_admit_requests_free(struct ld_admit *a);
+
 /* request.c */
+void ld_admit_dequeue(struct queue *w, struct request *q);
+/** ld_admit_refuse() - tell the refusal of @q and free it */
+void ld_admit_refuse(struct ld_admit *a, struct request *q,
+    const struct lack *lack, uint64_t now_ms);
+uint32_t ld_admit_jittered(struct ld_admit *a, uint64_t ms);
 void ld_admit_retry_waiting(
     struct ld_admit *a, struct account *c, uint64_t now_ms);
 void ld_admit_expire_waiting(
     struct ld_admit *a, struct account *c, uint64_t now_ms);
+
+/* cancel.c */
 /** ld_admit_cancel_above() - cancel the newest until @slots are in use */
 void ld_admit_cancel_above(struct ld_admit *a, struct account *c,
     uint64_t slots, enum ld_admit_reason why);
 void ld_admit_cancel_all(
     struct ld_admit *a, struct account *c, enum ld_admit_reason why);
-void ld_admit_requests_free(struct ld_admit *a);
 
 /* home.c */
 void ld_admit_on_report(
@@ -333,6 +359,21 @@
     struct ld_admit *a, struct account *c, uint64_t now_ms);
 void ld_admit_home_free(struct home *h);
 
+bool ld_admit_is_home(const struct ld_admit *a, const struct account *c);
+/** ld_admit_is_short() - more left-over streams run than there is room for */
+bool ld_admit_is_short(
+    const struct ld_admit *a, const struct account *c, uint64_t now_ms);
+/** ld_admit_send_grant() - note what @l may hold from now on and send it */
+void ld_admit_send_grant(struct ld_admit *a, struct account *c,
+    struct lender *l, struct grant_msg *g, uint64_t now_ms);
+
+/* handover.c */
+/** ld_admit_take_leave() - @l named another home and wants its loan back */
+void ld_admit_take_leave(
+    struct ld_admit *a, struct account *c, struct lender *l, uint64_t now_ms);
+void ld_admit_leave_confirmed(
+    struct ld_admit *a, struct account *c, struct lender *l, uint64_t now_ms);
+
 /* pool.c */
 /** ld_admit_pool() - what the home may grant of @k: lent and unexpired */
 uint64_t ld_admit_pool(const struct ld_admit *a, const struct account *c,
--- a/lib/admit/request.c
+++ b/lib/admit/request.c
@@ -1,210 +1,16 @@
 /* Requests: decided at once, or after one question to a pool's home. */
-#include <assert.h>
-#include <stdlib.h>
-#include <string.h>
 
 #include "admit_internal.h"
 
 #define WAITING_MAX 32 /* requests of one pool that wait at once */
-#define ASKS_MAX 6 /* questions for one request */
 #define ASK_RESEND_MS 40 /* the question or its answer may be lost */
 /* Refusals without an answer of the home. */
 #define RETRY_AFTER_MS 1000
-#define PREEMPTED_RETRY_MS 2000
 /* Callers come back spread over this part of the time told, in percent. */
 #define RETRY_JITTER_PERCENT 50
 /* A home that gave no answer isn't asked again for so long. */
 #define SILENT_HOLD_MS 250
 
-/** struct lack - what keeps a request from being admitted */
-struct lack {
-	struct account *account;
-	enum kind kind;
-};
-
-/* ---- The table of requests ---- */
-
-static size_t
-bucket(uint64_t ticket)
-{
-	return ticket & (ADMIT_BUCKETS - 1);
-}
-
-static struct request *
-find(const struct ld_admit *a, uint64_t ticket)
-{
-	struct request *q = a->requests[bucket(ticket)];
-
-	while (q != NULL && q->ticket != ticket)
-		q = q->next;
-	return q;
-}
-
-static struct request *
-request_new(struct ld_admit *a, struct account *c, uint64_t tokens)
-{
-	struct request *q = ld_alloc(sizeof(*q));
-
-	q->account = c;
-	q->tokens = tokens > 0 ? tokens : 1;
-	q->ticket = ++a->next_ticket;
-	q->next = a->requests[bucket(q->ticket)];
-	a->requests[bucket(q->ticket)] = q;
-	q->next_of = c->requests;
-	if (c->requests != NULL)
-		c->requests->prev_of = q;
-	c->requests = q;
-	return q;
-}
-
-static void
-request_free(struct ld_admit *a, struct request *q)
-{
-	struct request **at = &a->requests[bucket(q->ticket)];
-
-	while (*at != q)
-		at = &(*at)->next;
-	*at = q->next;
-	if (q->prev_of != NULL)
-		q->prev_of->next_of = q->next_of;
-	else
-		q->account->requests = q->next_of;
-	if (q->next_of != NULL)
-		q->next_of->prev_of = q->prev_of;
-	free(q);
-}
-
-void
-ld_admit_requests_free(struct ld_admit *a)
-{
-	struct request *q;
-
-	for (size_t b = 0; b < ADMIT_BUCKETS; b++) {
-		while ((q = a->requests[b]) != NULL)
-			request_free(a, q);
-	}
-}
-
-/* ---- Taking and giving back ---- */
-
-static bool
-has_rate(const struct ld_admit *a, const struct account *c, enum kind k,
-    uint64_t units, uint64_t now_ms)
-{
-	uint64_t depth = ld_admit_depth(ld_admit_rate(a, c, k, now_ms), k);
-	int64_t level = c->bucket[k].micro + (int64_t)c->lump[k];
-	uint64_t need = units * MICRO;
-
-	/* A request larger than the bucket needs a full one, and overdraws. */
-	if (depth > 0 && need > depth)
-		need = depth;
-	return level > 0 && (uint64_t)level >= need;
-}
-
-static void
-take_rate(struct account *c, enum kind k, uint64_t units)
-{
-	uint64_t micro = units * MICRO;
-	uint64_t lump = c->lump[k] < micro ? c->lump[k] : micro;
-
-	c->lump[k] -= lump;
-	c->bucket[k].micro -= (int64_t)(micro - lump);
-}
-
-static bool
-has_slot(const struct ld_admit *a, const struct account *c, enum kind k,
-    uint64_t now_ms)
-{
-	return c->in_use[SLOT(k)] < ld_admit_slots(a, c, k, now_ms);
-}
-
-static bool
-find_place(const struct ld_admit *a, struct request *q, struct lack *lack,
-    uint64_t now_ms)
-{
-	struct account *c = q->account;
-
-	q->promised = false;
-	if (c->limit[K_PROMISED] > 0) {
-		if (has_slot(a, c, K_PROMISED, now_ms)) {
-			q->promised = true;
-			return true;
-		}
-		if (now_ms + SHORT_HOLD_MS >= c->deny_until_ms[K_PROMISED] &&
-		    q->asks < ASKS_MAX) {
-			*lack = (struct lack){c, K_PROMISED};
-			return false;
-		}
-	}
-	if (has_slot(a, a->leftover, K_SLOTS, now_ms))
-		return true;
-	*lack = (struct lack){a->leftover, K_SLOTS};
-	return false;
-}
-
-/* Takes all that @q needs, or nothing and says what is lacking. */
-static bool
-admit(struct ld_admit *a, struct request *q, struct lack *lack, uint64_t now_ms)
-{
-	struct account *c = q->account;
-
-	ld_admit_fill(a, c, now_ms);
-	lack->account = c;
-	lack->kind = K_REQUESTS;
-	if (!has_rate(a, c, K_REQUESTS, 1, now_ms))
-		return false;
-	lack->kind = K_TOKENS;
-	if (!has_rate(a, c, K_TOKENS, q->tokens, now_ms))
-		return false;
-	lack->kind = K_SLOTS;
-	if (!has_slot(a, c, K_SLOTS, now_ms))
-		return false;
-	if (!find_place(a, q, lack, now_ms))
-		return false;
-	take_rate(c, K_REQUESTS, 1);
-	take_rate(c, K_TOKENS, q->tokens);
-	c->in_use[SLOT(K_SLOTS)]++;
-	if (q->promised)
-		c->in_use[SLOT(K_PROMISED)]++;
-	else
-		a->leftover->in_use[SLOT(K_SLOTS)]++;
-	return true;
-}
-
-static void
-give_back(struct ld_admit *a, struct request *q)
-{
-	struct account *c = q->account;
-
-	c->in_use[SLOT(K_SLOTS)]--;
-	if (q->promised)
-		c->in_use[SLOT(K_PROMISED)]--;
-	else
-		a->leftover->in_use[SLOT(K_SLOTS)]--;
-	if (q->relayed < q->tokens)
-		c->bucket[K_TOKENS].micro +=
-		    (int64_t)((q->tokens - q->relayed) * MICRO);
-}
-
-/* Streams that run on left-over capacity move into promised slots. */
-static void
-upgrade(struct ld_admit *a, struct account *c, uint64_t now_ms)
-{
-	struct request *q;
-
-	if (c->limit[K_PROMISED] == 0)
-		return;
-	for (q = c->requests; q != NULL; q = q->next_of) {
-		if (!has_slot(a, c, K_PROMISED, now_ms))
-			return;
-		if (q->waiting || q->promised || q->cancelled)
-			continue;
-		q->promised = true;
-		c->in_use[SLOT(K_PROMISED)]++;
-		a->leftover->in_use[SLOT(K_SLOTS)]--;
-	}
-}
-
 /* ---- Waiting ---- */
 
 static void
@@ -216,8 +22,8 @@
 	c->waiting.count++;
 }
 
-static void
-dequeue(struct queue *w, struct request *q)
+void
+ld_admit_dequeue(struct queue *w, struct request *q)
 {
 	struct request **at = &w->head;
 
@@ -249,8 +55,8 @@
 	return LD_ADMIT_R_CAPACITY;
 }
 
-static uint32_t
-jittered(struct ld_admit *a, uint64_t ms)
+uint32_t
+ld_admit_jittered(struct ld_admit *a, uint64_t ms)
 {
 	uint64_t spread = ms * RETRY_JITTER_PERCENT / 100;
 
@@ -264,7 +70,7 @@
 	*d = (struct ld_admit_decision){
 	    .verdict = LD_ADMIT_NO,
 	    .reason = why,
-	    .retry_after_ms = retry_ms > 0 ? jittered(a, retry_ms) : 0,
+	    .retry_after_ms = retry_ms > 0 ? ld_admit_jittered(a, retry_ms) : 0,
 	};
 	a->stats.refused[why]++;
 }
@@ -303,8 +109,8 @@
 	ld_admit_push_decision(a, LD_ADMIT_DECIDED, d);
 }
 
-static void
-refuse(struct ld_admit *a, struct request *q, const struct lack *lack,
+void
+ld_admit_refuse(struct ld_admit *a, struct request *q, const struct lack *lack,
     uint64_t now_ms)
 {
 	struct ld_admit_decision d;
@@ -312,7 +118,7 @@
 	refusal(a, &d, reason_of(a, lack), retry_ms_of(lack, now_ms));
 	d.ticket = q->out != NULL ? 0 : q->ticket;
 	tell(a, q, &d);
-	request_free(a, q);
+	ld_admit_request_free(a, q);
 }
 
 static bool
@@ -348,7 +154,7 @@
 	struct ld_admit_decision d;
 	struct lack lack;
 
-	if (admit(a, q, &lack, now_ms)) {
+	if (ld_admit_take(a, q, &lack, now_ms)) {
 		grant_decision(a, q, &d);
 		tell(a, q, &d);
 		return;
@@ -361,14 +167,14 @@
 	if (lack.kind == K_PROMISED && !can_ask(&lack, q, now_ms)) {
 		lack.account->deny_until_ms[K_PROMISED] =
 		    now_ms + SILENT_HOLD_MS;
-		if (admit(a, q, &lack, now_ms)) {
+		if (ld_admit_take(a, q, &lack, now_ms)) {
 			grant_decision(a, q, &d);
 			tell(a, q, &d);
 			return;
 		}
 	}
 	if (now_ms >= q->deadline_ms || !can_ask(&lack, q, now_ms)) {
-		refuse(a, q, &lack, now_ms);
+		ld_admit_refuse(a, q, &lack, now_ms);
 		return;
 	}
 	q->asks++;
@@ -382,7 +188,7 @@
 	struct request *q = c->waiting.head;
 	struct request *next;
 
-	upgrade(a, c, now_ms);
+	ld_admit_upgrade(a, c, now_ms);
 	if (q == NULL || c->ask_open)
 		return;
 	c->waiting.head = NULL;
@@ -410,8 +216,8 @@
 	if (q == NULL || now_ms < q->deadline_ms)
 		return;
 	while ((q = c->waiting.head) != NULL && now_ms >= q->deadline_ms) {
-		dequeue(&c->waiting, q);
-		if (admit(a, q, &lack, now_ms)) {
+		ld_admit_dequeue(&c->waiting, q);
+		if (ld_admit_take(a, q, &lack, now_ms)) {
 			struct ld_admit_decision d;
 
 			grant_decision(a, q, &d);
@@ -423,7 +229,7 @@
 			    now_ms + SILENT_HOLD_MS;
 			lack.account->deny_retry_ms[lack.kind] = RETRY_AFTER_MS;
 		}
-		refuse(a, q, &lack, now_ms);
+		ld_admit_refuse(a, q, &lack, now_ms);
 	}
 }
 
@@ -471,7 +277,7 @@
 		return;
 	c->meter[K_REQUESTS].count += MILLI;
 	c->meter[K_TOKENS].count += est_tokens * MILLI;
-	q = request_new(a, c, est_tokens);
+	q = ld_admit_request_new(a, c, est_tokens);
 	q->deadline_ms = now_ms + LD_ADMIT_WAIT_MS;
 	q->waiting = true;
 	q->out = d;
@@ -495,7 +301,7 @@
 ld_admit_tokens(
     struct ld_admit *a, uint64_t now_ms, uint64_t ticket, uint64_t n)
 {
-	struct request *q = find(a, ticket);
+	struct request *q = ld_admit_find(a, ticket);
 	uint64_t charged;
 
 	if (q == NULL || q->waiting)
@@ -511,117 +317,16 @@
 void
 ld_admit_done(struct ld_admit *a, uint64_t now_ms, uint64_t ticket)
 {
-	struct request *q = find(a, ticket);
+	struct request *q = ld_admit_find(a, ticket);
 
 	if (q == NULL)
 		return;
 	if (q->waiting) {
-		dequeue(&q->account->waiting, q);
-		dequeue(&a->leftover->waiting, q);
+		ld_admit_dequeue(&q->account->waiting, q);
+		ld_admit_dequeue(&a->leftover->waiting, q);
 	} else {
-		give_back(a, q);
+		ld_admit_give_back(a, q);
 		a->stats.running--;
 	}
-	request_free(a, q);
-}
-
-/* ---- Cancelling ---- */
-
-static void
-cancel(struct ld_admit *a, struct request *q, enum ld_admit_reason why)
-{
-	struct ld_admit_decision d = {
-	    .verdict = LD_ADMIT_NO,
-	    .reason = why,
-	    .ticket = q->ticket,
-	};
-
-	if (why != LD_ADMIT_R_OWNER)
-		d.retry_after_ms = jittered(a, PREEMPTED_RETRY_MS);
-	q->cancelled = true;
-	a->stats.cancelled++;
-	ld_admit_push_decision(a, LD_ADMIT_CANCEL, &d);
-}
-
-static bool
-runs_in(
-    const struct ld_admit *a, const struct account *c, const struct request *q)
-{
-	if (q->waiting)
-		return false;
-	return c == a->leftover ? !q->promised : q->account == c;
-}
-
-static uint64_t
-count_cancelled(const struct ld_admit *a, const struct account *c)
-{
-	const struct account *o;
-	const struct request *q;
-	uint64_t n = 0;
-
-	for (o = a->accounts; o != NULL; o = o->next) {
-		for (q = o->requests; q != NULL; q = q->next_of)
-			n += q->cancelled && runs_in(a, c, q);
-	}
-	return n;
-}
-
-/* The newest stream of the least class that runs in pool @c. */
-static struct request *
-victim(const struct ld_admit *a, const struct account *c)
-{
-	struct request *best = NULL;
-	const struct account *o;
-	struct request *q;
-
-	for (o = a->accounts; o != NULL; o = o->next) {
-		for (q = o->requests; q != NULL; q = q->next_of) {
-			if (q->cancelled || !runs_in(a, c, q))
-				continue;
-			if (best == NULL || o->class > best->account->class ||
-			    (o->class == best->account->class &&
-				q->ticket > best->ticket))
-				best = q;
-			break;
-		}
-	}
-	return best;
-}
-
-void
-ld_admit_cancel_above(struct ld_admit *a, struct account *c, uint64_t slots,
-    enum ld_admit_reason why)
-{
-	uint64_t used = c->in_use[SLOT(K_SLOTS)];
-	struct request *q;
-
-	if (used <= slots)
-		return;
-	used -= count_cancelled(a, c);
-	for (; used > slots; used--) {
-		q = victim(a, c);
-		if (q == NULL)
-			return;
-		cancel(a, q, why);
-	}
-}
-
-void
-ld_admit_cancel_all(
-    struct ld_admit *a, struct account *c, enum ld_admit_reason why)
-{
-	struct request *q, *next;
-
-	for (q = c->requests; q != NULL; q = next) {
-		struct lack lack = {c, K_SLOTS};
-
-		next = q->next_of;
-		if (q->waiting) {
-			dequeue(&c->waiting, q);
-			dequeue(&a->leftover->waiting, q);
-			refuse(a, q, &lack, 0);
-		} else if (!q->cancelled) {
-			cancel(a, q, why);
-		}
-	}
+	ld_admit_request_free(a, q);
 }
