entry: what a turn resumes leaves in that turn; count listed instances

Cause: a resumed stream was sent one turn later, by a timer, and libmicrohttpd ran twice a turn. And admission counted only the nodes that peers told of: a node that starts cut off from its peers would have used the whole of each limit. Ruled out: a longer wait before each turn alone (1 ms to 2 ms changes little). Change: a prepare watcher runs libmicrohttpd once before the loop waits; progress of a call takes the time of the turn; entry instances of the live list that no peer told of are counted and never used.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -45,6 +45,16 @@
 	    ld_loop_timers(e->loop), &e->timer, ld_loop_now(e->loop));
 }
 
+/* Before the loop waits: what this turn resumed leaves in this turn. */
+static void
+on_prepare(struct ev_loop *ev, ev_prepare *w, int revents)
+{
+	struct ld_listener *e = w->data;
+
+	if (e->resumed)
+		run_daemon(e);
+}
+
 static void
 on_io(struct ev_loop *ev, ev_io *io, int revents)
 {
@@ -258,6 +268,11 @@
 	ev_io_init(&e->io, on_io, info->epoll_fd, EV_READ);
 	e->io.data = e;
 	ev_io_start(ld_loop_ev(loop), &e->io);
+	ev_prepare_init(&e->prepare, on_prepare);
+	/* Ahead of the loop's own, which reads when the next timer is due. */
+	ev_set_priority(&e->prepare, EV_MAXPRI);
+	e->prepare.data = e;
+	ev_prepare_start(ld_loop_ev(loop), &e->prepare);
 	ld_timer_after(ld_loop_timers(loop), &e->sweep, SWEEP_INTERVAL_MS);
 	*out = e;
 	return LD_OK;
@@ -308,6 +323,7 @@
 	resume_all(e);
 	MHD_run(e->daemon);
 	ev_io_stop(ld_loop_ev(e->loop), &e->io);
+	ev_prepare_stop(ld_loop_ev(e->loop), &e->prepare);
 	ld_timer_stop(ld_loop_timers(e->loop), &e->timer);
 	ld_timer_stop(ld_loop_timers(e->loop), &e->sweep);
 	MHD_stop_daemon(e->daemon);
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -25,6 +25,7 @@
 	struct ld_listener_config config;
 	struct MHD_Daemon *daemon;
 	ev_io io;
+	ev_prepare prepare;
 	struct ld_timer timer; /* what libmicrohttpd asks for */
 	struct ld_timer sweep; /* ends slow heads and bodies */
 	struct connection *connections;
--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -352,7 +352,8 @@
 		return 0;
 	if (c->paused)
 		return CURL_WRITEFUNC_PAUSE;
-	c->progress_ms = ld_loop_now(c->http->loop);
+	/* The time of this turn will do: bytes come often. */
+	c->progress_ms = ld_timers_now(ld_loop_timers(c->http->loop));
 	c->received += bytes.len;
 	if (c->max_body > 0 && c->received > c->max_body) {
 		c->failure = LD_E_TOO_LARGE;
--- a/lib/node/fleet.c
+++ b/lib/node/fleet.c
@@ -78,17 +78,52 @@
 	return m->state == LD_PEERS_ALIVE || m->state == LD_PEERS_SUSPECT;
 }
 
+static bool
+knows(const struct fleet *f, const char *address)
+{
+	for (size_t i = 0; i < f->count; i++)
+		if (ld_str_eq(f->members[i].address, ld_str_c(address)))
+			return true;
+	return false;
+}
+
+/*
+ * Entry instances that the platform lists and no peer has told of: they may
+ * admit on the other side of a partition, so their shares must not be used.
+ */
+static size_t
+add_listed(const struct fleet *f, struct ld_admit_member *to)
+{
+	const struct ld_live_list *list = ld_live_current(f->node->live);
+	size_t n = 0;
+
+	for (size_t i = 0; i < list->n; i++) {
+		const struct ld_instance *v = &list->v[i];
+
+		if (v->role != LD_ROLE_ENTRY || knows(f, v->address))
+			continue;
+		to[n].node = member_id(ld_str_c(v->address), 0);
+		to[n].domain = ld_str_c(v->zone);
+		to[n].live = false;
+		n++;
+	}
+	return n;
+}
+
 static void
 tell_admission(struct fleet *f)
 {
-	struct ld_admit_member *list = ld_alloc(f->count * sizeof(*list));
+	size_t room = f->count + ld_live_current(f->node->live)->n;
+	struct ld_admit_member *list = ld_alloc(room * sizeof(*list));
+	size_t n = f->count;
 
 	for (size_t i = 0; i < f->count; i++) {
 		list[i].node = f->members[i].id;
 		list[i].domain = f->members[i].domain;
 		list[i].live = is_live(&f->members[i]);
 	}
-	ld_admit_members(f->node->admit, node_now(f->node), list, f->count);
+	n += add_listed(f, list + n);
+	ld_admit_members(f->node->admit, node_now(f->node), list, n);
 	free(list);
 }
 
@@ -281,6 +316,12 @@
 		    ld_last_message());
 }
 
+void
+fleet_listed(struct fleet *f)
+{
+	f->stale = true;
+}
+
 void
 fleet_send_admit(struct fleet *f, uint64_t to, struct ld_str bytes)
 {
--- a/lib/node/follow.c
+++ b/lib/node/follow.c
@@ -74,6 +74,7 @@
 		    list->v[i].leaving);
 	tell_services(n, list);
 	servers_listed(n, list);
+	fleet_listed(n->fleet);
 	placement_zones_changed(n);
 	completions_act(n);
 }
--- a/lib/node/node_internal.h
+++ b/lib/node/node_internal.h
@@ -122,6 +122,8 @@
 /** fleet_open() - bind and join; the decision modules are told by start */
 enum ld_status fleet_open(struct ld_node *n);
 void fleet_start(struct fleet *f);
+/** fleet_listed() - the live list changed */
+void fleet_listed(struct fleet *f);
 /** fleet_leave() - tell the others that this node stops for good */
 void fleet_leave(struct fleet *f);
 void fleet_close(struct fleet *f);
--- a/lib/node/serve.c
+++ b/lib/node/serve.c
@@ -8,7 +8,7 @@
 #define PART "node"
 #define DRAIN_POLL_MS 50
 #define MANY_STREAMS 200
-#define COLLECT_S 0.001
+#define COLLECT_S 0.002
 /* A new node's share is used by nobody until all know of the node. */
 #define SETTLE_MS 2000
 /* Polls in a row without an open request that end a drain. */
