Goals of one caller or class; lists of the settings in a file of their own

Change: objectives.overrides, the caller's own goal before its class's; burn and report tell each line's goal; lib/settings/lists.c; one run() in programs/operate.c.

--- a/lib/metrics/burn.c
+++ b/lib/metrics/burn.c
@@ -1,4 +1,5 @@
 /* Service-level burn: good and bad events by caller, minute by minute. */
+#include <assert.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,8 +28,18 @@
 	struct minute minutes[MINUTES];
 };
 
+/** struct override - goal of one caller or one class; NULL for any */
+struct override {
+	struct override *next;
+	char *owner;
+	char *class;
+	enum ld_objective objective;
+	struct ld_goal goal;
+};
+
 struct ld_burn {
 	struct ld_goal goals[LD_O_COUNT];
+	struct override *overrides;
 	struct line *lines;
 };
 
@@ -62,6 +73,7 @@
 void
 ld_burn_free(struct ld_burn *b)
 {
+	struct override *v;
 	struct line *l;
 
 	if (b == NULL)
@@ -72,15 +84,60 @@
 		free(l->class);
 		free(l);
 	}
+	while ((v = b->overrides) != NULL) {
+		b->overrides = v->next;
+		free(v->owner);
+		free(v->class);
+		free(v);
+	}
 	free(b);
 }
 
-const struct ld_goal *
-ld_burn_goal(const struct ld_burn *b, enum ld_objective o)
+/* ---- Goals ---- */
+
+void
+ld_burn_override(struct ld_burn *b, struct ld_str owner, struct ld_str class,
+    enum ld_objective o, struct ld_goal goal)
+{
+	struct override *v = ld_alloc(sizeof(*v));
+
+	assert(owner.len + class.len > 0);
+	v->owner = owner.len > 0 ? ld_str_dup(owner) : NULL;
+	v->class = class.len > 0 ? ld_str_dup(class) : NULL;
+	v->objective = o;
+	v->goal = goal;
+	v->next = b->overrides;
+	b->overrides = v;
+}
+
+static bool
+matches(const char *name, struct ld_str given)
+{
+	return name == NULL || ld_str_eq(ld_str_c(name), given);
+}
+
+struct ld_goal
+ld_burn_goal(const struct ld_burn *b, struct ld_str owner, struct ld_str class,
+    enum ld_objective o)
 {
-	return &b->goals[o];
+	struct ld_goal goal = b->goals[o];
+	bool own = false;
+
+	for (const struct override *v = b->overrides; v != NULL; v = v->next) {
+		if (v->objective != o || !matches(v->owner, owner) ||
+		    !matches(v->class, class))
+			continue;
+		/* One that names the caller goes before one of its class. */
+		if (own && v->owner == NULL)
+			continue;
+		own = v->owner != NULL;
+		goal = v->goal;
+	}
+	return goal;
 }
 
+/* ---- Events ---- */
+
 static struct line *
 line_of(struct ld_burn *b, struct ld_str owner, struct ld_str class,
     enum ld_objective o)
@@ -136,8 +193,10 @@
 }
 
 static json_t *
-line_json(const struct line *l, uint64_t now_ms)
+line_json(const struct ld_burn *b, const struct line *l, uint64_t now_ms)
 {
+	struct ld_goal goal = ld_burn_goal(
+	    b, ld_str_c(l->owner), ld_str_c(l->class), l->objective);
 	json_t *good = json_array();
 	json_t *bad = json_array();
 	json_t *causes = json_object();
@@ -153,16 +212,17 @@
 			json_object_set_new(causes,
 			    ld_cause_name((enum ld_cause)i),
 			    json_integer((json_int_t)l->causes[i]));
-	return json_pack("{s:s,s:s,s:s,s:o,s:o,s:o}", "owner", l->owner,
+	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:o,s:o,s:o}", "owner", l->owner,
 	    "class", l->class, "objective", ld_objective_name(l->objective),
-	    "good", good, "bad", bad, "causes", causes);
+	    "threshold_ms", (json_int_t)goal.threshold_ms, "target_permille",
+	    (json_int_t)goal.target_permille, "good", good, "bad", bad,
+	    "causes", causes);
 }
 
 void
 ld_burn_write(struct ld_burn *b, uint64_t now_ms, struct ld_buf *out)
 {
 	json_t *windows = json_array();
-	json_t *goals = json_array();
 	json_t *callers = json_array();
 	json_t *doc;
 	char *text;
@@ -170,16 +230,10 @@
 	for (int i = 0; i < LD_BURN_WINDOWS; i++)
 		json_array_append_new(
 		    windows, json_integer(ld_burn_window_min[i]));
-	for (int i = 0; i < LD_O_COUNT; i++)
-		json_array_append_new(goals,
-		    json_pack("{s:s,s:I,s:I}", "objective",
-			ld_objective_name((enum ld_objective)i), "threshold_ms",
-			(json_int_t)b->goals[i].threshold_ms, "target_permille",
-			(json_int_t)b->goals[i].target_permille));
 	for (const struct line *l = b->lines; l != NULL; l = l->next)
-		json_array_append_new(callers, line_json(l, now_ms));
-	doc = json_pack("{s:o,s:o,s:o}", "windows_min", windows, "goals", goals,
-	    "callers", callers);
+		json_array_append_new(callers, line_json(b, l, now_ms));
+	doc =
+	    json_pack("{s:o,s:o}", "windows_min", windows, "callers", callers);
 	text = json_dumps(doc, JSON_COMPACT);
 	ld_buf_printf(out, "%s\n", text);
 	free(text);
--- a/lib/metrics/ld_metrics.h
+++ b/lib/metrics/ld_metrics.h
@@ -127,13 +127,21 @@
 void ld_burn_note(struct ld_burn *b, uint64_t now_ms, struct ld_str owner,
     struct ld_str class, enum ld_objective o, uint64_t good, uint64_t bad,
     enum ld_cause cause);
-const struct ld_goal *ld_burn_goal(
-    const struct ld_burn *b, enum ld_objective o);
+/**
+ * ld_burn_override() - another goal for one caller or one class
+ * @owner, @class: empty for any; both empty is not allowed
+ */
+void ld_burn_override(struct ld_burn *b, struct ld_str owner,
+    struct ld_str class, enum ld_objective o, struct ld_goal goal);
+/** ld_burn_goal() - goal of a caller: its own, its class's, or the default */
+struct ld_goal ld_burn_goal(const struct ld_burn *b, struct ld_str owner,
+    struct ld_str class, enum ld_objective o);
 /**
  * ld_burn_write() - counts per caller, objective and window as JSON
  *
- * {"windows_min":[5,60,360],"goals":[..],"callers":[{"owner","class",
- * "objective","good":[..],"bad":[..],"causes":{"slow":3}}]}
+ * {"windows_min":[5,60,360],"callers":[{"owner","class","objective",
+ * "threshold_ms","target_permille","good":[..],"bad":[..],
+ * "causes":{"slow":3}}]}
  */
 void ld_burn_write(struct ld_burn *b, uint64_t now_ms, struct ld_buf *out);
 
--- a/lib/node/completion_internal.h
+++ b/lib/node/completion_internal.h
@@ -19,6 +19,7 @@
 	char *excluded; /* replica that failed last */
 	char *owner;
 	enum ld_class class;
+	struct ld_goal goals[LD_O_COUNT];
 	uint64_t epoch;
 	uint64_t prefix;
 	uint64_t ticket;
--- a/lib/node/completion_notes.c
+++ b/lib/node/completion_notes.c
@@ -23,7 +23,7 @@
 static void
 note_first_token(struct completion *c, uint64_t now)
 {
-	const struct ld_goal *g = ld_burn_goal(c->node->burn, LD_O_FIRST_TOKEN);
+	const struct ld_goal *g = &c->goals[LD_O_FIRST_TOKEN];
 	uint64_t ms = now - c->started_ms;
 	bool good = ms <= g->threshold_ms;
 
@@ -34,7 +34,7 @@
 void
 completion_note_token(struct completion *c, uint64_t now)
 {
-	const struct ld_goal *g = ld_burn_goal(c->node->burn, LD_O_TOKEN_GAP);
+	const struct ld_goal *g = &c->goals[LD_O_TOKEN_GAP];
 	uint64_t gap = now - c->last_token_ms;
 
 	if (c->last_token_ms == 0) {
--- a/lib/node/completion_request.c
+++ b/lib/node/completion_request.c
@@ -82,6 +82,9 @@
 	c->prefix = prefix_of(doc);
 	c->owner = ld_strdup(e->owner);
 	c->class = e->class;
+	for (int o = 0; o < LD_O_COUNT; o++)
+		c->goals[o] = ld_burn_goal(n->burn, ld_str_c(e->owner),
+		    ld_str_c(ld_class_name(e->class)), (enum ld_objective)o);
 	c->started_ms = node_now(n);
 	c->deadline_ms = node_now(n) + n->settings->engine_request_timeout_ms;
 	c->next = n->completions;
--- a/lib/node/serve.c
+++ b/lib/node/serve.c
@@ -2,6 +2,7 @@
 #include <ev.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "node_internal.h"
 
@@ -134,6 +135,17 @@
 	};
 
 	n->burn = ld_burn_new(goals);
+	for (size_t i = 0; i < s->override_count; i++) {
+		const struct ld_objective_settings *v = &s->overrides[i];
+		struct ld_goal goal = {v->threshold_ms, v->target_permille};
+
+		for (int o = 0; o < LD_O_COUNT; o++)
+			if (strcmp(v->objective,
+				ld_objective_name((enum ld_objective)o)) == 0)
+				ld_burn_override(n->burn, ld_str_c(v->owner),
+				    ld_str_c(v->class), (enum ld_objective)o,
+				    goal);
+	}
 }
 
 static void
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -39,6 +39,15 @@
 	uint64_t wanted; /* replicas in each fabric domain */
 };
 
+/** struct ld_objective_settings - goal of one caller or class; NULL for any */
+struct ld_objective_settings {
+	char *owner;
+	char *class;
+	char *objective; /* "first-token", "token-gap" or "answered" */
+	uint64_t threshold_ms;
+	uint64_t target_permille;
+};
+
 /** Models of a deployment. */
 #define LD_SETTINGS_MODELS_MAX 16
 /** Value of control.spares: work the number out from the weights. */
@@ -88,6 +97,8 @@
 	uint64_t objective_token_gap_ms;
 	uint64_t objective_token_gap_permille;
 	uint64_t objective_answered_permille;
+	struct ld_objective_settings *overrides;
+	size_t override_count;
 	struct ld_service_settings *services;
 	size_t service_count;
 };
@@ -101,7 +112,8 @@
 	LD_SETTING_UINT,
 	LD_SETTING_BOOL,
 	LD_SETTING_SERVICES,
-	LD_SETTING_MODELS
+	LD_SETTING_MODELS,
+	LD_SETTING_OBJECTIVES
 };
 
 /**
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -2,33 +2,21 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
-#include "ld_settings.h"
+#include "settings_internal.h"
 
 #define FILE_MAX_BYTES 1048576
-#define PATH_MAX_BYTES 160
 #define SHOWN_MAX_BYTES 60
-#define MODEL_SIZE_MAX 64
-#define MODEL_WANTED_MAX 128
 #define SUGGESTION_CANDIDATES_MAX 64
 
-/** struct check - one run over the settings */
-struct check {
-	const char *file;
-	struct ld_buf *faults;
-	struct ld_settings *out;
-	unsigned int fault_count;
-};
-
 /* ---- Faults ---- */
 
-static void
-fault(struct check *ck, const char *path, const json_t *found,
+void
+settings_fault(struct check *ck, const char *path, const json_t *found,
     const char *allowed)
 {
 	char *text = NULL;
@@ -75,8 +63,8 @@
 	memset(a, 0, sizeof(*a));
 }
 
-static void
-address_list_fini(struct ld_address_list *l)
+void
+settings_addresses_fini(struct ld_address_list *l)
 {
 	for (size_t i = 0; i < l->count; i++)
 		ld_address_fini(&l->at[i]);
@@ -104,8 +92,8 @@
 	return json_is_string(v) && ld_address_parse(s, out) == LD_OK;
 }
 
-static bool
-read_address_list(
+bool
+settings_addresses(
     const json_t *v, uint64_t min, uint64_t max, struct ld_address_list *out)
 {
 	size_t n = json_array_size(v);
@@ -153,172 +141,6 @@
 	return true;
 }
 
-/* ---- Services ---- */
-
-static void
-check_service_members(struct check *ck, const char *path, json_t *v)
-{
-	static const char *const known[] = {
-	    "name", "servers", "not_idempotent"};
-	const char *key;
-	json_t *member;
-
-	json_object_foreach(v, key, member)
-	{
-		char at[PATH_MAX_BYTES];
-		bool ok = false;
-
-		for (size_t i = 0; i < 3; i++)
-			ok |= strcmp(key, known[i]) == 0;
-		if (ok)
-			continue;
-		snprintf(at, sizeof(at), "%s.%s", path, key);
-		fault(ck, at, member, "name, servers, not_idempotent");
-	}
-}
-
-static void
-read_rules(struct check *ck, const char *path, const json_t *v,
-    struct ld_service_settings *svc)
-{
-	size_t n = json_array_size(v);
-	char at[PATH_MAX_BYTES];
-
-	if (v == NULL)
-		return;
-	if (!json_is_array(v)) {
-		snprintf(at, sizeof(at), "%s.not_idempotent", path);
-		fault(ck, at, v, "a list of {method, path}");
-		return;
-	}
-	svc->not_idempotent = ld_alloc(n * sizeof(*svc->not_idempotent));
-	for (size_t i = 0; i < n; i++) {
-		const json_t *rule = json_array_get(v, i);
-		const json_t *method = json_object_get(rule, "method");
-		const json_t *prefix = json_object_get(rule, "path");
-
-		snprintf(at, sizeof(at), "%s.not_idempotent[%zu]", path, i);
-		if (!json_is_string(method) || !json_is_string(prefix) ||
-		    json_string_value(prefix)[0] != '/') {
-			fault(ck, at, rule, "{method, path starting with /}");
-			continue;
-		}
-		svc->not_idempotent[svc->rule_count].method =
-		    ld_strdup(json_string_value(method));
-		svc->not_idempotent[svc->rule_count].path_prefix =
-		    ld_strdup(json_string_value(prefix));
-		svc->rule_count++;
-	}
-}
-
-static void
-read_service(struct check *ck, size_t i, json_t *v)
-{
-	struct ld_service_settings *svc = &ck->out->services[i];
-	const json_t *name = json_object_get(v, "name");
-	const json_t *servers = json_object_get(v, "servers");
-	char path[PATH_MAX_BYTES], at[PATH_MAX_BYTES + 16];
-
-	snprintf(path, sizeof(path), "services[%zu]", i);
-	if (!json_is_object(v)) {
-		fault(ck, path, v, "{name, servers, not_idempotent}");
-		return;
-	}
-	check_service_members(ck, path, v);
-	snprintf(at, sizeof(at), "%s.name", path);
-	if (!json_is_string(name) || json_string_length(name) == 0 ||
-	    strchr(json_string_value(name), '/') != NULL)
-		fault(ck, at, name, "a name without /");
-	else
-		svc->name = ld_strdup(json_string_value(name));
-	snprintf(at, sizeof(at), "%s.servers", path);
-	if (!read_address_list(servers, 1, 256, &svc->servers))
-		fault(ck, at, servers, "a list of 1 to 256 IPv4:port");
-	read_rules(ck, path, json_object_get(v, "not_idempotent"), svc);
-}
-
-static void
-check_service_names(struct check *ck)
-{
-	struct ld_settings *s = ck->out;
-
-	for (size_t i = 0; i < s->service_count; i++) {
-		for (size_t j = 0; j < i; j++) {
-			if (s->services[i].name == NULL ||
-			    s->services[j].name == NULL ||
-			    strcmp(s->services[i].name, s->services[j].name) !=
-				0)
-				continue;
-			ld_buf_printf(ck->faults,
-			    "%s: services[%zu].name: found \"%s\" again, "
-			    "allowed: each name once\n",
-			    ck->file, i, s->services[i].name);
-			ck->fault_count++;
-		}
-	}
-}
-
-static void
-read_services(struct check *ck, const struct ld_setting *row, const json_t *v)
-{
-	size_t n = json_array_size(v);
-
-	if (!json_is_array(v) || n > row->max) {
-		fault(ck, row->path, v, "a list of services");
-		return;
-	}
-	ck->out->services = ld_alloc(n * sizeof(*ck->out->services));
-	ck->out->service_count = n;
-	for (size_t i = 0; i < n; i++)
-		read_service(ck, i, json_array_get(v, i));
-	check_service_names(ck);
-}
-
-/* ---- Models ---- */
-
-static bool
-read_bounded(const json_t *v, const char *name, json_int_t max, uint64_t *out)
-{
-	const json_t *member = json_object_get(v, name);
-	json_int_t n = json_integer_value(member);
-
-	if (!json_is_integer(member) || n < 1 || n > max)
-		return false;
-	*out = (uint64_t)n;
-	return true;
-}
-
-static void
-read_models(struct check *ck, const struct ld_setting *row, const json_t *v)
-{
-	size_t n = json_array_size(v);
-	char at[PATH_MAX_BYTES];
-
-	if (!json_is_array(v) || n > row->max) {
-		fault(ck, row->path, v, "a list of at most 16 models");
-		return;
-	}
-	ck->out->models = ld_alloc(n * sizeof(*ck->out->models));
-	for (size_t i = 0; i < n; i++) {
-		struct ld_model_settings *m = &ck->out->models[i];
-		const json_t *model = json_array_get(v, i);
-		const json_t *name = json_object_get(model, "name");
-
-		snprintf(at, sizeof(at), "%s[%zu]", row->path, i);
-		ck->out->model_count++;
-		if (!json_is_string(name) || json_string_length(name) == 0 ||
-		    json_object_size(model) != 3 ||
-		    !read_bounded(model, "size", MODEL_SIZE_MAX, &m->size) ||
-		    !read_bounded(
-			model, "wanted", MODEL_WANTED_MAX, &m->wanted)) {
-			fault(ck, at, model,
-			    "{name, size from 1 to 64, wanted from 1 to 128}");
-			continue;
-		}
-		m->name = ld_strdup(json_string_value(name));
-	}
-}
-
 /* ---- Rows ---- */
 
 static void
@@ -355,7 +177,7 @@
 	case LD_SETTING_ADDRESS:
 		return read_address(v, (struct ld_address *)field);
 	case LD_SETTING_ADDRESS_LIST:
-		return read_address_list(
+		return settings_addresses(
 		    v, row->min, row->max, (struct ld_address_list *)field);
 	case LD_SETTING_STRING_LIST:
 		return read_fabrics(v, row, ck->out);
@@ -365,10 +187,13 @@
 		*(bool *)field = json_is_true(v);
 		return json_is_boolean(v);
 	case LD_SETTING_SERVICES:
-		read_services(ck, row, v);
+		settings_services(ck, row, v);
 		return true;
 	case LD_SETTING_MODELS:
-		read_models(ck, row, v);
+		settings_models(ck, row, v);
+		return true;
+	case LD_SETTING_OBJECTIVES:
+		settings_overrides(ck, row, v);
 		return true;
 	}
 	return false;
@@ -395,7 +220,7 @@
 
 	allowed_text(row, allowed, sizeof(allowed));
 	if (v == NULL && row->fallback == NULL) {
-		fault(ck, row->path, NULL, allowed);
+		settings_fault(ck, row->path, NULL, allowed);
 		return;
 	}
 	if (v == NULL) {
@@ -403,7 +228,7 @@
 		v = fallback;
 	}
 	if (!read_value(ck, row, v))
-		fault(ck, row->path, v, allowed);
+		settings_fault(ck, row->path, v, allowed);
 	json_decref(fallback);
 }
 
@@ -527,18 +352,6 @@
 	return st;
 }
 
-static void
-service_fini(struct ld_service_settings *svc)
-{
-	free(svc->name);
-	address_list_fini(&svc->servers);
-	for (size_t i = 0; i < svc->rule_count; i++) {
-		free(svc->not_idempotent[i].method);
-		free(svc->not_idempotent[i].path_prefix);
-	}
-	free(svc->not_idempotent);
-}
-
 static void
 row_fini(struct ld_settings *s, const struct ld_setting *row)
 {
@@ -552,7 +365,7 @@
 		ld_address_fini((struct ld_address *)field);
 		break;
 	case LD_SETTING_ADDRESS_LIST:
-		address_list_fini((struct ld_address_list *)field);
+		settings_addresses_fini((struct ld_address_list *)field);
 		break;
 	default:
 		break;
@@ -570,11 +383,6 @@
 	for (size_t i = 0; i < s->fabric_count; i++)
 		free(s->fabrics[i]);
 	free(s->fabrics);
-	for (size_t i = 0; i < s->service_count; i++)
-		service_fini(&s->services[i]);
-	free(s->services);
-	for (size_t i = 0; i < s->model_count; i++)
-		free(s->models[i].name);
-	free(s->models);
+	settings_lists_fini(s);
 	free(s);
 }
--- a/lib/settings/table.c
+++ b/lib/settings/table.c
@@ -97,6 +97,9 @@
 	999, "950", "Gaps that must be in time, in 1/1000."),
     ROW("objectives.answered_permille", UINT, objective_answered_permille, 1,
 	999, "999", "Requests within limits that must be answered, in 1/1000."),
+    ROW("objectives.overrides", OBJECTIVES, overrides, 0, 1024, "[]",
+	"Goals of one caller or class: owner or class, objective, "
+	"threshold_ms, target_permille."),
     ROW("services", SERVICES, services, 0, LIST_MAX, "[]",
 	"Plain services: name, servers, not_idempotent calls."),
     {.path = NULL},
@@ -113,7 +116,8 @@
 {
 	static const char *const names[] = {"string", "address",
 	    "list of addresses", "list of strings", "whole number",
-	    "true or false", "list of services", "list of models"};
+	    "true or false", "list of services", "list of models",
+	    "list of objectives"};
 
 	return names[t];
 }
--- a/programs/operate.c
+++ b/programs/operate.c
@@ -54,6 +54,19 @@
 	return status;
 }
 
+/* Parses the arguments, asks every node, and frees what was parsed. */
+static int
+run(int argc, char **argv, const char *doc, const struct visit *v)
+{
+	struct client c = {0};
+	int status;
+
+	parse(&c, argc, argv, doc);
+	status = visit_all(&c, v);
+	client_fini(&c);
+	return status;
+}
+
 /* ---- status ---- */
 
 static void
@@ -83,13 +96,8 @@
 	    "\vExample: lavenderdrift status -c node.json\n"
 	    "Exit status: 0, or 1 when a node did not answer.";
 	static const struct visit v = {"GET", "/status", show_status};
-	struct client c = {0};
-	int status;
 
-	parse(&c, argc, argv, doc);
-	status = visit_all(&c, &v);
-	client_fini(&c);
-	return status;
+	return run(argc, argv, doc, &v);
 }
 
 /* ---- drain ---- */
@@ -109,13 +117,8 @@
 	    "\vExample: lavenderdrift drain -o 10.0.0.4:8081 -t token\n"
 	    "Exit status: 0, or 1 when a node did not answer.";
 	static const struct visit v = {"POST", "/drain", show_drain};
-	struct client c = {0};
-	int status;
 
-	parse(&c, argc, argv, doc);
-	status = visit_all(&c, &v);
-	client_fini(&c);
-	return status;
+	return run(argc, argv, doc, &v);
 }
 
 /* ---- counters ---- */
--- a/programs/report.c
+++ b/programs/report.c
@@ -80,6 +80,10 @@
 	const char *cause;
 	json_t *bad;
 
+	l->target_permille = (uint64_t)json_integer_value(
+	    json_object_get(caller, "target_permille"));
+	l->threshold_ms = (uint64_t)json_integer_value(
+	    json_object_get(caller, "threshold_ms"));
 	for (size_t i = 0; i < r->window_count; i++) {
 		l->good[i] += number_at(caller, "good", i);
 		l->bad[i] += number_at(caller, "bad", i);
@@ -88,28 +92,6 @@
 	    add_cause(l, cause, (uint64_t)json_integer_value(bad));
 }
 
-static void
-set_goals(struct report *r, const json_t *goals)
-{
-	json_t *goal;
-	size_t i;
-
-	json_array_foreach(goals, i, goal)
-	{
-		for (size_t j = 0; j < r->line_count; j++) {
-			struct report_line *l = &r->lines[j];
-
-			if (strcmp(l->objective, text_of(goal, "objective")) !=
-			    0)
-				continue;
-			l->target_permille = (uint64_t)json_integer_value(
-			    json_object_get(goal, "target_permille"));
-			l->threshold_ms = (uint64_t)json_integer_value(
-			    json_object_get(goal, "threshold_ms"));
-		}
-	}
-}
-
 static void
 add_node(struct report *r, struct ld_str body)
 {
@@ -126,7 +108,6 @@
 		    json_array_get(windows, i));
 	json_array_foreach(json_object_get(doc, "callers"), i, caller)
 	    add_caller(r, caller);
-	set_goals(r, json_object_get(doc, "goals"));
 	r->nodes_heard += doc != NULL;
 	json_decref(doc);
 }
--- a/tests/unit/test_metrics.c
+++ b/tests/unit/test_metrics.c
@@ -75,6 +75,33 @@
 	ld_burn_free(b);
 }
 
+static void
+test_goal_of_a_caller_goes_first(void)
+{
+	static const struct ld_goal goals[LD_O_COUNT] = {
+	    {470, 950}, {53, 950}, {0, 999}};
+	struct ld_burn *b = ld_burn_new(goals);
+	struct ld_str none = {0};
+
+	ld_burn_override(b, LD_STR("shop"), none, LD_O_FIRST_TOKEN,
+	    (struct ld_goal){200, 990});
+	ld_burn_override(b, none, LD_STR("late"), LD_O_FIRST_TOKEN,
+	    (struct ld_goal){2000, 900});
+	CU_ASSERT_EQUAL(
+	    ld_burn_goal(b, LD_STR("shop"), LD_STR("late"), LD_O_FIRST_TOKEN)
+		.threshold_ms,
+	    200);
+	CU_ASSERT_EQUAL(
+	    ld_burn_goal(b, LD_STR("quay"), LD_STR("late"), LD_O_FIRST_TOKEN)
+		.threshold_ms,
+	    2000);
+	CU_ASSERT_EQUAL(
+	    ld_burn_goal(b, LD_STR("quay"), LD_STR("paid"), LD_O_FIRST_TOKEN)
+		.threshold_ms,
+	    470);
+	ld_burn_free(b);
+}
+
 int
 main(void)
 {
@@ -82,6 +109,8 @@
 	    {"the page lists every counter", test_page_lists_every_counter},
 	    {"a histogram counts up", test_histogram_counts_up},
 	    {"burn leaves its windows", test_burn_leaves_its_windows},
+	    {"the goal of a caller goes first",
+		test_goal_of_a_caller_goes_first},
 	    {NULL, NULL},
 	};
 
