--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,6 @@
 
 src = $(wildcard lib/$(1)/*.c)
 obj = $(patsubst %.c,$(B)/obj/%.o,$(1))
-ARCHIVES := $(foreach l,$(HAVE),$(B)/lib$(l).a)
 PROGRAM := $(if $(wildcard programs/*.c),$(B)/lavenderdrift)
 STANDIN := $(if $(wildcard tests/standin/*.c),$(B)/ld_standin)
 UNIT := $(patsubst tests/unit/%.c,$(B)/unit/%,$(wildcard tests/unit/*.c))
@@ -47,8 +46,8 @@
 reverse = $(if $(1),$(call reverse,$(wordlist 2,$(words $(1)),$(1))) $(firstword $(1)))
 REVERSED := $(foreach l,$(call reverse,$(HAVE)),$(B)/lib$(l).a)
 
-.PHONY: help all check check-unit check-faults demo bench-path bench-policy \
-	bench-slopes format check-format lint check-deps clean programs-all
+.PHONY: help check check-unit check-faults demo bench-path bench-policy \
+	bench-slopes format check-format lint check-deps clean build-tests all
 .SECONDARY:
 
 help: ## show this list
