relay: one delegate in each failure domain watches the store for the others

Renewals of the nodes' entries each 3 s were a third of the calls.

Ruled out: the holder of control telling all (80 answers for each change, and its loss takes everybody's knowledge at once); the store's own calls served by a node (the product would speak the platform's names).

The own watch rests from the first good answer and goes on, without a gap, when the delegate fails, is late or out of touch. Datagrams say whether a node can be the delegate. Entries of nodes live 30 s, renewed each 9 s; whether a node lives is told by its datagrams. What the two kinds of messages share is speech.c.

Tests: tests/unit/test_follow (which node, gaps, bounds, mutants), tests/faults/ test_follow (three processes: the delegate stands still, is cut off from the store, is killed; a follower is cut off).

--- a/lib/node/catalogue_task.c
+++ b/lib/node/catalogue_task.c
@@ -254,7 +254,7 @@
 catalogue_open(struct ld_node *n)
 {
 	static const struct ld_store_watch_ops ops = {
-	    on_snapshot, on_change, on_lost, NULL};
+	    on_snapshot, on_change, on_lost, NULL, NULL};
 	const struct ld_settings *s = n->settings;
 	struct catalogue_task *t = ld_alloc(sizeof(*t));
 	struct ld_fresh_config config = ld_fresh_defaults();
--- a/lib/node/placement_task.c
+++ b/lib/node/placement_task.c
@@ -268,7 +268,7 @@
 placement_open(struct ld_node *n)
 {
 	static const struct ld_store_watch_ops ops = {
-	    on_snapshot, on_change, on_lost, NULL};
+	    on_snapshot, on_change, on_lost, NULL, NULL};
 	struct placement_task *t = ld_alloc(sizeof(*t));
 
 	t->watch.ops = &ops;
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -15,13 +15,15 @@
 #define WATCH_WAIT_MS 800
 /* Changes that come one by one are told together: the holder of the control
  * lease acts on them at once, the others pause, the longer the more nodes there
- * are, since each call has its price. Well below the bounds for leaving servers
- * and new configurations, ms. */
+ * are, since each call has its price; but not where peers follow this node.
+ * Well below the bounds for leaving servers and new configurations, ms. */
 #define WATCH_PAUSE_HOLDER_MS 40
 #define WATCH_PAUSE_MIN_MS 150
 #define WATCH_PAUSE_PER_NODE_MS 20
 /* At most this part of the bounds for leaving servers and configurations. */
 #define WATCH_PAUSE_BOUND_PERCENT 45
+/* Longest wait of a call where peers follow, ms: they know of its end later. */
+#define WATCH_WAIT_SHARED_MS 400
 #define CALL_TIMEOUT_MS 1000
 #define CONNECT_TIMEOUT_MS 500
 #define BACKOFF_MIN_MS 50
@@ -36,6 +38,9 @@
 #define ENTRIES_BACK_MS 2100
 /* A watch that is lost for less is no outage in which entries lapse, ms. */
 #define OUTAGE_MS 800
+/* After its own watch failed a node is no delegate for peers for so long, ms: an
+ * outage or a cut takes some seconds, and peers should not change to and fro. */
+#define NOT_DELEGATE_MS 5000
 
 /** struct feed - the watch and what it told */
 struct feed {
@@ -46,6 +51,7 @@
 	uint64_t lost_ms; /* since when the watch is lost, 0: it is not */
 	uint64_t doubt_until_ms; /* entries that vanish may come back */
 	bool control_exists;
+	uint64_t failed_ms; /* the own watch failed last, 0: it did not */
 };
 
 static struct feed *
@@ -235,6 +241,7 @@
 	regained(f);
 	f->control_exists = false;
 	records_read_anew(f->relay);
+	share_read_anew(f->relay, revision);
 	for (size_t i = 0; i < n; i++)
 		take_key(f, &kvs[i], false);
 	for (struct ld_server *s = ld_servers_first(f->relay->servers);
@@ -255,11 +262,18 @@
 	control_servers_changed(f->relay);
 }
 
+static void
+on_told(struct ld_store_watch *w, const struct ld_store_changes *changes)
+{
+	share_told(feed_of(w)->relay, changes);
+}
+
 static void
 on_lost(struct ld_store_watch *w, enum ld_status status)
 {
 	struct feed *f = feed_of(w);
 
+	f->failed_ms = relay_now(f->relay);
 	if (f->lost_ms != 0)
 		return;
 	f->lost_ms = relay_now(f->relay);
@@ -292,14 +306,44 @@
 	return now > r->feed->current_ms ? now - r->feed->current_ms : 0;
 }
 
-bool
-feed_keys_current(const struct relay *r)
+uint64_t
+feed_relied_ms(const struct relay *r)
 {
 	const struct ld_relay_settings *s = r->settings;
 
 	if (!s->strict_revocation)
-		return true;
-	return feed_age_ms(r) + KEYS_MARGIN_MS <= s->revoke_ms;
+		return UINT64_MAX;
+	return s->revoke_ms > KEYS_MARGIN_MS ? s->revoke_ms - KEYS_MARGIN_MS
+					     : 0;
+}
+
+bool
+feed_keys_current(const struct relay *r)
+{
+	return feed_age_ms(r) <= feed_relied_ms(r);
+}
+
+int64_t
+feed_revision(const struct relay *r)
+{
+	return ld_store_watch_revision(&r->feed->watch);
+}
+
+bool
+feed_can_watch(const struct relay *r)
+{
+	const struct feed *f = r->feed;
+
+	return !r->stopping && f->known &&
+	    (f->failed_ms == 0 ||
+		relay_now(r) >= f->failed_ms + NOT_DELEGATE_MS);
+}
+
+bool
+feed_watches(const struct relay *r)
+{
+	return r->feed->known && r->feed->lost_ms == 0 &&
+	    ld_store_watch_asks(&r->feed->watch);
 }
 
 bool
@@ -339,6 +383,8 @@
 	bound = bound * WATCH_PAUSE_BOUND_PERCENT / 100;
 	if (leader_holds(r))
 		return WATCH_PAUSE_HOLDER_MS;
+	if (share_is_used(r))
+		return WATCH_PAUSE_MIN_MS;
 	if (ms < WATCH_PAUSE_MIN_MS)
 		ms = WATCH_PAUSE_MIN_MS;
 	return ms < bound ? ms : bound;
@@ -347,17 +393,33 @@
 void
 feed_tick(struct relay *r)
 {
-	ld_store_set_poll_pause(r->store, watch_pause_ms(r));
+	ld_store_set_poll(r->store,
+	    share_is_used(r) ? WATCH_WAIT_SHARED_MS : WATCH_WAIT_MS,
+	    watch_pause_ms(r));
 	ld_servers_sweep(r->servers, relay_now(r));
 }
 
+/* ---- Changes that a peer's watch was told ---- */
+
+enum ld_status
+feed_take(struct relay *r, const struct ld_store_changes *changes)
+{
+	return ld_store_watch_take(&r->feed->watch, changes);
+}
+
+void
+feed_watch_store(struct relay *r)
+{
+	ld_store_watch_resume(&r->feed->watch);
+}
+
 /* ---- Start and end ---- */
 
 void
 feed_open(struct relay *r)
 {
 	static const struct ld_store_watch_ops ops = {
-	    on_snapshot, on_change, on_lost, on_current};
+	    on_snapshot, on_change, on_lost, on_current, on_told};
 	const char *endpoint = r->settings->store_address.text;
 	struct ld_store_settings s = ld_store_defaults();
 	struct feed *f = ld_alloc(sizeof(*f));
--- a/lib/relay/mesh.c
+++ b/lib/relay/mesh.c
@@ -12,13 +12,19 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "follow_choice.h"
 #include "mesh_speech.h"
 #include "relay_internal.h"
 
-/* The entry of a node that vanished ends after this, s. */
-#define ENTRY_TTL_S 10
-#define RENEW_MS 3000
+/* The entry of a node that vanished ends after this, s. It says where a node is
+ * met; whether it lives is told by its datagrams. */
+#define ENTRY_TTL_S 30
+/* Three renewals in the time of the lease: two may fail, ms. */
+#define RENEW_MS 9000
 #define TRY_AGAIN_MS 500
+/* A node that is listed is taken to live for so long before it is heard, ms:
+ * it waits for a configuration and for its own list of peers. */
+#define FIRST_HEARD_MS 5000
 /* Between two datagrams to a node, ms: a few of them within the time of a first
  * event; with many nodes as many in all, so that a node's share is bounded. */
 #define TELL_MS 30
@@ -48,6 +54,10 @@
 	char name[LD_GROUP_NAME_MAX];
 	struct sockaddr_in at;
 	uint64_t processor_permille;
+	bool same_domain; /* its failure domain is this node's */
+	bool can_watch; /* as told last */
+	uint64_t listed_ms; /* its entry was told last */
+	uint64_t avoid_until_ms; /* as a delegate of the store's changes */
 	uint64_t heard_ms;
 	uint64_t told; /* number of the newest datagram */
 	struct mesh_load loads[MESH_LOADS_MAX];
@@ -167,6 +177,21 @@
 	p->load_count = 0;
 }
 
+static uint64_t
+interval_ms(const struct mesh *m)
+{
+	uint64_t ms = m->peer_count * TELL_PER_NODE_MS;
+
+	return ms > TELL_MS ? ms : TELL_MS;
+}
+
+static bool
+is_heard(const struct mesh *m, const struct peer *p, uint64_t now)
+{
+	return p->heard_ms != 0 &&
+	    now < p->heard_ms + interval_ms(m) * TOLD_INTERVALS;
+}
+
 /* ---- Peers, from their entries in the store ---- */
 
 static struct peer *
@@ -178,25 +203,37 @@
 	return NULL;
 }
 
-/* "ADDRESS PERMILLE" */
+/* Takes what comes before the next space out of @text. */
+static struct ld_str
+next_word(struct ld_str *text)
+{
+	const char *space = memchr(text->p, ' ', text->len);
+	struct ld_str word = *text;
+
+	if (space != NULL)
+		word.len = (size_t)(space - text->p);
+	text->p += word.len + (space != NULL);
+	text->len -= word.len + (space != NULL);
+	return word;
+}
+
+/* "ADDRESS PERMILLE DOMAIN" */
 static bool
-parse_entry(struct ld_str text, struct sockaddr_in *out, uint64_t *permille)
+parse_entry(const struct relay *r, struct ld_str text, struct peer *out)
 {
-	const char *space = memchr(text.p, ' ', text.len);
+	struct ld_str address = next_word(&text), permille = next_word(&text);
 	struct ld_address a;
 	char number[8];
 
-	if (space == NULL)
+	if (permille.len == 0 || ld_address_parse(address, &a) != LD_OK)
 		return false;
-	snprintf(number, sizeof(number), "%.*s",
-	    (int)(text.p + text.len - space - 1), space + 1);
-	*permille = strtoull(number, NULL, 10);
-	text.len = (size_t)(space - text.p);
-	if (ld_address_parse(text, &a) != LD_OK)
-		return false;
-	*out = (struct sockaddr_in){.sin_family = AF_INET};
-	out->sin_port = htons(a.port);
-	inet_pton(AF_INET, a.host, &out->sin_addr);
+	snprintf(number, sizeof(number), "%.*s", LD_FMT(permille));
+	out->processor_permille = strtoull(number, NULL, 10);
+	out->same_domain =
+	    ld_str_eq(text, ld_str_c(r->settings->failure_domain));
+	out->at = (struct sockaddr_in){.sin_family = AF_INET};
+	out->at.sin_port = htons(a.port);
+	inet_pton(AF_INET, a.host, &out->at.sin_addr);
 	ld_address_fini(&a);
 	return true;
 }
@@ -205,14 +242,13 @@
 mesh_listed(struct relay *r, struct ld_str name, struct ld_str value)
 {
 	struct mesh *m = r->mesh;
-	struct sockaddr_in at;
-	uint64_t permille;
+	struct peer entry;
 	char text[LD_EVENT_TOKEN_BYTES];
 	struct peer *p = find_peer(m, name);
 
 	if (ld_str_eq(name, ld_str_c(r->settings->name)))
 		return;
-	if (!parse_entry(value, &at, &permille)) {
+	if (!parse_entry(r, value, &entry)) {
 		ld_event("peer.refused", "peer=%s why=\"no address or share\"",
 		    ld_event_token(name, text));
 		return;
@@ -226,12 +262,15 @@
 	}
 	if (p == NULL)
 		return;
-	p->at = at;
-	p->processor_permille = permille;
+	p->at = entry.at;
+	p->processor_permille = entry.processor_permille;
+	p->same_domain = entry.same_domain;
 	p->told = 0;
-	ld_event("peer.listed", "peer=%s peers=%zu processor_permille=%llu",
+	p->listed_ms = relay_now(r);
+	ld_event("peer.listed",
+	    "peer=%s peers=%zu processor_permille=%llu same_domain=%d",
 	    ld_event_token(name, text), m->peer_count,
-	    (unsigned long long)permille);
+	    (unsigned long long)p->processor_permille, p->same_domain);
 }
 
 void
@@ -254,13 +293,63 @@
 {
 	const struct mesh *m = r->mesh;
 
-	for (size_t i = 0; i < m->peer_count; i++)
-		if (m->peers[i].processor_permille >
-		    r->settings->processor_permille)
+	uint64_t now = relay_now(r);
+
+	for (size_t i = 0; i < m->peer_count; i++) {
+		const struct peer *p = &m->peers[i];
+
+		if (p->processor_permille > r->settings->processor_permille &&
+		    (is_heard(m, p, now) ||
+			now < p->listed_ms + FIRST_HEARD_MS))
 			return true;
+	}
 	return false;
 }
 
+/* ---- The peer whose watch is followed ---- */
+
+bool
+mesh_find_delegate(const struct relay *r, struct mesh_delegate *out)
+{
+	const struct mesh *m = r->mesh;
+	uint64_t now = relay_now(r);
+	struct follow_node *nodes =
+	    ld_alloc((m->peer_count + 1) * sizeof(*nodes));
+	char host[INET_ADDRSTRLEN];
+	const struct peer *p;
+	size_t best;
+
+	for (size_t i = 0; i < m->peer_count; i++) {
+		p = &m->peers[i];
+		nodes[i] = (struct follow_node){p->name, p->processor_permille,
+		    p->same_domain && p->can_watch && is_heard(m, p, now)};
+	}
+	nodes[m->peer_count] = (struct follow_node){r->settings->name,
+	    r->settings->processor_permille, feed_can_watch(r)};
+	best = follow_choose(nodes, m->peer_count + 1);
+	free(nodes);
+	if (best >= m->peer_count)
+		return false;
+	p = &m->peers[best];
+	/* The next best follows the same node: it is no delegate either. */
+	if (now < p->avoid_until_ms)
+		return false;
+	inet_ntop(AF_INET, &p->at.sin_addr, host, sizeof(host));
+	snprintf(out->name, sizeof(out->name), "%s", p->name);
+	snprintf(out->address, sizeof(out->address), "%s:%u", host,
+	    ntohs(p->at.sin_port));
+	return true;
+}
+
+void
+mesh_avoid(struct relay *r, const char *name, uint64_t until_ms)
+{
+	struct peer *p = find_peer(r->mesh, ld_str_c(name));
+
+	if (p != NULL)
+		p->avoid_until_ms = until_ms;
+}
+
 size_t
 mesh_nodes(const struct relay *r)
 {
@@ -303,7 +392,7 @@
 {
 	struct mesh *m = (struct mesh *)c;
 	struct relay *r = m->relay;
-	char key[160], value[64];
+	char key[160], value[160];
 
 	if (a->status != LD_OK) {
 		entry_failed(m);
@@ -314,10 +403,11 @@
 	m->call.done = on_written;
 	snprintf(
 	    key, sizeof(key), "%s%s", RELAY_NODES_PREFIX, r->settings->name);
-	snprintf(value, sizeof(value), "%s:%llu %llu",
+	snprintf(value, sizeof(value), "%s:%llu %llu %s",
 	    r->settings->entry_listen.host,
 	    (unsigned long long)r->settings->peers_port,
-	    (unsigned long long)r->settings->processor_permille);
+	    (unsigned long long)r->settings->processor_permille,
+	    r->settings->failure_domain);
 	ld_store_put(
 	    r->store, &m->call, ld_str_c(key), ld_str_c(value), m->lease);
 }
@@ -342,14 +432,6 @@
 
 /* ---- Telling ---- */
 
-static uint64_t
-interval_ms(const struct mesh *m)
-{
-	uint64_t ms = m->peer_count * TELL_PER_NODE_MS;
-
-	return ms > TELL_MS ? ms : TELL_MS;
-}
-
 static uint32_t
 heard_ago_ms(const struct ld_server *s, uint64_t now)
 {
@@ -374,7 +456,10 @@
 static void
 tell(struct mesh *m)
 {
-	struct mesh_datagram d = {.number = ++m->number};
+	struct mesh_datagram d = {
+	    .number = ++m->number,
+	    .can_watch = feed_can_watch(m->relay),
+	};
 	struct ld_buf bytes = {0};
 
 	fill_loads(m->relay, &d);
@@ -442,10 +527,10 @@
 
 	/* Overtaken on the way. After a restart the numbers begin anew, and
 	 * the peer was silent for a while. */
-	if (d->number <= p->told &&
-	    now < p->heard_ms + interval_ms(m) * TOLD_INTERVALS)
+	if (d->number <= p->told && is_heard(m, p, now))
 		return;
 	p->told = d->number;
+	p->can_watch = d->can_watch;
 	p->heard_ms = now;
 	forget_loads(m->relay, p);
 	memcpy(p->loads, d->loads, d->load_count * sizeof(p->loads[0]));
@@ -498,8 +583,7 @@
 forget_silent(struct mesh *m, uint64_t now)
 {
 	for (size_t i = 0; i < m->peer_count; i++)
-		if (now >
-		    m->peers[i].heard_ms + interval_ms(m) * TOLD_INTERVALS)
+		if (!is_heard(m, &m->peers[i], now))
 			forget_loads(m->relay, &m->peers[i]);
 }
 
--- a/lib/relay/mesh_speech.c
+++ b/lib/relay/mesh_speech.c
@@ -1,26 +1,25 @@
-/* Datagrams between nodes: [number, [[server, active, sent_tokens, heard_ago]..],
- * [[group, epoch]..]] in msgpack. */
+/* Datagrams between nodes: [number, can_watch, [[server, active, sent_tokens,
+ * heard_ago]..], [[group, epoch]..]] in msgpack. */
 #include <msgpack.h>
 #include <string.h>
 
-#include "ld_wire.h"
 #include "mesh_speech.h"
+#include "speech.h"
 
-static int
-append(void *out, const char *bytes, size_t n)
-{
-	ld_buf_add(out, bytes, n);
-	return 0;
-}
+#define DATAGRAM_FIELDS 4
 
 void
 mesh_write(const struct mesh_datagram *d, struct ld_buf *out)
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, append);
-	msgpack_pack_array(&pk, 3);
+	msgpack_packer_init(&pk, out, speech_append);
+	msgpack_pack_array(&pk, DATAGRAM_FIELDS);
 	msgpack_pack_uint64(&pk, d->number);
+	if (d->can_watch)
+		msgpack_pack_true(&pk);
+	else
+		msgpack_pack_false(&pk);
 	msgpack_pack_array(&pk, d->load_count);
 	for (size_t i = 0; i < d->load_count; i++) {
 		msgpack_pack_array(&pk, 4);
@@ -40,37 +39,17 @@
 	}
 }
 
-static bool
-read_uint(const msgpack_object *o, uint64_t max, uint64_t *out)
-{
-	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
-		return false;
-	*out = o->via.u64;
-	return true;
-}
-
-/* An array of at most @max, or of exactly @max with @exact. */
-static const msgpack_object *
-read_array(const msgpack_object *o, size_t max, bool exact, size_t *n)
-{
-	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > max ||
-	    (exact && o->via.array.size != max))
-		return NULL;
-	*n = o->via.array.size;
-	return o->via.array.ptr;
-}
-
 static bool
 read_load(const msgpack_object *o, struct mesh_load *out)
 {
 	uint64_t server, active, sent_tokens, heard_ago;
 	size_t n;
-	const msgpack_object *v = read_array(o, 4, true, &n);
+	const msgpack_object *v = speech_array(o, 4, true, &n);
 
-	if (v == NULL || !read_uint(&v[0], UINT32_MAX, &server) ||
-	    !read_uint(&v[1], UINT16_MAX, &active) ||
-	    !read_uint(&v[2], UINT32_MAX, &sent_tokens) ||
-	    !read_uint(&v[3], MESH_AGO_MAX_MS, &heard_ago))
+	if (v == NULL || !speech_uint(&v[0], UINT32_MAX, &server) ||
+	    !speech_uint(&v[1], UINT16_MAX, &active) ||
+	    !speech_uint(&v[2], UINT32_MAX, &sent_tokens) ||
+	    !speech_uint(&v[3], MESH_AGO_MAX_MS, &heard_ago))
 		return false;
 	*out = (struct mesh_load){(uint32_t)server, (uint32_t)active,
 	    (uint32_t)sent_tokens, (uint32_t)heard_ago};
@@ -82,11 +61,11 @@
 {
 	uint64_t epoch;
 	size_t n;
-	const msgpack_object *v = read_array(o, 2, true, &n);
+	const msgpack_object *v = speech_array(o, 2, true, &n);
 
 	if (v == NULL || v[0].type != MSGPACK_OBJECT_STR ||
 	    v[0].via.str.size >= MESH_GROUP_NAME_MAX ||
-	    !read_uint(&v[1], INT64_MAX, &epoch))
+	    !speech_uint(&v[1], INT64_MAX, &epoch))
 		return false;
 	memset(out, 0, sizeof(*out));
 	memcpy(out->group, v[0].via.str.ptr, v[0].via.str.size);
@@ -99,12 +78,14 @@
 {
 	const msgpack_object *loads, *alarms;
 	size_t n;
-	const msgpack_object *v = read_array(o, 3, true, &n);
+	const msgpack_object *v = speech_array(o, DATAGRAM_FIELDS, true, &n);
 
-	if (v == NULL || !read_uint(&v[0], UINT64_MAX, &out->number))
+	if (v == NULL || !speech_uint(&v[0], UINT64_MAX, &out->number) ||
+	    v[1].type != MSGPACK_OBJECT_BOOLEAN)
 		return false;
-	loads = read_array(&v[1], MESH_LOADS_MAX, false, &out->load_count);
-	alarms = read_array(&v[2], MESH_ALARMS_MAX, false, &out->alarm_count);
+	out->can_watch = v[1].via.boolean;
+	loads = speech_array(&v[2], MESH_LOADS_MAX, false, &out->load_count);
+	alarms = speech_array(&v[3], MESH_ALARMS_MAX, false, &out->alarm_count);
 	if (loads == NULL || alarms == NULL)
 		return false;
 	for (size_t i = 0; i < out->load_count; i++)
@@ -120,16 +101,11 @@
 mesh_read(struct ld_str bytes, struct mesh_datagram *out)
 {
 	msgpack_unpacked msg;
-	size_t off = 0;
 	bool ok;
 
-	/* The unpacker allocates what a header claims: check that first. */
-	if (bytes.len == 0 || !ld_wire_scan(bytes))
+	if (!speech_unpack(bytes, &msg))
 		return false;
-	msgpack_unpacked_init(&msg);
-	ok = msgpack_unpack_next(&msg, bytes.p, bytes.len, &off) ==
-		MSGPACK_UNPACK_SUCCESS &&
-	    off == bytes.len && read_datagram(&msg.data, out);
+	ok = read_datagram(&msg.data, out);
 	msgpack_unpacked_destroy(&msg);
 	return ok;
 }
--- a/lib/relay/mesh_speech.h
+++ b/lib/relay/mesh_speech.h
@@ -29,9 +29,11 @@
 /**
  * struct mesh_datagram - what one node tells another
  * @number: counts up; a lower one was overtaken on the way
+ * @can_watch: peers may follow the store through the sender
  */
 struct mesh_datagram {
 	uint64_t number;
+	bool can_watch;
 	struct mesh_load loads[MESH_LOADS_MAX];
 	size_t load_count;
 	struct mesh_alarm alarms[MESH_ALARMS_MAX];
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -22,11 +22,13 @@
 
 struct control;
 struct feed;
+struct follow;
 struct leader;
 struct mesh;
 struct ready;
 struct records;
 struct request;
+struct share;
 
 /** struct service_budget - repeats of one service */
 struct service_budget {
@@ -51,6 +53,8 @@
 	struct leader *leader;
 	struct control *control;
 	struct mesh *mesh;
+	struct share *share;
+	struct follow *follow;
 	struct records *records;
 	struct ld_routes *routes; /* NULL until one is known */
 	struct ld_servers *servers;
@@ -122,6 +126,41 @@
 /** feed_control_absent() - the control key does not exist, as told last */
 bool feed_control_absent(const struct relay *r);
 
+/** feed_relied_ms() - keys are relied on while no older, UINT64_MAX: always */
+uint64_t feed_relied_ms(const struct relay *r);
+/** feed_revision() - all changes of the store up to it are known, 0: none */
+int64_t feed_revision(const struct relay *r);
+/** feed_can_watch() - peers may follow the store through this node */
+bool feed_can_watch(const struct relay *r);
+/** feed_watches() - this node's own watch of the store goes on */
+bool feed_watches(const struct relay *r);
+/**
+ * feed_take() - take changes that a peer's watch was told; the own one rests
+ *
+ * Return: LD_OK, or LD_E_STALE when they don't join what is known.
+ */
+enum ld_status feed_take(
+    struct relay *r, const struct ld_store_changes *changes);
+/** feed_watch_store() - the own watch goes on, if it rests */
+void feed_watch_store(struct relay *r);
+
+/* ---- share.c: tells peers what this node's watch was told ---- */
+
+enum ld_status share_open(struct relay *r);
+void share_close(struct relay *r);
+void share_tick(struct relay *r);
+/** share_read_anew() - the store was read whole at @revision */
+void share_read_anew(struct relay *r, int64_t revision);
+void share_told(struct relay *r, const struct ld_store_changes *changes);
+/** share_is_used() - a peer asked a moment ago */
+bool share_is_used(const struct relay *r);
+
+/* ---- follow.c: follows the store through a peer ---- */
+
+void relay_follow_open(struct relay *r);
+void relay_follow_close(struct relay *r);
+void follow_tick(struct relay *r);
+
 /* ---- leader.c ---- */
 
 void leader_open(struct relay *r);
@@ -152,7 +191,8 @@
 void mesh_tick(struct relay *r);
 /**
  * mesh_listed() - another node, or this one, has an entry in the store
- * @value: "ADDRESS PERMILLE": its datagrams, its part of a core
+ * @value: "ADDRESS PERMILLE DOMAIN": its datagrams and its changes, its part
+ *	of a core, its failure domain
  */
 void mesh_listed(struct relay *r, struct ld_str name, struct ld_str value);
 void mesh_unlisted(struct relay *r, struct ld_str name);
@@ -160,6 +200,20 @@
 void mesh_alarm(struct relay *r, const char *group, int64_t epoch);
 /** mesh_has_larger() - a listed node has a larger share of a core than this */
 bool mesh_has_larger(const struct relay *r);
+/** struct mesh_delegate - a peer whose watch of the store can be followed */
+struct mesh_delegate {
+	char name[LD_GROUP_NAME_MAX];
+	char address[32]; /* "IP:PORT" */
+};
+
+/**
+ * mesh_find_delegate() - the node of this failure domain that watches the store
+ *
+ * Return: false when that is this node or none, or when the node failed of late.
+ */
+bool mesh_find_delegate(const struct relay *r, struct mesh_delegate *out);
+/** mesh_avoid() - that node is no delegate until then */
+void mesh_avoid(struct relay *r, const char *name, uint64_t until_ms);
 /** mesh_nodes() - nodes that are listed, this one included */
 size_t mesh_nodes(const struct relay *r);
 
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -138,6 +138,8 @@
 	struct relay *r = &p->relay;
 
 	feed_tick(r);
+	share_tick(r);
+	follow_tick(r);
 	leader_tick(r);
 	mesh_tick(r);
 	control_tick(r);
@@ -227,6 +229,10 @@
 	st = mesh_open(r);
 	if (st != LD_OK)
 		goto out;
+	st = share_open(r);
+	if (st != LD_OK)
+		goto out;
+	relay_follow_open(r);
 	feed_open(r);
 	st = ready_open(r);
 	if (st == LD_OK) {
@@ -240,9 +246,11 @@
 	ld_listener_free(r->entry);
 	r->entry = NULL;
 	requests_close(r);
+	relay_follow_close(r);
 	feed_close(r);
 out:
 	ready_close(r);
+	share_close(r);
 	mesh_close(r);
 	ld_listener_free(r->entry);
 	leader_close(r);
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -166,6 +166,7 @@
 	struct ld_address entry_listen;
 	struct ld_address ready_listen;
 	uint64_t peers_port;
+	uint64_t follow_from_nodes;
 	uint64_t metrics_port;
 	struct ld_address store_address;
 	uint64_t max_descriptors;
--- a/lib/store/ld_store.h
+++ b/lib/store/ld_store.h
@@ -24,6 +24,12 @@
 	int64_t lease; /* 0 when attached to none */
 };
 
+/** struct ld_store_event - one key of an answer or a watch; owns its bytes */
+struct ld_store_event {
+	struct ld_store_kv kv;
+	bool deleted;
+};
+
 /**
  * struct ld_store_expect - what a compare-and-swap expects to replace
  *
@@ -157,8 +163,8 @@
     const struct ld_store_codec *codec);
 /** ld_store_free() - cancels every call; watches must be stopped before */
 void ld_store_free(struct ld_store *s);
-/** ld_store_set_poll_pause() - change poll_pause_ms of the settings */
-void ld_store_set_poll_pause(struct ld_store *s, uint64_t ms);
+/** ld_store_set_poll() - change poll_wait_ms and poll_pause_ms of the settings */
+void ld_store_set_poll(struct ld_store *s, uint64_t wait_ms, uint64_t pause_ms);
 const struct ld_store_counters *ld_store_counters(const struct ld_store *s);
 /** ld_store_revision() - highest revision seen, 0 for none */
 int64_t ld_store_revision(const struct ld_store *s);
@@ -218,6 +224,20 @@
 
 struct ld_store_watch;
 
+/**
+ * struct ld_store_changes - what one answer to a polled watch told
+ * @after: whoever knows all changes up to this revision may take these
+ * @revision: all changes up to it are known then
+ * @current_ms: the store had made no other change by then (the loop's clock)
+ */
+struct ld_store_changes {
+	int64_t after;
+	int64_t revision;
+	const struct ld_store_event *events;
+	size_t n;
+	uint64_t current_ms;
+};
+
 /**
  * struct ld_store_watch_ops - receiver of a watch
  * @snapshot: all keys watched at @revision, at the start and at each renewal
@@ -226,6 +246,8 @@
  * @lost: reading or the stream failed; tried again after a back-off
  * @current: all changes that the store had made by @since_ms (the loop's clock)
  *	were handed over; may be NULL
+ * @told: what the store answered to a polled watch, after @change was called
+ *	for each of it; may be NULL
  */
 struct ld_store_watch_ops {
 	void (*snapshot)(struct ld_store_watch *w, int64_t revision,
@@ -234,6 +256,8 @@
 	    bool deleted);
 	void (*lost)(struct ld_store_watch *w, enum ld_status status);
 	void (*current)(struct ld_store_watch *w, uint64_t since_ms);
+	void (*told)(
+	    struct ld_store_watch *w, const struct ld_store_changes *changes);
 };
 
 /** struct ld_store_watch - first member of whatever receives a watch */
@@ -248,6 +272,24 @@
  */
 void ld_store_watch_start(struct ld_store *s, struct ld_store_watch *w,
     struct ld_str key, bool prefix);
+/** ld_store_watch_revision() - all changes up to it are known; 0: not read */
+int64_t ld_store_watch_revision(const struct ld_store_watch *w);
+/**
+ * ld_store_watch_take() - take changes that another client's watch was told
+ *
+ * The watch must be polled. When they join what is known, change() and
+ * current() run for them, and the store is not asked until
+ * ld_store_watch_resume().
+ *
+ * Return: LD_OK; LD_E_STALE when changes are missing in between or more is
+ * known already: nothing is taken, the watch goes on as before.
+ */
+enum ld_status ld_store_watch_take(
+    struct ld_store_watch *w, const struct ld_store_changes *changes);
+/** ld_store_watch_resume() - ask the store again, from what is known */
+void ld_store_watch_resume(struct ld_store_watch *w);
+/** ld_store_watch_asks() - false after ld_store_watch_take() until resumed */
+bool ld_store_watch_asks(const struct ld_store_watch *w);
 /** ld_store_watch_stop() - no callback runs afterwards; idempotent */
 void ld_store_watch_stop(struct ld_store_watch *w);
 
--- a/lib/store/ld_store_codec.h
+++ b/lib/store/ld_store_codec.h
@@ -43,12 +43,6 @@
 	struct ld_buf body;
 };
 
-/** struct ld_store_event - one key of an answer or a watch; owns its bytes */
-struct ld_store_event {
-	struct ld_store_kv kv;
-	bool deleted;
-};
-
 /**
  * struct ld_store_decoded - what an answer said
  * @unversioned: the answer carries no revision, so none is compared
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -119,9 +119,10 @@
 }
 
 void
-ld_store_set_poll_pause(struct ld_store *s, uint64_t ms)
+ld_store_set_poll(struct ld_store *s, uint64_t wait_ms, uint64_t pause_ms)
 {
-	s->settings.poll_pause_ms = ms;
+	s->settings.poll_wait_ms = wait_ms;
+	s->settings.poll_pause_ms = pause_ms;
 }
 
 const struct ld_store_counters *
--- a/lib/store/watch.c
+++ b/lib/store/watch.c
@@ -28,7 +28,9 @@
 	struct ld_timer timer; /* renewal, or the next try after a failure */
 	struct backoff backoff;
 	uint64_t stream_since_ms;
+	uint64_t poll_wait_ms; /* of the poll under way */
 	int64_t revision; /* all changes up to it were handed over */
+	bool taking; /* changes come from elsewhere, the store isn't asked */
 };
 
 static void begin_read(struct store_watch *w);
@@ -69,14 +71,14 @@
 
 /* False when the owner stopped the watch meanwhile. */
 static bool
-hand_over(struct store_watch *w, const struct ld_store_decoded *d)
+hand_over(struct store_watch *w, const struct ld_store_event *events, size_t n)
 {
 	struct ld_store_watch *owner = w->owner;
 	int64_t seen = w->revision;
 
 	/* Several changes of one revision are one event list. */
-	for (size_t i = 0; i < d->n; i++) {
-		const struct ld_store_event *e = &d->events[i];
+	for (size_t i = 0; i < n; i++) {
+		const struct ld_store_event *e = &events[i];
 
 		if (e->kv.mod_revision <= seen)
 			continue;
@@ -104,7 +106,7 @@
 		st = LD_E_CLOSED;
 	if (st == LD_OK) {
 		store_strip_prefix(w->store, &d);
-		alive = hand_over(w, &d);
+		alive = hand_over(w, d.events, d.n);
 	} else {
 		fail(w, st);
 		alive = false;
@@ -144,6 +146,21 @@
 
 /* ---- A watch that is polled: one call for each wait ---- */
 
+/* False when the owner stopped the watch meanwhile. */
+static bool
+join(struct store_watch *w, const struct ld_store_changes *c)
+{
+	struct ld_store_watch *owner = w->owner;
+
+	if (!hand_over(w, c->events, c->n))
+		return false;
+	if (c->revision > w->revision)
+		w->revision = c->revision;
+	if (owner->ops->current != NULL)
+		owner->ops->current(owner, c->current_ms);
+	return !is_stopped(owner, w);
+}
+
 static struct ld_store_op
 poll_op(const struct store_watch *w, struct ld_str key)
 {
@@ -166,7 +183,7 @@
 poll_current_ms(const struct store_watch *w, const struct ld_store_decoded *d)
 {
 	uint64_t elapsed = ld_loop_now(w->store->loop) - w->stream_since_ms;
-	uint64_t waited = w->store->settings.poll_wait_ms;
+	uint64_t waited = w->poll_wait_ms;
 
 	if (d->n > 0)
 		waited = 0;
@@ -179,16 +196,20 @@
 on_poll_answer(struct store_watch *w, struct ld_store_decoded *d)
 {
 	struct ld_store_watch *owner = w->owner;
-	uint64_t current_ms = poll_current_ms(w, d);
+	struct ld_store_changes changes = {
+	    .after = w->revision,
+	    .revision = d->revision,
+	    .events = d->events,
+	    .n = d->n,
+	    .current_ms = poll_current_ms(w, d),
+	};
 
 	store_strip_prefix(w->store, d);
-	if (!hand_over(w, d))
+	if (!join(w, &changes))
 		return;
-	if (d->revision > w->revision)
-		w->revision = d->revision;
 	w->backoff.failures = 0;
-	if (owner->ops->current != NULL)
-		owner->ops->current(owner, current_ms);
+	if (owner->ops->told != NULL)
+		owner->ops->told(owner, &changes);
 	if (!is_stopped(owner, w))
 		arm(w, d->n > 0 ? w->store->settings.poll_pause_ms : 0);
 }
@@ -268,6 +289,7 @@
 	if (is_polled(w))
 		s->counters.calls[LD_STORE_WATCH]++;
 	w->stream_since_ms = ld_loop_now(s->loop);
+	w->poll_wait_ms = op.wait_ms;
 	w->stream = ld_http_start(s->http, &rq, &w->sink);
 	free(url);
 	free(key);
@@ -367,6 +389,53 @@
 	begin_read(w);
 }
 
+int64_t
+ld_store_watch_revision(const struct ld_store_watch *owner)
+{
+	return owner->state != NULL ? owner->state->revision : 0;
+}
+
+enum ld_status
+ld_store_watch_take(
+    struct ld_store_watch *owner, const struct ld_store_changes *changes)
+{
+	struct store_watch *w = owner->state;
+
+	assert(w != NULL && is_polled(w));
+	if (w->revision == 0 || changes->after > w->revision ||
+	    changes->revision < w->revision)
+		return ld_fail(LD_E_STALE,
+		    "changes after revision %lld up to %lld don't join %lld",
+		    (long long)changes->after, (long long)changes->revision,
+		    (long long)w->revision);
+	ld_timer_stop(ld_loop_timers(w->store->loop), &w->timer);
+	ld_store_cancel(&w->read);
+	drop_stream(w);
+	w->taking = true;
+	/* What is known has no gap, so a read that was due is not needed. */
+	w->polling = true;
+	w->backoff.failures = 0;
+	(void)join(w, changes);
+	return LD_OK;
+}
+
+void
+ld_store_watch_resume(struct ld_store_watch *owner)
+{
+	struct store_watch *w = owner->state;
+
+	if (w == NULL || !w->taking)
+		return;
+	w->taking = false;
+	begin_stream(w);
+}
+
+bool
+ld_store_watch_asks(const struct ld_store_watch *owner)
+{
+	return owner->state != NULL && !owner->state->taking;
+}
+
 void
 ld_store_watch_stop(struct ld_store_watch *owner)
 {
--- a/tests/faults/ld_soak.h
+++ b/tests/faults/ld_soak.h
@@ -2,7 +2,8 @@
  * A soak of real relays: three processes, each with a forwarder before the
  * store, four servers behind forwarders, a store, and clients that send all the
  * while. Faults come in series and overlap, drawn from a seed; the promises are
- * checked from what clients and servers see.
+ * checked from what clients and servers see. With an odd seed the relays follow
+ * the store through one of them.
  */
 #ifndef LD_SOAK_H
 #define LD_SOAK_H
--- a/tests/faults/ld_soak_world.c
+++ b/tests/faults/ld_soak_world.c
@@ -168,14 +168,17 @@
 	if (f == NULL)
 		abort();
 	fprintf(f,
-	    "{\"node\":{\"name\":\"n%d\",\"failure_domain\":\"z%d\"},"
+	    "{\"node\":{\"name\":\"n%d\",\"failure_domain\":\"z1\"},"
 	    "\"entry\":{\"listen\":\"%s\"},\"readiness\":{\"listen\":\"%s\"},"
-	    "\"peers\":{\"port\":7340},\"metrics\":{\"port\":7341},"
+	    "\"peers\":{\"port\":7340,\"follow_from_nodes\":%d},"
+	    "\"metrics\":{\"port\":7341},"
 	    "\"store\":{\"address\":\"%s\"},\"bounds\":{\"revoke_ms\":%d,"
 	    "\"drain_ms\":%d,\"config_apply_ms\":%d,\"grace_s\":%d,"
 	    "\"repeat_extra\":1000}}",
-	    i, i, r->entry, ready, r->store_at, SOAK_REVOKE_MS, SOAK_DRAIN_MS,
-	    SOAK_CONFIG_MS, SOAK_GRACE_MS / 1000);
+	    i, r->entry, ready,
+	    s->seed % 2 == 1 ? SOAK_RELAYS - 1 : SOAK_RELAYS + 1, r->store_at,
+	    SOAK_REVOKE_MS, SOAK_DRAIN_MS, SOAK_CONFIG_MS,
+	    SOAK_GRACE_MS / 1000);
 	fclose(f);
 	soak_start_relay(s, i);
 }
--- /dev/null
+++ b/tests/faults/test_follow.c
@@ -0,0 +1,196 @@
+/* Three relays of one failure domain: one watches the store, the others follow
+ * it, and go back to the store when it fails. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ld_soak.h"
+#include "ld_test.h"
+
+/* Relays follow each other in worlds with an odd seed. */
+#define SEED 1
+#define START_MS 3000
+#define STEP_MS 5
+/* A request takes no longer than this on a busy machine, ms. */
+#define ANSWER_MS 8000
+
+static struct soak s;
+
+static void
+run_for(uint64_t ms)
+{
+	uint64_t until = soak_now(&s) + ms;
+
+	while (soak_now(&s) < until) {
+		ld_loop_run_for(s.loop, STEP_MS);
+		soak_work_tick(&s);
+	}
+}
+
+static long
+code_of(int relay, int key)
+{
+	struct soak_attempt *a = soak_send(&s, SOAK_LOOK, relay, key);
+	uint64_t until = soak_now(&s) + ANSWER_MS;
+
+	while (!a->done && soak_now(&s) < until)
+		run_for(STEP_MS);
+	CU_ASSERT(a->done);
+	return a->code;
+}
+
+/* A counter of a relay, from its metrics. */
+static uint64_t
+counter(int relay, const char *name)
+{
+	char address[48], line[96];
+	struct ld_reply reply = {0};
+	const char *at;
+	uint64_t n = 0;
+
+	snprintf(address, sizeof(address), "%.*s:7341",
+	    (int)strcspn(s.relays[relay].entry, ":"), s.relays[relay].entry);
+	ld_call(&s.session,
+	    &(struct ld_call){.address = address, .path = "/metrics"}, &reply);
+	snprintf(line, sizeof(line), "\n%s ", name);
+	at = reply.ok ? strstr(ld_buf_cstr(&reply.body), line) : NULL;
+	CU_ASSERT_PTR_NOT_NULL(at);
+	if (at != NULL)
+		n = strtoull(at + strlen(line), NULL, 10);
+	ld_reply_free(&reply);
+	return n;
+}
+
+static void
+remove_key(int key)
+{
+	s.keys[key].in_force = false;
+	s.keys[key].removed_ms = soak_now(&s);
+	soak_put_config(&s);
+}
+
+static void
+add_key(void)
+{
+	s.keys[s.key_count++] =
+	    (struct soak_key){.in_force = true, .added_ms = soak_now(&s)};
+	soak_put_config(&s);
+}
+
+/* ---- Tests, in this order, in one world ---- */
+
+static void
+test_one_node_asks_the_store(void)
+{
+	uint64_t calls, told;
+
+	soak_open(&s, SEED);
+	run_for(START_MS);
+	for (int i = 0; i < SOAK_RELAYS; i++)
+		CU_ASSERT_EQUAL(code_of(i, 0), 200);
+	told = counter(0, "ld_relay_changes_told_total");
+	calls = counter(1, "ld_store_calls_total") +
+	    counter(2, "ld_store_calls_total");
+	run_for(6000);
+	CU_ASSERT(counter(0, "ld_relay_changes_told_total") >= told + 6);
+	/* Renewals of their entries, at most: a watch alone asks each 0.8 s. */
+	CU_ASSERT(counter(1, "ld_store_calls_total") +
+		counter(2, "ld_store_calls_total") <=
+	    calls + 4);
+}
+
+static void
+test_changes_reach_those_that_follow(void)
+{
+	add_key();
+	run_for(SOAK_CONFIG_MS);
+	for (int i = 0; i < SOAK_RELAYS; i++)
+		CU_ASSERT_EQUAL(code_of(i, s.key_count - 1), 200);
+}
+
+/* What the others know grows old: they ask the store themselves. */
+static void
+test_the_delegate_stands_still(void)
+{
+	ld_freeze(s.relays[0].proc);
+	run_for(200);
+	remove_key(1);
+	run_for(SOAK_REVOKE_MS / 2);
+	for (int i = 1; i < SOAK_RELAYS; i++) {
+		CU_ASSERT_EQUAL(code_of(i, 1), 401);
+		CU_ASSERT_EQUAL(code_of(i, 0), 200);
+	}
+	ld_thaw(s.relays[0].proc);
+	run_for(1000);
+	CU_ASSERT_EQUAL(code_of(0, 1), 401);
+}
+
+/* The one that watches is cut off from the store alone. */
+static void
+test_the_delegate_is_cut_off(void)
+{
+	run_for(3000);
+	soak_mode(&s, s.relays[0].forward_control, "silent-all", 0);
+	run_for(200);
+	add_key();
+	run_for(SOAK_REVOKE_MS / 2 + 1000);
+	for (int i = 1; i < SOAK_RELAYS; i++) {
+		CU_ASSERT_EQUAL(code_of(i, s.key_count - 1), 200);
+		CU_ASSERT_EQUAL(code_of(i, 0), 200);
+	}
+	run_for(4000);
+	/* It follows another, which watches now. */
+	CU_ASSERT_EQUAL(code_of(0, s.key_count - 1), 200);
+	soak_mode(&s, s.relays[0].forward_control, "none", 0);
+	run_for(4000);
+	CU_ASSERT_EQUAL(code_of(0, s.key_count - 1), 200);
+}
+
+/* A node that is cut off from the store alone goes on with what it is told. */
+static void
+test_a_follower_is_cut_off(void)
+{
+	run_for(3000);
+	soak_mode(&s, s.relays[1].forward_control, "silent-all", 0);
+	run_for(SOAK_REVOKE_MS + 2000);
+	CU_ASSERT_EQUAL(code_of(1, 0), 200);
+	add_key();
+	run_for(SOAK_CONFIG_MS);
+	CU_ASSERT_EQUAL(code_of(1, s.key_count - 1), 200);
+	soak_mode(&s, s.relays[1].forward_control, "none", 0);
+}
+
+static void
+test_the_delegate_is_killed(void)
+{
+	run_for(3000);
+	ld_kill(s.relays[0].proc);
+	add_key();
+	run_for(SOAK_CONFIG_MS + 1000);
+	for (int i = 1; i < SOAK_RELAYS; i++)
+		CU_ASSERT_EQUAL(code_of(i, s.key_count - 1), 200);
+	soak_start_relay(&s, 0);
+	run_for(START_MS);
+	CU_ASSERT_EQUAL(code_of(0, s.key_count - 1), 200);
+	CU_ASSERT(!s.session.failed);
+	soak_close(&s);
+}
+
+int
+main(void)
+{
+	static const struct ld_test_case cases[] = {
+	    {"one node asks the store", test_one_node_asks_the_store},
+	    {"changes reach those that follow",
+		test_changes_reach_those_that_follow},
+	    {"the delegate stands still", test_the_delegate_stands_still},
+	    {"the delegate is cut off", test_the_delegate_is_cut_off},
+	    {"a follower is cut off", test_a_follower_is_cut_off},
+	    {"the delegate is killed", test_the_delegate_is_killed},
+	    {NULL, NULL},
+	};
+
+	if (ld_common_init() != LD_OK)
+		return 2;
+	return ld_test_main("follow processes", cases);
+}
--- a/tests/faults/test_store.c
+++ b/tests/faults/test_store.c
@@ -331,7 +331,7 @@
 }
 
 static const struct ld_store_watch_ops watch_ops = {
-    on_snapshot, on_change, on_lost, NULL};
+    on_snapshot, on_change, on_lost, NULL, NULL};
 
 static void
 test_watch_survives_an_outage(void)
--- /dev/null
+++ b/tests/unit/test_follow.c
@@ -0,0 +1,206 @@
+/* Following the store through a peer, without a network: which peer, which
+ * changes it keeps, and how they are told. */
+#include <stdio.h>
+#include <string.h>
+
+#include "../../lib/relay/changes_speech.h"
+#include "../../lib/relay/follow_choice.h"
+#include "../../lib/relay/kept.h"
+#include "ld_mutate.h"
+#include "ld_test.h"
+
+#define SEED 20261204
+#define ROUNDS 5000
+
+/* ---- Which peer ---- */
+
+/* Nodes that see each other choose the same one, in whatever order. */
+static void
+test_all_choose_the_same(void)
+{
+	static const struct follow_node a = {"a", 120, true},
+					b = {"b", 500, true},
+					c = {"c", 500, true};
+	const struct follow_node orders[][3] = {
+	    {a, b, c}, {c, b, a}, {b, a, c}, {c, a, b}};
+
+	for (size_t i = 0; i < 4; i++) {
+		size_t best = follow_choose(orders[i], 3);
+
+		CU_ASSERT_STRING_EQUAL(orders[i][best].name, "b");
+	}
+}
+
+static void
+test_unusable_nodes_are_passed_over(void)
+{
+	struct follow_node nodes[] = {
+	    {"large", 1000, false}, {"small", 120, true}, {"self", 100, true}};
+
+	CU_ASSERT_EQUAL(follow_choose(nodes, 3), 1);
+	nodes[1].usable = nodes[2].usable = false;
+	CU_ASSERT_EQUAL(follow_choose(nodes, 3), 3);
+	CU_ASSERT_EQUAL(follow_choose(nodes, 0), 0);
+}
+
+/* ---- What is kept and told ---- */
+
+static void
+add(struct kept *k, int64_t after, int64_t revision, const char *key,
+    const char *value)
+{
+	struct ld_store_event e = {
+	    .kv = {.key = ld_str_c(key),
+		.value = ld_str_c(value != NULL ? value : ""),
+		.create_revision = 1,
+		.mod_revision = revision,
+		.version = 2,
+		.lease = 7},
+	    .deleted = value == NULL,
+	};
+	struct ld_store_changes c = {after, revision, &e, 1, 0};
+
+	kept_add(k, &c);
+}
+
+static size_t
+told(const struct kept *k, int64_t revision, struct changes_message *m)
+{
+	struct ld_buf b = {0};
+
+	kept_write(k, revision, 40, &b);
+	CU_ASSERT_FATAL(changes_read(ld_buf_str(&b), m));
+	ld_buf_free(&b);
+	return m->list.n;
+}
+
+static void
+test_changes_come_back_whole(void)
+{
+	struct kept k = {0};
+	struct changes_message m;
+
+	kept_reset(&k, 10);
+	add(&k, 10, 12, "servers/a", "one\0more");
+	add(&k, 12, 15, "servers/b", NULL);
+	CU_ASSERT_EQUAL_FATAL(told(&k, 10, &m), 2);
+	CU_ASSERT_EQUAL(m.after, 10);
+	CU_ASSERT_EQUAL(m.revision, 15);
+	CU_ASSERT_EQUAL(m.age_ms, 40);
+	CU_ASSERT(ld_str_eq(m.list.events[0].kv.key, LD_STR("servers/a")));
+	CU_ASSERT(ld_str_eq(m.list.events[0].kv.value, LD_STR("one")));
+	CU_ASSERT(!m.list.events[0].deleted);
+	CU_ASSERT_EQUAL(m.list.events[0].kv.mod_revision, 12);
+	CU_ASSERT_EQUAL(m.list.events[0].kv.create_revision, 1);
+	CU_ASSERT_EQUAL(m.list.events[0].kv.version, 2);
+	CU_ASSERT_EQUAL(m.list.events[0].kv.lease, 7);
+	CU_ASSERT(m.list.events[1].deleted);
+	ld_store_decoded_free(&m.list);
+	CU_ASSERT_EQUAL(told(&k, 12, &m), 1);
+	ld_store_decoded_free(&m.list);
+	CU_ASSERT_EQUAL(told(&k, 15, &m), 0);
+	ld_store_decoded_free(&m.list);
+	kept_free(&k);
+}
+
+static void
+test_gaps_are_known(void)
+{
+	struct kept k = {0};
+
+	kept_reset(&k, 10);
+	add(&k, 10, 12, "a", "1");
+	CU_ASSERT(kept_lacks(&k, 9));
+	CU_ASSERT(!kept_lacks(&k, 10));
+	CU_ASSERT(kept_has_newer(&k, 10));
+	CU_ASSERT(!kept_has_newer(&k, 12));
+	/* Changes between 12 and 20 are not known: none before is told. */
+	add(&k, 20, 21, "a", "2");
+	CU_ASSERT(kept_lacks(&k, 12));
+	CU_ASSERT(!kept_lacks(&k, 20));
+	CU_ASSERT_EQUAL(k.count, 1);
+	kept_free(&k);
+}
+
+/* Changes are told again that a watch had told before: kept once. */
+static void
+test_changes_told_twice(void)
+{
+	struct kept k = {0};
+
+	kept_reset(&k, 10);
+	add(&k, 10, 12, "a", "1");
+	add(&k, 12, 12, "a", "1");
+	CU_ASSERT_EQUAL(k.count, 1);
+	kept_free(&k);
+}
+
+static void
+test_memory_is_bounded(void)
+{
+	static char large[1024 * 1024];
+	struct kept k = {0};
+
+	memset(large, 'x', sizeof(large) - 1);
+	kept_reset(&k, 10);
+	for (int64_t i = 11; i < 41; i++)
+		add(&k, i - 1, i, "op/config", large);
+	CU_ASSERT(k.bytes <= (size_t)4 * 1024 * 1024);
+	CU_ASSERT(k.count >= 2);
+	CU_ASSERT(kept_lacks(&k, 10));
+	CU_ASSERT(!kept_lacks(&k, k.revision - (int64_t)k.count));
+	CU_ASSERT(kept_lacks(&k, k.revision - (int64_t)k.count - 1));
+	for (int64_t i = 41; i < 6041; i++)
+		add(&k, i - 1, i, "a", "1");
+	CU_ASSERT(k.count <= 2048);
+	kept_free(&k);
+}
+
+/* ---- Mutated bytes ---- */
+
+static bool
+take(struct ld_str input)
+{
+	struct changes_message m;
+	bool ok = changes_read(input, &m);
+
+	ld_store_decoded_free(&m.list);
+	return ok;
+}
+
+static void
+test_mutated_messages(void)
+{
+	struct ld_mutate_target t = {.name = "changes", .take = take};
+	struct kept k = {0};
+	struct ld_buf b = {0};
+
+	kept_reset(&k, 10);
+	add(&k, 10, 12, "servers/a", "one");
+	add(&k, 12, 15, "servers/b", NULL);
+	kept_write(&k, 10, 40, &b);
+	for (size_t n = 0; n < b.len; n++)
+		CU_ASSERT(!take((struct ld_str){b.p, n}));
+	ld_mutate_input(&t, ld_buf_str(&b));
+	ld_mutate_run(&t, SEED, ROUNDS);
+	ld_buf_free(&b);
+	kept_free(&k);
+}
+
+int
+main(void)
+{
+	static const struct ld_test_case cases[] = {
+	    {"all choose the same", test_all_choose_the_same},
+	    {"unusable nodes are passed over",
+		test_unusable_nodes_are_passed_over},
+	    {"changes come back whole", test_changes_come_back_whole},
+	    {"gaps are known", test_gaps_are_known},
+	    {"changes told twice", test_changes_told_twice},
+	    {"memory is bounded", test_memory_is_bounded},
+	    {"mutated messages", test_mutated_messages},
+	    {NULL, NULL},
+	};
+
+	return ld_test_main("follow", cases);
+}
--- a/tests/unit/test_relay_parts.c
+++ b/tests/unit/test_relay_parts.c
@@ -153,7 +153,7 @@
 static struct mesh_datagram
 full_datagram(void)
 {
-	struct mesh_datagram d = {.number = 7};
+	struct mesh_datagram d = {.number = 7, .can_watch = true};
 
 	d.load_count = MESH_LOADS_MAX;
 	for (uint32_t i = 0; i < MESH_LOADS_MAX; i++)
