--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -229,6 +229,7 @@
 	/* A node that starts can't know that there was no outage before. */
 	if (away >= OUTAGE_MS || !f->known)
 		f->doubt_until_ms = now + ENTRIES_BACK_MS;
+	mesh_renew(f->relay);
 	ld_event("store.regained", "away_ms=%llu", (unsigned long long)away);
 }
 
@@ -240,6 +241,7 @@
 
 	regained(f);
 	f->control_exists = false;
+	mesh_read_anew(f->relay);
 	records_read_anew(f->relay);
 	share_read_anew(f->relay, revision);
 	for (size_t i = 0; i < n; i++)
--- /dev/null
+++ b/lib/relay/mesh_entry.c
@@ -0,0 +1,96 @@
+/* This node's own entry in the store, under a lease: where peers meet it. */
+#include <stdio.h>
+
+#include "mesh_internal.h"
+
+/* The entry of a node that vanished ends after this, s. It says where a node is
+ * met; whether it lives is told by its datagrams. */
+#define ENTRY_TTL_S 30
+/* Three renewals in the time of the lease: two may fail, ms. */
+#define RENEW_MS 9000
+#define TRY_AGAIN_MS 500
+/* After an outage entries that lapsed are written again within 2 s; the calls of
+ * all nodes spread over this, ms. */
+#define RENEW_SPREAD_MS 1000
+
+static void
+entry_failed(struct mesh_entry *e)
+{
+	e->state = ENTRY_NONE;
+	e->next_ms = relay_now(e->relay) + TRY_AGAIN_MS;
+}
+
+static void
+on_renewed(struct ld_store_call *c, const struct ld_store_answer *a)
+{
+	struct mesh_entry *e = (struct mesh_entry *)c;
+
+	if (a->status == LD_E_NOT_FOUND)
+		entry_failed(e);
+}
+
+static void
+on_written(struct ld_store_call *c, const struct ld_store_answer *a)
+{
+	struct mesh_entry *e = (struct mesh_entry *)c;
+
+	if (a->outcome != LD_STORE_APPLIED) {
+		entry_failed(e);
+		return;
+	}
+	e->state = ENTRY_LISTED;
+	e->next_ms = relay_now(e->relay) + RENEW_MS;
+}
+
+static void
+on_granted(struct ld_store_call *c, const struct ld_store_answer *a)
+{
+	struct mesh_entry *e = (struct mesh_entry *)c;
+	struct relay *r = e->relay;
+	char key[160], value[160];
+
+	if (a->status != LD_OK) {
+		entry_failed(e);
+		return;
+	}
+	e->lease = a->lease;
+	e->state = ENTRY_WRITING;
+	e->call.done = on_written;
+	snprintf(
+	    key, sizeof(key), "%s%s", RELAY_NODES_PREFIX, r->settings->name);
+	snprintf(value, sizeof(value), "%s:%llu %llu %s",
+	    r->settings->entry_listen.host,
+	    (unsigned long long)r->settings->peers_port,
+	    (unsigned long long)r->settings->processor_permille,
+	    r->settings->failure_domain);
+	ld_store_put(
+	    r->store, &e->call, ld_str_c(key), ld_str_c(value), e->lease);
+}
+
+void
+mesh_renew(struct relay *r)
+{
+	struct mesh_entry *e = &r->mesh->entry;
+	uint64_t soon = relay_now(r) + ld_rand_below(&r->rand, RENEW_SPREAD_MS);
+
+	if (e->state == ENTRY_LISTED && soon < e->next_ms)
+		e->next_ms = soon;
+}
+
+void
+mesh_entry_tick(struct mesh_entry *e, uint64_t now)
+{
+	struct relay *r = e->relay;
+
+	if (now < e->next_ms || e->call.request != NULL || r->stopping)
+		return;
+	if (e->state == ENTRY_NONE) {
+		e->state = ENTRY_GRANTING;
+		e->call.done = on_granted;
+		ld_store_lease_grant(r->store, &e->call, ENTRY_TTL_S);
+	} else if (e->state == ENTRY_LISTED) {
+		e->next_ms = now + RENEW_MS;
+		e->call.done = on_renewed;
+		ld_store_lease_keepalive(r->store, &e->call, e->lease);
+	}
+}
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -196,6 +196,10 @@
  */
 void mesh_listed(struct relay *r, struct ld_str name, struct ld_str value);
 void mesh_unlisted(struct relay *r, struct ld_str name);
+/** mesh_read_anew() - all entries that exist are told from here on */
+void mesh_read_anew(struct relay *r);
+/** mesh_renew() - renew the own entry soon: the store was away */
+void mesh_renew(struct relay *r);
 /** mesh_alarm() - tell the holder of the control lease of a silent group */
 void mesh_alarm(struct relay *r, const char *group, int64_t epoch);
 /** mesh_has_larger() - a listed node has a larger share of a core than this */
--- a/tests/faults/test_follow.c
+++ b/tests/faults/test_follow.c
@@ -160,6 +160,28 @@
 	soak_mode(&s, s.relays[1].forward_control, "none", 0);
 }
 
+/* A node's entry vanishes while nobody is told: the others forget the node. */
+static void
+test_an_entry_vanishes_in_an_outage(void)
+{
+	run_for(3000);
+	for (int i = 0; i < SOAK_RELAYS; i++)
+		CU_ASSERT_EQUAL(counter(i, "ld_peers_alive"), 2);
+	ld_kv_store_silence(s.store, true);
+	ld_kill(s.relays[2].proc);
+	ld_kv_store_delete(s.store, "lavenderdrift/nodes/n2");
+	ld_kv_store_forget(s.store);
+	run_for(2500);
+	ld_kv_store_silence(s.store, false);
+	run_for(5000);
+	CU_ASSERT_EQUAL(counter(0, "ld_peers_alive"), 1);
+	CU_ASSERT_EQUAL(counter(1, "ld_peers_alive"), 1);
+	soak_start_relay(&s, 2);
+	run_for(START_MS);
+	CU_ASSERT_EQUAL(counter(0, "ld_peers_alive"), 2);
+	CU_ASSERT_EQUAL(code_of(2, s.key_count - 1), 200);
+}
+
 static void
 test_the_delegate_is_killed(void)
 {
@@ -186,6 +208,8 @@
 	    {"the delegate stands still", test_the_delegate_stands_still},
 	    {"the delegate is cut off", test_the_delegate_is_cut_off},
 	    {"a follower is cut off", test_a_follower_is_cut_off},
+	    {"an entry vanishes in an outage",
+		test_an_entry_vanishes_in_an_outage},
 	    {"the delegate is killed", test_the_delegate_is_killed},
 	    {NULL, NULL},
 	};
