groups: two hosts of a small group hold the weights of the largest model

Those groups waited up to 16 s for a load: the domain's spares did not hold the weights, while a group of the other model, which had room, stood next to them. A host loads beside all else that its server does, and a rejoin to the same model needs no load (PROTOCOL), so members of the small group can hold the weights ready.

Ruled out: the balance of the two models as such (with four groups of twelve and ten of six hardly anything is refused); spares alone (three a domain, and two models).

Two hosts a domain load the weights when no other load has begun of late; before the first request that is free. When a group of the largest model waits for a load, those hosts are enough, and its groups have more work each than the small model's would have after it, the small group is closed and both are formed again. A group given up for another model is the one whose hosts hold most of its weights. A join ends the note of a load that was ordered before, which otherwise named weights that the host no longer held.

--- a/lib/groups/lifecycle.c
+++ b/lib/groups/lifecycle.c
@@ -186,6 +186,8 @@
 	struct member *m = &gr->members[i];
 
 	order_add(s->g, LD_ORDER_JOIN, v, gr);
+	/* From here on its entry says what the host holds. */
+	note_of(s->g, v)->staged_ms = 0;
 	m->ordered_ms = s->now_ms;
 	m->tries++;
 }
--- a/lib/groups/loads.c
+++ b/lib/groups/loads.c
@@ -23,6 +23,12 @@
 	g->load_tokens_ms = s->now_ms;
 }
 
+bool
+loads_are_idle(const struct step *s)
+{
+	return loads_are_free(s) || s->g->load_tokens >= LOADS_BURST;
+}
+
 bool
 loads_are_free(const struct step *s)
 {
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -163,15 +163,28 @@
 	return false;
 }
 
+/* Of the model's groups that serve, the one with most of the weights of @want. */
 static struct group *
-find_serving(const struct step *s, const char *domain, const char *model)
+find_serving(const struct step *s, const char *domain, const char *model,
+    const char *want)
 {
-	for (struct group *gr = s->g->groups; gr != NULL; gr = gr->next)
-		if (gr->phase == PHASE_SERVING &&
-		    strcmp(gr->domain, domain) == 0 &&
-		    strcmp(gr->model, model) == 0)
-			return gr;
-	return NULL;
+	struct group *best = NULL;
+	size_t most = 0;
+
+	for (struct group *gr = s->g->groups; gr != NULL; gr = gr->next) {
+		size_t n;
+
+		if (gr->phase != PHASE_SERVING ||
+		    strcmp(gr->domain, domain) != 0 ||
+		    strcmp(gr->model, model) != 0)
+			continue;
+		n = standby_count(s, gr, want);
+		if (best != NULL && n <= most)
+			continue;
+		best = gr;
+		most = n;
+	}
+	return best;
 }
 
 /*
@@ -197,7 +210,8 @@
 		    work_of_group(s, (size_t)want, all->n[want] + 1) <
 			GIVE_UP_GAIN * work_of_group(s, i, all->n[i] - 1))
 			continue;
-		gr = find_serving(s, domain, m->name);
+		gr = find_serving(
+		    s, domain, m->name, s->spec->models[want].name);
 		if (gr == NULL)
 			continue;
 		lifecycle_close(s, gr, "its servers are needed elsewhere");
@@ -207,6 +221,22 @@
 	return false;
 }
 
+/* A group that waits for a load gets the servers of one that holds the weights. */
+static bool
+use_standby(const struct step *s, const char *domain,
+    const struct free_servers *f, struct counts *all)
+{
+	if (is_closing_in(s, domain))
+		return false;
+	for (size_t m = 0; m < s->spec->model_count; m++) {
+		struct waiting w = regroup_waiting(s, m, domain, f);
+
+		if (w.groups > 0 && standby_use(s, m, domain, w.holders, all))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Servers that are left over form whatever fits, unless another model needs
  * them much more and only lacks a few that may come.
@@ -253,7 +283,8 @@
 		if (have.n[m] < target.n[m] && f->n >= s->spec->models[m].size)
 			return;
 	}
-	if (give_up_for(s, domain, servers, f, all))
+	if (use_standby(s, domain, f, all) ||
+	    give_up_for(s, domain, servers, f, all))
 		return;
 	while (fill(s, domain, servers, f, all))
 		;
@@ -344,5 +375,6 @@
 			continue;
 		form_groups(s, d->name, d->servers, &d->free, &all);
 		spares_step(s, d->name, &d->free);
+		standby_step(s, d->name);
 	}
 }
--- a/lib/groups/placing_internal.h
+++ b/lib/groups/placing_internal.h
@@ -38,11 +38,28 @@
 void loads_refill(const struct step *s);
 /** loads_take() - whether @n loads may begin now; counts them */
 bool loads_take(const struct step *s, size_t n);
+/** loads_are_idle() - no load has begun of late: one that nothing waits for may */
+bool loads_are_idle(const struct step *s);
 /** loads_are_free() - the first start, before the weight store has callers */
 bool loads_are_free(const struct step *s);
 
 /* ---- regroup.c ---- */
 
+/** usable_member() - a member that may be in the next group, or NULL */
+struct ld_server *usable_member(
+    const struct step *s, const struct group *gr, size_t i);
+
+/** struct waiting - groups of a model in a domain that wait for a load */
+struct waiting {
+	size_t groups;
+	size_t holders; /* their members, and free servers, with the weights */
+	bool has_free_holder;
+};
+
+/** regroup_waiting() - @f: the free servers of the domain */
+struct waiting regroup_waiting(const struct step *s, size_t model,
+    const char *domain, const struct free_servers *f);
+
 /**
  * regroup() - dissolve groups that wait for a load, if their members that hold the
  * weights and free servers that do are enough for one
@@ -53,8 +70,30 @@
 size_t regroup(const struct step *s, size_t model, const char *domain,
     struct free_servers *f);
 
+/* ---- standby.c ---- */
+
+/** standby_count() - members whose hosts hold the weights of @model */
+size_t standby_count(
+    const struct step *s, const struct group *gr, const char *model);
+/** standby_step() - have hosts of a small group load the largest model */
+void standby_step(const struct step *s, const char *domain);
+/**
+ * standby_use() - close a small group whose hosts hold what groups wait for
+ * @holders: servers that would be in such a group and hold the weights
+ * @all: groups of all domains, kept up to date
+ *
+ * Return: true when one closes: its servers are free soon.
+ */
+bool standby_use(const struct step *s, size_t model, const char *domain,
+    size_t holders, struct counts *all);
+
 /* ---- spares.c ---- */
 
+/** spares_stage() - have the host load the weights, within the loads' rate */
+void spares_stage(const struct step *s, struct ld_server *v, const char *model);
+/** spares_still_loading() - it was told to load weights that it lacks yet */
+bool spares_still_loading(const struct step *s, const struct ld_server *v);
+
 /** spares_note_loading() - the server loads the weights already */
 void spares_note_loading(
     const struct step *s, struct ld_server *v, const char *model);
--- a/lib/groups/regroup.c
+++ b/lib/groups/regroup.c
@@ -12,7 +12,7 @@
  * what members that hold the weights take to join and open. */
 #define WAIT_WORTH_MS 3000
 
-static struct ld_server *
+struct ld_server *
 usable_member(const struct step *s, const struct group *gr, size_t i)
 {
 	struct ld_server *v =
@@ -83,23 +83,34 @@
 	return true;
 }
 
+struct waiting
+regroup_waiting(const struct step *s, size_t model, const char *domain,
+    const struct free_servers *f)
+{
+	const struct ld_model_spec *m = &s->spec->models[model];
+	struct waiting w = {0};
+
+	for (size_t i = 0; i < f->n; i++)
+		w.holders += server_holds(f->v[i], m->name);
+	w.has_free_holder = w.holders > 0;
+	for (const struct group *gr = s->g->groups; gr != NULL; gr = gr->next)
+		w.groups += is_waiting(s, gr, m, domain, &w.holders);
+	return w;
+}
+
 size_t
 regroup(const struct step *s, size_t model, const char *domain,
     struct free_servers *f)
 {
 	const struct ld_model_spec *m = &s->spec->models[model];
-	size_t holders = 0, sources = 0, dissolved = 0;
+	struct waiting w = regroup_waiting(s, model, domain, f);
+	size_t dissolved = 0;
 
-	for (size_t i = 0; i < f->n; i++)
-		holders += server_holds(f->v[i], m->name);
-	sources = holders > 0;
-	for (const struct group *gr = s->g->groups; gr != NULL; gr = gr->next)
-		sources += is_waiting(s, gr, m, domain, &holders);
 	/* One group alone has nothing to gain. */
-	if (sources < 2 || holders < m->size)
+	if (w.groups + w.has_free_holder < 2 || w.holders < m->size)
 		return 0;
 	for (struct group *gr = s->g->groups; gr != NULL; gr = gr->next) {
-		if (!is_waiting(s, gr, m, domain, &holders))
+		if (!is_waiting(s, gr, m, domain, &w.holders))
 			continue;
 		dissolve(s, gr, m, f);
 		dissolved++;
--- a/lib/groups/spares.c
+++ b/lib/groups/spares.c
@@ -87,8 +87,8 @@
 	n->staged_ms = s->now_ms;
 }
 
-static void
-stage(const struct step *s, struct ld_server *v, const char *model)
+void
+spares_stage(const struct step *s, struct ld_server *v, const char *model)
 {
 	struct note *n = note_of(s->g, v);
 	struct ld_order *o;
@@ -119,8 +119,8 @@
 	return -1;
 }
 
-static bool
-still_loading(const struct step *s, const struct ld_server *v)
+bool
+spares_still_loading(const struct step *s, const struct ld_server *v)
 {
 	const struct note *n = note_of(s->g, v);
 
@@ -146,7 +146,7 @@
 	for (size_t i = 0; i < f->n; i++) {
 		int has = spare_model(s, f->v[i]), want;
 
-		if (still_loading(s, f->v[i]))
+		if (spares_still_loading(s, f->v[i]))
 			continue;
 		if (has >= 0)
 			held.n[has]--;
@@ -159,6 +159,6 @@
 		if (want >= 0)
 			held.n[want]++;
 		if (want >= 0 && want != has)
-			stage(s, f->v[i], s->spec->models[want].name);
+			spares_stage(s, f->v[i], s->spec->models[want].name);
 	}
 }
