--- a/lib/metrics/ld_metrics.h
+++ b/lib/metrics/ld_metrics.h
@@ -97,6 +97,35 @@
 /** ld_metrics_write() - all of it in the text exposition format */
 void ld_metrics_write(const struct ld_metrics *m, struct ld_buf *out);
 
+/* ---- Counters with labels ---- */
+
+#define LD_TALLY_LABELS_MAX 3
+
+/** struct ld_tally_spec - what is counted, by which labels */
+struct ld_tally_spec {
+	const char *name;
+	const char *help;
+	const char *labels[LD_TALLY_LABELS_MAX];
+	size_t label_count;
+};
+
+struct ld_tally;
+
+/** ld_tally_new() - @spec must outlive it */
+struct ld_tally *ld_tally_new(const struct ld_tally_spec *spec);
+void ld_tally_free(struct ld_tally *t);
+/**
+ * ld_tally_add() - count one
+ * @values: of the labels, in their order
+ *
+ * Rows are bounded: beyond that the labels are counted as "other".
+ */
+void ld_tally_add(struct ld_tally *t, const char *const *values);
+/** ld_tally_get() - 0 when it was never counted */
+uint64_t ld_tally_get(struct ld_tally *t, const char *const *values);
+/** ld_tally_write() - in the text exposition format */
+void ld_tally_write(const struct ld_tally *t, struct ld_buf *out);
+
 /* ---- Service-level burn ---- */
 
 /** enum ld_objective - what is promised to callers */
--- a/lib/relay/finish.c
+++ b/lib/relay/finish.c
@@ -8,13 +8,16 @@
 #define LOG_ONE_IN 16
 
 void
-request_log_end(
+request_note_end(
     struct request *q, const char *outcome, long code, const char *why)
 {
 	char id[LD_EVENT_TOKEN_BYTES];
 	uint64_t now = relay_now(q->relay);
 	bool fine = strcmp(outcome, "answered") == 0;
 
+	counts_ended(q, outcome);
+	if (fine)
+		counts_sent(q, outcome);
 	if (fine)
 		ld_metrics_observe(q->relay->metrics, LD_L_RELAY_ANSWER,
 		    (double)(now - q->start_ms));
@@ -62,7 +65,7 @@
 	request_cancel_send(q);
 	if (q->begun) {
 		relay_count(q->relay, LD_M_RELAY_BROKEN);
-		request_log_end(q, "broken", 0, why);
+		request_note_end(q, "broken", 0, why);
 		ld_exchange_abort(x);
 		request_free(q);
 		return;
@@ -72,7 +75,7 @@
 	else if (relay_now(q->relay) >= q->end_ms)
 		code = 504;
 	relay_count(q->relay, LD_M_FAILED);
-	request_log_end(q, "failed", code, why);
+	request_note_end(q, "failed", code, why);
 	listen_refuse(q->relay, x, code, why, code == 503 ? retry_after_ms : 0);
 	request_free(q);
 }
@@ -83,7 +86,7 @@
 	struct ld_exchange *x = release_exchange(q);
 
 	relay_count(q->relay, LD_M_RELAY_ANSWERED);
-	request_log_end(q, "answered", q->answer.code, "-");
+	request_note_end(q, "answered", q->answer.code, "-");
 	ld_exchange_answer(x, (unsigned int)q->answer.code, NULL,
 	    answer_headers(&q->answer), ld_buf_str(&q->answer.body));
 	request_free(q);
@@ -95,16 +98,17 @@
 	struct ld_exchange *x = release_exchange(q);
 
 	relay_count(q->relay, LD_M_RELAY_ANSWERED);
-	request_log_end(q, "answered", q->answer.code, "-");
+	request_note_end(q, "answered", q->answer.code, "-");
 	ld_exchange_end(x);
 	request_free(q);
 }
 
 void
-request_log_failed(struct request *q, const char *why, const char *next)
+request_note_failed(struct request *q, const char *why, const char *next)
 {
 	char id[LD_EVENT_TOKEN_BYTES];
 
+	counts_sent(q, why);
 	ld_event("send.failed",
 	    "id=%s server=%s why=%s code=%ld ms=%llu next=%s last_event=%lld",
 	    ld_event_token(ld_str_c(q->attempt_id), id),
--- a/lib/relay/ready.c
+++ b/lib/relay/ready.c
@@ -79,6 +79,7 @@
 
 	bring_up_to_date(a->relay);
 	ld_metrics_write(a->relay->metrics, &b);
+	counts_write(a->relay, &b);
 	ld_exchange_answer(x, 200, "text/plain", NULL, ld_buf_str(&b));
 	ld_buf_free(&b);
 }
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -21,6 +21,7 @@
 #define RELAY_GROUPS_PREFIX "lavenderdrift/groups/"
 
 struct control;
+struct counts;
 struct feed;
 struct follow;
 struct leader;
@@ -68,6 +69,7 @@
 	bool stopping;
 	bool refusing; /* the stop has begun too long ago to take requests */
 	struct ld_metrics *metrics;
+	struct counts *counts;
 };
 
 static inline uint64_t
@@ -233,6 +235,13 @@
 void records_told(
     struct relay *r, struct ld_str group, const struct ld_store_kv *kv);
 
+/* ---- counts.c ---- */
+
+void counts_open(struct relay *r);
+void counts_close(struct relay *r);
+/** counts_write() - in the text exposition format */
+void counts_write(const struct relay *r, struct ld_buf *out);
+
 /* ---- ready.c ---- */
 
 enum ld_status ready_open(struct relay *r);
--- a/lib/relay/repeats.c
+++ b/lib/relay/repeats.c
@@ -96,7 +96,7 @@
 {
 	if (!may_repeat(q))
 		return false;
-	request_log_failed(q, why, "repeat");
+	request_note_failed(q, why, "repeat");
 	relay_count(
 	    q->relay, q->begun ? LD_M_RELAY_RESUMED : LD_M_RELAY_REPEATS);
 	request_cancel_send(q);
@@ -109,7 +109,7 @@
 {
 	if (request_repeat(q, why))
 		return;
-	request_log_failed(q, why, "give-up");
+	request_note_failed(q, why, "give-up");
 	request_fail(q, why, RETRY_AFTER_MS);
 }
 
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -55,6 +55,7 @@
 	for (size_t i = 0; i < q->tried_count; i++)
 		free(q->tried[i]);
 	free(q->attempt_id);
+	free(q->route);
 	free(q->account);
 	free(q->service);
 	free(q->model);
@@ -67,6 +68,7 @@
 hold_server(struct request *q, struct ld_server *s)
 {
 	q->server = s;
+	counts_note_send(q, s);
 	s->holds++;
 	s->active++;
 	ld_dispatch_prompt_sent(
@@ -253,6 +255,7 @@
 	q->model = copy_of(ld_exchange_header(x, fields[LD_FIELD_MODEL]));
 	q->account =
 	    copy_of(facts->account != NULL ? facts->account->name : NULL);
+	q->route = copy_of(rule->name);
 	q->priority = priority_of(facts, r->dialect->priority_last);
 	q->service = ld_str_dup(facts->service);
 	q->kind = rule->kind;
@@ -284,7 +287,7 @@
 request_gone(struct request *q)
 {
 	relay_count(q->relay, LD_M_HANGUPS);
-	request_log_end(q, "gone", 0, "client-left");
+	request_note_end(q, "gone", 0, "client-left");
 	q->x = NULL;
 	request_free(q);
 }
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -43,6 +43,7 @@
 	struct relay *relay;
 	struct ld_exchange *x; /* NULL once answered or gone */
 	char *attempt_id;
+	char *route;
 	char *account;
 	char *service;
 	char *model;
@@ -57,6 +58,7 @@
 	/* The send under way. */
 	struct ld_http_call *call;
 	struct ld_server *server;
+	char group[LD_GROUP_NAME_MAX]; /* of the last send, "-" for none */
 	uint64_t sent_ms;
 	uint64_t heard_ms; /* last bytes of this send, 0 for none */
 	uint64_t predicted_ms;
@@ -112,11 +114,20 @@
 /** request_pass_on() - the whole answer of a server */
 void request_pass_on(struct request *q);
 void request_end_stream(struct request *q);
-/** request_log_end() - the line of its end */
-void request_log_end(
+/** request_note_end() - log and count its end */
+void request_note_end(
     struct request *q, const char *outcome, long code, const char *why);
-/** request_log_failed() - a send ended without an answer to pass on */
-void request_log_failed(struct request *q, const char *why, const char *next);
+/** request_note_failed() - log and count a send without an answer to pass on */
+void request_note_failed(struct request *q, const char *why, const char *next);
+
+/* ---- counts.c ---- */
+
+/** counts_ended() - the request has ended */
+void counts_ended(const struct request *q, const char *outcome);
+/** counts_note_send() - a send to @s begins */
+void counts_note_send(struct request *q, const struct ld_server *s);
+/** counts_sent() - it has ended */
+void counts_sent(const struct request *q, const char *result);
 
 /* ---- lines.c ---- */
 
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -219,6 +219,7 @@
 	r->store_http = ld_http_new(r->loop);
 	r->servers = ld_servers_new();
 	r->metrics = ld_metrics_new();
+	counts_open(r);
 	ld_event("start", "node=%s zone=%s initial=%d", settings->name,
 	    settings->failure_domain, settings->initial);
 	control_open(r);
@@ -260,6 +261,7 @@
 	ld_servers_free(r->servers);
 	ld_routes_free(r->routes);
 	ld_metrics_free(r->metrics);
+	counts_close(r);
 	ld_relay_settings_free(r->settings);
 	ld_loop_free(r->loop);
 	ld_event("end", "status=%s", ld_status_name(st));
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -1,5 +1,5 @@
 /* The world around one relay. */
-#include <arpa/inet.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -232,6 +232,25 @@
 	_exit(1);
 }
 
+void
+start_relay_unread(void)
+{
+	int ends[2];
+
+	CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+	/* The smallest there is: it is full after some lines. */
+	CU_ASSERT_FATAL(fcntl(ends[1], F_SETPIPE_SZ, 4096) >= 4096);
+	relay = fork();
+	if (relay == 0) {
+		dup2(ends[1], STDOUT_FILENO);
+		execl(program, program, "relay", "-c", settings_path,
+		    (char *)NULL);
+		_exit(1);
+	}
+	/* The reading end stays open, so that writing is no error. */
+	close(ends[1]);
+}
+
 void
 wait_until_serving(void)
 {
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -37,6 +37,8 @@
 void close_all(void);
 /** start_relay() - again, after it has ended */
 void start_relay(void);
+/** start_relay_unread() - the same, its log goes into a pipe that fills up */
+void start_relay_unread(void);
 void run_for(uint64_t ms);
 void wait_until_serving(void);
 
--- a/tests/faults/test_relay.c
+++ b/tests/faults/test_relay.c
@@ -189,6 +189,18 @@
 	CU_ASSERT(counted(&c, "\nld_relay_worst_gap_ms_count "));
 	CU_ASSERT(counted(&c, "\nld_relay_answer_ms_count "));
 	CU_ASSERT(counted(&c, "\nld_relay_config_version "));
+	CU_ASSERT(counted(&c,
+	    "\nld_relay_ended_by_route_total{route=\"r1\",service=\"desk\","
+	    "outcome=\"answered\"} "));
+	CU_ASSERT(counted(&c,
+	    "\nld_relay_ended_by_route_total{route=\"r2\",service=\"desk\","
+	    "outcome=\"failed\"} "));
+	CU_ASSERT(counted(&c,
+	    "\nld_relay_ended_by_account_total{account=\"shop\","
+	    "outcome=\"answered\"} "));
+	CU_ASSERT(counted(&c,
+	    "\nld_relay_sends_by_group_total{group=\"-\",result=\"answered\"}"
+	    " "));
 	ld_buf_free(&c.body);
 }
 
@@ -328,6 +340,35 @@
 	free(c);
 }
 
+#define FLOOD 300
+
+/*
+ * Nobody reads the log: lines find no room, and are counted. No request waits
+ * for them.
+ */
+static void
+test_nobody_reads_the_log(void)
+{
+	struct client c;
+	int status = 0;
+
+	start_relay_unread();
+	wait_until_serving();
+	set_servers(REFUSES, REFUSES);
+	/* Each is refused, with some lines in the log. */
+	for (int i = 0; i < FLOOD; i++)
+		CU_ASSERT_EQUAL(code_of("POST", "/book/a", "k1"), 503);
+	set_servers(SERVES, SERVES);
+	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+	c = call_at(metrics_address, "GET", "/metrics", "");
+	CU_ASSERT(counted(&c, "\nld_log_dropped_lines "));
+	ld_buf_free(&c.body);
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, &status, WNOHANG), relay);
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -349,6 +390,7 @@
 	    {"repeats are used up", test_repeats_are_used_up},
 	    {"a stop cuts nothing", test_a_stop_cuts_nothing},
 	    {"a stop under load", test_a_stop_under_load},
+	    {"nobody reads the log", test_nobody_reads_the_log},
 	    {NULL, NULL},
 	};
 	int rc;
--- a/tests/unit/test_metrics.c
+++ b/tests/unit/test_metrics.c
@@ -102,12 +102,72 @@
 	ld_burn_free(b);
 }
 
+static const struct ld_tally_spec tally_spec = {
+    .name = "ld_test_total",
+    .help = "Counted here.",
+    .labels = {"account", "outcome"},
+    .label_count = 2,
+};
+
+static void
+test_counters_with_labels(void)
+{
+	const char *odd[] = {"a\"b\\c\nd", "served"};
+	const char *plain[] = {"shop", "served"};
+	const char *never[] = {"shop", "failed"};
+	struct ld_tally *t = ld_tally_new(&tally_spec);
+	struct ld_buf b = {0};
+
+	ld_tally_add(t, odd);
+	ld_tally_add(t, plain);
+	ld_tally_add(t, plain);
+	CU_ASSERT_EQUAL(ld_tally_get(t, plain), 2);
+	CU_ASSERT_EQUAL(ld_tally_get(t, never), 0);
+	ld_tally_write(t, &b);
+	CU_ASSERT_PTR_NOT_NULL(strstr(ld_buf_cstr(&b),
+	    "ld_test_total{account=\"shop\",outcome=\"served\"} 2\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(ld_buf_cstr(&b),
+	    "ld_test_total{account=\"a\\\"b\\\\c\\nd\","
+	    "outcome=\"served\"} 1\n"));
+	ld_buf_free(&b);
+	ld_tally_free(t);
+}
+
+/* Labels that callers choose can't fill the memory. */
+static void
+test_rows_are_bounded(void)
+{
+	const char *other[] = {"other", "other"};
+	struct ld_tally *t = ld_tally_new(&tally_spec);
+	char name[16];
+	const char *values[] = {name, "served"};
+	size_t lines = 0;
+	struct ld_buf b = {0};
+
+	for (int i = 0; i < 10000; i++) {
+		snprintf(name, sizeof(name), "a%d", i);
+		ld_tally_add(t, values);
+	}
+	ld_tally_write(t, &b);
+	for (size_t i = 0; i < b.len; i++)
+		lines += b.p[i] == '\n';
+	CU_ASSERT(lines <= 2048 + 3);
+	/* Nothing is lost: the rest is counted together. */
+	CU_ASSERT_EQUAL(ld_tally_get(t, other), 10000 - 2048);
+	snprintf(name, sizeof(name), "a1");
+	CU_ASSERT_EQUAL(ld_tally_get(t, values), 1);
+	ld_buf_free(&b);
+	ld_tally_free(t);
+}
+
 int
 main(void)
 {
 	static const struct ld_test_case cases[] = {
 	    {"the page lists every counter", test_page_lists_every_counter},
 	    {"a histogram counts up", test_histogram_counts_up},
+	    {"counters with labels", test_counters_with_labels},
+	    {"rows are bounded", test_rows_are_bounded},
 	    {"burn leaves its windows", test_burn_leaves_its_windows},
 	    {"the goal of a caller goes first",
 		test_goal_of_a_caller_goes_first},
