relay: a gap in what is known casts doubt on entries that vanish

Cause: found by reading. A node that follows a delegate notices an outage later than one that watches: it is refused after up to 1.4 s and its own call then takes 1.8 s to fail. The outage it counted was shorter than the 0.8 s from which vanished entries are doubted, so entries that had lapsed were taken for servers that are gone, and requests were refused until they were back (up to 2 s).

Change: what counts is the age of what was known when the first change after it is told, against the age that it has as a rule: two waits and a pause, or what a follower knows at worst, with 0.3 s of slack.

Test: "entries lapse in an outage" in tests/faults/test_follow; followers 1 and 2 refused before, all three serve now.

--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -38,6 +38,11 @@
 #define ENTRIES_BACK_MS 2100
 /* A watch that is lost for less is no outage in which entries lapse, ms. */
 #define OUTAGE_MS 800
+/* What is known is seldom older than the waits and pauses on its way; beyond
+ * that, with this slack, the store was away, ms. Of a node that follows: two
+ * waits and the pause of the delegate, the wait of its answer and a pause. */
+#define AGE_SLACK_MS 300
+#define FOLLOWED_AGE_MS 1550
 /* After its own watch failed a node is no delegate for peers for so long, ms: an
  * outage or a cut takes some seconds, and peers should not change to and fro. */
 #define NOT_DELEGATE_MS 5000
@@ -52,6 +57,7 @@
 	uint64_t doubt_until_ms; /* entries that vanish may come back */
 	bool control_exists;
 	uint64_t failed_ms; /* the own watch failed last, 0: it did not */
+	uint64_t usual_age_ms; /* what was known grows no older, as a rule */
 };
 
 static struct feed *
@@ -160,6 +166,43 @@
 	    "server.gone", "server=%s why=%s", ld_event_token(id, text), why);
 }
 
+/* ---- How often the store is asked ---- */
+
+static uint64_t
+watch_pause_ms(const struct relay *r)
+{
+	uint64_t ms = mesh_nodes(r) * WATCH_PAUSE_PER_NODE_MS;
+
+	uint64_t bound = r->settings->drain_ms < r->settings->config_apply_ms
+	    ? r->settings->drain_ms
+	    : r->settings->config_apply_ms;
+
+	bound = bound * WATCH_PAUSE_BOUND_PERCENT / 100;
+	if (leader_holds(r))
+		return WATCH_PAUSE_HOLDER_MS;
+	if (share_is_used(r))
+		return WATCH_PAUSE_MIN_MS;
+	if (ms < WATCH_PAUSE_MIN_MS)
+		ms = WATCH_PAUSE_MIN_MS;
+	return ms < bound ? ms : bound;
+}
+
+static uint64_t
+watch_wait_ms(const struct relay *r)
+{
+	return share_is_used(r) ? WATCH_WAIT_SHARED_MS : WATCH_WAIT_MS;
+}
+
+static uint64_t
+usual_age_ms(const struct relay *r)
+{
+	uint64_t ms = 2 * watch_wait_ms(r) + watch_pause_ms(r);
+
+	if (!ld_store_watch_asks(&r->feed->watch))
+		ms = FOLLOWED_AGE_MS;
+	return ms + AGE_SLACK_MS;
+}
+
 /* ---- The watch ---- */
 
 static void
@@ -217,6 +260,19 @@
 	return false;
 }
 
+/*
+ * Entries that lapse in an outage vanish with the first change after it, which a
+ * node that follows may be told before it has noticed an outage at all.
+ */
+static void
+doubt_after_gap(struct feed *f)
+{
+	uint64_t now = relay_now(f->relay);
+
+	if (f->known && now > f->current_ms + f->usual_age_ms)
+		f->doubt_until_ms = now + ENTRIES_BACK_MS;
+}
+
 static void
 regained(struct feed *f)
 {
@@ -239,6 +295,7 @@
 {
 	struct feed *f = feed_of(w);
 
+	doubt_after_gap(f);
 	regained(f);
 	f->control_exists = false;
 	mesh_read_anew(f->relay);
@@ -260,6 +317,7 @@
 {
 	struct feed *f = feed_of(w);
 
+	doubt_after_gap(f);
 	take_key(f, kv, deleted);
 	control_servers_changed(f->relay);
 }
@@ -291,6 +349,7 @@
 	regained(f);
 	if (since_ms > f->current_ms)
 		f->current_ms = since_ms;
+	f->usual_age_ms = usual_age_ms(f->relay);
 	if (!f->known && !f->relay->settings->initial && f->doubt_until_ms == 0)
 		f->doubt_until_ms = relay_now(f->relay) + ENTRIES_BACK_MS;
 	f->known = true;
@@ -373,31 +432,10 @@
 	return NULL;
 }
 
-static uint64_t
-watch_pause_ms(const struct relay *r)
-{
-	uint64_t ms = mesh_nodes(r) * WATCH_PAUSE_PER_NODE_MS;
-
-	uint64_t bound = r->settings->drain_ms < r->settings->config_apply_ms
-	    ? r->settings->drain_ms
-	    : r->settings->config_apply_ms;
-
-	bound = bound * WATCH_PAUSE_BOUND_PERCENT / 100;
-	if (leader_holds(r))
-		return WATCH_PAUSE_HOLDER_MS;
-	if (share_is_used(r))
-		return WATCH_PAUSE_MIN_MS;
-	if (ms < WATCH_PAUSE_MIN_MS)
-		ms = WATCH_PAUSE_MIN_MS;
-	return ms < bound ? ms : bound;
-}
-
 void
 feed_tick(struct relay *r)
 {
-	ld_store_set_poll(r->store,
-	    share_is_used(r) ? WATCH_WAIT_SHARED_MS : WATCH_WAIT_MS,
-	    watch_pause_ms(r));
+	ld_store_set_poll(r->store, watch_wait_ms(r), watch_pause_ms(r));
 	ld_servers_sweep(r->servers, relay_now(r));
 }
 
--- a/tests/faults/test_follow.c
+++ b/tests/faults/test_follow.c
@@ -182,6 +182,29 @@
 	CU_ASSERT_EQUAL(code_of(2, s.key_count - 1), 200);
 }
 
+/*
+ * Found by reading: a node that follows notices an outage later than one that
+ * watches, and took entries that had lapsed in it for servers that are gone.
+ */
+static void
+test_entries_lapse_in_an_outage(void)
+{
+	run_for(3000);
+	ld_kv_store_silence(s.store, true);
+	run_for(2700);
+	for (int i = 0; i < SOAK_SERVERS; i++)
+		soak_server_delete_entry(&s.servers[i]);
+	ld_kv_store_silence(s.store, false);
+	run_for(700);
+	for (int i = 0; i < SOAK_RELAYS; i++)
+		CU_ASSERT_EQUAL(code_of(i, s.key_count - 1), 200);
+	for (int i = 0; i < SOAK_SERVERS; i++)
+		soak_server_put_entry(&s.servers[i], "ready");
+	run_for(3000);
+	for (int i = 0; i < SOAK_RELAYS; i++)
+		CU_ASSERT_EQUAL(code_of(i, s.key_count - 1), 200);
+}
+
 static void
 test_the_delegate_is_killed(void)
 {
@@ -210,6 +233,7 @@
 	    {"a follower is cut off", test_a_follower_is_cut_off},
 	    {"an entry vanishes in an outage",
 		test_an_entry_vanishes_in_an_outage},
+	    {"entries lapse in an outage", test_entries_lapse_in_an_outage},
 	    {"the delegate is killed", test_the_delegate_is_killed},
 	    {NULL, NULL},
 	};
