tests: a datagram is compared member by member

Change: the number, the flag, both counts and both arrays whole are compared, which is as strict: every member is named.

--- a/tests/unit/test_relay_parts.c
+++ b/tests/unit/test_relay_parts.c
@@ -177,7 +177,12 @@
 	/* The longest one fits into what is read at once. */
 	CU_ASSERT(b.len <= 2048);
 	CU_ASSERT_FATAL(mesh_read(ld_buf_str(&b), &back));
-	CU_ASSERT_EQUAL(memcmp(&d, &back, sizeof(d)), 0);
+	CU_ASSERT_EQUAL(back.number, d.number);
+	CU_ASSERT_EQUAL(back.can_watch, d.can_watch);
+	CU_ASSERT_EQUAL(back.load_count, d.load_count);
+	CU_ASSERT_EQUAL(memcmp(back.loads, d.loads, sizeof(d.loads)), 0);
+	CU_ASSERT_EQUAL(back.alarm_count, d.alarm_count);
+	CU_ASSERT_EQUAL(memcmp(back.alarms, d.alarms, sizeof(d.alarms)), 0);
 	CU_ASSERT(!mesh_read((struct ld_str){b.p, b.len - 1}, &back));
 	ld_buf_add(&b, "x", 1);
 	CU_ASSERT(!mesh_read(ld_buf_str(&b), &back));
