--- a/tests/faults/ld_soak_world.c
+++ b/tests/faults/ld_soak_world.c
@@ -210,13 +210,9 @@
 		open_relay(s, i, store_at);
 }
 
-void
-soak_close(struct soak *s)
+static void
+drop_work(struct soak *s)
 {
-	ld_http_free(s->http);
-	for (int i = 0; i < SOAK_RELAYS; i++)
-		unlink(s->relays[i].settings);
-	ld_session_end(&s->session);
 	while (s->work != NULL) {
 		struct soak_work *w = s->work;
 
@@ -227,8 +223,20 @@
 		}
 		free(w);
 	}
-	/* The connections of the processes that were killed end. */
+}
+
+void
+soak_close(struct soak *s)
+{
+	ld_http_free(s->http);
+	for (int i = 0; i < SOAK_RELAYS; i++)
+		unlink(s->relays[i].settings);
+	ld_session_end(&s->session);
+	drop_work(s);
+	/* The connections of the processes that were killed end; requests that
+	 * lay in them are still taken. */
 	ld_loop_run_for(s->loop, CLOSE_MS);
+	drop_work(s);
 	for (int i = 0; i < SOAK_SERVERS; i++)
 		ld_listener_free(s->servers[i].listener);
 	ld_kv_store_free(s->store);
