settings, relay: numbers of any kind start a node; servers that say they leave

Ruled out: rounding in the template (it has no arithmetic); mending the one field (each bound may be a fraction, null, zero or very large).

Change: rows of numbers that the platform chooses say in which direction they are rounded, to where the node promises less; each adjusted value has a line in the log. Two bounds that nothing read (stall_ms, heartbeat_ms) are gone. Numbers of a configuration may be fractions too. A server that said that it leaves gets no new request, whatever its entry says until it starts anew; one that asked for a pause is passed over for so long, and clients are told when it ends.

--- a/lib/dialect/ld_dialect.h
+++ b/lib/dialect/ld_dialect.h
@@ -19,6 +19,7 @@
 	LD_FIELD_ACCOUNT, /* name of the client account, for servers */
 	LD_FIELD_EXPECT_SERVER, /* any other server must refuse */
 	LD_FIELD_NOT_RUN, /* the server says that it did not run it */
+	LD_FIELD_LEAVING, /* the server that answers takes no new request soon */
 	LD_FIELD_MODEL,
 	LD_FIELD_TOKENS, /* "PROMPT,LONGEST_ANSWER" */
 	LD_FIELD_PRIORITY, /* how urgent it is, 0 to @priority_last */
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -151,6 +151,7 @@
     struct ld_dispatch_choice *out)
 {
 	const struct ld_engine_spec *e = &rq->service->engine;
+	uint64_t asked_ms = 0; /* the soonest that a server wants requests */
 	double best = 0;
 
 	*out = (struct ld_dispatch_choice){.retry_after_ms = RETRY_AFTER_MS};
@@ -160,6 +161,12 @@
 
 		if (!can_take(servers, rq, s))
 			continue;
+		/* Not even where there is no other. */
+		if (now_ms < s->refuses_until_ms) {
+			if (asked_ms == 0 || s->refuses_until_ms < asked_ms)
+				asked_ms = s->refuses_until_ms;
+			continue;
+		}
 		out->candidates++;
 		cost = cost_of(rq, s, now_ms, ld_rand_unit(rand));
 		if (out->server != NULL && cost >= best)
@@ -167,8 +174,11 @@
 		best = cost;
 		out->server = s;
 	}
-	if (out->server == NULL)
+	if (out->server == NULL) {
+		if (asked_ms > 0)
+			out->retry_after_ms = asked_ms - now_ms;
 		return LD_DISPATCH_NO_SERVER;
+	}
 	if (now_ms < out->server->suspect_until_ms ||
 	    was_tried(rq, out->server))
 		return LD_DISPATCH_NO_SERVER;
@@ -253,6 +263,13 @@
 		s->suspect_until_ms = now_ms + FULL_MS;
 }
 
+void
+ld_dispatch_retry_after(struct ld_server *s, uint64_t now_ms, uint64_t after_ms)
+{
+	if (s->refuses_until_ms < now_ms + after_ms)
+		s->refuses_until_ms = now_ms + after_ms;
+}
+
 void
 ld_dispatch_answered(struct ld_server *s, uint64_t now_ms)
 {
--- a/lib/dispatch/ld_dispatch.h
+++ b/lib/dispatch/ld_dispatch.h
@@ -100,6 +100,9 @@
 void ld_dispatch_failed(struct ld_server *s, uint64_t now_ms);
 /** ld_dispatch_full() - the server refused the request without running it */
 void ld_dispatch_full(struct ld_server *s, uint64_t now_ms);
+/** ld_dispatch_retry_after() - the server asked for no request for so long */
+void ld_dispatch_retry_after(
+    struct ld_server *s, uint64_t now_ms, uint64_t after_ms);
 /** ld_dispatch_answered() - a sound answer came */
 void ld_dispatch_answered(struct ld_server *s, uint64_t now_ms);
 
--- a/lib/relay/answer.c
+++ b/lib/relay/answer.c
@@ -1,10 +1,15 @@
 /* The answer of a server: which are sound, and what is passed on. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include "request_internal.h"
 
+/* A server is passed over for so long at most, s: a longer wait is an error of
+ * the server, and an hour outlives any of its lives. */
+#define RETRY_AFTER_MAX_S 3600
+
 /* Fields that concern one connection only (RFC 9110, 7.6.1). */
 static const char *const connection_fields[] = {"Connection", "Keep-Alive",
     "Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE", "Trailer",
@@ -36,6 +41,24 @@
 	*a = (struct answer){0};
 }
 
+/* Seconds, with or without a fraction; a date (RFC 9110, 10.2.3) and what can't
+ * be read count as not told. */
+static uint64_t
+read_retry_after_ms(struct ld_str value)
+{
+	char text[32], *end = NULL;
+	double s;
+
+	if (value.len == 0 || value.len >= sizeof(text))
+		return 0;
+	snprintf(text, sizeof(text), "%.*s", LD_FMT(value));
+	s = strtod(text, &end);
+	if (end == text || *end != '\0' || !(s > 0))
+		return 0;
+	return s < RETRY_AFTER_MAX_S ? (uint64_t)(s * 1000.0 + 0.5)
+				     : RETRY_AFTER_MAX_S * 1000ULL;
+}
+
 void
 answer_field(struct answer *a, const struct ld_dialect *d,
     const char *attempt_id, struct ld_str name, struct ld_str value)
@@ -47,6 +70,10 @@
 	a->is_signed |= is_field(name, d->fields[LD_FIELD_SIGNATURE]);
 	a->not_run |= is_field(name, d->fields[LD_FIELD_NOT_RUN]);
 	a->encoded |= is_field(name, "Content-Encoding");
+	if (is_field(name, d->fields[LD_FIELD_LEAVING]))
+		a->leaving = ld_str_eq(value, LD_STR("1"));
+	if (is_field(name, "Retry-After"))
+		a->retry_after_ms = read_retry_after_ms(value);
 	if (is_connection_field(name) || a->field_count == ANSWER_FIELDS_MAX)
 		return;
 	a->fields[2 * a->field_count] = ld_str_dup(name);
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -17,6 +17,8 @@
 	bool attempt_id_matches;
 	bool is_signed;
 	bool not_run; /* the server says that it did not run the request */
+	bool leaving; /* the server says that it leaves */
+	uint64_t retry_after_ms; /* it wants nothing for so long, 0: not told */
 	bool encoded;
 };
 
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -33,6 +33,22 @@
 
 /* ---- Settings that change ---- */
 
+static void
+note_adjusted(const struct ld_relay_settings *s)
+{
+	struct ld_str rest = ld_buf_str(&s->adjusted);
+
+	while (rest.len > 0) {
+		const char *end = memchr(rest.p, '\n', rest.len);
+		size_t n = end != NULL ? (size_t)(end - rest.p) : rest.len;
+
+		ld_event("settings.adjusted", "%.*s", (int)n, rest.p);
+		n += end != NULL;
+		rest.p += n;
+		rest.len -= n;
+	}
+}
+
 static void
 reload(struct process *p, const char *why)
 {
@@ -44,6 +60,7 @@
 		ld_relay_settings_free(r->settings);
 		r->settings = fresh;
 		ld_event("settings.applied", "why=%s", why);
+		note_adjusted(fresh);
 	} else {
 		ld_event("settings.refused", "why=%s faults=\"%.400s\"", why,
 		    ld_buf_cstr(&faults));
@@ -222,6 +239,7 @@
 	counts_open(r);
 	ld_event("start", "node=%s zone=%s initial=%d", settings->name,
 	    settings->failure_domain, settings->initial);
+	note_adjusted(settings);
 	control_open(r);
 	leader_open(r);
 	st = listen_open(r);
--- a/lib/relay/settle.c
+++ b/lib/relay/settle.c
@@ -25,12 +25,38 @@
 		q->server->heard_ms = now;
 }
 
+/* What the head of an answer says of its server, beside the answer itself. One
+ * that is answered by another server (421) says nothing of the one meant. */
+static void
+note_server_state(struct request *q)
+{
+	const struct answer *a = &q->answer;
+	struct ld_server *s = q->server;
+
+	if (s == NULL || a->code == 421)
+		return;
+	if (a->leaving && !s->entry.leaving) {
+		ld_servers_note_leaving(s);
+		ld_event("server.leaving", "id=%s server=%s code=%ld",
+		    q->attempt_id, s->entry.id, a->code);
+		control_servers_changed(q->relay);
+	}
+	if (a->code == 503 && a->retry_after_ms > 0) {
+		ld_dispatch_retry_after(
+		    s, relay_now(q->relay), a->retry_after_ms);
+		ld_event("server.retry_after",
+		    "id=%s server=%s retry_after_ms=%llu", q->attempt_id,
+		    s->entry.id, (unsigned long long)a->retry_after_ms);
+	}
+}
+
 static void
 on_head(struct ld_http_sink *s, long code, struct ld_str type)
 {
 	struct request *q = request_of(s);
 
 	q->answer.code = code;
+	note_server_state(q);
 	if (q->kind == LD_KIND_STREAM && code == 200 &&
 	    answer_verdict(&q->answer) == ANSWER_FOREIGN) {
 		request_note_maybe_ran(q);
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -67,6 +67,8 @@
  *	those of other processes included
  * @sent_tokens: prompt tokens that this process has sent there, ever
  * @suspect_until_ms: gets no new request before, after a failure
+ * @refuses_until_ms: it asked for no request before, whatever its entry says
+ * @said_leaving: it said so in an answer; its entry may tell it later
  * @heard_ms: last byte of an answer
  * @due_ms: a request under way should have got a byte by then, 0 for none
  * @silent: its requests stand still
@@ -87,6 +89,8 @@
 	double read_until_ms;
 	uint64_t sent_tokens;
 	uint64_t suspect_until_ms;
+	uint64_t refuses_until_ms;
+	bool said_leaving;
 	unsigned int failures;
 	uint64_t heard_ms;
 	uint64_t due_ms;
@@ -121,6 +125,8 @@
 void ld_servers_note_member(struct ld_servers *t, const char *id,
     const char *address, const char *service, const struct ld_membership *m,
     uint64_t now_ms);
+/** ld_servers_note_leaving() - it said so itself: it takes no new request */
+void ld_servers_note_leaving(struct ld_server *s);
 struct ld_server *ld_servers_find(struct ld_servers *t, struct ld_str id);
 /** ld_servers_find_hash() - by id_hash; NULL when there is none */
 struct ld_server *ld_servers_find_hash(struct ld_servers *t, uint32_t id_hash);
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -133,9 +133,12 @@
 	if (s->entry.born_ms != e->born_ms) {
 		s->suspect_until_ms = 0;
 		s->failures = 0;
+		s->said_leaving = false;
 	}
 	ld_server_entry_fini(&s->entry);
 	s->entry = *e;
+	/* An entry that was written before the server began to leave. */
+	s->entry.leaving |= s->said_leaving;
 	*e = (struct ld_server_entry){0};
 	s->listed = true;
 	s->doubt_until_ms = 0;
@@ -162,6 +165,13 @@
 	ld_servers_remove(t, ld_str_c(id), now_ms);
 }
 
+void
+ld_servers_note_leaving(struct ld_server *s)
+{
+	s->said_leaving = true;
+	s->entry.leaving = true;
+}
+
 void
 ld_servers_remove(struct ld_servers *t, struct ld_str id, uint64_t now_ms)
 {
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -110,7 +110,7 @@
 	LD_SETTING_ADDRESS_LIST,
 	LD_SETTING_STRING_LIST,
 	LD_SETTING_UINT,
-	LD_SETTING_RATIO, /* 0 to 1, kept in 1/1000 */
+	LD_SETTING_RATIO, /* a number, kept in 1/1000 */
 	LD_SETTING_SECONDS, /* a number of seconds, kept in ms */
 	LD_SETTING_BOOL,
 	LD_SETTING_SERVICES,
@@ -118,10 +118,19 @@
 	LD_SETTING_OBJECTIVES
 };
 
+/** enum ld_rounding - numbers that a member's field can't hold as they are */
+enum ld_rounding {
+	LD_ROUND_NONE, /* they are faults */
+	LD_ROUND_DOWN, /* fractions are cut off; what is too large counts as max */
+	LD_ROUND_UP /* fractions count as the next whole number, else the same */
+};
+
 /**
  * struct ld_setting - one row of the table of members
  * @path: "section.member"
  * @min, @max: bounds of a number, or of a string's or list's length
+ * @rounding: of numbers that the platform chooses: the direction in which the
+ *	node promises less or waits longer
  * @fallback: JSON text of the default; NULL when the member is required
  * @doc: one sentence with the unit
  */
@@ -133,6 +142,7 @@
 	uint64_t max;
 	const char *fallback;
 	const char *doc;
+	enum ld_rounding rounding;
 };
 
 /** ld_settings_table() - the table, ended by a row whose path is NULL */
@@ -158,8 +168,12 @@
 
 /* ---- Settings of a relay (programs/relay.c) ---- */
 
-/** struct ld_relay_settings - everything a relay is told at its start */
+/**
+ * struct ld_relay_settings - everything a relay is told at its start
+ * @adjusted: a line for each member whose value was rounded or bounded
+ */
 struct ld_relay_settings {
+	struct ld_buf adjusted;
 	char *name;
 	char *failure_domain;
 	bool initial;
@@ -176,11 +190,9 @@
 	uint64_t drain_ms;
 	uint64_t grace_ms;
 	uint64_t config_apply_ms;
-	uint64_t stall_ms;
 	uint64_t repeat_permille; /* of bounds.repeat_ratio */
 	uint64_t repeat_extra;
 	uint64_t repeat_window_ms;
-	uint64_t heartbeat_ms;
 };
 
 /** ld_relay_settings_table() - the table, ended by a row without path */
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 #define FILE_MAX_BYTES 1048576
 #define SHOWN_MAX_BYTES 60
 #define SUGGESTION_CANDIDATES_MAX 64
+#define THOUSANDTHS 1000.0
 
 /* ---- Faults ---- */
 
@@ -121,10 +123,37 @@
 	return true;
 }
 
+/* Any number that isn't negative: a whole one within the row's bounds is kept
+ * as it is, others are adjusted, which is told. */
+static bool
+read_rounded(struct check *ck, const struct ld_setting *row, const json_t *v,
+    double units, uint64_t *out)
+{
+	double n = json_number_value(v) * units;
+	double whole =
+	    row->rounding == LD_ROUND_UP ? ceil(n - 1e-6) : floor(n + 1e-6);
+	char *text;
+
+	if (!json_is_number(v) || n < 0)
+		return false;
+	if (whole < (double)row->min)
+		whole = (double)row->min;
+	if (whole > (double)row->max)
+		whole = (double)row->max;
+	*out = (uint64_t)whole;
+	if (fabs(whole - n) <= 1e-6 || ck->adjusted == NULL)
+		return true;
+	text = json_dumps(v, JSON_ENCODE_ANY | JSON_COMPACT);
+	ld_buf_printf(ck->adjusted, "member=%s found=%.*s used=%g\n", row->path,
+	    SHOWN_MAX_BYTES, text != NULL ? text : "?", whole / units);
+	free(text);
+	return true;
+}
+
 static bool
 read_thousandths(const json_t *v, const struct ld_setting *row, uint64_t *out)
 {
-	double n = json_number_value(v) * 1000.0;
+	double n = json_number_value(v) * THOUSANDTHS;
 
 	if (!json_is_number(v) || n < (double)row->min || n > (double)row->max)
 		return false;
@@ -159,6 +188,10 @@
 {
 	const char *type = ld_setting_type_name(row->type);
 
+	if (row->rounding != LD_ROUND_NONE) {
+		snprintf(out, size, "a number from 0");
+		return;
+	}
 	switch (row->type) {
 	case LD_SETTING_UINT:
 	case LD_SETTING_STRING:
@@ -187,6 +220,10 @@
 {
 	char *field = (char *)ck->out + row->offset;
 
+	if (row->rounding != LD_ROUND_NONE)
+		return read_rounded(ck, row, v,
+		    row->type == LD_SETTING_UINT ? 1.0 : THOUSANDTHS,
+		    (uint64_t *)field);
 	switch (row->type) {
 	case LD_SETTING_STRING:
 		return read_string(v, row, (char **)field);
@@ -237,6 +274,9 @@
 	json_t *fallback = NULL;
 	char allowed[PATH_MAX_BYTES];
 
+	/* What the platform has no value for is rendered as null. */
+	if (json_is_null(v) && row->fallback != NULL)
+		v = NULL;
 	allowed_text(row, allowed, sizeof(allowed));
 	if (v == NULL && row->fallback == NULL) {
 		settings_fault(ck, row->path, NULL, allowed);
@@ -314,10 +354,14 @@
 /* Checks @text by a table into @out, a zeroed struct that the table is of. */
 static enum ld_status
 parse_by_table(struct ld_str text, const char *file,
-    const struct ld_setting *table, void *out, struct ld_buf *faults)
+    const struct ld_setting *table, void *out, struct ld_buf *faults,
+    struct ld_buf *adjusted)
 {
-	struct check ck = {
-	    .file = file, .faults = faults, .table = table, .out = out};
+	struct check ck = {.file = file,
+	    .faults = faults,
+	    .table = table,
+	    .out = out,
+	    .adjusted = adjusted};
 	json_error_t err;
 	json_t *root;
 
@@ -347,7 +391,7 @@
 	enum ld_status st;
 
 	*out = NULL;
-	st = parse_by_table(text, file, ld_settings_table(), s, faults);
+	st = parse_by_table(text, file, ld_settings_table(), s, faults, NULL);
 	if (st == LD_OK)
 		*out = s;
 	else
@@ -398,7 +442,7 @@
 
 	if (st == LD_OK)
 		st = parse_by_table(ld_buf_str(&text), file,
-		    ld_relay_settings_table(), s, faults);
+		    ld_relay_settings_table(), s, faults, &s->adjusted);
 	ld_buf_free(&text);
 	*out = st == LD_OK ? s : NULL;
 	if (st != LD_OK)
@@ -434,6 +478,7 @@
 	for (const struct ld_setting *r = ld_relay_settings_table();
 	     r->path != NULL; r++)
 		row_fini(s, r);
+	ld_buf_free(&s->adjusted);
 	free(s);
 }
 
--- a/lib/settings/settings_internal.h
+++ b/lib/settings/settings_internal.h
@@ -14,6 +14,8 @@
 	struct ld_buf *faults;
 	const struct ld_setting *table;
 	struct ld_settings *out; /* or another struct that @table describes */
+	struct ld_buf
+	    *adjusted; /* lines on values that were adjusted, or NULL */
 	unsigned int fault_count;
 };
 
--- a/lib/settings/table.c
+++ b/lib/settings/table.c
@@ -4,7 +4,7 @@
 #define ROW(path, type, member, min, max, fallback, doc)                       \
 	{                                                                      \
 		path, LD_SETTING_##type, offsetof(struct ld_settings, member), \
-		    min, max, fallback, doc                                    \
+		    min, max, fallback, doc, LD_ROUND_NONE                     \
 	}
 
 #define NAME_MAX_BYTES 64
--- a/tests/faults/ld_relay_server.h
+++ b/tests/faults/ld_relay_server.h
@@ -12,11 +12,17 @@
 /** Events of a whole stream. */
 #define RELAY_EVENTS 6
 
+/** The pause that a server asks for. */
+#define RELAY_PAUSE_MS 1500
+#define RELAY_PAUSE_S "1.5"
+
 /** enum behaviour - what a server does with a request */
 enum behaviour {
 	SERVES,
 	FAILS, /* 500 of its own */
 	REFUSES, /* has not run it */
+	ASKS_FOR_A_PAUSE, /* the same, and wants nothing for RELAY_PAUSE_MS */
+	LEAVES, /* serves, and says that it leaves */
 	BREAKS_OFF, /* closes without an answer */
 	ANSWERS_ANOTHER, /* the answer names another request */
 	CUTS_STREAM, /* in the middle of the fourth event */
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -44,6 +44,8 @@
 
 /** set_servers() - what they do from now on; forgets what arrived */
 void set_servers(enum behaviour first, enum behaviour second);
+/** put_entry() - the server's own entry, which says that it is ready */
+void put_entry(const struct server *s, int sequence);
 /** arrivals() - requests that both servers got since set_servers() */
 unsigned int arrivals(void);
 
--- a/tests/faults/test_relay.c
+++ b/tests/faults/test_relay.c
@@ -284,6 +284,51 @@
 	CU_ASSERT(arrivals() >= 30 && arrivals() <= 30 + 16);
 }
 
+/*
+ * A server says in its answers that it leaves, before its entry does: it gets
+ * nothing more, also when an entry that it wrote earlier is told after that.
+ */
+static void
+test_a_server_that_says_it_leaves(void)
+{
+	set_servers(LEAVES, SERVES);
+	put_entry(&servers[0], 2);
+	run_for(600);
+	for (int i = 0; i < 30; i++)
+		CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+	CU_ASSERT_EQUAL(servers[0].arrivals, 1);
+	put_entry(&servers[0], 3);
+	run_for(600);
+	for (int i = 0; i < 30; i++)
+		CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+	CU_ASSERT_EQUAL(servers[0].arrivals, 1);
+}
+
+/* A server that asks for a pause gets it, and clients are told of it. */
+static void
+test_a_server_that_asks_for_a_pause(void)
+{
+	struct client c;
+
+	set_servers(SERVES, ASKS_FOR_A_PAUSE);
+	c = call("GET", "/look/a", "k1");
+	CU_ASSERT_EQUAL(c.code, 503);
+	CU_ASSERT_EQUAL(servers[1].arrivals, 1);
+	ld_buf_free(&c.body);
+	for (int ms = 0; ms < RELAY_PAUSE_MS - 300; ms += 100) {
+		run_for(100);
+		c = call("GET", "/look/a", "k1");
+		CU_ASSERT_EQUAL(c.code, 503);
+		CU_ASSERT(c.retry_after_s > 0);
+		CU_ASSERT(c.retry_after_s * 1000 <= RELAY_PAUSE_MS);
+		ld_buf_free(&c.body);
+	}
+	CU_ASSERT_EQUAL(servers[1].arrivals, 1);
+	run_for(600);
+	set_servers(SERVES, SERVES);
+	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+}
+
 static void
 test_a_stop_cuts_nothing(void)
 {
@@ -388,6 +433,9 @@
 	    {"entries", test_entries},
 	    {"a store outage", test_store_outage},
 	    {"repeats are used up", test_repeats_are_used_up},
+	    {"a server that says it leaves", test_a_server_that_says_it_leaves},
+	    {"a server that asks for a pause",
+		test_a_server_that_asks_for_a_pause},
 	    {"a stop cuts nothing", test_a_stop_cuts_nothing},
 	    {"a stop under load", test_a_stop_under_load},
 	    {"nobody reads the log", test_nobody_reads_the_log},
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -88,6 +88,29 @@
 	ld_routes_free(r);
 }
 
+/* A configuration is not refused for a fraction or a very large number. */
+static void
+test_numbers_of_operators(void)
+{
+	static const char text[] =
+	    "{\"version\":3,\"route_table\":[{\"host\":\"h\",\"prefix\":\"/\","
+	    "\"type\":\"idempotent\",\"service\":\"s\",\"timeout_ms\":1500.75,"
+	    "\"target_latency_ms\":1e30,\"max_attempts\":2.0}],"
+	    "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":3.25,"
+	    "\"usual\":{\"answer\":152.5},\"models\":[]}}],"
+	    "\"limits\":{\"max_body_bytes\":0.5}}";
+	struct ld_routes *r = NULL;
+
+	CU_ASSERT_EQUAL_FATAL(dialect()->read_routes(LD_STR(text), &r), LD_OK);
+	CU_ASSERT_EQUAL(r->rules[0].timeout_ms, 1500);
+	CU_ASSERT_EQUAL(r->rules[0].objective_ms, 86400000);
+	CU_ASSERT_EQUAL(r->rules[0].attempts, 2);
+	CU_ASSERT_EQUAL(r->services[0].engine.slots, 3);
+	CU_ASSERT_EQUAL(r->services[0].engine.usual_answer, 152);
+	CU_ASSERT_EQUAL(r->bounds.max_body_bytes, 0);
+	ld_routes_free(r);
+}
+
 static void
 test_broken_routes(void)
 {
@@ -434,6 +457,7 @@
 	static const struct ld_test_case cases[] = {
 	    {"routes", test_routes},
 	    {"too many models", test_too_many_models},
+	    {"numbers of operators", test_numbers_of_operators},
 	    {"broken configurations", test_broken_routes},
 	    {"a server's entry", test_server},
 	    {"foreign entries", test_foreign_entries},
--- a/tests/unit/test_relay_parts.c
+++ b/tests/unit/test_relay_parts.c
@@ -100,6 +100,40 @@
 	return v;
 }
 
+static struct answer
+answer_of(const char *name, const char *value)
+{
+	struct answer a = {.code = 503};
+
+	answer_field(
+	    &a, ld_platform_dialect(), ID, ld_str_c(name), ld_str_c(value));
+	return a;
+}
+
+static void
+test_what_servers_say_of_themselves(void)
+{
+	static const struct {
+		const char *value;
+		uint64_t ms;
+	} rows[] = {{"2", 2000}, {"0.25", 250}, {"0", 0}, {"-1", 0},
+	    {"soon", 0}, {"2x", 0}, {"", 0},
+	    {"Fri, 04 Dec 2026 08:00:00 GMT", 0}, {"1e9", 3600000}, {"nan", 0}};
+	struct answer a;
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		a = answer_of("retry-after", rows[i].value);
+		CU_ASSERT_EQUAL(a.retry_after_ms, rows[i].ms);
+		answer_reset(&a);
+	}
+	a = answer_of("server-leaving", "1");
+	CU_ASSERT(a.leaving);
+	answer_reset(&a);
+	a = answer_of("Server-Leaving", "0");
+	CU_ASSERT(!a.leaving);
+	answer_reset(&a);
+}
+
 static void
 test_answers(void)
 {
@@ -223,6 +257,8 @@
 	    {"events split anywhere", test_events_split_anywhere},
 	    {"half an event", test_half_an_event},
 	    {"ids that are none", test_ids_that_are_none},
+	    {"what servers say of themselves",
+		test_what_servers_say_of_themselves},
 	    {"answers", test_answers},
 	    {"datagrams", test_datagrams},
 	    {"mutated datagrams", test_mutated_datagrams},
