--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -20,11 +20,19 @@
 #define WATCH_PAUSE_HOLDER_MS 40
 #define WATCH_PAUSE_MIN_MS 150
 #define WATCH_PAUSE_PER_NODE_MS 20
+/* While all nodes start for the first time each one's entry is a change, and
+ * followers are about to find their delegates, ms. */
+#define WATCH_PAUSE_START_MS 800
+#define START_MS 3000
 /* At most this part of the bounds for leaving servers and configurations. */
 #define WATCH_PAUSE_BOUND_PERCENT 45
 /* Longest wait of a call where peers follow, ms: they know of its end later. */
 #define WATCH_WAIT_SHARED_MS 400
 #define CALL_TIMEOUT_MS 1000
+/* Of a poll beyond its wait, ms: the store at a sixtieth of its usual pace, and
+ * one lost packet. Shorter than that of a call: whoever hangs in an outage knows
+ * of its end that much later. */
+#define POLL_TIMEOUT_MS 600
 #define CONNECT_TIMEOUT_MS 500
 #define BACKOFF_MIN_MS 50
 #define BACKOFF_MAX_MS 400
@@ -55,9 +63,10 @@
 	bool known;
 	uint64_t lost_ms; /* since when the watch is lost, 0: it is not */
 	uint64_t doubt_until_ms; /* entries that vanish may come back */
-	bool control_exists;
+	char control_holder[LD_GROUP_NAME_MAX]; /* empty: the key is absent */
 	uint64_t failed_ms; /* the own watch failed last, 0: it did not */
 	uint64_t usual_age_ms; /* what was known grows no older, as a rule */
+	uint64_t opened_ms;
 };
 
 static struct feed *
@@ -171,8 +180,8 @@
 static uint64_t
 watch_pause_ms(const struct relay *r)
 {
+	const struct feed *f = r->feed;
 	uint64_t ms = mesh_nodes(r) * WATCH_PAUSE_PER_NODE_MS;
-
 	uint64_t bound = r->settings->drain_ms < r->settings->config_apply_ms
 	    ? r->settings->drain_ms
 	    : r->settings->config_apply_ms;
@@ -184,6 +193,9 @@
 		return WATCH_PAUSE_MIN_MS;
 	if (ms < WATCH_PAUSE_MIN_MS)
 		ms = WATCH_PAUSE_MIN_MS;
+	if (r->settings->initial && f->known && ms < WATCH_PAUSE_START_MS &&
+	    relay_now(r) < f->opened_ms + START_MS)
+		ms = WATCH_PAUSE_START_MS;
 	return ms < bound ? ms : bound;
 }
 
@@ -238,7 +250,9 @@
 
 		records_told(r, name, deleted ? NULL : kv);
 	} else if (ld_str_eq(kv->key, LD_STR(RELAY_CONTROL_KEY))) {
-		f->control_exists = !deleted;
+		snprintf(f->control_holder, sizeof(f->control_holder), "%.*s",
+		    deleted ? 0 : (int)kv->value.len,
+		    deleted ? "" : kv->value.p);
 	}
 }
 
@@ -297,7 +311,7 @@
 
 	doubt_after_gap(f);
 	regained(f);
-	f->control_exists = false;
+	f->control_holder[0] = '\0';
 	mesh_read_anew(f->relay);
 	records_read_anew(f->relay);
 	share_read_anew(f->relay, revision);
@@ -318,6 +332,8 @@
 	struct feed *f = feed_of(w);
 
 	doubt_after_gap(f);
+	/* Entries that lapsed in an outage are told before all else. */
+	regained(f);
 	take_key(f, kv, deleted);
 	control_servers_changed(f->relay);
 }
@@ -411,7 +427,13 @@
 feed_control_absent(const struct relay *r)
 {
 	return r->feed->known && r->feed->lost_ms == 0 &&
-	    !r->feed->control_exists;
+	    r->feed->control_holder[0] == '\0';
+}
+
+struct ld_str
+feed_control_holder(const struct relay *r)
+{
+	return ld_str_c(r->feed->control_holder);
 }
 
 bool
@@ -470,6 +492,7 @@
 	s.connect_timeout_ms = CONNECT_TIMEOUT_MS;
 	s.call_timeout_ms = CALL_TIMEOUT_MS;
 	s.poll_wait_ms = WATCH_WAIT_MS;
+	s.poll_timeout_ms = POLL_TIMEOUT_MS;
 	s.poll_pause_ms = WATCH_PAUSE_MIN_MS;
 	s.backoff_min_ms = BACKOFF_MIN_MS;
 	s.backoff_max_ms = BACKOFF_MAX_MS;
@@ -477,6 +500,7 @@
 	s.calls_burst = CALLS_BURST;
 	r->store = ld_store_new(r->loop, r->store_http, &s, r->dialect->codec);
 	f->relay = r;
+	f->opened_ms = relay_now(r);
 	f->watch.ops = &ops;
 	r->feed = f;
 	records_open(r);
--- a/lib/relay/follow.c
+++ b/lib/relay/follow.c
@@ -1,8 +1,9 @@
 /*
- * Follows the store through a peer: with many nodes one in each failure domain
- * watches the store, and the others ask that one. A node asks its peer while its
- * own watch goes on, and rests that watch from the first good answer until the
- * peer fails or is out of touch with the store itself.
+ * Follows the store through a peer: with many nodes the holder of the control
+ * lease watches the store, the aggregator of each failure domain asks the
+ * holder, and the others ask their aggregator. A node asks its peer while its own
+ * watch goes on, and rests that watch from the first good answer until the peer
+ * fails or is out of touch with the store itself.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -16,15 +17,16 @@
 #define CONNECT_TIMEOUT_MS 300
 /* The longest wait of an answer (share.c), and as much again for a peer that is
  * busy, ms. */
-#define ASK_TIMEOUT_MS 1000
+#define ASK_TIMEOUT_MS 700
 /* Changes that come one by one are told together, ms. */
 #define PAUSE_MS 100
 /* A peer that failed is not asked again for so long, ms: its own trouble is
  * over by then, or seen by the silence of its datagrams. */
 #define AVOID_MS 2000
-/* A peer whose own knowledge is older than this is out of touch, ms: two waits
- * of its watch and a pause. */
-#define AGE_MAX_MS 1400
+/* A peer whose own knowledge was older than this when it was asked is out of
+ * touch, ms: two waits of its watch and a pause, or an answer's wait, a pause and
+ * the age of what the holder of control told. */
+#define AGE_MAX_MS 1100
 /* Keys must be relied on for at least this long, ms: what a peer told may be
  * that old when it fails unseen, and the own watch takes a wait to catch up. */
 #define RELIED_MIN_MS 3000
@@ -87,8 +89,8 @@
 }
 
 /*
- * The peer's knowledge was so old when it answered, and it answered no earlier
- * than it was asked: its clock doesn't matter.
+ * The peer's knowledge was so old when it was asked, or it became current while
+ * the question waited: its clock doesn't matter.
  */
 static const char *
 take(struct follow *f, const struct changes_message *m)
@@ -104,10 +106,14 @@
 		return "out-of-touch";
 	c.current_ms = f->asked_ms > m->age_ms ? f->asked_ms - m->age_ms : 0;
 	/* The own watch was told more meanwhile: the next answer joins that. */
-	if (feed_take(f->relay, &c) != LD_OK)
+	if (feed_take(f->relay, &c) != LD_OK) {
 		f->next_ms = relay_now(f->relay) + PAUSE_MS;
-	else
-		follows(f, c.n > 0);
+		return NULL;
+	}
+	follows(f, c.n > 0);
+	/* Its own followers, if it aggregates, are told the same. */
+	if (f->delegate.holds_control)
+		share_told(f->relay, &c);
 	return NULL;
 }
 
@@ -174,6 +180,12 @@
 		delegate_failed(f, "address");
 }
 
+bool
+follow_is_direct(const struct relay *r)
+{
+	return r->follow->following && r->follow->delegate.holds_control;
+}
+
 /* Whether this node should follow another; sets which. */
 static bool
 find_delegate(struct follow *f, struct mesh_delegate *out)
--- a/lib/relay/mesh.c
+++ b/lib/relay/mesh.c
@@ -1,7 +1,7 @@
 /*
- * What the nodes tell each other: their load at each group, and groups whose
- * streams stand still. Datagrams of msgpack, sent to all nodes that have an
- * entry in the store. Losing them costs speed, never safety.
+ * What the nodes tell each other, as datagrams of msgpack among the nodes that
+ * have an entry in the store: the load at each group, and groups whose streams
+ * stand still. Who tells whom is decided in aggregate.c.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -13,157 +13,113 @@
 
 #include "mesh_internal.h"
 
-/* Between two datagrams to a node, ms: a few of them within the time of a first
- * event; with many nodes as many in all, so that a node's share is bounded. */
-#define TELL_MS 30
-#define TELL_PER_NODE_MS 2
-/* What a node told is used for so long, in times of the interval. */
-#define TOLD_INTERVALS 6
 /* Above the longest datagram: MESH_LOADS_MAX loads, MESH_ALARMS_MAX alarms. */
 #define DATAGRAM_BYTES 2048
 #define DATAGRAMS_PER_TURN 256
-/* An alarm is told for so long, ms: some datagrams may be lost. */
-#define ALARM_TOLD_MS 400
 
-uint64_t
-mesh_interval_ms(const struct mesh *m)
+static struct mesh *
+mesh_of(struct aggregate *a)
 {
-	uint64_t ms = m->peer_count * TELL_PER_NODE_MS;
-
-	return ms > TELL_MS ? ms : TELL_MS;
-}
-
-bool
-mesh_is_heard(const struct mesh *m, const struct peer *p, uint64_t now)
-{
-	return p->heard_ms != 0 &&
-	    now < p->heard_ms + mesh_interval_ms(m) * TOLD_INTERVALS;
+	return (struct mesh *)a;
 }
 
 /* ---- Telling ---- */
 
-static uint32_t
-heard_ago_ms(const struct ld_server *s, uint64_t now)
-{
-	uint64_t ago = now > s->heard_ms ? now - s->heard_ms : 0;
-
-	return ago < MESH_AGO_MAX_MS ? (uint32_t)ago : MESH_AGO_MAX_MS;
-}
-
 static void
-fill_loads(struct relay *r, struct mesh_datagram *d)
+send_to(struct mesh *m, const struct peer *p, struct ld_str bytes)
 {
-	uint64_t now = relay_now(r);
-
-	for (struct ld_server *s = ld_servers_first(r->servers);
-	     s != NULL && d->load_count < MESH_LOADS_MAX; s = s->next)
-		if (s->active > 0)
-			d->loads[d->load_count++] =
-			    (struct mesh_load){s->id_hash, s->active,
-				(uint32_t)s->sent_tokens, heard_ago_ms(s, now)};
+	/* A datagram that doesn't leave is as good as lost on the way. */
+	if (sendto(m->fd, bytes.p, bytes.len, MSG_DONTWAIT,
+		(const struct sockaddr *)&p->at, sizeof(p->at)) < 0) {
+		relay_count(m->relay, LD_M_RELAY_MESH_UNSENT);
+		return;
+	}
+	relay_count(m->relay, LD_M_RELAY_DATAGRAMS_OUT);
+	ld_metrics_add(m->relay->metrics, LD_M_PEER_BYTES_OUT, bytes.len);
 }
 
 static void
-tell(struct mesh *m)
+send_datagram(struct aggregate *a, struct peer *const *to, size_t n,
+    const struct mesh_datagram *d)
 {
-	struct mesh_datagram d = {
-	    .number = ++m->number,
-	    .can_watch = feed_can_watch(m->relay),
-	};
 	struct ld_buf bytes = {0};
 
-	fill_loads(m->relay, &d);
-	memcpy(d.alarms, m->alarms, m->alarm_count * sizeof(d.alarms[0]));
-	d.alarm_count = m->alarm_count;
-	mesh_write(&d, &bytes);
-	/* A datagram that doesn't leave is as good as lost on the way. */
-	for (size_t i = 0; i < m->peer_count; i++)
-		if (sendto(m->fd, bytes.p, bytes.len, MSG_DONTWAIT,
-			(struct sockaddr *)&m->peers[i].at,
-			sizeof(m->peers[i].at)) < 0)
-			relay_count(m->relay, LD_M_RELAY_MESH_UNSENT);
+	mesh_write(d, &bytes);
+	for (size_t i = 0; i < n; i++)
+		send_to(mesh_of(a), to[i], ld_buf_str(&bytes));
 	ld_buf_free(&bytes);
 }
 
-static void
-forget_alarms(struct mesh *m, uint64_t now)
+void
+mesh_alarm(struct relay *r, const char *group, int64_t epoch)
 {
-	size_t n = 0;
-
-	for (size_t i = 0; i < m->alarm_count; i++) {
-		if (now >= m->alarmed_ms[i] + ALARM_TOLD_MS)
-			continue;
-		m->alarms[n] = m->alarms[i];
-		m->alarmed_ms[n++] = m->alarmed_ms[i];
-	}
-	m->alarm_count = n;
+	agg_alarm(&r->mesh->aggregate, group, epoch, relay_now(r));
 }
 
 void
-mesh_alarm(struct relay *r, const char *group, int64_t epoch)
+mesh_tick(struct relay *r)
 {
 	struct mesh *m = r->mesh;
-	struct mesh_alarm *a;
 
-	for (size_t i = 0; i < m->alarm_count; i++)
-		if (m->alarms[i].epoch == epoch &&
-		    strcmp(m->alarms[i].group, group) == 0)
-			return;
-	if (m->alarm_count == MESH_ALARMS_MAX)
-		return;
-	m->alarmed_ms[m->alarm_count] = relay_now(r);
-	a = &m->alarms[m->alarm_count++];
-	snprintf(a->group, sizeof(a->group), "%s", group);
-	a->epoch = epoch;
-	m->next_tell_ms = 0;
+	mesh_entry_tick(&m->entry, relay_now(r));
+	mesh_drop_unlisted(r);
+	m->aggregate.can_watch = feed_can_watch(r);
+	/* Settings may have been read again. */
+	m->aggregate.name = r->settings->name;
+	m->aggregate.from_nodes = r->settings->follow_from_nodes;
+	agg_tick(&m->aggregate, relay_now(r));
 }
 
 /* ---- Hearing ---- */
 
-static struct peer *
-peer_at(struct mesh *m, const struct sockaddr_in *from)
+static void
+on_prompt_sent(
+    struct aggregate *a, struct ld_server *s, uint64_t tokens, uint64_t now_ms)
 {
-	for (size_t i = 0; i < m->peer_count; i++)
-		if (m->peers[i].at.sin_port == from->sin_port &&
-		    m->peers[i].at.sin_addr.s_addr == from->sin_addr.s_addr)
-			return &m->peers[i];
-	return NULL;
+	struct relay *r = mesh_of(a)->relay;
+
+	if (r->routes == NULL)
+		return;
+	ld_dispatch_prompt_sent(
+	    ld_routes_service(r->routes, ld_str_c(s->entry.service)), s, tokens,
+	    now_ms);
 }
 
 static void
-take_datagram(struct mesh *m, struct peer *p, const struct mesh_datagram *d)
+on_alarm(struct aggregate *a, const struct mesh_alarm *alarm)
 {
-	uint64_t now = relay_now(m->relay);
+	struct relay *r = mesh_of(a)->relay;
+	struct ld_str group = ld_str_c(alarm->group);
 
-	/* Overtaken on the way. After a restart the numbers begin anew, and
-	 * the peer was silent for a while. */
-	if (d->number <= p->told && mesh_is_heard(m, p, now))
-		return;
-	p->told = d->number;
-	p->can_watch = d->can_watch;
-	p->heard_ms = now;
-	mesh_take_loads(m->relay, p, d);
-	for (size_t i = 0; i < d->alarm_count; i++) {
-		struct ld_str group = ld_str_c(d->alarms[i].group);
-
-		requests_alarm(m->relay, group, d->alarms[i].epoch);
-		control_alarm(m->relay, group, d->alarms[i].epoch);
-	}
+	requests_alarm(r, group, alarm->epoch);
+	control_alarm(r, group, alarm->epoch);
+}
+
+static struct peer *
+peer_at(struct aggregate *a, const struct sockaddr_in *from)
+{
+	for (size_t i = 0; i < a->peer_count; i++)
+		if (a->peers[i].at.sin_port == from->sin_port &&
+		    a->peers[i].at.sin_addr.s_addr == from->sin_addr.s_addr)
+			return &a->peers[i];
+	return NULL;
 }
 
 static void
 hear(
     struct mesh *m, const char *bytes, size_t n, const struct sockaddr_in *from)
 {
-	struct peer *p = peer_at(m, from);
+	struct peer *p = peer_at(&m->aggregate, from);
 	struct mesh_datagram d;
 
+	relay_count(m->relay, LD_M_RELAY_DATAGRAMS_IN);
+	ld_metrics_add(m->relay->metrics, LD_M_PEER_BYTES_IN, n);
 	/* Of a node that isn't listed, or not yet. */
 	if (p == NULL || !mesh_read((struct ld_str){bytes, n}, &d)) {
 		relay_count(m->relay, LD_M_RELAY_MESH_REFUSED);
 		return;
 	}
-	take_datagram(m, p, &d);
+	agg_take(&m->aggregate, p, &d, relay_now(m->relay));
 }
 
 static void
@@ -184,48 +140,37 @@
 	}
 }
 
-static void
-forget_silent(struct mesh *m, uint64_t now)
-{
-	for (size_t i = 0; i < m->peer_count; i++)
-		if (!mesh_is_heard(m, &m->peers[i], now))
-			mesh_forget_loads(m->relay, &m->peers[i]);
-}
-
-void
-mesh_tick(struct relay *r)
-{
-	struct mesh *m = r->mesh;
-	uint64_t now = relay_now(r);
-
-	mesh_entry_tick(&m->entry, now);
-	if (now < m->next_tell_ms)
-		return;
-	m->next_tell_ms = now + mesh_interval_ms(m);
-	forget_silent(m, now);
-	mesh_drop_unlisted(r);
-	forget_alarms(m, now);
-	tell(m);
-}
-
 /* ---- Start and end ---- */
 
 enum ld_status
 mesh_open(struct relay *r)
 {
+	static const struct agg_ops ops = {
+	    .send = send_datagram,
+	    .prompt_sent = on_prompt_sent,
+	    .alarm = on_alarm,
+	};
+	const struct ld_relay_settings *s = r->settings;
 	struct mesh *m = ld_alloc(sizeof(*m));
 	struct sockaddr_in at = {.sin_family = AF_INET};
 
+	m->aggregate = (struct aggregate){
+	    .ops = &ops,
+	    .name = s->name,
+	    .domain = agg_domain(ld_str_c(s->failure_domain)),
+	    .processor_permille = s->processor_permille,
+	    .from_nodes = s->follow_from_nodes,
+	    .servers = r->servers,
+	};
 	m->relay = r;
 	m->entry.relay = r;
 	r->mesh = m;
 	m->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	at.sin_port = htons((uint16_t)r->settings->peers_port);
-	inet_pton(AF_INET, r->settings->entry_listen.host, &at.sin_addr);
+	at.sin_port = htons((uint16_t)s->peers_port);
+	inet_pton(AF_INET, s->entry_listen.host, &at.sin_addr);
 	if (m->fd < 0 || bind(m->fd, (struct sockaddr *)&at, sizeof(at)) != 0)
 		return ld_fail(LD_E_IO, "port %llu of the peers: %s",
-		    (unsigned long long)r->settings->peers_port,
-		    strerror(errno));
+		    (unsigned long long)s->peers_port, strerror(errno));
 	ev_io_init(&m->io, on_io, m->fd, EV_READ);
 	m->io.data = m;
 	ev_io_start(ld_loop_ev(r->loop), &m->io);
@@ -243,6 +188,6 @@
 	ld_store_cancel(&m->entry.call);
 	if (m->fd >= 0)
 		close(m->fd);
-	free(m->peers);
+	agg_free(&m->aggregate);
 	free(m);
-}
+}
--- a/lib/relay/mesh_peers.c
+++ b/lib/relay/mesh_peers.c
@@ -1,26 +1,15 @@
-/* Peers, from their entries in the store, and which of them is the delegate. */
+/* Peers, from their entries in the store, and whom the store is followed by. */
 #include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "follow_choice.h"
 #include "mesh_internal.h"
 
-#define PEERS_MAX 512
 /* A node that is listed is taken to live for so long before it is heard, ms:
  * it waits for a configuration and for its own list of peers. */
 #define FIRST_HEARD_MS 5000
 
-static struct peer *
-find_peer(struct mesh *m, struct ld_str name)
-{
-	for (size_t i = 0; i < m->peer_count; i++)
-		if (ld_str_eq(ld_str_c(m->peers[i].name), name))
-			return &m->peers[i];
-	return NULL;
-}
-
 /* Takes what comes before the next space out of @text. */
 static struct ld_str
 next_word(struct ld_str *text)
@@ -47,8 +36,7 @@
 		return false;
 	snprintf(number, sizeof(number), "%.*s", LD_FMT(permille));
 	out->processor_permille = strtoull(number, NULL, 10);
-	out->same_domain =
-	    ld_str_eq(text, ld_str_c(r->settings->failure_domain));
+	out->domain = agg_domain(text);
 	out->at = (struct sockaddr_in){.sin_family = AF_INET};
 	out->at.sin_port = htons(a.port);
 	inet_pton(AF_INET, a.host, &out->at.sin_addr);
@@ -59,10 +47,10 @@
 void
 mesh_listed(struct relay *r, struct ld_str name, struct ld_str value)
 {
-	struct mesh *m = r->mesh;
+	struct aggregate *a = &r->mesh->aggregate;
 	struct peer entry;
 	char text[LD_EVENT_TOKEN_BYTES];
-	struct peer *p = find_peer(m, name);
+	struct peer *p;
 
 	if (ld_str_eq(name, ld_str_c(r->settings->name)))
 		return;
@@ -71,43 +59,36 @@
 		    ld_event_token(name, text));
 		return;
 	}
-	if (p == NULL && m->peer_count < PEERS_MAX) {
-		m->peers = ld_realloc(
-		    m->peers, (m->peer_count + 1) * sizeof(*m->peers));
-		p = &m->peers[m->peer_count++];
-		memset(p, 0, sizeof(*p));
-		snprintf(p->name, sizeof(p->name), "%.*s", LD_FMT(name));
-	}
-	if (p == NULL)
+	p = agg_peer_add(a, name, relay_now(r));
+	if (p == NULL) {
+		ld_event("peer.refused", "peer=%s why=\"too many nodes\"",
+		    ld_event_token(name, text));
 		return;
+	}
 	p->at = entry.at;
 	p->processor_permille = entry.processor_permille;
-	p->same_domain = entry.same_domain;
-	p->told = 0;
-	p->listed = true;
-	p->listed_ms = relay_now(r);
+	p->domain = entry.domain;
 	ld_event("peer.listed",
 	    "peer=%s peers=%zu processor_permille=%llu same_domain=%d",
-	    ld_event_token(name, text), m->peer_count,
-	    (unsigned long long)p->processor_permille, p->same_domain);
+	    ld_event_token(name, text), a->peer_count,
+	    (unsigned long long)p->processor_permille, p->domain == a->domain);
 }
 
 static void
 drop(struct relay *r, struct peer *p)
 {
-	struct mesh *m = r->mesh;
+	struct aggregate *a = &r->mesh->aggregate;
 	char text[LD_EVENT_TOKEN_BYTES];
 
-	mesh_forget_loads(r, p);
 	ld_event("peer.gone", "peer=%s peers=%zu",
-	    ld_event_token(ld_str_c(p->name), text), m->peer_count - 1);
-	*p = m->peers[--m->peer_count];
+	    ld_event_token(ld_str_c(p->name), text), a->peer_count - 1);
+	agg_peer_drop(a, p);
 }
 
 void
 mesh_unlisted(struct relay *r, struct ld_str name)
 {
-	struct peer *p = find_peer(r->mesh, name);
+	struct peer *p = agg_peer_find(&r->mesh->aggregate, name);
 
 	if (p != NULL)
 		drop(r, p);
@@ -116,67 +97,73 @@
 void
 mesh_read_anew(struct relay *r)
 {
-	for (size_t i = 0; i < r->mesh->peer_count; i++)
-		r->mesh->peers[i].listed = false;
+	struct aggregate *a = &r->mesh->aggregate;
+
+	for (size_t i = 0; i < a->peer_count; i++)
+		a->peers[i].listed = false;
 }
 
 void
 mesh_drop_unlisted(struct relay *r)
 {
-	struct mesh *m = r->mesh;
+	struct aggregate *a = &r->mesh->aggregate;
 	uint64_t now = relay_now(r);
 
 	/* One that still tells something has lost its entry in an outage, and
 	 * writes it again. */
-	for (size_t i = m->peer_count; i-- > 0;)
-		if (!m->peers[i].listed && !mesh_is_heard(m, &m->peers[i], now))
-			drop(r, &m->peers[i]);
+	for (size_t i = a->peer_count; i-- > 0;)
+		if (!a->peers[i].listed && !agg_is_heard(a, &a->peers[i], now))
+			drop(r, &a->peers[i]);
 }
 
 bool
 mesh_has_larger(const struct relay *r)
 {
-	const struct mesh *m = r->mesh;
+	const struct aggregate *a = &r->mesh->aggregate;
 	uint64_t now = relay_now(r);
 
-	for (size_t i = 0; i < m->peer_count; i++) {
-		const struct peer *p = &m->peers[i];
+	for (size_t i = 0; i < a->peer_count; i++) {
+		const struct peer *p = &a->peers[i];
 
-		if (p->processor_permille > r->settings->processor_permille &&
-		    (mesh_is_heard(m, p, now) ||
+		if (p->processor_permille > a->processor_permille &&
+		    (agg_is_heard(a, p, now) ||
 			now < p->listed_ms + FIRST_HEARD_MS))
 			return true;
 	}
 	return false;
 }
 
-/* ---- The peer whose watch is followed ---- */
+/* ---- The peer that the store is followed through ---- */
+
+/* A node that does not aggregate asks its aggregator. An aggregator asks the
+ * holder of the control lease, which watches the store in any case; without one
+ * it watches for itself, or asks a source if it can't. */
+static struct peer *
+find_delegate(const struct relay *r, bool *holds_control)
+{
+	const struct aggregate *a = &r->mesh->aggregate;
+	uint64_t now = relay_now(r);
+	struct peer *p = agg_choice(a, now);
+
+	*holds_control = false;
+	if (p != NULL)
+		return agg_is_heard(a, p, now) && p->can_watch ? p : NULL;
+	p = agg_peer_find(a, feed_control_holder(r));
+	*holds_control = p != NULL;
+	if (p == NULL && !feed_can_watch(r))
+		p = agg_best_watcher(a, now);
+	return p;
+}
 
 bool
 mesh_find_delegate(const struct relay *r, struct mesh_delegate *out)
 {
-	const struct mesh *m = r->mesh;
 	uint64_t now = relay_now(r);
-	struct follow_node *nodes =
-	    ld_alloc((m->peer_count + 1) * sizeof(*nodes));
+	struct peer *p = find_delegate(r, &out->holds_control);
 	char host[INET_ADDRSTRLEN];
-	const struct peer *p;
-	size_t best;
 
-	for (size_t i = 0; i < m->peer_count; i++) {
-		p = &m->peers[i];
-		nodes[i] = (struct follow_node){p->name, p->processor_permille,
-		    p->same_domain && p->can_watch && mesh_is_heard(m, p, now)};
-	}
-	nodes[m->peer_count] = (struct follow_node){r->settings->name,
-	    r->settings->processor_permille, feed_can_watch(r)};
-	best = follow_choose(nodes, m->peer_count + 1);
-	free(nodes);
-	if (best >= m->peer_count)
-		return false;
-	p = &m->peers[best];
 	/* The next best follows the same node: it is no delegate either. */
-	if (now < p->avoid_until_ms)
+	if (p == NULL || now < p->avoid_until_ms)
 		return false;
 	inet_ntop(AF_INET, &p->at.sin_addr, host, sizeof(host));
 	snprintf(out->name, sizeof(out->name), "%s", p->name);
@@ -188,7 +175,7 @@
 void
 mesh_avoid(struct relay *r, const char *name, uint64_t until_ms)
 {
-	struct peer *p = find_peer(r->mesh, ld_str_c(name));
+	struct peer *p = agg_peer_find(&r->mesh->aggregate, ld_str_c(name));
 
 	if (p != NULL)
 		p->avoid_until_ms = until_ms;
@@ -197,5 +184,5 @@
 size_t
 mesh_nodes(const struct relay *r)
 {
-	return r->mesh->peer_count + 1;
+	return r->mesh->aggregate.peer_count + 1;
 }
--- a/lib/relay/mesh_speech.c
+++ b/lib/relay/mesh_speech.c
@@ -1,4 +1,4 @@
-/* Datagrams between nodes: [number, can_watch, [[server, active, sent_tokens,
+/* Datagrams between nodes: [number, kind, can_watch, [[server, active, sent_tokens,
  * heard_ago]..], [[group, epoch]..]] in msgpack. */
 #include <msgpack.h>
 #include <string.h>
@@ -6,7 +6,7 @@
 #include "mesh_speech.h"
 #include "speech.h"
 
-#define DATAGRAM_FIELDS 4
+#define DATAGRAM_FIELDS 5
 
 void
 mesh_write(const struct mesh_datagram *d, struct ld_buf *out)
@@ -16,6 +16,7 @@
 	msgpack_packer_init(&pk, out, speech_append);
 	msgpack_pack_array(&pk, DATAGRAM_FIELDS);
 	msgpack_pack_uint64(&pk, d->number);
+	msgpack_pack_uint32(&pk, (uint32_t)d->kind);
 	if (d->can_watch)
 		msgpack_pack_true(&pk);
 	else
@@ -77,15 +78,18 @@
 read_datagram(const msgpack_object *o, struct mesh_datagram *out)
 {
 	const msgpack_object *loads, *alarms;
+	uint64_t kind;
 	size_t n;
 	const msgpack_object *v = speech_array(o, DATAGRAM_FIELDS, true, &n);
 
 	if (v == NULL || !speech_uint(&v[0], UINT64_MAX, &out->number) ||
-	    v[1].type != MSGPACK_OBJECT_BOOLEAN)
+	    !speech_uint(&v[1], MESH_KIND_COUNT - 1, &kind) ||
+	    v[2].type != MSGPACK_OBJECT_BOOLEAN)
 		return false;
-	out->can_watch = v[1].via.boolean;
-	loads = speech_array(&v[2], MESH_LOADS_MAX, false, &out->load_count);
-	alarms = speech_array(&v[3], MESH_ALARMS_MAX, false, &out->alarm_count);
+	out->kind = (enum mesh_kind)kind;
+	out->can_watch = v[2].via.boolean;
+	loads = speech_array(&v[3], MESH_LOADS_MAX, false, &out->load_count);
+	alarms = speech_array(&v[4], MESH_ALARMS_MAX, false, &out->alarm_count);
 	if (loads == NULL || alarms == NULL)
 		return false;
 	for (size_t i = 0; i < out->load_count; i++)
--- a/lib/relay/mesh_speech.h
+++ b/lib/relay/mesh_speech.h
@@ -4,14 +4,23 @@
 
 #include "ld_common.h"
 
-/* Groups with requests of one node, and alarms, in one datagram. */
+/* Groups with requests, and alarms, in one datagram. */
 #define MESH_LOADS_MAX 80
 #define MESH_ALARMS_MAX 8
 #define MESH_GROUP_NAME_MAX 64
 /* An age that is told is no longer than this, ms: fits into 16 bits. */
 #define MESH_AGO_MAX_MS 60000U
 
-/** struct mesh_load - requests of one node at one server */
+/** enum mesh_kind - whose requests a datagram tells */
+enum mesh_kind {
+	MESH_REPORT, /* the sender's, to its aggregator */
+	MESH_PARTIAL, /* the sender's and those of the nodes that report to it */
+	MESH_TOTAL, /* all that an aggregator knows of, to those that report */
+	MESH_PROBE, /* nobody's: asks an aggregator for its totals */
+	MESH_KIND_COUNT
+};
+
+/** struct mesh_load - requests at one server, of the nodes of the kind */
 struct mesh_load {
 	uint32_t server; /* id_hash of struct ld_server */
 	uint32_t active;
@@ -33,6 +42,7 @@
  */
 struct mesh_datagram {
 	uint64_t number;
+	enum mesh_kind kind;
 	bool can_watch;
 	struct mesh_load loads[MESH_LOADS_MAX];
 	size_t load_count;
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -30,6 +30,7 @@
 struct records;
 struct request;
 struct share;
+struct usage;
 
 /** struct service_budget - repeats of one service */
 struct service_budget {
@@ -70,6 +71,7 @@
 	bool refusing; /* the stop has begun too long ago to take requests */
 	struct ld_metrics *metrics;
 	struct counts *counts;
+	struct usage *usage;
 };
 
 static inline uint64_t
@@ -143,6 +145,8 @@
  */
 enum ld_status feed_take(
     struct relay *r, const struct ld_store_changes *changes);
+/** feed_control_holder() - its name as told last, empty: nobody holds it */
+struct ld_str feed_control_holder(const struct relay *r);
 /** feed_watch_store() - the own watch goes on, if it rests */
 void feed_watch_store(struct relay *r);
 
@@ -162,6 +166,8 @@
 void relay_follow_open(struct relay *r);
 void relay_follow_close(struct relay *r);
 void follow_tick(struct relay *r);
+/** follow_is_direct() - the store is followed through the holder of control */
+bool follow_is_direct(const struct relay *r);
 
 /* ---- leader.c ---- */
 
@@ -210,14 +216,17 @@
 struct mesh_delegate {
 	char name[LD_GROUP_NAME_MAX];
 	char address[32]; /* "IP:PORT" */
+	bool holds_control; /* as told last */
 };
 
 /**
- * mesh_find_delegate() - the node of this failure domain that watches the store
+ * mesh_find_delegate() - the node through which this one follows the store
  *
  * Return: false when that is this node or none, or when the node failed of late.
  */
 bool mesh_find_delegate(const struct relay *r, struct mesh_delegate *out);
+/** mesh_drop_unlisted() - peers without an entry that tell nothing any more */
+void mesh_drop_unlisted(struct relay *r);
 /** mesh_avoid() - that node is no delegate until then */
 void mesh_avoid(struct relay *r, const char *name, uint64_t until_ms);
 /** mesh_nodes() - nodes that are listed, this one included */
@@ -242,6 +251,13 @@
 /** counts_write() - in the text exposition format */
 void counts_write(const struct relay *r, struct ld_buf *out);
 
+/* ---- usage.c ---- */
+
+void usage_open(struct relay *r);
+void usage_close(struct relay *r);
+/** usage_tick() - a line in the log on what was used since the last one */
+void usage_tick(struct relay *r);
+
 /* ---- ready.c ---- */
 
 enum ld_status ready_open(struct relay *r);
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -27,6 +27,7 @@
 		return;
 	s->active--;
 	s->holds--;
+	s->load_changed_ms = relay_now(q->relay);
 	q->server = NULL;
 }
 
@@ -75,6 +76,8 @@
 	    ld_routes_service(q->relay->routes, ld_str_c(q->service)), s,
 	    q->prompt_tokens, relay_now(q->relay));
 	s->sent_tokens += q->prompt_tokens;
+	s->unseen_tokens += q->prompt_tokens;
+	s->unseen_ms = s->load_changed_ms = relay_now(q->relay);
 	if (q->tried_count < LD_DISPATCH_TRIED_MAX)
 		q->tried[q->tried_count++] = ld_strdup(s->entry.id);
 }
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -42,7 +42,7 @@
 		const char *end = memchr(rest.p, '\n', rest.len);
 		size_t n = end != NULL ? (size_t)(end - rest.p) : rest.len;
 
-		ld_event("settings.adjusted", "%.*s", (int)n, rest.p);
+		ld_event("settings.adjusted", "member=%.*s", (int)n, rest.p);
 		n += end != NULL;
 		rest.p += n;
 		rest.len -= n;
@@ -162,6 +162,7 @@
 	control_tick(r);
 	records_tick(r);
 	requests_check(r);
+	usage_tick(r);
 	check_stop(p);
 	ld_timer_after(ld_loop_timers(r->loop), t, TICK_MS);
 }
@@ -237,6 +238,7 @@
 	r->servers = ld_servers_new();
 	r->metrics = ld_metrics_new();
 	counts_open(r);
+	usage_open(r);
 	ld_event("start", "node=%s zone=%s initial=%d", settings->name,
 	    settings->failure_domain, settings->initial);
 	note_adjusted(settings);
@@ -280,6 +282,7 @@
 	ld_routes_free(r->routes);
 	ld_metrics_free(r->metrics);
 	counts_close(r);
+	usage_close(r);
 	ld_relay_settings_free(r->settings);
 	ld_loop_free(r->loop);
 	ld_event("end", "status=%s", ld_status_name(st));
--- a/lib/relay/share.c
+++ b/lib/relay/share.c
@@ -10,10 +10,9 @@
 #include "kept.h"
 #include "relay_internal.h"
 
-/* Longest wait of an answer, ms. An age that is told counts on with the time
- * that the answer takes, so that a peer knows less late than two waits of the
- * watch itself, for which the keys' margin has room. */
-#define ANSWER_WAIT_MS 500
+/* Longest wait of an answer, ms. What a node knows through two others is older
+ * by two of them, for which the keys' margin has room. */
+#define ANSWER_WAIT_MS 300
 /* A peer that follows asks again well before this, ms: an answer's wait, its
  * pause after changes, and a busy moment. */
 #define USED_MS 2000
@@ -58,15 +57,18 @@
 {
 	if (s->relay->stopping)
 		return "stopping\n";
-	if (!feed_watches(s->relay))
+	if (!feed_watches(s->relay) && !follow_is_direct(s->relay))
 		return "does not watch the store\n";
 	return NULL;
 }
 
+/* @since_ms: when the question came; the age that is told is as of then */
 static void
-answer(struct share *s, struct ld_exchange *x, int64_t after)
+answer(struct share *s, struct ld_exchange *x, int64_t after, uint64_t since_ms)
 {
 	const char *why = not_a_delegate(s);
+	uint64_t age_ms = feed_age_ms(s->relay);
+	uint64_t held_ms = relay_now(s->relay) - since_ms;
 	struct ld_buf b = {0};
 
 	if (why != NULL) {
@@ -81,7 +83,8 @@
 		refuse(s, x, 404, "that revision is not known here yet\n");
 		return;
 	}
-	kept_write(&s->kept, after, feed_age_ms(s->relay), &b);
+	kept_write(
+	    &s->kept, after, age_ms > held_ms ? age_ms - held_ms : 0, &b);
 	relay_count(s->relay, LD_M_RELAY_CHANGES_TOLD);
 	ld_exchange_answer(x, 200, CONTENT_TYPE, NULL, ld_buf_str(&b));
 	ld_buf_free(&b);
@@ -104,7 +107,7 @@
 			continue;
 		}
 		*at = a->next;
-		answer(s, a->exchange, a->after);
+		answer(s, a->exchange, a->after, a->since_ms);
 		free(a);
 	}
 }
@@ -144,7 +147,7 @@
 	s->used_ms = relay_now(s->relay);
 	if (not_a_delegate(s) != NULL || kept_lacks(&s->kept, after) ||
 	    kept_has_newer(&s->kept, after)) {
-		answer(s, x, after);
+		answer(s, x, after, s->used_ms);
 		return;
 	}
 	a = ld_alloc(sizeof(*a));
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -74,6 +74,12 @@
  * @silent: its requests stand still
  * @alarm_ms: when the holder of the control lease was told so
  * @peer_active, @peer_heard_ms: the same of other processes, as told last
+ * @source_active, @source_heard_ms, @source_tokens: of these, those processes
+ *	that report to this one, and the prompt tokens that they have sent
+ * @partial_tokens: prompt tokens of other processes, from partial sums
+ * @unseen_tokens, @unseen_ms: own ones that totals may not include yet, and when
+ *	the last were sent
+ * @load_changed_ms: one of the loads above
  */
 struct ld_server {
 	struct ld_server *next;
@@ -98,6 +104,13 @@
 	uint64_t alarm_ms;
 	unsigned int peer_active;
 	uint64_t peer_heard_ms;
+	unsigned int source_active;
+	uint64_t source_heard_ms;
+	uint64_t source_tokens;
+	uint64_t partial_tokens;
+	uint64_t unseen_tokens;
+	uint64_t unseen_ms;
+	uint64_t load_changed_ms;
 };
 
 struct ld_servers;
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -144,7 +144,7 @@
 	if (fabs(whole - n) <= 1e-6 || ck->adjusted == NULL)
 		return true;
 	text = json_dumps(v, JSON_ENCODE_ANY | JSON_COMPACT);
-	ld_buf_printf(ck->adjusted, "member=%s found=%.*s used=%g\n", row->path,
+	ld_buf_printf(ck->adjusted, "%s found=%.*s used=%g\n", row->path,
 	    SHOWN_MAX_BYTES, text != NULL ? text : "?", whole / units);
 	free(text);
 	return true;
--- a/lib/store/calls.c
+++ b/lib/store/calls.c
@@ -18,6 +18,16 @@
 	store_request_start(store_request_new(s, call, &op, prefix));
 }
 
+void
+ld_store_read_prefix_old(
+    struct ld_store *s, struct ld_store_call *call, struct ld_str prefix)
+{
+	struct ld_store_op op = {
+	    .kind = LD_STORE_OP_READ, .prefix = true, .serializable = true};
+
+	store_request_start(store_request_new(s, call, &op, prefix));
+}
+
 void
 ld_store_cas(struct ld_store *s, struct ld_store_call *call, struct ld_str key,
     struct ld_str value, struct ld_store_expect expect, int64_t lease)
--- a/lib/store/ld_store.h
+++ b/lib/store/ld_store.h
@@ -112,6 +112,7 @@
  * @connect_timeout_ms, @call_timeout_ms: bounds of one call
  * @watch_renew_ms: a watch is ended and read anew at least that often
  * @poll_wait_ms: longest wait of one call of a polled watch
+ * @poll_timeout_ms: of one call of a polled watch, beyond its wait
  * @poll_pause_ms: between two calls of a polled watch, so that changes which
  *	come one by one are told by one call
  * @backoff_min_ms, @backoff_max_ms: wait after a failure, doubled and jittered
@@ -126,6 +127,7 @@
 	uint64_t call_timeout_ms;
 	uint64_t watch_renew_ms;
 	uint64_t poll_wait_ms;
+	uint64_t poll_timeout_ms;
 	uint64_t poll_pause_ms;
 	uint64_t backoff_min_ms;
 	uint64_t backoff_max_ms;
@@ -177,6 +179,14 @@
 /** ld_store_read() - read one key; keys are given without the prefix */
 void ld_store_read(
     struct ld_store *s, struct ld_store_call *call, struct ld_str key);
+/**
+ * ld_store_read_prefix_old() - the same, answered by a copy of the store
+ *
+ * Cheaper than a read that must be current, and may be seconds old. LD_E_STALE
+ * when some page is older than what was seen before.
+ */
+void ld_store_read_prefix_old(
+    struct ld_store *s, struct ld_store_call *call, struct ld_str prefix);
 /** ld_store_read_prefix() - read all keys that start with @prefix */
 void ld_store_read_prefix(
     struct ld_store *s, struct ld_store_call *call, struct ld_str prefix);
--- a/lib/store/ld_store_codec.h
+++ b/lib/store/ld_store_codec.h
@@ -22,6 +22,7 @@
  * struct ld_store_op - one call before it is encoded; keys with the prefix
  * @after: key that ended the page before; empty for the first page
  * @wait_ms: how long a polled watch may be held
+ * @serializable: a copy of the store may answer a read with old data
  */
 struct ld_store_op {
 	enum ld_store_op_kind kind;
@@ -29,6 +30,7 @@
 	struct ld_str value;
 	struct ld_str after;
 	bool prefix;
+	bool serializable;
 	int64_t expected; /* mod_revision */
 	int64_t lease;
 	int64_t ttl_s;
--- a/lib/store/request.c
+++ b/lib/store/request.c
@@ -237,6 +237,13 @@
 		return;
 	}
 	st = codec->decode(&r->op, code, ld_buf_str(&r->answer), &d);
+	/* A copy that is behind is no fault of the store. */
+	if (st == LD_OK && r->op.serializable && d.revision < r->floor) {
+		store_connected(r->store);
+		finish_failed(r, LD_E_STALE, false);
+		ld_store_decoded_free(&d);
+		return;
+	}
 	if (st == LD_OK)
 		st = store_check_source(r->store, &d, r->floor);
 	if (st == LD_OK) {
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -62,6 +62,7 @@
 	    .call_timeout_ms = 2000,
 	    .watch_renew_ms = 30000,
 	    .poll_wait_ms = 2000,
+	    .poll_timeout_ms = 2000,
 	    .poll_pause_ms = 0,
 	    .backoff_min_ms = 100,
 	    .backoff_max_ms = 5000,
--- a/lib/store/watch.c
+++ b/lib/store/watch.c
@@ -12,6 +12,9 @@
 #define LINE_MAX_BYTES ((size_t)4 * 1024 * 1024)
 /* The renewal of many nodes spreads over this part of the interval. */
 #define RENEW_JITTER_DIVISOR 5
+/* The first poll after a read from a copy, or after a failure, ms: it shows at
+ * once what was missed, or that nothing was. */
+#define CATCH_UP_WAIT_MS 10
 
 struct store_watch {
 	struct ld_http_sink sink;
@@ -30,6 +33,9 @@
 	uint64_t stream_since_ms;
 	uint64_t poll_wait_ms; /* of the poll under way */
 	int64_t revision; /* all changes up to it were handed over */
+	bool from_copy; /* the read under way may be answered with old data */
+	bool catching_up; /* polls return soon until one has succeeded */
+	bool copy_behind; /* the last one was: the next must be current */
 	bool taking; /* changes come from elsewhere, the store isn't asked */
 };
 
@@ -169,7 +175,8 @@
 	    .key = key,
 	    .prefix = w->prefix,
 	    .start_revision = w->revision + 1,
-	    .wait_ms = w->store->settings.poll_wait_ms,
+	    .wait_ms = w->catching_up ? CATCH_UP_WAIT_MS
+				      : w->store->settings.poll_wait_ms,
 	};
 
 	return op;
@@ -204,6 +211,7 @@
 	    .current_ms = poll_current_ms(w, d),
 	};
 
+	w->catching_up = false;
 	store_strip_prefix(w->store, d);
 	if (!join(w, &changes))
 		return;
@@ -214,6 +222,14 @@
 		arm(w, d->n > 0 ? w->store->settings.poll_pause_ms : 0);
 }
 
+/* Whether the history that the watch needs is surely gone or not to be relied on,
+ * so that everything has to be read again. */
+static bool
+lost_track(enum ld_status st)
+{
+	return st == LD_E_CLOSED || st == LD_E_STALE || st == LD_E_PROTOCOL;
+}
+
 static void
 on_poll_done(struct store_watch *w, const struct ld_http_result *result)
 {
@@ -222,8 +238,11 @@
 	struct ld_store_decoded d = {0};
 	enum ld_status st = result->status;
 
+	/* A connection that ends says nothing of the history. */
 	if (st == LD_OK && !codec->answers(&op, result->code))
 		st = LD_E_UNAVAILABLE;
+	else if (st != LD_OK)
+		st = st == LD_E_TIMEOUT ? LD_E_TIMEOUT : LD_E_UNAVAILABLE;
 	if (st == LD_OK)
 		st = codec->decode(&op, result->code, ld_buf_str(&w->line), &d);
 	if (st == LD_OK && d.compacted)
@@ -235,7 +254,9 @@
 	if (st == LD_OK) {
 		on_poll_answer(w, &d);
 	} else {
-		w->polling = false;
+		w->polling = !lost_track(st);
+		w->copy_behind = true;
+		w->catching_up = true;
 		fail(w, st);
 	}
 	ld_store_decoded_free(&d);
@@ -285,7 +306,7 @@
 	if (wire.body.len > 0)
 		rq.body = ld_buf_str(&wire.body);
 	if (is_polled(w))
-		rq.total_timeout_ms = op.wait_ms + s->settings.call_timeout_ms;
+		rq.total_timeout_ms = op.wait_ms + s->settings.poll_timeout_ms;
 	if (is_polled(w))
 		s->counters.calls[LD_STORE_WATCH]++;
 	w->stream_since_ms = ld_loop_now(s->loop);
@@ -315,6 +336,11 @@
 	    offsetof(struct store_watch, read));
 	struct ld_store_watch *owner = w->owner;
 
+	if (a->status == LD_E_STALE && w->from_copy) {
+		w->copy_behind = true;
+		begin_read(w);
+		return;
+	}
 	if (a->status != LD_OK && a->status != LD_E_NOT_FOUND) {
 		fail(w, a->status);
 		return;
@@ -323,12 +349,14 @@
 	owner->ops->snapshot(owner, a->revision, a->kvs, a->n);
 	if (is_stopped(owner, w))
 		return;
-	if (owner->ops->current != NULL)
+	/* How old a copy was is known once the first poll has caught up. */
+	if (owner->ops->current != NULL && !w->from_copy)
 		owner->ops->current(owner, w->read_since_ms);
 	if (is_stopped(owner, w))
 		return;
 	if (is_polled(w)) {
 		w->polling = true;
+		w->catching_up = w->from_copy;
 		w->backoff.failures = 0;
 		begin_stream(w);
 		return;
@@ -347,7 +375,13 @@
 	struct ld_str key = ld_str_c(w->key);
 
 	w->read_since_ms = ld_loop_now(w->store->loop);
-	if (w->prefix)
+	/* Nothing is known yet that an old copy could take back, and the polls
+	 * that follow tell what it lacks. */
+	w->from_copy =
+	    w->prefix && is_polled(w) && w->revision == 0 && !w->copy_behind;
+	if (w->from_copy)
+		ld_store_read_prefix_old(w->store, &w->read, key);
+	else if (w->prefix)
 		ld_store_read_prefix(w->store, &w->read, key);
 	else
 		ld_store_read(w->store, &w->read, key);
@@ -412,6 +446,7 @@
 	ld_store_cancel(&w->read);
 	drop_stream(w);
 	w->taking = true;
+	w->catching_up = false;
 	/* What is known has no gap, so a read that was due is not needed. */
 	w->polling = true;
 	w->backoff.failures = 0;
--- a/tests/faults/ld_kv_store.c
+++ b/tests/faults/ld_kv_store.c
@@ -44,6 +44,8 @@
 	int64_t last_lease;
 	struct watch *watches;
 	bool silent;
+	json_t *copy; /* what serializable reads are told, or NULL */
+	unsigned int copy_reads;
 };
 
 /* ---- Items ---- */
@@ -268,6 +270,13 @@
 	json_decref(body);
 }
 
+static json_t *
+range_json(const struct ld_kv_store *s)
+{
+	return json_pack("{s:o, s:b, s:I}", "items", items_since(s, 0, false),
+	    "has_more", 0, "at", (json_int_t)s->revision);
+}
+
 static void
 on_request(struct ld_handler *h, struct ld_exchange *x)
 {
@@ -277,11 +286,12 @@
 		return;
 	if (is_call(x, CALL "watch"))
 		start_watch(s, x);
-	else if (is_call(x, CALL "range"))
-		answer(x, 200,
-		    json_pack("{s:o, s:b, s:I}", "items",
-			items_since(s, 0, false), "has_more", 0, "at",
-			(json_int_t)s->revision));
+	else if (is_call(x, CALL "range") && s->copy != NULL &&
+	    query_number(x, "serializable=") == 1) {
+		s->copy_reads++;
+		answer(x, 200, json_incref(s->copy));
+	} else if (is_call(x, CALL "range"))
+		answer(x, 200, range_json(s));
 	else if (strcmp(ld_exchange_method(x), "DELETE") == 0) {
 		end_lease(s,
 		    strtoll(strrchr(ld_exchange_path(x), '/') + 1, NULL, 10));
@@ -344,6 +354,7 @@
 		free(s->items[i].key);
 		free(s->items[i].value);
 	}
+	json_decref(s->copy);
 	free(s);
 }
 
@@ -371,6 +382,19 @@
 	s->oldest = ++s->revision;
 }
 
+void
+ld_kv_store_keep_copy(struct ld_kv_store *s)
+{
+	json_decref(s->copy);
+	s->copy = range_json(s);
+}
+
+unsigned int
+ld_kv_store_copy_reads(const struct ld_kv_store *s)
+{
+	return s->copy_reads;
+}
+
 bool
 ld_kv_store_has(const struct ld_kv_store *s, const char *key)
 {
--- a/tests/faults/ld_kv_store.h
+++ b/tests/faults/ld_kv_store.h
@@ -16,6 +16,11 @@
 void ld_kv_store_silence(struct ld_kv_store *s, bool silent);
 /** ld_kv_store_forget() - drop the history: watches get 410 once */
 void ld_kv_store_forget(struct ld_kv_store *s);
+/** ld_kv_store_keep_copy() - serializable reads are answered as of now from
+ * here on */
+void ld_kv_store_keep_copy(struct ld_kv_store *s);
+/** ld_kv_store_copy_reads() - how often that copy was read */
+unsigned int ld_kv_store_copy_reads(const struct ld_kv_store *s);
 /** ld_kv_store_has() - whether a key exists */
 bool ld_kv_store_has(const struct ld_kv_store *s, const char *key);
 
--- a/tests/faults/test_relay.c
+++ b/tests/faults/test_relay.c
@@ -414,6 +414,45 @@
 	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
 }
 
+/*
+ * A node that starts reads a copy of the store, which is behind: it takes no
+ * request by what the copy says before it has caught up.
+ */
+static void
+test_a_start_from_an_old_copy(void)
+{
+	struct client c;
+	int status = 0;
+
+	put_config(20, "\"k1\"", "null");
+	ld_kv_store_keep_copy(store);
+	put_config(21, "\"k2\"", "null");
+	set_servers(SERVES, SERVES);
+	start_relay();
+	do {
+		c = call("GET", "/look/a", "k1");
+		CU_ASSERT_NOT_EQUAL(c.code, 200);
+		ld_buf_free(&c.body);
+		run_for(1);
+	} while (c.code != 401);
+	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k2"), 200);
+	CU_ASSERT_EQUAL(ld_kv_store_copy_reads(store), 1);
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, &status, WNOHANG), relay);
+	/* History that the copy needs is gone: the store itself is read. */
+	ld_kv_store_forget(store);
+	start_relay();
+	for (int i = 0; i < 100 && code_of("GET", "/look/a", "k2") != 200; i++)
+		run_for(50);
+	CU_ASSERT_EQUAL(ld_kv_store_copy_reads(store), 2);
+	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 401);
+	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k2"), 200);
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, &status, WNOHANG), relay);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -439,6 +478,7 @@
 	    {"a stop cuts nothing", test_a_stop_cuts_nothing},
 	    {"a stop under load", test_a_stop_under_load},
 	    {"nobody reads the log", test_nobody_reads_the_log},
+	    {"a start from an old copy", test_a_start_from_an_old_copy},
 	    {NULL, NULL},
 	};
 	int rc;
--- /dev/null
+++ b/tests/unit/test_aggregate.c
@@ -0,0 +1,535 @@
+/*
+ * Load told among the nodes, without a network: a fleet in hand-driven time, with
+ * delays and losses by seed. What each node knows of the prompts of all others is
+ * compared with what was sent.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../lib/relay/aggregate.h"
+#include "ld_test.h"
+
+#define SEED 20261204
+#define STEP_MS 5
+#define NODES_MAX 400
+#define HEADS 60
+#define FLIGHTS_MAX 60000
+#define ALARMS_SEEN_MAX 16
+/* Known everywhere after so long: the aim of placing. */
+#define KNOWN_WITHIN_MS 300
+#define HISTORY 200 /* steps */
+
+/** struct node - one process */
+struct node {
+	struct aggregate a; /* first member */
+	struct fleet *fleet;
+	char name[16];
+	bool down;
+	uint64_t known[HEADS]; /* prompt tokens of the others, as told */
+	uint64_t sent[HEADS];
+	unsigned int received; /* datagrams */
+	unsigned int bytes;
+	unsigned int alarms;
+};
+
+/** struct flight - a datagram under way */
+struct flight {
+	uint64_t at_ms;
+	size_t from, to;
+	struct mesh_datagram *d;
+};
+
+struct fleet {
+	struct node *nodes;
+	size_t n;
+	struct flight flights[FLIGHTS_MAX];
+	size_t flight_count;
+	struct ld_rand rand;
+	uint64_t now;
+	double loss;
+	uint64_t truth[HISTORY][HEADS]; /* all tokens sent, by step */
+	size_t step;
+};
+
+static struct fleet fleet;
+
+static size_t
+index_of(const struct peer *p)
+{
+	return (size_t)strtoul(p->name + 1, NULL, 10);
+}
+
+static void
+send_datagram(struct aggregate *a, struct peer *const *to, size_t n,
+    const struct mesh_datagram *d)
+{
+	struct node *from = (struct node *)a;
+	struct fleet *f = from->fleet;
+
+	for (size_t i = 0; i < n; i++) {
+		struct flight *fl;
+
+		if (ld_rand_unit(&f->rand) < f->loss)
+			continue;
+		CU_ASSERT_FATAL(f->flight_count < FLIGHTS_MAX);
+		fl = &f->flights[f->flight_count++];
+		*fl = (struct flight){f->now + 1 + ld_rand_below(&f->rand, 5),
+		    (size_t)(from - f->nodes), index_of(to[i]),
+		    ld_alloc(sizeof(*d))};
+		*fl->d = *d;
+	}
+}
+
+static size_t
+head_of(const struct ld_server *s)
+{
+	return (size_t)strtoul(s->entry.id + 1, NULL, 10);
+}
+
+static void
+on_prompt_sent(
+    struct aggregate *a, struct ld_server *s, uint64_t tokens, uint64_t now_ms)
+{
+	((struct node *)a)->known[head_of(s)] += tokens;
+}
+
+static void
+on_alarm(struct aggregate *a, const struct mesh_alarm *alarm)
+{
+	((struct node *)a)->alarms++;
+}
+
+static void
+add_head(struct ld_servers *t, int number)
+{
+	struct ld_server_entry e = {0};
+	char id[16];
+
+	snprintf(id, sizeof(id), "h%d", number);
+	e.id = ld_strdup(id);
+	e.service = ld_strdup("llm");
+	e.address = ld_strdup("10.0.0.1:80");
+	e.zone = ld_strdup("z");
+	ld_servers_put(t, &e, 0);
+}
+
+static uint64_t
+permille_of(size_t i)
+{
+	/* Three large nodes in each failure domain. */
+	return i < 15 ? 500 : 120;
+}
+
+static uint32_t
+domain_of(size_t i)
+{
+	static const char *const names[] = {"z0", "z1", "z2", "z3", "z4"};
+
+	return agg_domain(ld_str_c(names[i % 5]));
+}
+
+static void
+list_peer(struct node *at, size_t i)
+{
+	struct peer *p =
+	    agg_peer_add(&at->a, ld_str_c(fleet.nodes[i].name), fleet.now);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(p);
+	p->processor_permille = permille_of(i);
+	p->domain = domain_of(i);
+}
+
+static void
+start_node(size_t i)
+{
+	static const struct agg_ops ops = {
+	    .send = send_datagram,
+	    .prompt_sent = on_prompt_sent,
+	    .alarm = on_alarm,
+	};
+	struct node *n = &fleet.nodes[i];
+
+	memset(n, 0, sizeof(*n));
+	n->fleet = &fleet;
+	snprintf(n->name, sizeof(n->name), "n%03zu", i);
+	n->a = (struct aggregate){.ops = &ops,
+	    .name = n->name,
+	    .domain = domain_of(i),
+	    .processor_permille = permille_of(i),
+	    .from_nodes = 16,
+	    .can_watch = true,
+	    .servers = ld_servers_new(),
+	    .next_ms = fleet.now + ld_rand_below(&fleet.rand, 100)};
+	for (int h = 0; h < HEADS; h++)
+		add_head(n->a.servers, h);
+}
+
+static void
+fleet_open(size_t n, double loss)
+{
+	memset(&fleet, 0, sizeof(fleet));
+	fleet.n = n;
+	fleet.now = 1000;
+	fleet.loss = loss;
+	fleet.nodes = ld_alloc(n * sizeof(*fleet.nodes));
+	ld_rand_seed(&fleet.rand, SEED);
+	for (size_t i = 0; i < n; i++)
+		start_node(i);
+	for (size_t i = 0; i < n; i++)
+		for (size_t k = 0; k < n; k++)
+			if (i != k)
+				list_peer(&fleet.nodes[i], k);
+}
+
+static void
+stop_node(size_t i)
+{
+	ld_servers_free(fleet.nodes[i].a.servers);
+	agg_free(&fleet.nodes[i].a);
+}
+
+static void
+fleet_close(void)
+{
+	for (size_t i = 0; i < fleet.flight_count; i++)
+		free(fleet.flights[i].d);
+	for (size_t i = 0; i < fleet.n; i++)
+		stop_node(i);
+	free(fleet.nodes);
+}
+
+static unsigned int
+size_of(const struct mesh_datagram *d)
+{
+	struct ld_buf b = {0};
+	unsigned int n;
+
+	mesh_write(d, &b);
+	n = (unsigned int)b.len;
+	ld_buf_free(&b);
+	return n;
+}
+
+static void
+deliver(void)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < fleet.flight_count; i++) {
+		struct flight *fl = &fleet.flights[i];
+		struct node *to = &fleet.nodes[fl->to];
+
+		if (fl->at_ms > fleet.now) {
+			fleet.flights[kept++] = *fl;
+			continue;
+		}
+		if (!to->down) {
+			to->received++;
+			to->bytes += size_of(fl->d);
+			agg_take(&to->a,
+			    agg_peer_find(
+				&to->a, ld_str_c(fleet.nodes[fl->from].name)),
+			    fl->d, fleet.now);
+		}
+		free(fl->d);
+	}
+	fleet.flight_count = kept;
+}
+
+/* A prompt goes from a node to a head. */
+static void
+send_prompt(size_t node, int head, uint64_t tokens)
+{
+	struct node *n = &fleet.nodes[node];
+	char id[16];
+	struct ld_server *s;
+
+	snprintf(id, sizeof(id), "h%d", head);
+	s = ld_servers_find(n->a.servers, ld_str_c(id));
+	s->sent_tokens += tokens;
+	s->unseen_tokens += tokens;
+	s->unseen_ms = s->load_changed_ms = fleet.now;
+	s->heard_ms = fleet.now;
+	n->sent[head] += tokens;
+	fleet.truth[fleet.step % HISTORY][head] += tokens;
+}
+
+/* @per_s: prompts of the whole fleet */
+static void
+run(uint64_t ms, double per_s)
+{
+	for (uint64_t t = 0; t < ms; t += STEP_MS) {
+		size_t before = fleet.step % HISTORY;
+
+		fleet.step++;
+		memcpy(fleet.truth[fleet.step % HISTORY], fleet.truth[before],
+		    sizeof(fleet.truth[0]));
+		fleet.now += STEP_MS;
+		for (double p = per_s * STEP_MS / 1000; p > 0; p--) {
+			size_t node = ld_rand_below(&fleet.rand, fleet.n);
+
+			if (ld_rand_unit(&fleet.rand) < p &&
+			    !fleet.nodes[node].down)
+				send_prompt(node,
+				    (int)ld_rand_below(&fleet.rand, HEADS),
+				    500 + ld_rand_below(&fleet.rand, 3000));
+		}
+		deliver();
+		for (size_t i = 0; i < fleet.n; i++)
+			if (!fleet.nodes[i].down)
+				agg_tick(&fleet.nodes[i].a, fleet.now);
+	}
+}
+
+/*
+ * Of all tokens that were sent until KNOWN_WITHIN_MS ago, the part that a node
+ * knows of, at the worst node.
+ */
+static double
+least_known(void)
+{
+	size_t past = (fleet.step - KNOWN_WITHIN_MS / STEP_MS) % HISTORY;
+	double least = 1;
+
+	for (size_t i = 0; i < fleet.n; i++) {
+		const struct node *n = &fleet.nodes[i];
+		double known = 0, sent = 0;
+
+		for (int h = 0; h < HEADS; h++) {
+			known += (double)(n->known[h] + n->sent[h]);
+			sent += (double)fleet.truth[past][h];
+		}
+		if (!n->down && known / sent < least)
+			least = known / sent;
+	}
+	return least;
+}
+
+/* Nothing is counted twice: nobody knows of more than was sent. */
+static double
+most_known(void)
+{
+	double most = 0;
+
+	for (size_t i = 0; i < fleet.n; i++) {
+		const struct node *n = &fleet.nodes[i];
+
+		for (int h = 0; h < HEADS; h++) {
+			double known = (double)(n->known[h] + n->sent[h]);
+			double sent =
+			    (double)fleet.truth[fleet.step % HISTORY][h];
+
+			if (!n->down && known / sent > most)
+				most = known / sent;
+		}
+	}
+	return most;
+}
+
+/* Once all have been told what was sent. */
+static void
+forget_counts(void)
+{
+	run(600, 0);
+	for (size_t i = 0; i < fleet.n; i++) {
+		memset(fleet.nodes[i].known, 0, sizeof(fleet.nodes[i].known));
+		memset(fleet.nodes[i].sent, 0, sizeof(fleet.nodes[i].sent));
+		fleet.nodes[i].received = fleet.nodes[i].bytes = 0;
+	}
+	memset(fleet.truth, 0, sizeof(fleet.truth));
+}
+
+/* ---- Tests ---- */
+
+/* The size of kone-reititin-large, with its losses of datagrams. */
+static void
+test_all_know_in_time(void)
+{
+	fleet_open(195, 0.0015);
+	run(3000, 1000);
+	forget_counts();
+	run(4000, 1000);
+	CU_ASSERT(least_known() >= 0.97);
+	CU_ASSERT(most_known() <= 1.0);
+	/* What a small node receives goes with the groups, not with the nodes:
+	 * the bound for control of 11 KB/s, in 4 s. */
+	for (size_t i = 15; i < fleet.n; i++)
+		CU_ASSERT(fleet.nodes[i].bytes <= 4 * 11000);
+	fleet_close();
+}
+
+/* Twice the nodes, the same groups: no node receives more than before. */
+static void
+test_cost_does_not_go_with_nodes(void)
+{
+	unsigned int most[2] = {0};
+	static const size_t sizes[] = {195, 390};
+
+	for (int k = 0; k < 2; k++) {
+		fleet_open(sizes[k], 0);
+		run(2000, 1000);
+		forget_counts();
+		run(2000, 1000);
+		for (size_t i = 15; i < fleet.n; i++)
+			if (fleet.nodes[i].bytes > most[k])
+				most[k] = fleet.nodes[i].bytes;
+		fleet_close();
+	}
+	CU_ASSERT(most[1] <= most[0] + most[0] / 5);
+}
+
+static void
+test_few_nodes_tell_each_other(void)
+{
+	fleet_open(8, 0);
+	run(2000, 300);
+	forget_counts();
+	run(2000, 300);
+	CU_ASSERT(least_known() >= 0.99);
+	CU_ASSERT(most_known() <= 1.0);
+	for (size_t i = 0; i < fleet.n; i++)
+		CU_ASSERT_PTR_NULL(agg_choice(&fleet.nodes[i].a, fleet.now));
+	fleet_close();
+}
+
+/* Nodes that see each other choose the same one, which chooses itself. */
+static void
+test_all_choose_the_same(void)
+{
+	fleet_open(50, 0);
+	run(1000, 100);
+	for (size_t i = 0; i < fleet.n; i++) {
+		struct peer *p = agg_choice(&fleet.nodes[i].a, fleet.now);
+
+		if (i < 5)
+			CU_ASSERT_PTR_NULL(p)
+		else
+			CU_ASSERT_EQUAL(index_of(p), i % 5);
+	}
+	fleet_close();
+}
+
+/* All large nodes of a failure domain vanish at once, and come back. */
+static void
+test_aggregators_are_lost(void)
+{
+	static const size_t lost[] = {0, 5, 10};
+
+	fleet_open(100, 0.0015);
+	run(2000, 500);
+	for (int k = 0; k < 3; k++)
+		fleet.nodes[lost[k]].down = true;
+	run(2500, 500);
+	forget_counts();
+	run(2000, 500);
+	CU_ASSERT(least_known() >= 0.97);
+	CU_ASSERT(most_known() <= 1.0);
+	for (int k = 0; k < 3; k++) {
+		stop_node(lost[k]);
+		start_node(lost[k]);
+		for (size_t i = 0; i < fleet.n; i++)
+			if (i != lost[k]) {
+				list_peer(&fleet.nodes[lost[k]], i);
+				list_peer(&fleet.nodes[i], lost[k]);
+			}
+	}
+	run(2500, 500);
+	forget_counts();
+	run(2000, 500);
+	CU_ASSERT(least_known() >= 0.97);
+	CU_ASSERT(most_known() <= 1.0);
+	CU_ASSERT_EQUAL(index_of(agg_choice(&fleet.nodes[20].a, fleet.now)), 0);
+	fleet_close();
+}
+
+/* A node that was suspended for seconds: nothing old is counted as new. */
+static void
+test_a_gap_is_not_counted(void)
+{
+	uint64_t known;
+
+	fleet_open(40, 0);
+	run(2000, 300);
+	fleet.nodes[17].down = true;
+	run(100, 0);
+	/* Prompts that nobody is told of for five seconds. */
+	for (int h = 0; h < HEADS; h++)
+		send_prompt(17, h, 5000);
+	run(5000, 300);
+	forget_counts();
+	fleet.nodes[17].down = false;
+	run(1000, 0);
+	known = 0;
+	for (int h = 0; h < HEADS; h++)
+		known += fleet.nodes[20].known[h];
+	CU_ASSERT_EQUAL(known, 0);
+	fleet_close();
+}
+
+/* Each node is told of an alarm, once, while many raise it. */
+static void
+test_alarms_reach_all(void)
+{
+	fleet_open(195, 0.0015);
+	run(2000, 300);
+	for (size_t i = 20; i < 60; i++)
+		agg_alarm(&fleet.nodes[i].a, "m0/7", 7, fleet.now);
+	run(250, 300);
+	for (size_t i = 0; i < fleet.n; i++)
+		if (i < 20 || i >= 60)
+			CU_ASSERT_EQUAL(fleet.nodes[i].alarms, 1);
+	/* It dies out: nobody tells it again. */
+	run(2000, 300);
+	for (size_t i = 0; i < fleet.n; i++)
+		CU_ASSERT(fleet.nodes[i].alarms <= 1);
+	fleet_close();
+}
+
+/* Requests under way are counted for as long as they are told. */
+static void
+test_requests_under_way(void)
+{
+	const struct ld_server *s;
+
+	fleet_open(60, 0);
+	run(1000, 100);
+	for (size_t i = 20; i < 50; i++)
+		ld_servers_find(fleet.nodes[i].a.servers, LD_STR("h3"))
+		    ->active = 2;
+	run(500, 0);
+	for (size_t i = 0; i < fleet.n; i++) {
+		s = ld_servers_find(fleet.nodes[i].a.servers, LD_STR("h3"));
+		CU_ASSERT_EQUAL(s->active + s->peer_active, 60);
+	}
+	for (size_t i = 20; i < 50; i++) {
+		ld_servers_find(fleet.nodes[i].a.servers, LD_STR("h3"))
+		    ->active = 0;
+		fleet.nodes[i].down = i >= 40;
+	}
+	run(2000, 0);
+	for (size_t i = 0; i < fleet.n; i++) {
+		s = ld_servers_find(fleet.nodes[i].a.servers, LD_STR("h3"));
+		if (!fleet.nodes[i].down)
+			CU_ASSERT_EQUAL(s->active + s->peer_active, 0);
+	}
+	fleet_close();
+}
+
+int
+main(void)
+{
+	static const struct ld_test_case cases[] = {
+	    {"all know in time", test_all_know_in_time},
+	    {"cost does not go with nodes", test_cost_does_not_go_with_nodes},
+	    {"few nodes tell each other", test_few_nodes_tell_each_other},
+	    {"all choose the same", test_all_choose_the_same},
+	    {"aggregators are lost", test_aggregators_are_lost},
+	    {"a gap is not counted", test_a_gap_is_not_counted},
+	    {"alarms reach all", test_alarms_reach_all},
+	    {"requests under way", test_requests_under_way},
+	    {NULL, NULL},
+	};
+
+	return ld_test_main("aggregate", cases);
+}
--- a/tests/unit/test_follow.c
+++ b/tests/unit/test_follow.c
@@ -1,10 +1,9 @@
-/* Following the store through a peer, without a network: which peer, which
- * changes it keeps, and how they are told. */
+/* Following the store through a peer, without a network: which
+ * changes a peer keeps, and how they are told. */
 #include <stdio.h>
 #include <string.h>
 
 #include "../../lib/relay/changes_speech.h"
-#include "../../lib/relay/follow_choice.h"
 #include "../../lib/relay/kept.h"
 #include "ld_mutate.h"
 #include "ld_test.h"
@@ -12,37 +11,6 @@
 #define SEED 20261204
 #define ROUNDS 5000
 
-/* ---- Which peer ---- */
-
-/* Nodes that see each other choose the same one, in whatever order. */
-static void
-test_all_choose_the_same(void)
-{
-	static const struct follow_node a = {"a", 120, true},
-					b = {"b", 500, true},
-					c = {"c", 500, true};
-	const struct follow_node orders[][3] = {
-	    {a, b, c}, {c, b, a}, {b, a, c}, {c, a, b}};
-
-	for (size_t i = 0; i < 4; i++) {
-		size_t best = follow_choose(orders[i], 3);
-
-		CU_ASSERT_STRING_EQUAL(orders[i][best].name, "b");
-	}
-}
-
-static void
-test_unusable_nodes_are_passed_over(void)
-{
-	struct follow_node nodes[] = {
-	    {"large", 1000, false}, {"small", 120, true}, {"self", 100, true}};
-
-	CU_ASSERT_EQUAL(follow_choose(nodes, 3), 1);
-	nodes[1].usable = nodes[2].usable = false;
-	CU_ASSERT_EQUAL(follow_choose(nodes, 3), 3);
-	CU_ASSERT_EQUAL(follow_choose(nodes, 0), 0);
-}
-
 /* ---- What is kept and told ---- */
 
 static void
@@ -191,9 +159,6 @@
 main(void)
 {
 	static const struct ld_test_case cases[] = {
-	    {"all choose the same", test_all_choose_the_same},
-	    {"unusable nodes are passed over",
-		test_unusable_nodes_are_passed_over},
 	    {"changes come back whole", test_changes_come_back_whole},
 	    {"gaps are known", test_gaps_are_known},
 	    {"changes told twice", test_changes_told_twice},
