dispatch, groups, feed: groups are drawn by free slots; loads bounded; quiet outages

Each of 195 nodes sent to the group that looked best by counts of 100 to 300 ms ago, so all sent to the same one, whose slots ran out.

Change: a group is drawn with a weight that goes with its free slots and falls with its predicted wait; groups of other failure domains, and those to which no connection is kept, count as later. If the one drawn would be late the soonest is taken.

Now loads wait for their turn, and servers that hold weights form groups meanwhile.

Nodes that follow another wait up to 2.5 s and ask their aggregator each 0.4 s.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -1,4 +1,5 @@
 /* Placing: the server with the shortest predicted wait. */
+#include <math.h>
 #include <string.h>
 
 #include "ld_dispatch.h"
@@ -9,9 +10,25 @@
 #define SUSPECT_MAX_MS 4000
 /* A server that was full is passed over for so long, ms: a few passes. */
 #define FULL_MS 60
-/* A server of another failure domain counts as so much later, ms: about a
+/* A plain server of another failure domain counts as so much later, ms: about a
  * round trip between domains. */
 #define AWAY_MS 8
+/* Groups are drawn at random, with weights that fall to a third for each of this,
+ * ms: what several nodes send within the age of what they know adds about as
+ * much to a group's wait. */
+#define SPREAD_MS 20
+/* A group of another failure domain counts as so much later, ms: bytes between
+ * domains have a price, so that a twentieth goes there unless this one is full. */
+#define GROUP_AWAY_MS (3 * SPREAD_MS)
+/* A group at which this node has had no request for a while counts as so much
+ * later, ms: a new connection has a price. Nodes come to use a few groups each. */
+#define GROUP_COLD_MS (2 * SPREAD_MS)
+/* Servers close a connection that is idle for longer than this at the soonest,
+ * ms. */
+#define WARM_MS 1000
+/* Free slots that a group counts as having when it has none: requests that end
+ * meanwhile make room. */
+#define FREE_MIN 0.25
 /* Weight of one first event in what is learnt once there were many, and its
  * bound, ms: a lost packet costs 200 ms and says nothing of the engine. */
 #define BIAS_WEIGHT 0.05
@@ -123,26 +140,89 @@
 	    ld_servers_group_whole(servers, s, m->size);
 }
 
+static bool
+is_away(const struct ld_dispatch_request *rq, const struct ld_server *s)
+{
+	return !ld_str_eq(ld_str_c(s->entry.zone), rq->zone);
+}
+
+/* Only where there is no other. */
+static bool
+is_last_resort(const struct ld_dispatch_request *rq, const struct ld_server *s,
+    uint64_t now_ms)
+{
+	return now_ms < s->suspect_until_ms || was_tried(rq, s);
+}
+
+/* Lower is better; a fraction of a millisecond breaks ties. */
+static double
+plain_cost(const struct ld_dispatch_request *rq, const struct ld_server *s,
+    double random)
+{
+	return 10.0 * (s->active + s->peer_active) +
+	    (is_away(rq, s) ? AWAY_MS : 0) + random;
+}
+
+/*
+ * Lower is better. Many nodes choose by counts that are a moment old: if each
+ * took the group that looks best, all would take the same one, whose slots then
+ * run out. So a group is drawn with a weight that goes with its free slots and
+ * falls with its wait; the least of costs less a Gumbel variate is such a draw.
+ */
 static double
-cost_of(const struct ld_dispatch_request *rq, const struct ld_server *s,
-    uint64_t now_ms, double tie)
+group_cost(const struct ld_dispatch_request *rq, const struct ld_server *s,
+    uint64_t first_ms, uint64_t now_ms, double random)
+{
+	double slots = rq->service->engine.slots;
+	double free = slots - (s->active + s->peer_active);
+	double cost = (double)first_ms;
+
+	if (is_away(rq, s))
+		cost += GROUP_AWAY_MS;
+	if (s->active == 0 && now_ms >= s->heard_ms + WARM_MS)
+		cost += GROUP_COLD_MS;
+	if (free < FREE_MIN)
+		free = FREE_MIN;
+	return cost - SPREAD_MS * (log(free) - log(-log(random)));
+}
+
+/** struct draw - the choice among servers so far */
+struct draw {
+	struct ld_server *server;
+	double cost;
+	bool is_last_resort;
+	struct ld_server *soonest; /* that is no last resort */
+	uint64_t soonest_ms;
+};
+
+static void
+consider(struct draw *d, const struct ld_dispatch_request *rq,
+    struct ld_server *s, struct ld_rand *rand, uint64_t now_ms)
 {
 	const struct ld_engine_spec *e = &rq->service->engine;
-	double cost = tie;
-
-	if (e->model_count > 0)
-		cost += (double)ld_dispatch_first_ms(
-		    e, s, rq->prompt_tokens, now_ms);
-	else
-		cost += 10.0 * (s->active + s->peer_active);
-	if (!ld_str_eq(ld_str_c(s->entry.zone), rq->zone))
-		cost += AWAY_MS;
-	/* Only where there is no other. */
-	if (now_ms < s->suspect_until_ms)
-		cost += 1e6;
-	if (was_tried(rq, s))
-		cost += 1e7;
-	return cost;
+	bool last = is_last_resort(rq, s, now_ms);
+	double random = ld_rand_unit(rand), cost;
+	uint64_t first_ms = 0;
+
+	if (e->model_count > 0) {
+		first_ms =
+		    ld_dispatch_first_ms(e, s, rq->prompt_tokens, now_ms);
+		cost = group_cost(
+		    rq, s, first_ms, now_ms, random > 0 ? random : 0.5);
+	} else {
+		cost = plain_cost(rq, s, random);
+	}
+	if (!last && (d->soonest == NULL || first_ms < d->soonest_ms)) {
+		d->soonest = s;
+		d->soonest_ms = first_ms;
+	}
+	if (d->server != NULL &&
+	    (last > d->is_last_resort ||
+		(last == d->is_last_resort && cost >= d->cost)))
+		return;
+	d->server = s;
+	d->cost = cost;
+	d->is_last_resort = last;
 }
 
 enum ld_dispatch_verdict
@@ -152,13 +232,12 @@
 {
 	const struct ld_engine_spec *e = &rq->service->engine;
 	uint64_t asked_ms = 0; /* the soonest that a server wants requests */
-	double best = 0;
+	uint64_t bias_ms = rq->bias_ms > 0 ? (uint64_t)rq->bias_ms : 0;
+	struct draw d = {0};
 
 	*out = (struct ld_dispatch_choice){.retry_after_ms = RETRY_AFTER_MS};
 	for (struct ld_server *s = ld_servers_first(servers); s != NULL;
 	     s = s->next) {
-		double cost;
-
 		if (!can_take(servers, rq, s))
 			continue;
 		/* Not even where there is no other. */
@@ -168,27 +247,23 @@
 			continue;
 		}
 		out->candidates++;
-		cost = cost_of(rq, s, now_ms, ld_rand_unit(rand));
-		if (out->server != NULL && cost >= best)
-			continue;
-		best = cost;
-		out->server = s;
+		consider(&d, rq, s, rand, now_ms);
 	}
-	if (out->server == NULL) {
-		if (asked_ms > 0)
-			out->retry_after_ms = asked_ms - now_ms;
-		return LD_DISPATCH_NO_SERVER;
-	}
-	if (now_ms < out->server->suspect_until_ms ||
-	    was_tried(rq, out->server))
+	out->server = d.server;
+	if (d.server == NULL && asked_ms > 0)
+		out->retry_after_ms = asked_ms - now_ms;
+	if (d.server == NULL || d.is_last_resort)
 		return LD_DISPATCH_NO_SERVER;
 	if (e->model_count == 0)
 		return LD_DISPATCH_SEND;
-	out->first_ms =
-	    ld_dispatch_first_ms(e, out->server, rq->prompt_tokens, now_ms);
-	out->engine_ms = out->first_ms;
-	if (rq->bias_ms > 0)
-		out->first_ms += (uint64_t)rq->bias_ms;
+	out->engine_ms =
+	    ld_dispatch_first_ms(e, d.server, rq->prompt_tokens, now_ms);
+	/* The draw is not worth an answer that is late. */
+	if (out->engine_ms + bias_ms > rq->left_ms) {
+		out->server = d.soonest;
+		out->engine_ms = d.soonest_ms;
+	}
+	out->first_ms = out->engine_ms + bias_ms;
 	/* An answer that is late takes the place of one in time. */
 	if (out->first_ms > rq->left_ms) {
 		out->retry_after_ms = out->first_ms;
--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -89,6 +89,7 @@
 	size_t domain_room;
 	double load_tokens; /* loads that may begin now */
 	uint64_t load_tokens_ms;
+	size_t loads_underway; /* as of this tick */
 	struct ld_order *orders;
 	size_t order_count;
 	size_t order_taken;
--- a/lib/groups/loads.c
+++ b/lib/groups/loads.c
@@ -1,4 +1,6 @@
 /* Loads of weights, under the rate of the weight store. */
+#include <string.h>
+
 #include "placing_internal.h"
 
 /* Loads that may begin at once, beyond the rate: well below the slack that the
@@ -7,6 +9,8 @@
 /* At the first start the weight store has no callers yet: loads beside the
  * rate, ms since this process began. */
 #define INITIAL_LOADS_MS 5000
+/* A load that doesn't show after so many times its usual length has failed. */
+#define LOAD_LENGTHS 3
 
 void
 loads_refill(const struct step *s)
@@ -23,10 +27,68 @@
 	g->load_tokens_ms = s->now_ms;
 }
 
+static bool
+is_recent_load(const struct step *s, const char *model, uint64_t since_ms)
+{
+	const struct ld_model_spec *m =
+	    ld_engine_model(s->spec, ld_str_c(model));
+
+	return since_ms != 0 && m != NULL &&
+	    s->now_ms < since_ms + LOAD_LENGTHS * m->load_ms;
+}
+
+/* Members that load before they join. */
+static size_t
+count_joining(const struct step *s, const struct group *gr)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < gr->member_count; i++) {
+		const struct ld_server *v =
+		    ld_servers_find(s->servers, ld_str_c(gr->members[i].id));
+
+		n += v != NULL && v->listed && !server_holds(v, gr->model) &&
+		    is_recent_load(s, gr->model, gr->members[i].ordered_ms);
+	}
+	return n;
+}
+
+void
+loads_count(const struct step *s)
+{
+	size_t n = 0;
+
+	for (const struct group *gr = s->g->groups; gr != NULL; gr = gr->next)
+		if (gr->phase == PHASE_FORMING)
+			n += count_joining(s, gr);
+	for (const struct ld_server *v = ld_servers_first(s->servers);
+	     v != NULL; v = v->next) {
+		const struct note *note = note_find(s->g, v->entry.id);
+
+		n += v->listed && note != NULL && spares_still_loading(s, v) &&
+		    is_recent_load(s, note->staging, note->staged_ms);
+	}
+	s->g->loads_underway = n;
+}
+
+/* A group that needs more than may load at once gets them when nothing else
+ * loads. */
+static bool
+is_over(const struct step *s, size_t n)
+{
+	size_t most = s->spec->loads_at_once;
+
+	return most > 0 && s->g->loads_underway > 0 &&
+	    s->g->loads_underway + n > most;
+}
+
 bool
 loads_are_idle(const struct step *s)
 {
-	return loads_are_free(s) || s->g->load_tokens >= LOADS_BURST;
+	return loads_are_free(s) ||
+	    (s->g->load_tokens >= LOADS_BURST &&
+		(s->spec->loads_at_once == 0 ||
+		    2 * s->g->loads_underway < s->spec->loads_at_once));
 }
 
 bool
@@ -40,9 +102,12 @@
 {
 	if (n == 0 || loads_are_free(s))
 		return true;
+	if (is_over(s, n))
+		return false;
 	/* More than a full bucket: it must be full, and goes below zero. */
 	if (s->g->load_tokens < (double)n && s->g->load_tokens < LOADS_BURST)
 		return false;
 	s->g->load_tokens -= (double)n;
+	s->g->loads_underway += n;
 	return true;
 }
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -259,6 +259,21 @@
 	return true;
 }
 
+/* Groups of servers that all hold the weights. */
+static void
+form_loaded(const struct step *s, const char *domain, struct free_servers *f,
+    struct counts *all)
+{
+	for (size_t m = 0; m < s->spec->model_count; m++) {
+		const struct ld_model_spec *spec = &s->spec->models[m];
+
+		while (f->n >= spec->size &&
+		    count_loads(f, spec->name, spec->size) == 0 &&
+		    form_one(s, m, domain, f))
+			all->n[m]++;
+	}
+}
+
 /*
  * First what the domain should hold, then whatever fits the rest.
  * @all: groups of all domains, kept up to date
@@ -279,9 +294,13 @@
 			have.n[m]++;
 			all->n[m]++;
 		}
-		/* It waits for its turn at the weight store. */
-		if (have.n[m] < target.n[m] && f->n >= s->spec->models[m].size)
+		/* It waits for its turn at the weight store; what needs none
+		 * serves meanwhile. */
+		if (have.n[m] < target.n[m] &&
+		    f->n >= s->spec->models[m].size) {
+			form_loaded(s, domain, f, all);
 			return;
+		}
 	}
 	if (use_standby(s, domain, f, all) ||
 	    give_up_for(s, domain, servers, f, all))
@@ -366,6 +385,7 @@
 	if (s->now_ms < s->g->lead_ms + SETTLE_MS || s->spec->model_count == 0)
 		return;
 	placing_mark_taken(s);
+	loads_count(s);
 	n = survey(s);
 	all = count_groups(s, NULL);
 	for (size_t i = 0; i < n; i++) {
--- a/lib/groups/placing_internal.h
+++ b/lib/groups/placing_internal.h
@@ -36,9 +36,17 @@
 /* ---- loads.c ---- */
 
 void loads_refill(const struct step *s);
-/** loads_take() - whether @n loads may begin now; counts them */
+/** loads_count() - loads that are under way */
+void loads_count(const struct step *s);
+/**
+ * loads_take() - whether @n loads may begin now; counts them
+ *
+ * Load: many servers without weights at once. The weight store has a rate at which
+ * loads may begin, and beyond a number of them at a time each takes longer: all
+ * would end late, where some could end soon.
+ */
 bool loads_take(const struct step *s, size_t n);
-/** loads_are_idle() - no load has begun of late: one that nothing waits for may */
+/** loads_are_idle() - few are under way: one that nothing waits for may begin */
 bool loads_are_idle(const struct step *s);
 /** loads_are_free() - the first start, before the weight store has callers */
 bool loads_are_free(const struct step *s);
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -36,6 +36,9 @@
 #define CONNECT_TIMEOUT_MS 500
 #define BACKOFF_MIN_MS 50
 #define BACKOFF_MAX_MS 400
+/* The same of a node that follows another: in an outage that one asks for all, and
+ * tells of its end within some hundred ms. */
+#define RETRY_FOLLOWER_MAX_MS 2500
 #define CALLS_PER_S 20
 #define CALLS_BURST 60
 /* A key is relied on until so long before its bound, ms: what is said to be
@@ -457,7 +460,8 @@
 void
 feed_tick(struct relay *r)
 {
-	ld_store_set_poll(r->store, watch_wait_ms(r), watch_pause_ms(r));
+	ld_store_set_poll(r->store, watch_wait_ms(r), watch_pause_ms(r),
+	    mesh_has_aggregator(r) ? RETRY_FOLLOWER_MAX_MS : BACKOFF_MAX_MS);
 	ld_servers_sweep(r->servers, relay_now(r));
 }
 
--- a/lib/relay/follow.c
+++ b/lib/relay/follow.c
@@ -23,6 +23,9 @@
 /* A peer that failed is not asked again for so long, ms: its own trouble is
  * over by then, or seen by the silence of its datagrams. */
 #define AVOID_MS 2000
+/* The same of one that answers, but can't tell the changes now, ms: it has lost
+ * the store, and finds it again sooner than those that follow it. */
+#define AVOID_ANSWERS_MS 400
 /* A peer whose own knowledge was older than this when it was asked is out of
  * touch, ms: two waits of its watch and a pause, or an answer's wait, a pause and
  * the age of what the holder of control told. */
@@ -64,7 +67,7 @@
 }
 
 static void
-delegate_failed(struct follow *f, const char *why)
+delegate_failed(struct follow *f, const char *why, uint64_t avoid_ms)
 {
 	uint64_t now = relay_now(f->relay);
 
@@ -74,7 +77,7 @@
 		    f->delegate.name, why,
 		    (unsigned long long)(now - f->asked_ms));
 	leave(f, why);
-	mesh_avoid(f->relay, f->delegate.name, now + AVOID_MS);
+	mesh_avoid(f->relay, f->delegate.name, now + avoid_ms);
 	f->next_ms = now;
 }
 
@@ -127,7 +130,7 @@
 		why = take(f, &m);
 	ld_store_decoded_free(&m.list);
 	if (why != NULL)
-		delegate_failed(f, why);
+		delegate_failed(f, why, AVOID_ANSWERS_MS);
 }
 
 static void
@@ -145,13 +148,13 @@
 
 	f->call = NULL;
 	if (result->status != LD_OK)
-		delegate_failed(f, ld_status_name(result->status));
+		delegate_failed(f, ld_status_name(result->status), AVOID_MS);
 	else if (result->code == 410)
-		delegate_failed(f, "not-kept");
+		delegate_failed(f, "not-kept", AVOID_ANSWERS_MS);
 	else if (result->code == 404)
-		delegate_failed(f, "behind");
+		delegate_failed(f, "behind", AVOID_ANSWERS_MS);
 	else if (result->code != 200)
-		delegate_failed(f, "no-delegate");
+		delegate_failed(f, "no-delegate", AVOID_ANSWERS_MS);
 	else
 		on_answer(f);
 }
@@ -177,7 +180,7 @@
 	f->asked_ms = now;
 	f->call = ld_http_start(f->relay->store_http, &rq, &f->sink);
 	if (f->call == NULL)
-		delegate_failed(f, "address");
+		delegate_failed(f, "address", AVOID_MS);
 }
 
 bool
--- a/lib/relay/mesh_peers.c
+++ b/lib/relay/mesh_peers.c
@@ -155,6 +155,12 @@
 	return p;
 }
 
+bool
+mesh_has_aggregator(const struct relay *r)
+{
+	return agg_choice(&r->mesh->aggregate, relay_now(r)) != NULL;
+}
+
 bool
 mesh_find_delegate(const struct relay *r, struct mesh_delegate *out)
 {
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -225,6 +225,8 @@
  * Return: false when that is this node or none, or when the node failed of late.
  */
 bool mesh_find_delegate(const struct relay *r, struct mesh_delegate *out);
+/** mesh_has_aggregator() - another node aggregates for this one */
+bool mesh_has_aggregator(const struct relay *r);
 /** mesh_drop_unlisted() - peers without an entry that tell nothing any more */
 void mesh_drop_unlisted(struct relay *r);
 /** mesh_avoid() - that node is no delegate until then */
--- a/lib/routes/ld_routes.h
+++ b/lib/routes/ld_routes.h
@@ -77,6 +77,7 @@
 	uint32_t chunk_tokens;
 	uint32_t stride;
 	double loads_per_s;
+	uint32_t loads_at_once; /* beyond that each takes longer; 0: any */
 	uint32_t usual_answer;
 	struct ld_model_spec *models;
 	size_t model_count;
--- a/lib/store/ld_store.h
+++ b/lib/store/ld_store.h
@@ -165,8 +165,12 @@
     const struct ld_store_codec *codec);
 /** ld_store_free() - cancels every call; watches must be stopped before */
 void ld_store_free(struct ld_store *s);
-/** ld_store_set_poll() - change poll_wait_ms and poll_pause_ms of the settings */
-void ld_store_set_poll(struct ld_store *s, uint64_t wait_ms, uint64_t pause_ms);
+/**
+ * ld_store_set_poll() - change poll_wait_ms and poll_pause_ms of the settings
+ * @retry_max_ms: longest wait before a polled watch that failed is asked again
+ */
+void ld_store_set_poll(struct ld_store *s, uint64_t wait_ms, uint64_t pause_ms,
+    uint64_t retry_max_ms);
 const struct ld_store_counters *ld_store_counters(const struct ld_store *s);
 /** ld_store_revision() - highest revision seen, 0 for none */
 int64_t ld_store_revision(const struct ld_store *s);
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -100,6 +100,7 @@
 	s->backoff.min_ms = settings->backoff_min_ms;
 	s->backoff.max_ms = settings->backoff_max_ms;
 	s->backoff.rand = &s->rand;
+	s->poll_retry_max_ms = settings->backoff_max_ms;
 	s->tokens = settings->calls_burst * THOUSANDTHS;
 	s->tokens_at_ms = ld_loop_now(loop);
 	return s;
@@ -120,8 +121,10 @@
 }
 
 void
-ld_store_set_poll(struct ld_store *s, uint64_t wait_ms, uint64_t pause_ms)
+ld_store_set_poll(struct ld_store *s, uint64_t wait_ms, uint64_t pause_ms,
+    uint64_t retry_max_ms)
 {
+	s->poll_retry_max_ms = retry_max_ms;
 	s->settings.poll_wait_ms = wait_ms;
 	s->settings.poll_pause_ms = pause_ms;
 }
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -37,6 +37,7 @@
 	uint64_t tokens_at_ms;
 	uint64_t cluster_id; /* 0: none seen yet */
 	int64_t revision; /* highest seen */
+	uint64_t poll_retry_max_ms;
 	bool alarm;
 	struct ld_store_counters counters;
 	struct store_request *requests;
--- a/lib/store/watch.c
+++ b/lib/store/watch.c
@@ -57,12 +57,20 @@
 	w->scanned = 0;
 }
 
+static bool
+is_polled(const struct store_watch *w)
+{
+	return w->store->codec->ops->decode_line == NULL;
+}
+
 /* The owner may stop the watch from lost(): nothing may follow it. */
 static void
 fail(struct store_watch *w, enum ld_status st)
 {
 	drop_stream(w);
 	w->store->counters.watch_restarts++;
+	if (is_polled(w))
+		w->backoff.max_ms = w->store->poll_retry_max_ms;
 	arm(w, backoff_next(&w->backoff));
 	w->owner->ops->lost(w->owner, st);
 }
@@ -121,12 +129,6 @@
 	return alive;
 }
 
-static bool
-is_polled(const struct store_watch *w)
-{
-	return w->store->codec->ops->decode_line == NULL;
-}
-
 static void
 on_stream_body(struct ld_http_sink *sink, struct ld_str bytes)
 {
--- a/tests/groups_world.h
+++ b/tests/groups_world.h
@@ -32,6 +32,7 @@
 	unsigned int stages;
 	bool slow_close; /* a head that drains has long answers */
 	bool slow_load; /* a member without the weights goes on joining */
+	bool slow_stage; /* a host goes on loading */
 	bool slow_open; /* a head that was told to open does so later */
 	char opening[LD_GROUP_NAME_MAX];
 	unsigned int two; /* joins of a server whose head may serve */
@@ -233,6 +234,10 @@
 		break;
 	case LD_ORDER_STAGE:
 		w->stages++;
+		if (w->slow_stage) {
+			r = LD_ORDER_BEGUN;
+			break;
+		}
 		snprintf(w->staged[i], sizeof(w->staged[i]), "%s", o->model);
 		restage(w, i);
 		break;
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -82,6 +82,7 @@
 	CU_ASSERT_PTR_NULL(ld_routes_account(r, LD_STR("")));
 	e = &ld_routes_service(r, LD_STR("s1"))->engine;
 	CU_ASSERT_EQUAL(e->models[0].load_ms, 16000);
+	CU_ASSERT_EQUAL(e->loads_at_once, 8);
 	CU_ASSERT_EQUAL(e->models[0].stage_ms, 1600);
 	CU_ASSERT_DOUBLE_EQUAL(e->step_us, 6450, 0.01);
 	CU_ASSERT_EQUAL(r->bounds.idle_timeout_ms, 15000);
--- a/tests/unit/test_groups.c
+++ b/tests/unit/test_groups.c
@@ -437,6 +437,73 @@
 	world_close(&w);
 }
 
+/* Servers that load weights: members before they join, and spares. */
+static size_t
+count_loading(struct world *w)
+{
+	size_t n = w->stages;
+
+	for (struct ld_server *s = ld_servers_first(w->t); s != NULL;
+	     s = s->next)
+		n += s->entry.member.state == LD_MEMBER_JOINING;
+	return n;
+}
+
+/*
+ * Found on vandbud-drift (quiet-1): with some ten loads at once each took nearly
+ * twice its time, and servers that held weights waited beside those that loaded.
+ */
+static void
+test_loads_at_once(void)
+{
+	struct world w;
+
+	for (uint32_t most = 0; most <= 4; most += 4) {
+		size_t loading;
+
+		world_open(&w);
+		ld_groups_free(w.g);
+		w.g = ld_groups_new(w.now, false);
+		w.spec.loads_at_once = most;
+		w.slow_load = w.slow_stage = true;
+		/* Two can form a group with one more; the others are empty. */
+		for (int i = 0; i < 2; i++) {
+			snprintf(w.staged[i], sizeof(w.staged[i]), SMALL);
+			restage(&w, i);
+		}
+		/* The large model waits for more loads than begin at once. */
+		w.models[0].work_share = 0.1;
+		w.models[1].work_share = 0.9;
+		ld_groups_lead(w.g, 5, w.now);
+		run(&w, true, 2500);
+		loading = count_loading(&w);
+		CU_ASSERT(loading > 0);
+		CU_ASSERT(most == 0 ? loading > 4 : loading <= 4);
+		world_close(&w);
+	}
+}
+
+/* What needs no load serves while the domain's large group waits for its turn. */
+static void
+test_servers_with_weights_do_not_wait(void)
+{
+	struct world w;
+
+	world_open(&w);
+	ld_groups_free(w.g);
+	w.g = ld_groups_new(w.now, false);
+	w.spec.loads_at_once = 1;
+	w.slow_load = w.slow_stage = true;
+	for (int i = 0; i < 6; i++) {
+		snprintf(w.staged[i], sizeof(w.staged[i]), SMALL);
+		restage(&w, i);
+	}
+	ld_groups_lead(w.g, 5, w.now);
+	run(&w, true, 6000);
+	CU_ASSERT(count_open(&w, SMALL) >= 1);
+	world_close(&w);
+}
+
 /* Seeds: random losses and returns; the two safety rules hold throughout. */
 static void
 test_random_losses(void)
@@ -506,6 +573,9 @@
 		test_leaving_head_listens_no_more},
 	    {"a listed head refuses", test_listed_head_refuses},
 	    {"fenced", test_fenced},
+	    {"loads at once", test_loads_at_once},
+	    {"servers with weights do not wait",
+		test_servers_with_weights_do_not_wait},
 	    {"random losses", test_random_losses},
 	    {NULL, NULL},
 	};
