servers, relay: work of a turn goes with the requests, not with the servers

Each turn of 15 ms went over all 880 servers three times, and each request over all of them once for each head that it might be sent to.

Change: which ranks of a group are ready is collected once after entries have changed, in two passes over the servers; streams that stand still are looked for at the servers that have requests of this node; servers that are gone are swept each 200 ms. loads under way are counted at need.

--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -89,7 +89,8 @@
 	size_t domain_room;
 	double load_tokens; /* loads that may begin now */
 	uint64_t load_tokens_ms;
-	size_t loads_underway; /* as of this tick */
+	size_t loads_underway; /* as of this tick, once counted */
+	bool loads_counted;
 	struct ld_order *orders;
 	size_t order_count;
 	size_t order_taken;
--- a/lib/groups/loads.c
+++ b/lib/groups/loads.c
@@ -53,11 +53,14 @@
 	return n;
 }
 
-void
-loads_count(const struct step *s)
+/* Loads that are under way: counted at the first need of a tick. */
+static size_t
+loads_underway(const struct step *s)
 {
 	size_t n = 0;
 
+	if (s->g->loads_counted)
+		return s->g->loads_underway;
 	for (const struct group *gr = s->g->groups; gr != NULL; gr = gr->next)
 		if (gr->phase == PHASE_FORMING)
 			n += count_joining(s, gr);
@@ -69,6 +72,8 @@
 		    is_recent_load(s, note->staging, note->staged_ms);
 	}
 	s->g->loads_underway = n;
+	s->g->loads_counted = true;
+	return n;
 }
 
 /* A group that needs more than may load at once gets them when nothing else
@@ -78,8 +83,8 @@
 {
 	size_t most = s->spec->loads_at_once;
 
-	return most > 0 && s->g->loads_underway > 0 &&
-	    s->g->loads_underway + n > most;
+	return most > 0 && loads_underway(s) > 0 &&
+	    loads_underway(s) + n > most;
 }
 
 bool
@@ -88,7 +93,7 @@
 	return loads_are_free(s) ||
 	    (s->g->load_tokens >= LOADS_BURST &&
 		(s->spec->loads_at_once == 0 ||
-		    2 * s->g->loads_underway < s->spec->loads_at_once));
+		    2 * loads_underway(s) < s->spec->loads_at_once));
 }
 
 bool
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -385,7 +385,7 @@
 	if (s->now_ms < s->g->lead_ms + SETTLE_MS || s->spec->model_count == 0)
 		return;
 	placing_mark_taken(s);
-	loads_count(s);
+	s->g->loads_counted = false;
 	n = survey(s);
 	all = count_groups(s, NULL);
 	for (size_t i = 0; i < n; i++) {
--- a/lib/groups/placing_internal.h
+++ b/lib/groups/placing_internal.h
@@ -36,8 +36,6 @@
 /* ---- loads.c ---- */
 
 void loads_refill(const struct step *s);
-/** loads_count() - loads that are under way */
-void loads_count(const struct step *s);
 /**
  * loads_take() - whether @n loads may begin now; counts them
  *
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -47,6 +47,8 @@
 #define KEYS_MARGIN_MS 1500
 /* Servers whose entries lapsed in an outage write them again within 2 s. */
 #define ENTRIES_BACK_MS 2100
+/* Between two looks at servers that are in doubt or gone, ms: a tenth of the doubt. */
+#define SWEEP_MS 200
 /* A watch that is lost for less is no outage in which entries lapse, ms. */
 #define OUTAGE_MS 800
 /* What is known is seldom older than the waits and pauses on its way; beyond
@@ -70,6 +72,7 @@
 	uint64_t failed_ms; /* the own watch failed last, 0: it did not */
 	uint64_t usual_age_ms; /* what was known grows no older, as a rule */
 	uint64_t opened_ms;
+	uint64_t sweep_ms; /* next look at servers that are gone */
 };
 
 static struct feed *
@@ -462,6 +465,9 @@
 {
 	ld_store_set_poll(r->store, watch_wait_ms(r), watch_pause_ms(r),
 	    mesh_has_aggregator(r) ? RETRY_FOLLOWER_MAX_MS : BACKOFF_MAX_MS);
+	if (relay_now(r) < r->feed->sweep_ms)
+		return;
+	r->feed->sweep_ms = relay_now(r) + SWEEP_MS;
 	ld_servers_sweep(r->servers, relay_now(r));
 }
 
--- a/lib/relay/silent.c
+++ b/lib/relay/silent.c
@@ -18,12 +18,14 @@
 	return q->heard_ms > 0 ? q->heard_ms : q->sent_ms + q->predicted_ms;
 }
 
+/* Of the servers that this node has requests at: with hundreds of servers there
+ * are few of them. */
 static void
 note_due(struct relay *r)
 {
-	for (struct ld_server *s = ld_servers_first(r->servers); s != NULL;
-	     s = s->next)
-		s->due_ms = 0;
+	for (struct request *q = r->requests; q != NULL; q = q->next)
+		if (q->server != NULL)
+			q->server->due_ms = 0;
 	for (struct request *q = r->requests; q != NULL; q = q->next)
 		if (q->server != NULL && q->call != NULL &&
 		    (q->server->due_ms == 0 || due_ms(q) < q->server->due_ms))
@@ -31,37 +33,42 @@
 }
 
 static void
-check_groups(struct relay *r, uint64_t now)
+check_group(struct relay *r, struct ld_server *s, uint64_t now)
 {
-	for (struct ld_server *s = ld_servers_first(r->servers); s != NULL;
-	     s = s->next) {
-		if (!ld_dispatch_silent(s, r->watched_since_ms, now)) {
-			s->silent = false;
-			continue;
-		}
-		if (!s->silent) {
-			relay_count(r, LD_M_RELAY_SILENT_GROUPS);
-			ld_event("group.silent",
-			    "group=%s epoch=%lld server=%s requests=%u "
-			    "due_ago_ms=%llu heard_ago_ms=%llu "
-			    "peers_heard_ago_ms=%llu",
-			    s->entry.member.group,
-			    (long long)s->entry.member.epoch, s->entry.id,
-			    s->active, (unsigned long long)(now - s->due_ms),
-			    (unsigned long long)(now - s->heard_ms),
-			    (unsigned long long)(now - s->peer_heard_ms));
-		}
-		if (!s->silent || now >= s->alarm_ms + ALARM_AGAIN_MS) {
-			s->alarm_ms = now;
-			control_alarm(r, ld_str_c(s->entry.member.group),
-			    s->entry.member.epoch);
-			mesh_alarm(
-			    r, s->entry.member.group, s->entry.member.epoch);
-		}
-		s->silent = true;
-		if (s->suspect_until_ms < now + SUSPECT_SILENT_MS)
-			s->suspect_until_ms = now + SUSPECT_SILENT_MS;
+	if (!ld_dispatch_silent(s, r->watched_since_ms, now)) {
+		s->silent = false;
+		return;
+	}
+	if (!s->silent) {
+		relay_count(r, LD_M_RELAY_SILENT_GROUPS);
+		ld_event("group.silent",
+		    "group=%s epoch=%lld server=%s requests=%u "
+		    "due_ago_ms=%llu heard_ago_ms=%llu "
+		    "peers_heard_ago_ms=%llu",
+		    s->entry.member.group, (long long)s->entry.member.epoch,
+		    s->entry.id, s->active,
+		    (unsigned long long)(now - s->due_ms),
+		    (unsigned long long)(now - s->heard_ms),
+		    (unsigned long long)(now - s->peer_heard_ms));
 	}
+	if (!s->silent || now >= s->alarm_ms + ALARM_AGAIN_MS) {
+		s->alarm_ms = now;
+		control_alarm(
+		    r, ld_str_c(s->entry.member.group), s->entry.member.epoch);
+		mesh_alarm(r, s->entry.member.group, s->entry.member.epoch);
+	}
+	s->silent = true;
+	if (s->suspect_until_ms < now + SUSPECT_SILENT_MS)
+		s->suspect_until_ms = now + SUSPECT_SILENT_MS;
+}
+
+/* A second look at a server in the same check changes nothing. */
+static void
+check_groups(struct relay *r, uint64_t now)
+{
+	for (struct request *q = r->requests; q != NULL; q = q->next)
+		if (q->server != NULL)
+			check_group(r, q->server, now);
 }
 
 void
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -56,6 +56,9 @@
 /**
  * struct ld_server - one server that was listed since this process started
  * @id_hash: of its id, told among nodes instead of the id
+ * @group_hash: of the name and epoch of its group, 0 for none
+ * @ready_ranks: of a head: ranks held by members that are ready, see
+ *	ld_servers_group_whole()
  * @listed: it has an entry
  * @unlisted_ms: since when it has none
  * @doubt_until_ms: its entry vanished around an outage of the store and may
@@ -86,6 +89,8 @@
 	struct ld_server *next_in_bucket;
 	uint32_t id_hash;
 	struct ld_server_entry entry;
+	uint64_t group_hash;
+	uint64_t ready_ranks;
 	bool listed;
 	uint64_t unlisted_ms;
 	uint64_t doubt_until_ms;
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -16,6 +16,11 @@
 struct ld_servers {
 	struct ld_server *first;
 	struct ld_server *buckets[BUCKETS];
+	size_t count;
+	/* Heads by group_hash, linear probing; current unless @changed. */
+	struct ld_server **heads;
+	size_t head_room; /* a power of two, or 0 */
+	bool changed;
 };
 
 const char *
@@ -61,6 +66,7 @@
 		ld_server_entry_fini(&s->entry);
 		free(s);
 	}
+	free(t->heads);
 	free(t);
 }
 
@@ -100,6 +106,7 @@
 	s->seen_ms = now_ms;
 	s->next = t->first;
 	t->first = s;
+	t->count++;
 	bucket = &t->buckets[s->id_hash % BUCKETS];
 	s->next_in_bucket = *bucket;
 	*bucket = s;
@@ -122,6 +129,17 @@
 	return t->first;
 }
 
+static uint64_t
+group_hash(const struct ld_membership *m)
+{
+	uint64_t h;
+
+	if (m->group == NULL)
+		return 0;
+	h = ld_hash64(ld_str_c(m->group), (uint64_t)m->epoch);
+	return h != 0 ? h : 1;
+}
+
 struct ld_server *
 ld_servers_put(struct ld_servers *t, struct ld_server_entry *e, uint64_t now_ms)
 {
@@ -137,6 +155,8 @@
 	}
 	ld_server_entry_fini(&s->entry);
 	s->entry = *e;
+	s->group_hash = group_hash(&s->entry.member);
+	t->changed = true;
 	/* An entry that was written before the server began to leave. */
 	s->entry.leaving |= s->said_leaving;
 	*e = (struct ld_server_entry){0};
@@ -212,6 +232,8 @@
 		}
 		*p = s->next;
 		leave_bucket(t, s);
+		t->count--;
+		t->changed = true;
 		ld_server_entry_fini(&s->entry);
 		free(s);
 	}
@@ -227,24 +249,65 @@
 	    strcmp(x->group, y->group) == 0;
 }
 
+/* The place of the group's head, or the free one where it belongs. */
+static struct ld_server **
+head_place(struct ld_servers *t, uint64_t hash)
+{
+	size_t i = hash & (t->head_room - 1);
+
+	while (t->heads[i] != NULL && t->heads[i]->group_hash != hash)
+		i = (i + 1) & (t->head_room - 1);
+	return &t->heads[i];
+}
+
+static void
+note_rank(struct ld_servers *t, const struct ld_server *s)
+{
+	const struct ld_membership *m = &s->entry.member;
+	struct ld_server *head = *head_place(t, s->group_hash);
+
+	if (head != NULL && m->rank < RANKS_MAX &&
+	    (m->state == LD_MEMBER_READY || m->state == LD_MEMBER_OPEN))
+		head->ready_ranks |= 1ULL << m->rank;
+}
+
+/* Two passes over the servers, once after entries have changed: a request asks
+ * about the groups of all heads. */
+static void
+collect_ranks(struct ld_servers *t)
+{
+	while (t->head_room < 2 * t->count + 1) {
+		t->head_room = t->head_room > 0 ? 2 * t->head_room : BUCKETS;
+		t->heads =
+		    ld_realloc(t->heads, t->head_room * sizeof(*t->heads));
+	}
+	memset(t->heads, 0, t->head_room * sizeof(*t->heads));
+	for (struct ld_server *s = t->first; s != NULL; s = s->next) {
+		struct ld_server **place;
+
+		s->ready_ranks = 1;
+		if (s->group_hash == 0 || s->entry.member.rank != 0)
+			continue;
+		place = head_place(t, s->group_hash);
+		if (*place == NULL)
+			*place = s;
+	}
+	for (struct ld_server *s = t->first; s != NULL; s = s->next)
+		if (s->group_hash != 0)
+			note_rank(t, s);
+	t->changed = false;
+}
+
 bool
 ld_servers_group_whole(
     struct ld_servers *t, const struct ld_server *head, uint32_t size)
 {
-	uint64_t ranks = 1;
-
 	if (!head->listed || head->entry.leaving ||
 	    head->entry.member.rank != 0 ||
 	    head->entry.member.state != LD_MEMBER_OPEN || size > RANKS_MAX)
 		return false;
-	for (struct ld_server *s = t->first; s != NULL; s = s->next) {
-		const struct ld_membership *m = &s->entry.member;
-
-		if (s == head || m->rank >= RANKS_MAX ||
-		    !ld_server_same_group(s, head))
-			continue;
-		if (m->state == LD_MEMBER_READY || m->state == LD_MEMBER_OPEN)
-			ranks |= 1ULL << m->rank;
-	}
-	return ranks == (size == RANKS_MAX ? UINT64_MAX : (1ULL << size) - 1);
+	if (t->changed)
+		collect_ranks(t);
+	return head->ready_ranks ==
+	    (size == RANKS_MAX ? UINT64_MAX : (1ULL << size) - 1);
 }
