--- a/lib/settings/relay_table.c
+++ b/lib/settings/relay_table.c
@@ -40,9 +40,9 @@
 	"Port on which the nodes tell each other their load and the store's "
 	"changes."),
     ROW("peers.follow_from_nodes", UINT, follow_from_nodes, 2, 100000, "16",
-	"From so many nodes on one in each failure domain watches the store "
-	"for "
-	"the others."),
+	"From so many nodes on one in each failure domain sums up load and "
+	"tells "
+	"the others the store's changes."),
     ROW("metrics.port", UINT, metrics_port, 1, 65535, NULL,
 	"Port of the counters, on the entry's address."),
     ROW("store.address", ADDRESS, store_address, 0, 0, NULL,
--- a/tests/groups_world.h
+++ b/tests/groups_world.h
@@ -38,6 +38,9 @@
 	unsigned int two; /* joins of a server whose head may serve */
 	unsigned int early; /* opens before all members were ready */
 	char staged[SERVERS + 4][16];
+	/* What becomes of an order, instead of carry_out(), and of each step. */
+	void (*take_order)(struct world *w, const struct ld_order *o);
+	void (*step)(struct world *w);
 };
 
 static void
@@ -255,12 +258,17 @@
 	struct ld_probe p;
 
 	for (; w->now < end; w->now += STEP_MS) {
+		if (w->step != NULL)
+			w->step(w);
 		ld_groups_tick(
 		    w->g, w->t, LD_STR("llm"), &w->spec, settled, w->now);
 		while (ld_groups_next_change(w->g, &c))
 			;
 		while (ld_groups_next_order(w->g, &o))
-			carry_out(w, &o);
+			if (w->take_order != NULL)
+				w->take_order(w, &o);
+			else
+				carry_out(w, &o);
 		while (ld_groups_next_probe(w->g, &p)) {
 			int i = index_of(p.server);
 
