groups: a head without an entry is gone only once it answers no question either

An order that is carried out late has no answer either. The head is asked for its report now, and counts as gone after two questions without an answer.

Cause, found by the same test: a server that gave no answer twice was not used again while that holder led, although it answers again (cut off or slow for a while). One that is in no group is asked again each second.

Also: what a turn of 15 ms needs not look at is looked at each 100 or 200 ms.

--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -106,6 +106,8 @@
 /** note_find() - NULL when there is none */
 struct note *note_find(struct ld_groups *g, const char *id);
 void notes_free(struct ld_groups *g);
+/** note_ask() - ask the server for its report, unless that was done of late */
+void note_ask(const struct step *s, struct note *n, uint64_t again_ms);
 
 /* ---- groups.c ---- */
 
--- a/lib/groups/lifecycle.c
+++ b/lib/groups/lifecycle.c
@@ -286,15 +286,6 @@
 
 /* ---- Serving ---- */
 
-static void
-ask(const struct step *s, struct note *n, uint64_t again_ms)
-{
-	if (n->probe_due || s->now_ms < n->probe_ms + again_ms)
-		return;
-	n->probe_due = true;
-	n->probe_ms = s->now_ms;
-}
-
 /*
  * Why a member can't be relied on any more, or NULL. A member that only lost
  * its way to the store answers questions itself, and its group goes on.
@@ -315,9 +306,9 @@
 	if (n->misses >= MISSES_MAX)
 		return "it gave no answer";
 	if (n->misses > 0)
-		ask(s, n, PROBE_AGAIN_MS);
+		note_ask(s, n, PROBE_AGAIN_MS);
 	else if (n->probe_ms > n->heard_ms)
-		ask(s, n, PROBE_SECOND_MS);
+		note_ask(s, n, PROBE_SECOND_MS);
 	if (v->listed || !s->settled)
 		return NULL;
 	if (i == 0)
@@ -326,7 +317,7 @@
 	    (n->reported_epoch != gr->epoch ||
 		strcmp(n->reported_group, gr->name) != 0))
 		return "it reports another group";
-	ask(s, n,
+	note_ask(s, n,
 	    n->heard_ms > v->unlisted_ms ? PROBE_CUT_OFF_MS : PROBE_AGAIN_MS);
 	return NULL;
 }
@@ -388,6 +379,19 @@
 	return head->listed && !names_group(head, gr);
 }
 
+/* An order without an answer proves nothing: one that is carried out late has none
+ * either, while questions are answered. */
+static bool
+gives_no_answer(const struct step *s, const struct ld_server *v)
+{
+	struct note *n = note_of(s->g, v);
+
+	if (n->misses >= MISSES_MAX)
+		return true;
+	note_ask(s, n, n->misses > 0 ? PROBE_SECOND_MS : PROBE_AGAIN_MS);
+	return false;
+}
+
 /*
  * Whether a head without an entry is gone. One that leaves without a word has
  * no entry either, listens no more, and goes on until its requests have ended.
@@ -399,7 +403,7 @@
 	if (head->listed || !s->settled)
 		return false;
 	if (gr->head_silent)
-		return true;
+		return gives_no_answer(s, head);
 	return gr->head_refuses &&
 	    (head->active + head->peer_active == 0 ||
 		s->now_ms > head->unlisted_ms + HEAD_GOES_ON_MS);
--- a/lib/groups/notes.c
+++ b/lib/groups/notes.c
@@ -58,6 +58,15 @@
 	return n;
 }
 
+void
+note_ask(const struct step *s, struct note *n, uint64_t again_ms)
+{
+	if (n->probe_due || s->now_ms < n->probe_ms + again_ms)
+		return;
+	n->probe_due = true;
+	n->probe_ms = s->now_ms;
+}
+
 void
 notes_free(struct ld_groups *g)
 {
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -5,6 +5,9 @@
 
 #include "placing_internal.h"
 
+/* A server that is in no group and gave no answer is asked again after, ms: a few
+ * times before the entry of one that is lost lapses. */
+#define ASK_AGAIN_MS 1000
 /* After a change of the holder, ms: orders that were under way take effect
  * and show in the servers' entries. */
 #define SETTLE_MS 600
@@ -57,6 +60,16 @@
 	}
 }
 
+/* A server that gave no answer is used again once it does: it may only have been
+ * cut off, or slow, for a while. */
+static bool
+answers(const struct step *s, struct note *n)
+{
+	if (n->misses > 0)
+		note_ask(s, n, ASK_AGAIN_MS);
+	return n->misses == 0;
+}
+
 static bool
 is_free(const struct step *s, const struct ld_server *v)
 {
@@ -66,8 +79,8 @@
 	    !ld_str_eq(ld_str_c(v->entry.service), s->service))
 		return false;
 	n = note_of(s->g, v);
-	return s->now_ms >= n->avoid_until_ms && n->misses == 0 &&
-	    n->taken_in != s->g->pass;
+	return n->taken_in != s->g->pass && answers(s, n) &&
+	    s->now_ms >= n->avoid_until_ms;
 }
 
 bool
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -47,7 +47,8 @@
 #define KEYS_MARGIN_MS 1500
 /* Servers whose entries lapsed in an outage write them again within 2 s. */
 #define ENTRIES_BACK_MS 2100
-/* Between two looks at servers that are in doubt or gone, ms: a tenth of the doubt. */
+/* Between two looks at servers that are in doubt or gone, and at how the store is
+ * to be polled, ms: a tenth of the doubt. */
 #define SWEEP_MS 200
 /* A watch that is lost for less is no outage in which entries lapse, ms. */
 #define OUTAGE_MS 800
@@ -463,11 +464,11 @@
 void
 feed_tick(struct relay *r)
 {
-	ld_store_set_poll(r->store, watch_wait_ms(r), watch_pause_ms(r),
-	    mesh_has_aggregator(r) ? RETRY_FOLLOWER_MAX_MS : BACKOFF_MAX_MS);
 	if (relay_now(r) < r->feed->sweep_ms)
 		return;
 	r->feed->sweep_ms = relay_now(r) + SWEEP_MS;
+	ld_store_set_poll(r->store, watch_wait_ms(r), watch_pause_ms(r),
+	    mesh_has_aggregator(r) ? RETRY_FOLLOWER_MAX_MS : BACKOFF_MAX_MS);
 	ld_servers_sweep(r->servers, relay_now(r));
 }
 
--- a/lib/relay/mesh.c
+++ b/lib/relay/mesh.c
@@ -62,6 +62,8 @@
 	struct mesh *m = r->mesh;
 
 	mesh_entry_tick(&m->entry, relay_now(r));
+	if (relay_now(r) < m->aggregate.next_ms)
+		return;
 	mesh_drop_unlisted(r);
 	m->aggregate.can_watch = feed_can_watch(r);
 	/* Settings may have been read again. */
--- a/tests/groups_world.h
+++ b/tests/groups_world.h
@@ -294,7 +294,7 @@
 	return n;
 }
 
-static size_t
+static inline size_t
 count_staged_spares(struct world *w, const char *model)
 {
 	size_t n = 0;
--- /dev/null
+++ b/tests/unit/test_groups_late.c
@@ -0,0 +1,160 @@
+/*
+ * Orders that are carried out seconds late, by servers that check no fence: each
+ * stays in one group.
+ */
+#include "groups_world.h"
+
+#define LATE_MAX 256
+/* An order without an answer is carried out so long after it, ms. */
+#define LATE_MIN_MS 200
+#define LATE_SPREAD_MS 11800
+
+/** struct late - orders under way, and what servers remember of this life */
+static struct late {
+	struct ld_order orders[LATE_MAX];
+	uint64_t at_ms[LATE_MAX];
+	size_t n;
+	int64_t epoch_seen[SERVERS + 4];
+	bool forgets_epochs; /* a mutant of the servers */
+	struct ld_rand rand;
+} late;
+
+/* As a server carries an order out: a join of a lower epoch than one that it has
+ * seen is refused, and the other orders affect the group that they name alone. */
+static bool
+fits(struct world *w, const struct ld_order *o)
+{
+	int i = index_of(o->server);
+	const struct ld_membership *m = &server(w, i)->entry.member;
+
+	if (o->type == LD_ORDER_STAGE)
+		return true;
+	if (o->type == LD_ORDER_JOIN)
+		return late.forgets_epochs || o->epoch >= late.epoch_seen[i];
+	return m->group != NULL && m->epoch == o->epoch &&
+	    strcmp(m->group, o->group) == 0;
+}
+
+static void
+carry_out_unfenced(struct world *w, const struct ld_order *o)
+{
+	int i = index_of(o->server);
+
+	if (!w->dead[i] && !fits(w, o)) {
+		ld_groups_on_order(w->g, o, LD_ORDER_MISFIT, w->now);
+		return;
+	}
+	if (o->type == LD_ORDER_JOIN && o->epoch > late.epoch_seen[i])
+		late.epoch_seen[i] = o->epoch;
+	/* No server here compares fences. */
+	w->fence_seen = o->fence;
+	carry_out(w, o);
+}
+
+static void
+take_late(struct world *w, const struct ld_order *o)
+{
+	if (late.n == LATE_MAX || ld_rand_below(&late.rand, 3) != 0) {
+		carry_out_unfenced(w, o);
+		return;
+	}
+	late.orders[late.n] = *o;
+	late.at_ms[late.n++] =
+	    w->now + LATE_MIN_MS + ld_rand_below(&late.rand, LATE_SPREAD_MS);
+	ld_groups_on_order(w->g, o, LD_ORDER_SILENT, w->now);
+}
+
+static void
+carry_out_due(struct world *w)
+{
+	for (size_t i = late.n; i-- > 0;) {
+		struct ld_order o = late.orders[i];
+
+		if (w->now < late.at_ms[i])
+			continue;
+		late.orders[i] = late.orders[--late.n];
+		late.at_ms[i] = late.at_ms[late.n];
+		/* Its answer reaches nobody. */
+		if (!w->dead[index_of(o.server)] && fits(w, &o))
+			carry_out_unfenced(w, &o);
+	}
+}
+
+/* Joins of servers whose head may serve another group, over all seeds. */
+static unsigned int
+play_late_orders(bool forgets_epochs)
+{
+	unsigned int two = 0;
+
+	for (uint64_t seed = 1; seed <= 60; seed++) {
+		struct world w;
+
+		world_open(&w);
+		late = (struct late){.forgets_epochs = forgets_epochs};
+		ld_rand_seed(&late.rand, seed);
+		w.take_order = take_late;
+		w.step = carry_out_due;
+		ld_groups_lead(w.g, 3, w.now);
+		run(&w, true, 8000);
+		for (int step = 0; step < 20; step++) {
+			int i = (int)ld_rand_below(&late.rand, SERVERS);
+			int head = member_of(&w, LARGE, 0);
+
+			/* Now and then the one that matters most. */
+			if (head >= 0 && ld_rand_below(&late.rand, 4) == 0)
+				i = head;
+
+			if (w.dead[i]) {
+				w.dead[i] = false;
+				late.epoch_seen[i] = 0;
+				put(&w, i, LD_MEMBER_NONE, NULL, 0, 0, NULL);
+			} else if (ld_rand_below(&late.rand, 2) == 0) {
+				w.dead[i] = true;
+				if (server(&w, i)->entry.member.group != NULL)
+					alarm_of(&w, i);
+			} else if (ld_rand_below(&late.rand, 8) == 0) {
+				set_leaving(&w, i);
+			} else if (ld_rand_below(&late.rand, 8) == 0) {
+				unlist(&w, i);
+			}
+			run(&w, true, ld_rand_below(&late.rand, 4000));
+			if (ld_rand_below(&late.rand, 6) == 0) {
+				ld_groups_yield(w.g);
+				ld_groups_lead(w.g, 10 + step, w.now);
+			}
+		}
+		/* Once nothing fails any more, groups serve again. */
+		for (int i = 0; i < SERVERS; i++) {
+			w.dead[i] = false;
+			late.epoch_seen[i] = 0;
+			put(&w, i, LD_MEMBER_NONE, NULL, 0, 0, NULL);
+		}
+		late.n = 0;
+		w.take_order = carry_out_unfenced;
+		run(&w, true, 20000);
+		CU_ASSERT(count_open(&w, LARGE) + count_open(&w, SMALL) > 0);
+		two += w.two;
+		world_close(&w);
+	}
+	return two;
+}
+
+/* Where servers need not check fences, epochs keep each in one group. */
+static void
+test_late_orders_without_fences(void)
+{
+	CU_ASSERT_EQUAL(play_late_orders(false), 0);
+	/* Servers that forget epochs too would be taken out of groups. */
+	CU_ASSERT(play_late_orders(true) > 0);
+}
+
+int
+main(void)
+{
+	static const struct ld_test_case cases[] = {
+	    {"late orders without fences", test_late_orders_without_fences},
+	    {NULL, NULL},
+	};
+
+	return ld_test_main("groups_late", cases);
+}
