--- a/lib/relay/aggregate.c
+++ b/lib/relay/aggregate.c
@@ -14,7 +14,7 @@
 #define AGGREGATE_MS 100
 /* What is not heard again after so many intervals is gone: some datagrams in a
  * row may be lost, and a process may be late by a tenth of a second. */
-#define HEARD_INTERVALS 6
+#define HEARD_INTERVALS 6ULL
 /* A better aggregator that was silent is asked again so often, ms. */
 #define PROBE_MS 1000
 /* Nodes of each failure domain that may be its aggregator: so many of them
--- a/lib/relay/answer.c
+++ b/lib/relay/answer.c
@@ -1,4 +1,5 @@
 /* The answer of a server: which are sound, and what is passed on. */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +10,7 @@
 /* A server is passed over for so long at most, s: a longer wait is an error of
  * the server, and an hour outlives any of its lives. */
 #define RETRY_AFTER_MAX_S 3600
+#define MS_PER_S 1000
 
 /* Fields that concern one connection only (RFC 9110, 7.6.1). */
 static const char *const connection_fields[] = {"Connection", "Keep-Alive",
@@ -55,8 +57,8 @@
 	s = strtod(text, &end);
 	if (end == text || *end != '\0' || !(s > 0))
 		return 0;
-	return s < RETRY_AFTER_MAX_S ? (uint64_t)(s * 1000.0 + 0.5)
-				     : RETRY_AFTER_MAX_S * 1000ULL;
+	return s < RETRY_AFTER_MAX_S ? (uint64_t)llround(s * MS_PER_S)
+				     : (uint64_t)RETRY_AFTER_MAX_S * MS_PER_S;
 }
 
 void
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -137,12 +137,12 @@
 struct ld_setting {
 	const char *path;
 	enum ld_setting_type type;
+	enum ld_rounding rounding;
 	size_t offset;
 	uint64_t min;
 	uint64_t max;
 	const char *fallback;
 	const char *doc;
-	enum ld_rounding rounding;
 };
 
 /** ld_settings_table() - the table, ended by a row whose path is NULL */
--- a/lib/settings/relay_table.c
+++ b/lib/settings/relay_table.c
@@ -1,19 +1,15 @@
 /* The table of a relay's settings: one row per member. */
 #include "ld_settings.h"
 
-#define ROW(path, type, member, min, max, fallback, doc)                  \
-	{                                                                 \
-		path, LD_SETTING_##type,                                  \
-		    offsetof(struct ld_relay_settings, member), min, max, \
-		    fallback, doc, LD_ROUND_NONE                          \
-	}
+#define ROW(path, type, member, min, max, fallback, doc) \
+	GIVEN(path, type, member, min, max, fallback, doc, LD_ROUND_NONE)
 
 /* A number that the platform chooses. */
 #define GIVEN(path, type, member, min, max, fallback, doc, rounding)      \
 	{                                                                 \
-		path, LD_SETTING_##type,                                  \
+		path, LD_SETTING_##type, rounding,                        \
 		    offsetof(struct ld_relay_settings, member), min, max, \
-		    fallback, doc, rounding                               \
+		    fallback, doc                                         \
 	}
 
 #define NAME_MAX_BYTES 64
--- a/lib/settings/table.c
+++ b/lib/settings/table.c
@@ -1,10 +1,11 @@
 /* The table of settings: one row per member. */
 #include "ld_settings.h"
 
-#define ROW(path, type, member, min, max, fallback, doc)                       \
-	{                                                                      \
-		path, LD_SETTING_##type, offsetof(struct ld_settings, member), \
-		    min, max, fallback, doc, LD_ROUND_NONE                     \
+#define ROW(path, type, member, min, max, fallback, doc)                      \
+	{                                                                     \
+		path, LD_SETTING_##type, LD_ROUND_NONE,                       \
+		    offsetof(struct ld_settings, member), min, max, fallback, \
+		    doc                                                       \
 	}
 
 #define NAME_MAX_BYTES 64
--- a/tests/unit/test_aggregate.c
+++ b/tests/unit/test_aggregate.c
@@ -136,6 +136,8 @@
 	    agg_peer_add(&at->a, ld_str_c(fleet.nodes[i].name), fleet.now);
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(p);
+	if (p == NULL)
+		return;
 	p->processor_permille = permille_of(i);
 	p->domain = domain_of(i);
 }
@@ -255,6 +257,23 @@
 	fleet.truth[fleet.step % HISTORY][head] += tokens;
 }
 
+/* @mean: in each step, so many and one more by chance */
+static void
+send_prompts(double mean)
+{
+	int n = (int)mean;
+
+	n += ld_rand_unit(&fleet.rand) < mean - n;
+	for (; n > 0; n--) {
+		size_t node = ld_rand_below(&fleet.rand, fleet.n);
+
+		if (!fleet.nodes[node].down)
+			send_prompt(node,
+			    (int)ld_rand_below(&fleet.rand, HEADS),
+			    500 + ld_rand_below(&fleet.rand, 3000));
+	}
+}
+
 /* @per_s: prompts of the whole fleet */
 static void
 run(uint64_t ms, double per_s)
@@ -266,15 +285,7 @@
 		memcpy(fleet.truth[fleet.step % HISTORY], fleet.truth[before],
 		    sizeof(fleet.truth[0]));
 		fleet.now += STEP_MS;
-		for (double p = per_s * STEP_MS / 1000; p > 0; p--) {
-			size_t node = ld_rand_below(&fleet.rand, fleet.n);
-
-			if (ld_rand_unit(&fleet.rand) < p &&
-			    !fleet.nodes[node].down)
-				send_prompt(node,
-				    (int)ld_rand_below(&fleet.rand, HEADS),
-				    500 + ld_rand_below(&fleet.rand, 3000));
-		}
+		send_prompts(per_s * STEP_MS / 1000);
 		deliver();
 		for (size_t i = 0; i < fleet.n; i++)
 			if (!fleet.nodes[i].down)
--- a/tests/unit/test_placing_load.c
+++ b/tests/unit/test_placing_load.c
@@ -284,6 +284,15 @@
 		begin_pass(g, (double)w.now);
 }
 
+/* Of @mean in each step: so many, and one more by chance. */
+static int
+arrivals(double mean)
+{
+	int n = (int)mean;
+
+	return n + (ld_rand_unit(&w.rand) < mean - n);
+}
+
 static void
 count_active(void)
 {
@@ -315,9 +324,8 @@
 		for (size_t n = 0; n < s->nodes; n++)
 			if ((w.step + n) % 20 == 0)
 				learn(n);
-		for (double p = s->per_s * STEP_MS / 1000; p > 0; p--)
-			if (ld_rand_unit(&w.rand) < p)
-				request();
+		for (int n = arrivals(s->per_s * STEP_MS / 1000); n > 0; n--)
+			request();
 	}
 	for (size_t d = 0; d < s->domains; d++) {
 		double part = w.in_time[d] / w.asked[d];
