--- a/scripts/regress.sh
+++ b/scripts/regress.sh
@@ -60,7 +60,8 @@
 	grep -q '^GATE passed' <<<"$out" && gate=passed
 	out=$("$bench" hunt "$sites/$name.toml" --days "$days" --jobs "$JOBS" \
 	    --why "$why" 2>&1)
-	broken=$(sed -nE 's/^([0-9]+) of [0-9]+ days.*broken.*/\1/p' <<<"$out")
+	broken=$(sed -nE 's/^[0-9]+ days on .*, ([0-9]+) with a rule broken.*/\1/p' \
+	    <<<"$out")
 	hold=$(figure_to_hold "$name")
 	verdict=held
 	if [ "$gate" = failed ] || [ "${broken:-1}" != 0 ] ||
