groups: loads are free until the first request, not for five seconds

Hypothesis: before the first request loads take a tenth of the time and count for nothing, but the holder took them as free for 5 s after its start only; servers register for 4.7 s, so that most loads waited for the rate of the weight store and many were under way when callers came, when the rest of a load takes ten times as long.

Ruled out: a bound on loads at once in that time (54 took no longer).

Change: free until a request is seen by any node, at most 30 s.

--- a/lib/groups/groups.c
+++ b/lib/groups/groups.c
@@ -110,6 +110,12 @@
 	forget_plans(g);
 }
 
+void
+ld_groups_note_traffic(struct ld_groups *g)
+{
+	g->has_traffic = true;
+}
+
 bool
 ld_groups_leading(const struct ld_groups *g)
 {
--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -76,6 +76,7 @@
 struct ld_groups {
 	bool leading;
 	bool initial;
+	bool has_traffic; /* a client's request was seen */
 	int64_t fence;
 	uint64_t lead_ms;
 	uint64_t started_ms;
--- a/lib/groups/loads.c
+++ b/lib/groups/loads.c
@@ -6,12 +6,24 @@
 /* Loads that may begin at once, beyond the rate: well below the slack that the
  * weight store allows in a window. */
 #define LOADS_BURST 3.0
-/* At the first start the weight store has no callers yet: loads beside the
- * rate, ms since this process began. */
-#define INITIAL_LOADS_MS 5000
+/* At the first start loads are beside the rate until a client's request is seen,
+ * but no longer than this, ms since this process began: twice the longest time that
+ * deployments leave between their start and their traffic. */
+#define INITIAL_LOADS_MS 30000
 /* A load that doesn't show after so many times its usual length has failed. */
 #define LOAD_LENGTHS 3
 
+/* Requests that any node has under way at a server. */
+static bool
+has_traffic(const struct step *s)
+{
+	for (const struct ld_server *v = ld_servers_first(s->servers);
+	     v != NULL; v = v->next)
+		if (v->active + v->peer_active > 0)
+			return true;
+	return false;
+}
+
 void
 loads_refill(const struct step *s)
 {
@@ -25,6 +37,8 @@
 	if (g->load_tokens > LOADS_BURST)
 		g->load_tokens = LOADS_BURST;
 	g->load_tokens_ms = s->now_ms;
+	if (loads_are_free(s) && has_traffic(s))
+		ld_groups_note_traffic(g);
 }
 
 static bool
@@ -99,7 +113,8 @@
 bool
 loads_are_free(const struct step *s)
 {
-	return s->g->initial && s->now_ms < s->g->started_ms + INITIAL_LOADS_MS;
+	return s->g->initial && !s->g->has_traffic &&
+	    s->now_ms < s->g->started_ms + INITIAL_LOADS_MS;
 }
 
 bool
--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -148,6 +148,7 @@
 		}
 	}
 	facts.service = ld_route_rule_share(facts.rule, attempt_hash(r, x));
+	ld_groups_note_traffic(control_groups(r));
 	request_start(r, x, &facts);
 }
 
