groups: a small group is given up only where no member would load

Change: standby hosts load as others do; a small group ends for a large one only when no member would have to load; servers whose weights another model waits for form no group that has to load.

--- a/lib/groups/need.c
+++ b/lib/groups/need.c
@@ -56,6 +56,17 @@
 	return best;
 }
 
+bool
+plan_lacks_holder(
+    const struct step *s, const struct plan *p, const struct ld_server *v)
+{
+	for (size_t i = 0; i < s->spec->model_count; i++)
+		if (p->have.n[i] < p->target.n[i] &&
+		    server_holds(v, s->spec->models[i].name))
+			return true;
+	return false;
+}
+
 /*
  * Groups that a domain of @servers servers should hold, so that groups of a
  * small model do not use up what a large one needs.
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -15,9 +15,6 @@
  * until none was new for so long, but no longer than the second figure, ms. */
 #define FIRST_QUIET_MS 1000
 #define FIRST_WAIT_MS 4000
-/* A group is given up for one of another model whose groups would still have
- * so many times its work: a load of the weights has to be made up for. */
-#define GIVE_UP_GAIN 1.2
 /* Left-over servers form a group of a model whose groups would have at least
  * this part of the work of the neediest one's. */
 #define FILL_SHARE 0.75
@@ -122,13 +119,21 @@
 	return best;
 }
 
+size_t
+count_free_holders(const struct free_servers *f, const char *model)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < f->n; i++)
+		n += server_holds(f->v[i], model);
+	return n;
+}
+
 static size_t
 count_loads(const struct free_servers *f, const char *model, size_t size)
 {
-	size_t have = 0;
+	size_t have = count_free_holders(f, model);
 
-	for (size_t i = 0; i < f->n; i++)
-		have += server_holds(f->v[i], model);
 	return have >= size ? 0 : size - have;
 }
 
@@ -164,90 +169,45 @@
 	return true;
 }
 
-/* ---- A group given up for one of another model ---- */
-
-static bool
-is_closing_in(const struct step *s, const char *domain)
-{
-	for (const struct group *gr = s->g->groups; gr != NULL; gr = gr->next)
-		if (gr->phase == PHASE_CLOSING &&
-		    strcmp(gr->domain, domain) == 0)
-			return true;
-	return false;
-}
+/* ---- What a domain should hold ---- */
 
-/* Of the model's groups that serve, the one with most of the weights of @want. */
-static struct group *
-find_serving(const struct step *s, const char *domain, const char *model,
-    const char *want)
+/* Servers whose weights a model of the domain waits for form no group of another
+ * model that would have to load: the first would wait for a load as well, and so
+ * would the next that loses a member. */
+static void
+set_aside(const struct step *s, const struct plan *p, size_t model,
+    struct free_servers *kept)
 {
-	struct group *best = NULL;
-	size_t most = 0;
-
-	for (struct group *gr = s->g->groups; gr != NULL; gr = gr->next) {
-		size_t n;
-
-		if (gr->phase != PHASE_SERVING ||
-		    strcmp(gr->domain, domain) != 0 ||
-		    strcmp(gr->model, model) != 0)
-			continue;
-		n = standby_count(s, gr, want);
-		if (best != NULL && n <= most)
-			continue;
-		best = gr;
-		most = n;
-	}
-	return best;
-}
+	struct free_servers *f = p->f;
+	size_t n = f->n;
 
-/*
- * Load: losses fell on one model, whose groups are overrun while those of
- * another have room. A domain that lacks a few servers for a group of the
- * first gives up a group of the second.
- */
-static bool
-give_up_for(const struct step *s, const char *domain, size_t servers,
-    const struct free_servers *f, struct counts *all)
-{
-	int want = neediest(s, all, servers);
-	size_t size;
+	kept->n = f->n = 0;
+	for (size_t i = 0; i < n; i++) {
+		struct ld_server *v = f->v[i];
 
-	if (want < 0 || is_closing_in(s, domain))
-		return false;
-	size = s->spec->models[want].size;
-	for (size_t i = 0; i < s->spec->model_count && size > f->n; i++) {
-		const struct ld_model_spec *m = &s->spec->models[i];
-		struct group *gr;
-
-		if ((int)i == want || all->n[i] < 2 || f->n + m->size < size ||
-		    work_of_group(s, (size_t)want, all->n[want] + 1) <
-			GIVE_UP_GAIN * work_of_group(s, i, all->n[i] - 1))
-			continue;
-		gr = find_serving(
-		    s, domain, m->name, s->spec->models[want].name);
-		if (gr == NULL)
-			continue;
-		lifecycle_close(s, gr, "its servers are needed elsewhere");
-		all->n[i]--;
-		return true;
+		if (!server_holds(v, s->spec->models[model].name) &&
+		    plan_lacks_holder(s, p, v))
+			kept->v[kept->n++] = v;
+		else
+			f->v[f->n++] = v;
 	}
-	return false;
 }
 
-/* A group that waits for a load gets the servers of one that holds the weights. */
 static bool
-use_standby(const struct step *s, const char *domain,
-    const struct free_servers *f, struct counts *all)
+form_of_rest(const struct step *s, struct plan *p, size_t model)
 {
-	if (is_closing_in(s, domain))
-		return false;
-	for (size_t m = 0; m < s->spec->model_count; m++) {
-		struct waiting w = regroup_waiting(s, m, domain, f);
-
-		if (w.groups > 0 && standby_use(s, m, domain, w.holders, all))
-			return true;
+	struct free_servers kept;
+	bool formed;
+
+	set_aside(s, p, model, &kept);
+	formed = form_one(s, model, p->domain, p->f);
+	for (size_t i = 0; i < kept.n; i++)
+		p->f->v[p->f->n++] = kept.v[i];
+	if (formed) {
+		p->have.n[model]++;
+		p->all->n[model]++;
 	}
-	return false;
+	return formed;
 }
 
 /*
@@ -255,70 +215,57 @@
  * them much more and only lacks a few that may come.
  */
 static bool
-fill(const struct step *s, const char *domain, size_t servers,
-    struct free_servers *f, struct counts *all)
+fill(const struct step *s, struct plan *p)
 {
-	int fits = neediest(s, all, f->n);
-	int want = neediest(s, all, servers);
+	int fits = neediest(s, p->all, p->f->n);
+	int want = neediest(s, p->all, p->servers);
 
-	if (fits < 0 || is_closing_in(s, domain))
+	if (fits < 0 || donor_is_closing(s, p->domain))
 		return false;
-	if (work_of_group(s, (size_t)fits, all->n[fits] + 1) <
-	    FILL_SHARE * work_of_group(s, (size_t)want, all->n[want] + 1))
+	if (work_of_group(s, (size_t)fits, p->all->n[fits] + 1) <
+	    FILL_SHARE * work_of_group(s, (size_t)want, p->all->n[want] + 1))
 		return false;
-	if (!form_one(s, (size_t)fits, domain, f))
-		return false;
-	all->n[fits]++;
-	return true;
+	return form_of_rest(s, p, (size_t)fits);
 }
 
 /* Groups of servers that all hold the weights. */
 static void
-form_loaded(const struct step *s, const char *domain, struct free_servers *f,
-    struct counts *all)
+form_loaded(const struct step *s, struct plan *p)
 {
 	for (size_t m = 0; m < s->spec->model_count; m++) {
 		const struct ld_model_spec *spec = &s->spec->models[m];
 
-		while (f->n >= spec->size &&
-		    count_loads(f, spec->name, spec->size) == 0 &&
-		    form_one(s, m, domain, f))
-			all->n[m]++;
+		while (p->f->n >= spec->size &&
+		    count_loads(p->f, spec->name, spec->size) == 0 &&
+		    form_one(s, m, p->domain, p->f)) {
+			p->have.n[m]++;
+			p->all->n[m]++;
+		}
 	}
 }
 
-/*
- * First what the domain should hold, then whatever fits the rest.
- * @all: groups of all domains, kept up to date
- */
+/* First what the domain should hold, then whatever fits the rest. */
 static void
-form_groups(const struct step *s, const char *domain, size_t servers,
-    struct free_servers *f, struct counts *all)
+form_groups(const struct step *s, struct plan *p)
 {
-	struct counts target = target_of(s, servers);
-	struct counts have = count_groups(s, domain);
-
 	for (size_t m = 0; m < s->spec->model_count; m++) {
-		size_t dissolved = regroup(s, m, domain, f);
+		size_t dissolved = regroup(s, m, p->domain, p->f);
 
-		have.n[m] -= dissolved;
-		all->n[m] -= dissolved;
-		while (have.n[m] < target.n[m] && form_one(s, m, domain, f)) {
-			have.n[m]++;
-			all->n[m]++;
-		}
+		p->have.n[m] -= dissolved;
+		p->all->n[m] -= dissolved;
+		while (p->have.n[m] < p->target.n[m] && form_of_rest(s, p, m))
+			;
 		/* It waits for its turn at the weight store; what needs none
 		 * serves meanwhile. */
-		if (have.n[m] < target.n[m] &&
-		    f->n >= s->spec->models[m].size) {
-			form_loaded(s, domain, f, all);
+		if (p->have.n[m] < p->target.n[m] &&
+		    p->f->n >= s->spec->models[m].size) {
+			form_loaded(s, p);
 			return;
 		}
 	}
-	if (use_standby(s, domain, f, all) ||
-	    give_up_for(s, domain, servers, f, all))
+	if (donor_use(s, p))
 		return;
-	while (fill(s, domain, servers, f, all))
+	while (fill(s, p))
 		;
 }
 
@@ -403,11 +350,19 @@
 	all = count_groups(s, NULL);
 	for (size_t i = 0; i < n; i++) {
 		struct domain *d = &s->g->domains[i];
+		struct plan p = {
+		    .domain = d->name,
+		    .servers = d->servers,
+		    .f = &d->free,
+		    .target = target_of(s, d->servers),
+		    .have = count_groups(s, d->name),
+		    .all = &all,
+		};
 
 		if (still_filling(s, d))
 			continue;
-		form_groups(s, d->name, d->servers, &d->free, &all);
-		spares_step(s, d->name, &d->free);
-		standby_step(s, d->name);
+		form_groups(s, &p);
+		spares_step(s, &p);
+		standby_step(s, &p);
 	}
 }
--- a/lib/groups/placing_internal.h
+++ b/lib/groups/placing_internal.h
@@ -17,8 +17,25 @@
 	size_t n[LD_MODELS_MAX];
 };
 
+/**
+ * struct plan - what a domain holds and should hold, in one look
+ * @servers: that may be in a group
+ * @all: groups of all domains, kept up to date
+ */
+struct plan {
+	const char *domain;
+	size_t servers;
+	struct free_servers *f;
+	struct counts target;
+	struct counts have;
+	struct counts *all;
+};
+
 /* ---- placing.c ---- */
 
+/** count_free_holders() - free servers whose hosts hold the weights */
+size_t count_free_holders(const struct free_servers *f, const char *model);
+
 /** server_holds() - its host holds the weights of @model */
 bool server_holds(const struct ld_server *v, const char *model);
 
@@ -30,6 +47,12 @@
 double work_of_group(const struct step *s, size_t model, size_t groups);
 /** neediest() - model that fits into @room servers, -1 when none does */
 int neediest(const struct step *s, const struct counts *have, size_t room);
+/**
+ * plan_lacks_holder() - the server holds weights of a model of which the domain
+ * has too few groups
+ */
+bool plan_lacks_holder(
+    const struct step *s, const struct plan *p, const struct ld_server *v);
 /** target_of() - groups that a domain of @servers servers should hold */
 struct counts target_of(const struct step *s, size_t servers);
 
@@ -76,13 +99,24 @@
 size_t regroup(const struct step *s, size_t model, const char *domain,
     struct free_servers *f);
 
+/* ---- donors.c ---- */
+
+/** donor_is_closing() - a group of the domain ends, its servers are free soon */
+bool donor_is_closing(const struct step *s, const char *domain);
+/**
+ * donor_use() - end a small group for one of a model that needs its servers
+ *
+ * Return: true when one ends: its servers are free soon.
+ */
+bool donor_use(const struct step *s, struct plan *p);
+
 /* ---- standby.c ---- */
 
 /** standby_count() - members whose hosts hold the weights of @model */
 size_t standby_count(
     const struct step *s, const struct group *gr, const char *model);
 /** standby_step() - have hosts of a small group load the largest model */
-void standby_step(const struct step *s, const char *domain);
+void standby_step(const struct step *s, const struct plan *p);
 /**
  * standby_use() - close a small group whose hosts hold what groups wait for
  * @holders: servers that would be in such a group and hold the weights
@@ -105,7 +139,6 @@
     const struct step *s, struct ld_server *v, const char *model);
 
 /** spares_step() - have the free servers of a domain load weights */
-void spares_step(
-    const struct step *s, const char *domain, const struct free_servers *f);
+void spares_step(const struct step *s, const struct plan *p);
 
 #endif
--- a/lib/groups/spares.c
+++ b/lib/groups/spares.c
@@ -128,12 +128,12 @@
 }
 
 void
-spares_step(
-    const struct step *s, const char *domain, const struct free_servers *f)
+spares_step(const struct step *s, const struct plan *p)
 {
+	const struct free_servers *f = p->f;
 	struct demand d = {
-	    .groups = count_groups(s, domain),
-	    .leaving = count_leaving(s, domain),
+	    .groups = p->have,
+	    .leaving = count_leaving(s, p->domain),
 	};
 	struct counts held = {{0}};
 
--- a/lib/groups/standby.c
+++ b/lib/groups/standby.c
@@ -81,9 +81,9 @@
 }
 
 void
-standby_step(const struct step *s, const char *domain)
+standby_step(const struct step *s, const struct plan *p)
 {
-	int large = largest_model(s, domain);
+	int large = largest_model(s, p->domain);
 	const struct ld_model_spec *m;
 	const struct group *gr;
 	size_t holders;
@@ -91,7 +91,7 @@
 	if (large < 0)
 		return;
 	m = &s->spec->models[large];
-	gr = best_group(s, domain, m, &holders);
+	gr = best_group(s, p->domain, m, &holders);
 	if (gr == NULL)
 		return;
 	for (size_t i = gr->member_count; i-- > 0;) {
@@ -99,9 +99,7 @@
 
 		if (v == NULL || server_holds(v, m->name))
 			continue;
-		/* Nothing waits for it: groups and spares load first. */
-		if (holders < STANDBY_HOSTS && !spares_still_loading(s, v) &&
-		    loads_are_idle(s))
+		if (holders < STANDBY_HOSTS && !spares_still_loading(s, v))
 			spares_stage(s, v, m->name);
 		holders += spares_still_loading(s, v);
 	}
