groups: whole groups are compared, small groups come before loads

Change: a group is worth the share of its model times the logarithm of its groups; a model without a group comes first. Small groups with the weights are given up before anything loads. Spares follow what the domain should hold, and keep weights that a group waits for. A join that does not show within 2.5 s is ordered again. Before traffic groups beyond the target end at once.

--- a/lib/groups/donors.c
+++ b/lib/groups/donors.c
@@ -1,10 +1,11 @@
 /* Small groups that are given up for a group of a model that is short of servers. */
+#include <math.h>
 #include <string.h>
 
 #include "placing_internal.h"
 
-/* A group is given up for one of another model whose groups would still have
- * so many times its work: the change has to be made up for. */
+/* A group is given up for one of another model that is worth so many times as
+ * much: the change has to be made up for. */
 #define GIVE_UP_GAIN 1.2
 
 bool
@@ -41,31 +42,49 @@
 	return best;
 }
 
+/* A model's capacity is worth its share of the work times the logarithm of it: the
+ * fewer groups a model has, the more its callers gain by another. */
+static double
+worth_of_one_more(const struct step *s, size_t model, size_t groups)
+{
+	if (groups == 0)
+		return HUGE_VAL;
+	return s->spec->models[model].work_share * log1p(1.0 / (double)groups);
+}
+
+/* The servers that wait are idle either way, so that a whole group is gained,
+ * against the whole of the one that is given up. */
+bool
+donor_is_worth_it(
+    const struct step *s, const struct counts *all, size_t want, size_t model)
+{
+	return all->n[model] >= 2 &&
+	    worth_of_one_more(s, want, all->n[want]) >
+	    GIVE_UP_GAIN * worth_of_one_more(s, model, all->n[model] - 1);
+}
+
 /*
  * Load: losses fell on one model, whose groups are overrun while those of
- * another have room. A domain that lacks a few servers for a group of the
- * first gives up a group of the second, once no member would have to load: the
- * servers given up serve until then.
+ * another have room. A domain that lacks a few servers with the weights for a group
+ * of the first gives up a group of the second that has them; until then the
+ * servers of the second serve.
  */
-static bool
-give_up_for(const struct step *s, struct plan *p, size_t want)
+bool
+donor_give_up(const struct step *s, struct plan *p, size_t want)
 {
 	const struct ld_model_spec *w = &s->spec->models[want];
 	size_t holders = count_free_holders(p->f, w->name);
 
-	for (size_t i = 0; i < s->spec->model_count && w->size > p->f->n; i++) {
+	for (size_t i = 0; i < s->spec->model_count; i++) {
 		const struct ld_model_spec *m = &s->spec->models[i];
 		struct group *gr;
 
-		if (i == want || p->all->n[i] < 2 ||
-		    p->f->n + m->size < w->size ||
-		    work_of_group(s, want, p->all->n[want] + 1) <
-			GIVE_UP_GAIN * work_of_group(s, i, p->all->n[i] - 1))
+		if (i == want || m->size > w->size ||
+		    !donor_is_worth_it(s, p->all, want, i))
 			continue;
 		gr = find_serving(s, p->domain, m->name, w->name);
 		if (gr == NULL ||
-		    (!loads_are_free(s) &&
-			holders + standby_count(s, gr, w->name) < w->size))
+		    holders + standby_count(s, gr, w->name) < w->size)
 			continue;
 		lifecycle_close(s, gr, "its servers are needed elsewhere");
 		p->all->n[i]--;
@@ -76,9 +95,11 @@
 }
 
 /* A group that waits for a load gets the servers of one that holds the weights. */
-static bool
-use_standby(const struct step *s, struct plan *p)
+bool
+donor_use_standby(const struct step *s, struct plan *p)
 {
+	if (donor_is_closing(s, p->domain))
+		return false;
 	for (size_t m = 0; m < s->spec->model_count; m++) {
 		struct waiting w = regroup_waiting(s, m, p->domain, p->f);
 
@@ -89,13 +110,30 @@
 	return false;
 }
 
+/* Before the first request: all groups beyond the target end at once. */
 bool
-donor_use(const struct step *s, struct plan *p)
+donor_rebalance(const struct step *s, struct plan *p)
 {
-	int want = neediest(s, p->all, p->servers);
+	bool any = false;
 
-	if (donor_is_closing(s, p->domain))
+	if (!loads_are_free(s))
 		return false;
-	return use_standby(s, p) ||
-	    (want >= 0 && give_up_for(s, p, (size_t)want));
+	for (struct group *gr = s->g->groups; gr != NULL; gr = gr->next) {
+		const struct ld_model_spec *m =
+		    ld_engine_model(s->spec, ld_str_c(gr->model));
+		size_t i;
+
+		if (gr->phase != PHASE_SERVING || m == NULL ||
+		    strcmp(gr->domain, p->domain) != 0)
+			continue;
+		i = (size_t)(m - s->spec->models);
+		if (p->have.n[i] <= p->target.n[i])
+			continue;
+		lifecycle_close(
+		    s, gr, "servers came that a larger model needs");
+		p->have.n[i]--;
+		p->all->n[i]--;
+		any = true;
+	}
+	return any;
 }
--- a/lib/groups/lifecycle.c
+++ b/lib/groups/lifecycle.c
@@ -13,6 +13,10 @@
 #define ORDER_RETRY_MS 700
 /* Orders to join that a server may leave without effect. */
 #define JOIN_TRIES_MAX 3
+/* A server that accepted an order to join says so in its entry within this, ms: the
+ * lag of the store's watch, also through a second without news. Otherwise it has
+ * started anew since. */
+#define JOIN_SHOWS_MS 2500
 /* Beyond the time of a load: the lag of reports and of the watch, ms. */
 #define JOIN_SLACK_MS 5000
 /* Time for what runs to end when a member leaves as planned, ms: within the
@@ -224,8 +228,7 @@
 		if (names_group(v, gr) &&
 		    v->entry.member.state == LD_MEMBER_JOINING)
 			continue;
-		if (m->accepted &&
-		    s->now_ms < m->ordered_ms + join_limit_ms(s, gr))
+		if (m->accepted && s->now_ms < m->ordered_ms + JOIN_SHOWS_MS)
 			continue;
 		if (m->ordered_ms != 0 &&
 		    s->now_ms < m->ordered_ms + ORDER_RETRY_MS)
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -228,22 +228,50 @@
 	return form_of_rest(s, p, (size_t)fits);
 }
 
-/* Groups of servers that all hold the weights. */
+/* Groups of servers that all hold the weights, at most @most of the model. */
 static void
-form_loaded(const struct step *s, struct plan *p)
+form_loaded(const struct step *s, struct plan *p, size_t model, size_t most)
 {
-	for (size_t m = 0; m < s->spec->model_count; m++) {
-		const struct ld_model_spec *spec = &s->spec->models[m];
+	const struct ld_model_spec *m = &s->spec->models[model];
 
-		while (p->f->n >= spec->size &&
-		    count_loads(p->f, spec->name, spec->size) == 0 &&
-		    form_one(s, m, p->domain, p->f)) {
-			p->have.n[m]++;
-			p->all->n[m]++;
-		}
+	while (p->have.n[model] < most && p->f->n >= m->size &&
+	    count_loads(p->f, m->name, m->size) == 0 &&
+	    form_one(s, model, p->domain, p->f)) {
+		p->have.n[model]++;
+		p->all->n[model]++;
 	}
 }
 
+static void
+form_all_loaded(const struct step *s, struct plan *p)
+{
+	for (size_t m = 0; m < s->spec->model_count; m++)
+		form_loaded(
+		    s, p, m, loads_are_free(s) ? p->target.n[m] : SIZE_MAX);
+}
+
+/*
+ * Groups of the model up to what the domain should hold: of servers with the
+ * weights, or with those of a small group's hosts, and only then with loads.
+ * Return: false while one waits for servers or for its turn at the weight store.
+ */
+static bool
+form_target(const struct step *s, struct plan *p, size_t model)
+{
+	size_t target = p->target.n[model];
+
+	form_loaded(s, p, model, target);
+	if (p->have.n[model] >= target)
+		return true;
+	if (donor_is_closing(s, p->domain) || donor_rebalance(s, p) ||
+	    donor_give_up(s, p, model))
+		return false;
+	while (p->have.n[model] < target && form_of_rest(s, p, model))
+		;
+	return p->have.n[model] >= target ||
+	    p->f->n < s->spec->models[model].size;
+}
+
 /* First what the domain should hold, then whatever fits the rest. */
 static void
 form_groups(const struct step *s, struct plan *p)
@@ -253,17 +281,13 @@
 
 		p->have.n[m] -= dissolved;
 		p->all->n[m] -= dissolved;
-		while (p->have.n[m] < p->target.n[m] && form_of_rest(s, p, m))
-			;
-		/* It waits for its turn at the weight store; what needs none
-		 * serves meanwhile. */
-		if (p->have.n[m] < p->target.n[m] &&
-		    p->f->n >= s->spec->models[m].size) {
-			form_loaded(s, p);
+		/* What needs no load serves meanwhile. */
+		if (!form_target(s, p, m)) {
+			form_all_loaded(s, p);
 			return;
 		}
 	}
-	if (donor_use(s, p))
+	if (donor_use_standby(s, p))
 		return;
 	while (fill(s, p))
 		;
--- a/lib/groups/placing_internal.h
+++ b/lib/groups/placing_internal.h
@@ -104,11 +104,21 @@
 /** donor_is_closing() - a group of the domain ends, its servers are free soon */
 bool donor_is_closing(const struct step *s, const char *domain);
 /**
- * donor_use() - end a small group for one of a model that needs its servers
+ * donor_is_worth_it() - one more group of @want is worth more than the last one of
+ * @model, given the groups in @all
+ */
+bool donor_is_worth_it(
+    const struct step *s, const struct counts *all, size_t want, size_t model);
+/**
+ * donor_give_up() - end a small group whose hosts complete a group of @want
  *
  * Return: true when one ends: its servers are free soon.
  */
-bool donor_use(const struct step *s, struct plan *p);
+bool donor_give_up(const struct step *s, struct plan *p, size_t want);
+/** donor_rebalance() - end groups that a domain should not hold, before traffic */
+bool donor_rebalance(const struct step *s, struct plan *p);
+/** donor_use_standby() - the same for a group that waits for a load */
+bool donor_use_standby(const struct step *s, struct plan *p);
 
 /* ---- standby.c ---- */
 
--- a/lib/groups/spares.c
+++ b/lib/groups/spares.c
@@ -137,6 +137,10 @@
 	};
 	struct counts held = {{0}};
 
+	/* A group that is missing needs the weights most. */
+	for (size_t i = 0; i < s->spec->model_count; i++)
+		if (d.groups.n[i] < p->target.n[i])
+			d.groups.n[i] = p->target.n[i];
 	for (size_t i = 0; i < f->n; i++) {
 		int m = spare_model(s, f->v[i]);
 
@@ -146,7 +150,8 @@
 	for (size_t i = 0; i < f->n; i++) {
 		int has = spare_model(s, f->v[i]), want;
 
-		if (spares_still_loading(s, f->v[i]))
+		if (spares_still_loading(s, f->v[i]) ||
+		    plan_lacks_holder(s, p, f->v[i]))
 			continue;
 		if (has >= 0)
 			held.n[has]--;
--- a/lib/groups/standby.c
+++ b/lib/groups/standby.c
@@ -122,6 +122,7 @@
     size_t holders, struct counts *all)
 {
 	const struct ld_model_spec *large = &s->spec->models[model], *small;
+	struct counts serving = *all;
 	size_t with, i;
 	struct group *gr = best_group(s, domain, large, &with);
 
@@ -130,9 +131,8 @@
 	small = ld_engine_model(s->spec, ld_str_c(gr->model));
 	i = (size_t)(small - s->spec->models);
 	/* The others of the small model take its work over. */
-	if (all->n[i] < 2 ||
-	    work_of_group(s, model, count_serving(s, large->name) + 1) <
-		work_of_group(s, i, all->n[i] - 1))
+	serving.n[model] = count_serving(s, large->name);
+	if (!donor_is_worth_it(s, &serving, model, i))
 		return false;
 	lifecycle_close(s, gr, "its hosts hold weights that others wait for");
 	all->n[i]--;
