groups: loads for groups first in all domains; a group given up drains for 0.8 s

Hypotheses: (1) loads are scarce (7 at once on further), and the standby hosts of the first domain took them before groups of the last one; (2) a large group waits 1.5 s for the streams of a small one, of which most have ended after 0.8 s; the others go on at another group.

Change: groups of all domains are formed before any spare or standby host loads; the second standby host of a domain loads when loads are idle. A group that is given up for another model drains for 0.8 s; one whose member leaves as planned still for 1.5 s.

--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -32,7 +32,7 @@
 	uint64_t since_ms; /* of the phase */
 	uint64_t ordered_ms; /* last order to the head in this phase */
 	bool adopted; /* a predecessor formed it */
-	bool drains; /* closing for a planned leave: what runs may end */
+	uint64_t drain_ms; /* closing: what runs may end for so long */
 	bool drain_ordered; /* the last order to the head was to drain */
 	bool head_left;
 	bool head_silent; /* it gave no answer to the order to leave */
--- a/lib/groups/lifecycle.c
+++ b/lib/groups/lifecycle.c
@@ -21,7 +21,11 @@
 #define JOIN_SLACK_MS 5000
 /* Time for what runs to end when a member leaves as planned, ms: within the
  * time for which a leaving server goes on. */
-#define DRAIN_MAX_MS 1500
+#define LEAVE_DRAIN_MS 1500
+/* The same when a group of another model waits for the servers, ms: most of a small
+ * model's answers have ended, the others go on elsewhere, and the callers of the
+ * other model wait no longer. */
+#define GIVE_UP_DRAIN_MS 800
 /* A leaving member is relied on for so long, ms: below the ten seconds for
  * which it stays while its head has work. */
 #define LEAVING_SERVES_MS 8000
@@ -157,9 +161,9 @@
 
 static void
 close_group(const struct step *s, struct group *gr, const char *server,
-    const char *why, bool drains)
+    const char *why, uint64_t drain_ms)
 {
-	gr->drains = drains;
+	gr->drain_ms = drain_ms;
 	gr->head_left = false;
 	gr->head_silent = false;
 	gr->head_refuses = false;
@@ -170,7 +174,7 @@
 void
 lifecycle_close(const struct step *s, struct group *gr, const char *why)
 {
-	close_group(s, gr, "", why, true);
+	close_group(s, gr, "", why, GIVE_UP_DRAIN_MS);
 }
 
 static uint64_t
@@ -218,7 +222,7 @@
 		if (v != NULL && !v->listed && !s->settled)
 			continue;
 		if (v == NULL || !v->listed || v->entry.leaving) {
-			close_group(s, gr, m->id, "a member left it", false);
+			close_group(s, gr, m->id, "a member left it", 0);
 			return;
 		}
 		if (is_ready(v, gr)) {
@@ -234,8 +238,7 @@
 		    s->now_ms < m->ordered_ms + ORDER_RETRY_MS)
 			continue;
 		if (m->tries >= JOIN_TRIES_MAX) {
-			close_group(
-			    s, gr, m->id, "a member did not join", false);
+			close_group(s, gr, m->id, "a member did not join", 0);
 			return;
 		}
 		order_join(s, gr, i, v);
@@ -243,7 +246,7 @@
 	if (ready == gr->member_count)
 		group_set_phase(gr, PHASE_OPENING, s->now_ms);
 	else if (s->now_ms > gr->since_ms + join_limit_ms(s, gr))
-		close_group(s, gr, "", "members were not ready in time", false);
+		close_group(s, gr, "", "members were not ready in time", 0);
 }
 
 /* A member may be lost, or start anew, after all were ready. */
@@ -273,12 +276,12 @@
 	}
 	if (!still_ready(s, gr)) {
 		if (s->settled)
-			close_group(s, gr, "", "a member was lost", false);
+			close_group(s, gr, "", "a member was lost", 0);
 		return;
 	}
 	if (s->now_ms > gr->since_ms + JOIN_SLACK_MS) {
 		close_group(
-		    s, gr, gr->members[0].id, "the head did not open", false);
+		    s, gr, gr->members[0].id, "the head did not open", 0);
 		return;
 	}
 	if (gr->ordered_ms != 0 && s->now_ms < gr->ordered_ms + ORDER_RETRY_MS)
@@ -352,12 +355,12 @@
 		if (why != NULL) {
 			change_add(
 			    s->g, "member-lost", gr, gr->members[i].id, why);
-			close_group(s, gr, gr->members[i].id, why, false);
+			close_group(s, gr, gr->members[i].id, why, 0);
 			return;
 		}
 		if (should_replace(s, gr, i)) {
 			close_group(s, gr, gr->members[i].id,
-			    "a member leaves as planned", true);
+			    "a member leaves as planned", LEAVE_DRAIN_MS);
 			return;
 		}
 	}
@@ -415,13 +418,12 @@
 static void
 order_head(const struct step *s, struct group *gr, struct ld_server *head)
 {
-	bool drain = gr->drains && head->listed &&
-	    s->now_ms < gr->since_ms + DRAIN_MAX_MS &&
+	bool drain = head->listed && s->now_ms < gr->since_ms + gr->drain_ms &&
 	    head->entry.member.state != LD_MEMBER_READY;
 
 	if (drain == gr->drain_ordered && gr->ordered_ms != 0 &&
 	    s->now_ms <
-		gr->ordered_ms + (drain ? DRAIN_MAX_MS : ORDER_RETRY_MS))
+		gr->ordered_ms + (drain ? gr->drain_ms : ORDER_RETRY_MS))
 		return;
 	gr->drain_ordered = drain;
 	order_add(s->g, drain ? LD_ORDER_CLOSE : LD_ORDER_LEAVE, head, gr);
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -300,7 +300,9 @@
 	const char *name;
 	size_t servers; /* that may be in a group */
 	uint64_t newest_ms; /* when the last one was first seen */
+	bool filling; /* servers may still be about to register */
 	struct free_servers free;
+	struct plan plan;
 };
 
 static struct domain *
@@ -374,7 +376,9 @@
 	all = count_groups(s, NULL);
 	for (size_t i = 0; i < n; i++) {
 		struct domain *d = &s->g->domains[i];
-		struct plan p = {
+
+		d->filling = still_filling(s, d);
+		d->plan = (struct plan){
 		    .domain = d->name,
 		    .servers = d->servers,
 		    .f = &d->free,
@@ -382,11 +386,15 @@
 		    .have = count_groups(s, d->name),
 		    .all = &all,
 		};
-
-		if (still_filling(s, d))
-			continue;
-		form_groups(s, &p);
-		spares_step(s, &p);
-		standby_step(s, &p);
+		if (!d->filling)
+			form_groups(s, &d->plan);
 	}
+	/* Loads are scarce: groups that need them go first, in all domains. */
+	for (size_t i = 0; i < n; i++)
+		if (!s->g->domains[i].filling)
+			spares_step(s, &s->g->domains[i].plan);
+	for (size_t hosts = 1; hosts <= STANDBY_HOSTS; hosts++)
+		for (size_t i = 0; i < n; i++)
+			if (!s->g->domains[i].filling)
+				standby_step(s, &s->g->domains[i].plan, hosts);
 }
--- a/lib/groups/placing_internal.h
+++ b/lib/groups/placing_internal.h
@@ -125,8 +125,14 @@
 /** standby_count() - members whose hosts hold the weights of @model */
 size_t standby_count(
     const struct step *s, const struct group *gr, const char *model);
-/** standby_step() - have hosts of a small group load the largest model */
-void standby_step(const struct step *s, const struct plan *p);
+/* Hosts in a domain: one for a loss, one for the next before a load has ended.
+ * More of them would be missing in the small model's groups when servers are
+ * restarted by turns, each of which comes back with what its host holds. */
+#define STANDBY_HOSTS 2
+
+/** standby_step() - have @hosts hosts of a small group load the largest model */
+void standby_step(
+    const struct step *s, const struct plan *p, size_t hosts);
 /**
  * standby_use() - close a small group whose hosts hold what groups wait for
  * @holders: servers that would be in such a group and hold the weights
--- a/lib/groups/standby.c
+++ b/lib/groups/standby.c
@@ -10,11 +10,6 @@
 
 #include "placing_internal.h"
 
-/* Hosts in a domain: one for a loss, one for the next before a load has ended.
- * More of them would be missing in the small model's groups when servers are
- * restarted by turns, each of which comes back with what its host holds. */
-#define STANDBY_HOSTS 2
-
 /* A small group that serves in the domain, with a host that may be asked. */
 static bool
 is_candidate(const struct step *s, const struct group *gr, const char *domain,
@@ -81,7 +76,7 @@
 }
 
 void
-standby_step(const struct step *s, const struct plan *p)
+standby_step(const struct step *s, const struct plan *p, size_t hosts)
 {
 	int large = largest_model(s, p->domain);
 	const struct ld_model_spec *m;
@@ -99,7 +94,8 @@
 
 		if (v == NULL || server_holds(v, m->name))
 			continue;
-		if (holders < STANDBY_HOSTS && !spares_still_loading(s, v))
+		if (holders < hosts && !spares_still_loading(s, v) &&
+		    (hosts == 1 || loads_are_idle(s)))
 			spares_stage(s, v, m->name);
 		holders += spares_still_loading(s, v);
 	}
