http: answers whose head or framing has no end are ended

Cause: the client bounded the bytes of a body alone. Found by test_http_endless (13 servers that send without end): a chunk extension was read for the whole 8 s of the call, 3,014,557,111 bytes; heads of many lines and interim answers rested on what libcurl happens to bound.

Ruled out: bounding what libcurl says that it received: it counts the body after the framing is taken off (tried, no effect).

Change: at most 128 KB of header lines in an answer, interim ones and trailers included; 200 reads in a row that bring nothing of the body end it. Bytes behind a whole answer on a kept connection wait until it is used again and are no answer then.

Left: neighbours of such a server on one node were not measured.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -17,6 +17,12 @@
 /* Easy handles kept for reuse. */
 #define SPARE_HANDLES_MAX 1024
 #define RECEIVE_BUFFER_BYTES 16384L
+/* Of all header lines of an answer, of its interim answers and trailers: many times
+ * what servers send. */
+#define HEAD_MAX_BYTES ((size_t)128 * 1024)
+/* Reads in a row that brought nothing of the body: the framing of chunks has no end
+ * then. Each read takes up to RECEIVE_BUFFER_BYTES. */
+#define EMPTY_READS_MAX 200
 
 struct ld_http {
 	struct ld_loop *loop;
@@ -45,6 +51,9 @@
 	uint64_t progress_ms; /* when bytes last arrived */
 	uint64_t progress_timeout_ms;
 	size_t received;
+	size_t head_received;
+	size_t received_before; /* of both, at the last read */
+	unsigned int empty_reads; /* since then */
 	size_t max_body;
 	enum ld_status failure; /* set when this side ends the call */
 	bool head_seen;
@@ -354,6 +363,11 @@
 	c->progress_ms = ld_loop_now(c->http->loop);
 	if (c->sink == NULL)
 		return 0;
+	c->head_received += size * n;
+	if (c->head_received > HEAD_MAX_BYTES) {
+		c->failure = LD_E_TOO_LARGE;
+		return 0;
+	}
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &code);
 	if (size * n > 2) {
 		/* After the head come trailers, which belong to the body. */
@@ -387,6 +401,26 @@
 	return c->dying ? 0 : bytes.len;
 }
 
+/* Called with each read: ends an answer whose framing has no end, such as the
+ * extension of a chunk. */
+static int
+on_progress(void *user, curl_off_t total, curl_off_t received, curl_off_t up,
+    curl_off_t sent)
+{
+	struct ld_http_call *c = user;
+	size_t all = c->head_received + c->received;
+
+	if (!c->head_seen || c->paused || all != c->received_before) {
+		c->received_before = all;
+		c->empty_reads = 0;
+		return 0;
+	}
+	if (++c->empty_reads < EMPTY_READS_MAX)
+		return 0;
+	c->failure = LD_E_TOO_LARGE;
+	return 1;
+}
+
 /* A paused call waits for its reader, which is not the server's fault. */
 static void
 on_progress_timer(struct ld_timer *t, uint64_t now_ms)
@@ -463,6 +497,9 @@
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(e, CURLOPT_XFERINFODATA, c);
+	curl_easy_setopt(e, CURLOPT_NOPROGRESS, 0L);
 	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(e, CURLOPT_NOPROXY, "*");
