store: a store that comes back from an older copy takes nothing back

Cause: revisions were compared as if they only rose. After a return in an older copy (Store-Era rises, revisions and leases are given out again) every answer was refused as older than what had been seen, keys ended after 3.5 s and stayed so; a fence could come twice, a lease's id could be another node's. test_store_era fails so on the code of before.

Weighed: comparing eras beside revisions in each part; a fence kept in the store (lost with the copy); the highest fence that nodes remember (a node that starts knows none).

Change: lib/store puts the era above each revision (36 bits) and takes it off on the way out; fences and /changes carry it without more. Epochs count up from fence x 65,536 to stay within 63 bits. A holder steps down at the first answer of another era, nobody takes control for 2.1 s after it. Entries of known servers, the newer configuration and the age of keys from before hold for 2.1 s, then all is read once more. A node that starts takes control after 2 s at the earliest. Polls of the watch have a bound on their bytes.

Shown by test_store_era (configuration, revisions given out again, entries, control and own entry), test_store_client, test_groups.

--- a/lib/groups/groups.c
+++ b/lib/groups/groups.c
@@ -5,8 +5,6 @@
 
 #include "groups_internal.h"
 
-/* Epochs of one lease count up from its fence times this. */
-#define EPOCHS_PER_FENCE 1000000
 /* A server that refused an order is passed over for so long, ms. */
 #define AVOID_AFTER_REFUSAL_MS 1000
 /* A server that gave no answer to an order is passed over for so long, ms:
@@ -116,6 +114,13 @@
 	g->has_traffic = true;
 }
 
+bool
+ld_groups_spent(const struct ld_groups *g)
+{
+	return g->leading &&
+	    g->last_epoch - g->fence * EPOCHS_PER_FENCE >= EPOCHS_PER_FENCE - 1;
+}
+
 bool
 ld_groups_leading(const struct ld_groups *g)
 {
--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -4,6 +4,10 @@
 
 #include "ld_groups.h"
 
+/* Epochs of one lease count up from its fence times this: with the era and the
+ * revision in the fence (47 bits) they stay within 63 bits. */
+#define EPOCHS_PER_FENCE 65536
+
 /** enum phase - life of a group */
 enum phase {
 	PHASE_FORMING, /* members join */
--- a/lib/groups/ld_groups.h
+++ b/lib/groups/ld_groups.h
@@ -96,6 +96,8 @@
 void ld_groups_yield(struct ld_groups *g);
 /** ld_groups_note_traffic() - a client's request came to any node */
 void ld_groups_note_traffic(struct ld_groups *g);
+/** ld_groups_spent() - no epoch is left: control has to be taken anew */
+bool ld_groups_spent(const struct ld_groups *g);
 /** ld_groups_leading() - whether orders may be given */
 bool ld_groups_leading(const struct ld_groups *g);
 
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -163,7 +163,8 @@
 {
 	const struct ld_model_spec *m = &s->spec->models[model];
 
-	if (m->size > f->n || !loads_take(s, count_loads(f, m->name, m->size)))
+	if (m->size > f->n || ld_groups_spent(s->g) ||
+	    !loads_take(s, count_loads(f, m->name, m->size)))
 		return false;
 	form(s, m, domain, f);
 	return true;
--- a/lib/groups/placing_internal.h
+++ b/lib/groups/placing_internal.h
@@ -131,8 +131,7 @@
 #define STANDBY_HOSTS 2
 
 /** standby_step() - have @hosts hosts of a small group load the largest model */
-void standby_step(
-    const struct step *s, const struct plan *p, size_t hosts);
+void standby_step(const struct step *s, const struct plan *p, size_t hosts);
 /**
  * standby_use() - close a small group whose hosts hold what groups wait for
  * @holders: servers that would be in such a group and hold the weights
--- a/lib/metrics/metrics.c
+++ b/lib/metrics/metrics.c
@@ -109,6 +109,8 @@
 	"answers", "Nodes that were refused the store's changes."),
     COUNTER(LD_M_RELAY_FOLLOW_FAILED, "ld_relay_follow_failed_total", "answers",
 	"Nodes that failed to tell this one the store's changes."),
+    COUNTER(LD_M_RELAY_STORE_ERAS, "ld_relay_store_eras_total", "returns",
+	"Returns of the store from an older copy."),
     GAUGE(LD_M_RELAY_CONFIG_VERSION, "ld_relay_config_version", "version",
 	"Configuration in force here, 0 for none."),
     GAUGE(LD_M_RELAY_CONFIG_AGE_MS, "ld_relay_config_age_ms", "ms",
--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -262,6 +262,8 @@
 			send_order(c, &o);
 	while (ld_groups_next_probe(c->groups, &p))
 		send_probe(c, &p);
+	if (ld_groups_spent(c->groups))
+		leader_resign(r);
 }
 
 void
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -74,6 +74,10 @@
 	uint64_t usual_age_ms; /* what was known grows no older, as a rule */
 	uint64_t opened_ms;
 	uint64_t sweep_ms; /* next look at servers that are gone */
+	int64_t era; /* of the store, as read last */
+	/* What was written and lost is written again until then, 0: nothing was. */
+	uint64_t era_doubt_until_ms;
+	bool read_again; /* once that time has passed */
 };
 
 static struct feed *
@@ -289,8 +293,11 @@
 doubt_after_gap(struct feed *f)
 {
 	uint64_t now = relay_now(f->relay);
+	uint64_t since = f->current_ms > f->era_doubt_until_ms
+	    ? f->current_ms
+	    : f->era_doubt_until_ms;
 
-	if (f->known && now > f->current_ms + f->usual_age_ms)
+	if (f->known && now > since + f->usual_age_ms)
 		f->doubt_until_ms = now + ENTRIES_BACK_MS;
 }
 
@@ -310,6 +317,53 @@
 	ld_event("store.regained", "away_ms=%llu", (unsigned long long)away);
 }
 
+/*
+ * The store came back from an older copy. Until what was lost is written again, what
+ * is known here is the newer: entries of servers are kept, and of the configuration
+ * the later version; keys count as current as of the answers before.
+ */
+static void
+note_era(struct feed *f, int64_t revision, size_t keys)
+{
+	struct relay *r = f->relay;
+	int64_t before = f->era;
+
+	f->era = ld_store_era_of(revision);
+	if (!f->known || f->era <= before)
+		return;
+	f->era_doubt_until_ms = relay_now(r) + ENTRIES_BACK_MS;
+	f->doubt_until_ms = f->era_doubt_until_ms;
+	f->read_again = true;
+	relay_count(r, LD_M_RELAY_STORE_ERAS);
+	ld_event("store.era",
+	    "before=%lld after=%lld revision=%lld keys=%zu age_ms=%lld "
+	    "doubt_ms=%d",
+	    (long long)before, (long long)f->era, (long long)revision, keys,
+	    (long long)feed_age_ms(r), ENTRIES_BACK_MS);
+	mesh_enter_anew(r);
+}
+
+static bool
+is_in_era_doubt(const struct feed *f)
+{
+	return relay_now(f->relay) < f->era_doubt_until_ms;
+}
+
+/* An entry that an older copy tells of a server that is known: what is known is the
+ * newer one. */
+static bool
+is_outdone(const struct feed *f, const struct ld_store_kv *kv)
+{
+	struct ld_str prefix = ld_str_c(f->relay->dialect->servers_prefix);
+	const struct ld_server *s;
+
+	if (!is_in_era_doubt(f) || !ld_str_starts(kv->key, prefix))
+		return false;
+	s = ld_servers_find(f->relay->servers,
+	    (struct ld_str){kv->key.p + prefix.len, kv->key.len - prefix.len});
+	return s != NULL && s->listed;
+}
+
 static void
 on_snapshot(struct ld_store_watch *w, int64_t revision,
     const struct ld_store_kv *kvs, size_t n)
@@ -318,12 +372,14 @@
 
 	doubt_after_gap(f);
 	regained(f);
+	note_era(f, revision, n);
 	f->control_holder[0] = '\0';
 	mesh_read_anew(f->relay);
 	records_read_anew(f->relay);
 	share_read_anew(f->relay, revision);
 	for (size_t i = 0; i < n; i++)
-		take_key(f, &kvs[i], false);
+		if (!is_outdone(f, &kvs[i]))
+			take_key(f, &kvs[i], false);
 	for (struct ld_server *s = ld_servers_first(f->relay->servers);
 	     s != NULL; s = s->next)
 		if (s->listed && !in_snapshot(f->relay, s->entry.id, kvs, n))
@@ -370,7 +426,7 @@
 	struct feed *f = feed_of(w);
 
 	regained(f);
-	if (since_ms > f->current_ms)
+	if (since_ms > f->current_ms && !is_in_era_doubt(f))
 		f->current_ms = since_ms;
 	f->usual_age_ms = usual_age_ms(f->relay);
 	if (!f->known && !f->relay->settings->initial && f->doubt_until_ms == 0)
@@ -433,8 +489,11 @@
 bool
 feed_control_absent(const struct relay *r)
 {
-	return r->feed->known && r->feed->lost_ms == 0 &&
-	    r->feed->control_holder[0] == '\0';
+	const struct feed *f = r->feed;
+
+	/* A holder of an earlier era may rely on its lease until the doubt ends. */
+	return f->known && f->lost_ms == 0 && f->control_holder[0] == '\0' &&
+	    !is_in_era_doubt(f) && f->era == ld_store_era(r->store);
 }
 
 struct ld_str
@@ -470,6 +529,10 @@
 	ld_store_set_poll(r->store, watch_wait_ms(r), watch_pause_ms(r),
 	    mesh_has_aggregator(r) ? RETRY_FOLLOWER_MAX_MS : BACKOFF_MAX_MS);
 	ld_servers_sweep(r->servers, relay_now(r));
+	if (r->feed->read_again && !is_in_era_doubt(r->feed)) {
+		r->feed->read_again = false;
+		ld_store_watch_read_anew(&r->feed->watch);
+	}
 }
 
 /* ---- Changes that a peer's watch was told ---- */
--- a/lib/relay/follow.c
+++ b/lib/relay/follow.c
@@ -111,7 +111,7 @@
 	/* The own watch was told more meanwhile: the next answer joins that. */
 	if (feed_take(f->relay, &c) != LD_OK) {
 		f->next_ms = relay_now(f->relay) + PAUSE_MS;
-		return NULL;
+		return f->following ? "does-not-join" : NULL;
 	}
 	follows(f, c.n > 0);
 	/* Its own followers, if it aggregates, are told the same. */
--- a/lib/relay/leader.c
+++ b/lib/relay/leader.c
@@ -13,6 +13,9 @@
 #define RENEW_MS 500
 /* Allowance for clocks that run at different rates, ms. */
 #define MARGIN_MS 200
+/* A process that starts can't know whether the store has just come back from an
+ * older copy, without the key of a holder that still relies on its lease, ms. */
+#define START_WAIT_MS (1000ULL * TTL_S)
 /* After a lost race or a failed call, ms; a random part comes to it. */
 #define TRY_AGAIN_MS 700
 #define TRY_AGAIN_SPREAD_MS 300
@@ -32,6 +35,7 @@
 	enum role role;
 	int64_t lease;
 	int64_t fence;
+	int64_t era; /* of the store when it was asked for the lease */
 	uint64_t asked_ms; /* when the call under way began */
 	uint64_t valid_until_ms;
 	uint64_t next_ms; /* next renewal, or next try */
@@ -39,6 +43,14 @@
 	bool resigned;
 };
 
+/* The store came back from an older copy: it may know nothing of the lease, or have
+ * given its id to another node. */
+static bool
+is_of_earlier_era(const struct leader *l)
+{
+	return l->era != ld_store_era(l->relay->store);
+}
+
 static struct leader *
 leader_of(struct ld_store_call *c)
 {
@@ -104,7 +116,7 @@
 	struct relay *r = l->relay;
 
 	/* Where the outcome is unknown, the key ends with its lease. */
-	if (a->outcome != LD_STORE_APPLIED) {
+	if (a->outcome != LD_STORE_APPLIED || is_of_earlier_era(l)) {
 		step_down(l, "not-created");
 		return;
 	}
@@ -123,7 +135,7 @@
 	struct leader *l = leader_of(c);
 	struct ld_store_expect absent = {0};
 
-	if (a->status != LD_OK) {
+	if (a->status != LD_OK || is_of_earlier_era(l)) {
 		step_down(l, "not-granted");
 		return;
 	}
@@ -142,7 +154,8 @@
 	uint64_t now = relay_now(r);
 
 	if (r->stopping || !feed_control_absent(r) ||
-	    feed_engine_service(r) == NULL) {
+	    feed_engine_service(r) == NULL ||
+	    (!r->settings->initial && now < l->started_ms + START_WAIT_MS)) {
 		l->next_ms = 0;
 		return;
 	}
@@ -153,6 +166,7 @@
 	if (now < l->next_ms)
 		return;
 	l->role = ROLE_GRANTING;
+	l->era = ld_store_era(r->store);
 	l->asked_ms = now;
 	l->call.done = on_granted;
 	ld_store_lease_grant(r->store, &l->call, TTL_S);
@@ -168,7 +182,9 @@
 		try_to_take(l);
 		break;
 	case ROLE_HOLDER:
-		if (!leader_holds(r))
+		if (is_of_earlier_era(l))
+			step_down(l, "store-era");
+		else if (!leader_holds(r))
 			step_down(l, "not-renewed");
 		else
 			renew(l);
@@ -183,7 +199,8 @@
 {
 	const struct leader *l = r->leader;
 
-	return l->role == ROLE_HOLDER && relay_now(r) < l->valid_until_ms;
+	return l->role == ROLE_HOLDER && !is_of_earlier_era(l) &&
+	    relay_now(r) < l->valid_until_ms;
 }
 
 static void
@@ -203,7 +220,7 @@
 	if (l->role != ROLE_HOLDER)
 		return;
 	step_down(l, "given-up");
-	if (l->revoke.request != NULL)
+	if (l->revoke.request != NULL || is_of_earlier_era(l))
 		return;
 	l->revoke.done = on_revoked;
 	ld_store_lease_revoke(r->store, &l->revoke, l->lease);
--- a/lib/relay/mesh_entry.c
+++ b/lib/relay/mesh_entry.c
@@ -83,6 +83,19 @@
 		e->next_ms = soon;
 }
 
+void
+mesh_enter_anew(struct relay *r)
+{
+	struct mesh_entry *e = &r->mesh->entry;
+
+	if (e->state != ENTRY_LISTED)
+		return;
+	/* The id of its lease may have been given to another node since. */
+	ld_store_cancel(&e->call);
+	e->state = ENTRY_NONE;
+	e->next_ms = relay_now(r) + ld_rand_below(&r->rand, RENEW_SPREAD_MS);
+}
+
 void
 mesh_entry_tick(struct mesh_entry *e, uint64_t now)
 {
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -208,6 +208,8 @@
 void mesh_read_anew(struct relay *r);
 /** mesh_renew() - renew the own entry soon: the store was away */
 void mesh_renew(struct relay *r);
+/** mesh_enter_anew() - write the own entry soon, under a new lease */
+void mesh_enter_anew(struct relay *r);
 /** mesh_alarm() - tell the holder of the control lease of a silent group */
 void mesh_alarm(struct relay *r, const char *group, int64_t epoch);
 /** mesh_has_larger() - a listed node has a larger share of a core than this */
--- a/lib/store/ld_store.h
+++ b/lib/store/ld_store.h
@@ -14,6 +14,21 @@
 
 struct ld_store;
 
+/*
+ * A store that comes back from an older copy gives revisions out again and says so
+ * by its era, which rises. Revisions are told here with the era above the store's
+ * own, so that whatever was seen of a later era is the newer one everywhere.
+ */
+#define LD_STORE_REVISION_BITS 36
+#define LD_STORE_ERA_MAX 2047
+
+/** ld_store_era_of() - the era of a revision */
+static inline int64_t
+ld_store_era_of(int64_t revision)
+{
+	return revision >> LD_STORE_REVISION_BITS;
+}
+
 /** struct ld_store_kv - one key as the store holds it */
 struct ld_store_kv {
 	struct ld_str key;
@@ -146,6 +161,7 @@
 	uint64_t over_budget;
 	uint64_t in_backoff; /* refused while waiting after a failure */
 	uint64_t stale; /* answers refused as older than one seen */
+	uint64_t eras; /* times the store came back from an older copy */
 	uint64_t other_cluster; /* answers refused as of another cluster */
 	uint64_t unknown_writes;
 	uint64_t watch_restarts;
@@ -172,6 +188,8 @@
 void ld_store_set_poll(struct ld_store *s, uint64_t wait_ms, uint64_t pause_ms,
     uint64_t retry_max_ms);
 const struct ld_store_counters *ld_store_counters(const struct ld_store *s);
+/** ld_store_era() - highest era seen, 0 for a store that tells none */
+int64_t ld_store_era(const struct ld_store *s);
 /** ld_store_revision() - highest revision seen, 0 for none */
 int64_t ld_store_revision(const struct ld_store *s);
 /**
@@ -295,8 +313,8 @@
  * current() run for them, and the store is not asked until
  * ld_store_watch_resume().
  *
- * Return: LD_OK; LD_E_STALE when changes are missing in between or more is
- * known already: nothing is taken, the watch goes on as before.
+ * Return: LD_OK; LD_E_STALE when changes are missing in between, more is known
+ * already or they are of an earlier era: nothing is taken, the watch goes on as before.
  */
 enum ld_status ld_store_watch_take(
     struct ld_store_watch *w, const struct ld_store_changes *changes);
@@ -304,6 +322,8 @@
 void ld_store_watch_resume(struct ld_store_watch *w);
 /** ld_store_watch_asks() - false after ld_store_watch_take() until resumed */
 bool ld_store_watch_asks(const struct ld_store_watch *w);
+/** ld_store_watch_read_anew() - a snapshot follows, also when changes were taken */
+void ld_store_watch_read_anew(struct ld_store_watch *w);
 /** ld_store_watch_stop() - no callback runs afterwards; idempotent */
 void ld_store_watch_stop(struct ld_store_watch *w);
 
--- a/lib/store/ld_store_codec.h
+++ b/lib/store/ld_store_codec.h
@@ -76,6 +76,8 @@
  * @answers: whether an HTTP code has a body that @decode reads
  * @not_applied: whether an HTTP code says that a write surely had no effect
  * @decode: read a whole answer
+ * @era_field: header field that tells the store's era; NULL: it has none, and its
+ *	revisions never go back
  * @decode_line: read one line of a streamed watch; NULL when a watch is polled,
  *	with one call for each wait
  *
@@ -89,6 +91,7 @@
 	    struct ld_str body, struct ld_store_decoded *out);
 	enum ld_status (*decode_line)(
 	    struct ld_str line, struct ld_store_decoded *out);
+	const char *era_field;
 };
 
 struct ld_store_codec {
--- a/lib/store/request.c
+++ b/lib/store/request.c
@@ -5,9 +5,6 @@
 
 #include "store_internal.h"
 
-/* Bytes of an answer: several values of up to 1 MB in base64. */
-#define ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
-
 static void start_try(struct store_request *r);
 
 static bool
@@ -103,6 +100,15 @@
 	finish(r, &a);
 }
 
+static void
+encode(struct store_request *r)
+{
+	struct ld_store_op op = r->op;
+
+	op.expected = store_wire_revision(r->store, op.expected);
+	r->store->codec->ops->encode(&op, &r->wire);
+}
+
 /* ---- A whole answer ---- */
 
 static enum ld_status
@@ -172,8 +178,9 @@
 	free(kvs);
 }
 
-/* Moves the events of one page behind those of the pages before it. */
-static void
+/* Moves the events of one page behind those of the pages before it; false when the
+ * store came back from an older copy in between. */
+static bool
 take_page(struct store_request *r, struct ld_store_decoded *d)
 {
 	struct ld_store_decoded *all = &r->pages;
@@ -181,10 +188,13 @@
 	/* Pages are no snapshot: the first one tells what a watch starts from. */
 	if (all->n == 0)
 		all->revision = d->revision;
+	if (ld_store_era_of(all->revision) != ld_store_era_of(d->revision))
+		return false;
 	for (size_t i = 0; i < d->n; i++) {
 		*ld_store_decoded_add(all) = d->events[i];
 		d->events[i] = (struct ld_store_event){0};
 	}
+	return true;
 }
 
 static void
@@ -196,11 +206,14 @@
 	}
 	free(r->after);
 	r->after = ld_str_dup(d->events[d->n - 1].kv.key);
-	take_page(r, d);
+	if (!take_page(r, d)) {
+		finish_failed(r, LD_E_STALE, false);
+		return;
+	}
 	r->op.after = ld_str_c(r->after);
 	r->wire.path.len = 0;
 	r->wire.body.len = 0;
-	r->store->codec->ops->encode(&r->op, &r->wire);
+	encode(r);
 	store_request_start(r);
 }
 
@@ -213,7 +226,10 @@
 		finish_decoded(r, d);
 		return;
 	}
-	take_page(r, d);
+	if (!take_page(r, d)) {
+		finish_failed(r, LD_E_STALE, false);
+		return;
+	}
 	all = r->pages;
 	r->pages = (struct ld_store_decoded){0};
 	finish_decoded(r, &all);
@@ -228,6 +244,7 @@
 	enum ld_status st;
 
 	if (!codec->answers(&r->op, code)) {
+		store_see_era(r->store, r->era);
 		if (codec->not_applied(code) && code < 500 && code != 429)
 			store_connected(r->store);
 		else
@@ -237,8 +254,11 @@
 		return;
 	}
 	st = codec->decode(&r->op, code, ld_buf_str(&r->answer), &d);
+	if (st == LD_OK)
+		st = store_apply_era(r->store, r->era, &d);
 	/* A copy that is behind is no fault of the store. */
-	if (st == LD_OK && r->op.serializable && d.revision < r->floor) {
+	if (r->op.serializable &&
+	    (st == LD_E_STALE || (st == LD_OK && d.revision < r->floor))) {
 		store_connected(r->store);
 		finish_failed(r, LD_E_STALE, false);
 		ld_store_decoded_free(&d);
@@ -269,6 +289,14 @@
 	ld_buf_adds(&r->answer, bytes);
 }
 
+static void
+on_field(struct ld_http_sink *sink, struct ld_str name, struct ld_str value)
+{
+	struct store_request *r = (struct store_request *)sink;
+
+	store_read_era(r->store, name, value, &r->era);
+}
+
 static void
 on_done(struct ld_http_sink *sink, const struct ld_http_result *result)
 {
@@ -292,6 +320,7 @@
 }
 
 static const struct ld_http_sink_ops sink_ops = {
+    .field = on_field,
     .body = on_body,
     .done = on_done,
 };
@@ -323,21 +352,34 @@
 	    .connect_timeout_ms = s->settings.connect_timeout_ms,
 	    .total_timeout_ms = now < r->deadline_ms ? r->deadline_ms - now : 1,
 	    .fresh = is_write(r->op.kind) || r->op.kind == LD_STORE_OP_GRANT,
-	    .max_body = ANSWER_MAX_BYTES,
+	    .max_body = STORE_ANSWER_MAX_BYTES,
 	};
 
 	r->answer.len = 0;
+	r->era = 0;
 	r->http = ld_http_start(s->http, &rq, &r->sink);
 	if (r->http == NULL)
 		refuse(r, LD_E_INVALID);
 	free(url);
 }
 
+/* What the call expects to replace is of an earlier era: its revision may since
+ * have been given to another write. */
+static bool
+is_of_earlier_era(const struct store_request *r)
+{
+	return is_write(r->op.kind) && r->op.expected != 0 &&
+	    r->store->codec->ops->era_field != NULL &&
+	    ld_store_era_of(r->op.expected) < r->store->era;
+}
+
 void
 store_request_start(struct store_request *r)
 {
 	enum ld_status st = store_admit(r->store, counted_as(r->op.kind));
 
+	if (st == LD_OK && is_of_earlier_era(r))
+		st = LD_E_CONFLICT;
 	if (st != LD_OK) {
 		refuse(r, st);
 		return;
@@ -382,7 +424,7 @@
 	r->op.key = (struct ld_str){r->key, strlen(s->prefix) + key.len};
 	r->value = ld_str_dup(op->value);
 	r->op.value.p = r->value;
-	s->codec->ops->encode(&r->op, &r->wire);
+	encode(r);
 	r->timer.fn = on_timer;
 	r->next = s->requests;
 	r->link = &s->requests;
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -5,6 +5,7 @@
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "store_internal.h"
 
@@ -245,6 +246,89 @@
 	return LD_OK;
 }
 
+/* ---- Eras ---- */
+
+int64_t
+ld_store_era(const struct ld_store *s)
+{
+	return s->era;
+}
+
+void
+store_read_era(const struct ld_store *s, struct ld_str name,
+    struct ld_str value, int64_t *era)
+{
+	const char *field = s->codec->ops->era_field;
+	int64_t n = 0;
+
+	if (field == NULL || strlen(field) != name.len ||
+	    strncasecmp(field, name.p, name.len) != 0)
+		return;
+	for (size_t i = 0; i < value.len && n <= LD_STORE_ERA_MAX; i++)
+		n = value.p[i] >= '0' && value.p[i] <= '9'
+		    ? 10 * n + (value.p[i] - '0')
+		    : LD_STORE_ERA_MAX + 1;
+	*era = n;
+}
+
+void
+store_see_era(struct ld_store *s, int64_t era)
+{
+	if (era <= s->era || era > LD_STORE_ERA_MAX)
+		return;
+	/* The first one that a process sees says nothing of a return. */
+	if (s->revision != 0) {
+		s->counters.eras++;
+		ld_log(LD_LOG_ERR, "store",
+		    "the store came back from an older copy: era %lld after "
+		    "%lld",
+		    (long long)era, (long long)s->era);
+	}
+	s->era = era;
+}
+
+static bool
+raise_revision(int64_t *revision, int64_t era)
+{
+	if (*revision >> LD_STORE_REVISION_BITS != 0)
+		return false;
+	if (*revision != 0)
+		*revision |= era << LD_STORE_REVISION_BITS;
+	return true;
+}
+
+enum ld_status
+store_apply_era(struct ld_store *s, int64_t era, struct ld_store_decoded *d)
+{
+	bool ok;
+
+	if (s->codec->ops->era_field == NULL)
+		return LD_OK;
+	if (era < s->era) {
+		s->counters.stale++;
+		return ld_fail(LD_E_STALE,
+		    "the answer is of era %lld, seen before was %lld",
+		    (long long)era, (long long)s->era);
+	}
+	ok = era <= LD_STORE_ERA_MAX && raise_revision(&d->revision, era);
+	for (size_t i = 0; ok && i < d->n; i++)
+		ok = raise_revision(&d->events[i].kv.mod_revision, era) &&
+		    raise_revision(&d->events[i].kv.create_revision, era);
+	if (!ok)
+		return ld_fail(LD_E_PROTOCOL,
+		    "a revision or an era of the store is out of range");
+	store_see_era(s, era);
+	return LD_OK;
+}
+
+int64_t
+store_wire_revision(const struct ld_store *s, int64_t revision)
+{
+	if (s->codec->ops->era_field == NULL)
+		return revision;
+	return revision & (((int64_t)1 << LD_STORE_REVISION_BITS) - 1);
+}
+
 char *
 store_full_key(const struct ld_store *s, struct ld_str key)
 {
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -4,6 +4,9 @@
 
 #include "ld_store_codec.h"
 
+/* Bytes of an answer: several values of up to 1 MB in base64. */
+#define STORE_ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
+
 /* ---- Back-off ---- */
 
 /** struct backoff - doubled and jittered waits after failures in a row */
@@ -37,6 +40,7 @@
 	uint64_t tokens_at_ms;
 	uint64_t cluster_id; /* 0: none seen yet */
 	int64_t revision; /* highest seen */
+	int64_t era; /* highest seen */
 	uint64_t poll_retry_max_ms;
 	bool alarm;
 	struct ld_store_counters counters;
@@ -64,6 +68,7 @@
 	uint64_t deadline_ms;
 	size_t tries;
 	int64_t floor; /* revision seen before the call */
+	int64_t era; /* that the answer told */
 	bool settling;
 	struct ld_store_expect expect;
 	uint64_t settle_deadline_ms;
@@ -86,6 +91,20 @@
  */
 enum ld_status store_check_source(
     struct ld_store *s, const struct ld_store_decoded *d, int64_t floor);
+/** store_read_era() - take the era from a header field, if it is that one */
+void store_read_era(const struct ld_store *s, struct ld_str name,
+    struct ld_str value, int64_t *era);
+/** store_see_era() - a later one than was seen so far is noted */
+void store_see_era(struct ld_store *s, int64_t era);
+/**
+ * store_apply_era() - put the era above the revisions of an answer
+ *
+ * Return: LD_OK, LD_E_STALE when a later era was seen, LD_E_PROTOCOL.
+ */
+enum ld_status store_apply_era(
+    struct ld_store *s, int64_t era, struct ld_store_decoded *d);
+/** store_wire_revision() - as the store itself tells it */
+int64_t store_wire_revision(const struct ld_store *s, int64_t revision);
 /** store_full_key() - @key with the prefix; to be freed */
 char *store_full_key(const struct ld_store *s, struct ld_str key);
 /** store_strip_prefix() - make the keys of @d those that callers know */
--- a/lib/store/watch.c
+++ b/lib/store/watch.c
@@ -36,6 +36,7 @@
 	bool from_copy; /* the read under way may be answered with old data */
 	bool catching_up; /* polls return soon until one has succeeded */
 	bool copy_behind; /* the last one was: the next must be current */
+	int64_t era; /* that the answer to the poll told */
 	bool taking; /* changes come from elsewhere, the store isn't asked */
 };
 
@@ -176,7 +177,7 @@
 	    .kind = LD_STORE_OP_WATCH,
 	    .key = key,
 	    .prefix = w->prefix,
-	    .start_revision = w->revision + 1,
+	    .start_revision = store_wire_revision(w->store, w->revision) + 1,
 	    .wait_ms = w->catching_up ? CATCH_UP_WAIT_MS
 				      : w->store->settings.poll_wait_ms,
 	};
@@ -224,6 +225,14 @@
 		arm(w, d->n > 0 ? w->store->settings.poll_pause_ms : 0);
 }
 
+/* What is known is of an earlier era than the store's. */
+static bool
+is_outdated(const struct store_watch *w)
+{
+	return w->store->codec->ops->era_field != NULL && w->revision != 0 &&
+	    ld_store_era_of(w->revision) < w->store->era;
+}
+
 /* Whether the history that the watch needs is surely gone or not to be relied on,
  * so that everything has to be read again. */
 static bool
@@ -241,13 +250,18 @@
 	enum ld_status st = result->status;
 
 	/* A connection that ends says nothing of the history. */
+	if (result->status == LD_OK)
+		store_see_era(w->store, w->era);
 	if (st == LD_OK && !codec->answers(&op, result->code))
 		st = LD_E_UNAVAILABLE;
 	else if (st != LD_OK)
 		st = st == LD_E_TIMEOUT ? LD_E_TIMEOUT : LD_E_UNAVAILABLE;
 	if (st == LD_OK)
 		st = codec->decode(&op, result->code, ld_buf_str(&w->line), &d);
-	if (st == LD_OK && d.compacted)
+	if (st == LD_OK)
+		st = store_apply_era(w->store, w->era, &d);
+	/* In another era the same revisions tell another history. */
+	if (st == LD_OK && (d.compacted || is_outdated(w)))
 		st = LD_E_CLOSED;
 	/* The history may have been told by a copy that is behind. */
 	if (st == LD_OK)
@@ -264,6 +278,15 @@
 	ld_store_decoded_free(&d);
 }
 
+static void
+on_stream_field(
+    struct ld_http_sink *sink, struct ld_str name, struct ld_str value)
+{
+	struct store_watch *w = (struct store_watch *)sink;
+
+	store_read_era(w->store, name, value, &w->era);
+}
+
 static void
 on_stream_done(struct ld_http_sink *sink, const struct ld_http_result *result)
 {
@@ -281,6 +304,7 @@
 }
 
 static const struct ld_http_sink_ops stream_ops = {
+    .field = on_stream_field,
     .body = on_stream_body,
     .done = on_stream_done,
 };
@@ -301,18 +325,29 @@
 	};
 	char *url;
 
+	if (is_polled(w) && is_outdated(w)) {
+		ld_buf_free(&wire.path);
+		free(key);
+		w->copy_behind = true;
+		begin_read(w);
+		return;
+	}
 	s->codec->ops->encode(&op, &wire);
 	url = store_url(s, ld_buf_cstr(&wire.path));
 	rq.method = wire.method;
 	rq.url = url;
 	if (wire.body.len > 0)
 		rq.body = ld_buf_str(&wire.body);
+	/* A streamed watch has no end; its lines are bounded. */
+	if (is_polled(w))
+		rq.max_body = STORE_ANSWER_MAX_BYTES;
 	if (is_polled(w))
 		rq.total_timeout_ms = op.wait_ms + s->settings.poll_timeout_ms;
 	if (is_polled(w))
 		s->counters.calls[LD_STORE_WATCH]++;
 	w->stream_since_ms = ld_loop_now(s->loop);
 	w->poll_wait_ms = op.wait_ms;
+	w->era = 0;
 	w->stream = ld_http_start(s->http, &rq, &w->sink);
 	free(url);
 	free(key);
@@ -438,8 +473,8 @@
 	struct store_watch *w = owner->state;
 
 	assert(w != NULL && is_polled(w));
-	if (w->revision == 0 || changes->after > w->revision ||
-	    changes->revision < w->revision)
+	if (w->revision == 0 || is_outdated(w) ||
+	    changes->after > w->revision || changes->revision < w->revision)
 		return ld_fail(LD_E_STALE,
 		    "changes after revision %lld up to %lld don't join %lld",
 		    (long long)changes->after, (long long)changes->revision,
@@ -467,6 +502,22 @@
 	begin_stream(w);
 }
 
+void
+ld_store_watch_read_anew(struct ld_store_watch *owner)
+{
+	struct store_watch *w = owner->state;
+
+	if (w == NULL)
+		return;
+	ld_timer_stop(ld_loop_timers(w->store->loop), &w->timer);
+	ld_store_cancel(&w->read);
+	drop_stream(w);
+	w->taking = false;
+	w->polling = false;
+	w->copy_behind = true;
+	begin_read(w);
+}
+
 bool
 ld_store_watch_asks(const struct ld_store_watch *owner)
 {
--- a/tests/faults/ld_kv_store.c
+++ b/tests/faults/ld_kv_store.c
@@ -42,6 +42,10 @@
 	int64_t revision;
 	int64_t oldest; /* history starts after this revision */
 	int64_t last_lease;
+	int64_t era;
+	struct item older[ITEMS_MAX]; /* what a return goes back to */
+	size_t older_count;
+	int64_t older_revision;
 	struct watch *watches;
 	bool silent;
 	json_t *copy; /* what serializable reads are told, or NULL */
@@ -60,11 +64,15 @@
 }
 
 static void
-answer(struct ld_exchange *x, unsigned int code, json_t *o)
+answer(const struct ld_kv_store *s, struct ld_exchange *x, unsigned int code,
+    json_t *o)
 {
-	char *text = json_dumps(o, JSON_COMPACT);
+	char *text = json_dumps(o, JSON_COMPACT), era[24];
+	const char *headers[] = {"Store-Era", era, NULL};
 
-	ld_exchange_answer(x, code, "application/json", NULL, ld_str_c(text));
+	snprintf(era, sizeof(era), "%lld", (long long)s->era);
+	ld_exchange_answer(
+	    x, code, "application/json", headers, ld_str_c(text));
 	free(text);
 	json_decref(o);
 }
@@ -105,10 +113,10 @@
 end_watch(struct ld_kv_store *s, struct watch *w)
 {
 	ld_exchange_set_owner(w->x, NULL);
-	if (w->after < s->oldest)
-		answer(w->x, 410, json_object());
+	if (w->after < s->oldest || w->after > s->revision)
+		answer(s, w->x, 410, json_object());
 	else
-		answer(w->x, 200,
+		answer(s, w->x, 200,
 		    json_pack("{s:o, s:I}", "events",
 			items_since(s, w->after, true), "at",
 			(json_int_t)s->revision));
@@ -124,7 +132,7 @@
 	while (*p != NULL && !s->silent) {
 		struct watch *w = *p;
 
-		if (w->after >= s->revision && w->after >= s->oldest &&
+		if (w->after == s->revision && w->after >= s->oldest &&
 		    now < w->until_ms) {
 			p = &w->next;
 			continue;
@@ -224,7 +232,7 @@
 	const json_t *del = json_object_get(body, "delete");
 
 	if (!holds(s, json_object_get(body, "expected"))) {
-		answer(x, 412, json_pack("{s:[]}", "items"));
+		answer(s, x, 412, json_pack("{s:[]}", "items"));
 		return;
 	}
 	for (size_t i = 0; i < json_array_size(put); i++)
@@ -232,7 +240,8 @@
 	for (size_t i = 0; i < json_array_size(del); i++)
 		write_item(
 		    s, json_string_value(json_array_get(del, i)), NULL, 0);
-	answer(x, 200, json_pack("{s:I}", "revision", (json_int_t)s->revision));
+	answer(
+	    s, x, 200, json_pack("{s:I}", "revision", (json_int_t)s->revision));
 }
 
 static void
@@ -261,12 +270,12 @@
 	if (is_call(x, CALL "txn"))
 		transact(s, x, body);
 	else if (is_call(x, CALL "lease"))
-		answer(x, 200,
+		answer(s, x, 200,
 		    json_pack("{s:I, s:I}", "lease",
 			(json_int_t)++s->last_lease, "ttl_ms",
 			json_integer_value(ttl)));
 	else
-		answer(x, 200, json_pack("{s:i}", "ttl_ms", 2000));
+		answer(s, x, 200, json_pack("{s:i}", "ttl_ms", 2000));
 	json_decref(body);
 }
 
@@ -289,13 +298,13 @@
 	else if (is_call(x, CALL "range") && s->copy != NULL &&
 	    query_number(x, "serializable=") == 1) {
 		s->copy_reads++;
-		answer(x, 200, json_incref(s->copy));
+		answer(s, x, 200, json_incref(s->copy));
 	} else if (is_call(x, CALL "range"))
-		answer(x, 200, range_json(s));
+		answer(s, x, 200, range_json(s));
 	else if (strcmp(ld_exchange_method(x), "DELETE") == 0) {
 		end_lease(s,
 		    strtoll(strrchr(ld_exchange_path(x), '/') + 1, NULL, 10));
-		answer(x, 200, json_object());
+		answer(s, x, 200, json_object());
 	} else
 		handle_post(s, x);
 }
@@ -336,6 +345,7 @@
 	s->handler.ops = &ops;
 	s->loop = loop;
 	s->revision = 1;
+	s->era = 1;
 	s->timer.fn = on_timer;
 	if (ld_listener_new(loop, &c, &s->handler, &s->listener) != LD_OK) {
 		free(s);
@@ -345,15 +355,33 @@
 	return s;
 }
 
+static void
+free_items(struct item *items, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		free(items[i].key);
+		free(items[i].value);
+	}
+}
+
+static void
+copy_items(const struct item *from, size_t n, struct item *to)
+{
+	for (size_t i = 0; i < n; i++) {
+		to[i] = from[i];
+		to[i].key = ld_strdup(from[i].key);
+		to[i].value =
+		    from[i].value != NULL ? ld_strdup(from[i].value) : NULL;
+	}
+}
+
 void
 ld_kv_store_free(struct ld_kv_store *s)
 {
 	ld_listener_free(s->listener);
 	ld_timer_stop(ld_loop_timers(s->loop), &s->timer);
-	for (size_t i = 0; i < s->count; i++) {
-		free(s->items[i].key);
-		free(s->items[i].value);
-	}
+	free_items(s->items, s->count);
+	free_items(s->older, s->older_count);
 	json_decref(s->copy);
 	free(s);
 }
@@ -402,3 +430,22 @@
 
 	return it != NULL && !it->deleted;
 }
+
+void
+ld_kv_store_mark(struct ld_kv_store *s)
+{
+	free_items(s->older, s->older_count);
+	copy_items(s->items, s->count, s->older);
+	s->older_count = s->count;
+	s->older_revision = s->revision;
+}
+
+void
+ld_kv_store_return_older(struct ld_kv_store *s)
+{
+	free_items(s->items, s->count);
+	copy_items(s->older, s->older_count, s->items);
+	s->count = s->older_count;
+	s->revision = s->older_revision;
+	s->era++;
+}
--- a/tests/faults/ld_kv_store.h
+++ b/tests/faults/ld_kv_store.h
@@ -16,6 +16,14 @@
 void ld_kv_store_silence(struct ld_kv_store *s, bool silent);
 /** ld_kv_store_forget() - drop the history: watches get 410 once */
 void ld_kv_store_forget(struct ld_kv_store *s);
+/** ld_kv_store_mark() - what ld_kv_store_return_older() goes back to */
+void ld_kv_store_mark(struct ld_kv_store *s);
+/**
+ * ld_kv_store_return_older() - all writes since the mark are lost, in a later era
+ *
+ * Revisions are given out again; a watch from one that was lost gets 410.
+ */
+void ld_kv_store_return_older(struct ld_kv_store *s);
 /** ld_kv_store_keep_copy() - serializable reads are answered as of now from
  * here on */
 void ld_kv_store_keep_copy(struct ld_kv_store *s);
--- /dev/null
+++ b/tests/faults/test_store_era.c
@@ -0,0 +1,182 @@
+/* One relay, and a store that comes back from an older copy: what was written since
+ * is lost, revisions are given out again, the era rises. */
+#include <libgen.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ld_relay_session.h"
+
+#define NODE_KEY "lavenderdrift/nodes/n1"
+#define CONTROL_KEY "lavenderdrift/control"
+/* Changes reach a relay within this, ms: a wait of its watch, a pause, a call. */
+#define TOLD_MS 1500
+/* A store that answers again is read within this, ms. */
+#define REREAD_MS 1000
+/* A holder may rely on a lease for so long after the store came back, ms. */
+#define LEASE_MS 2000
+/* Entries that were lost are written again within this, ms. */
+#define ENTRIES_BACK_MS 2100
+
+static char program[512];
+
+static int version = 30;
+
+/* Only the key @key is valid from now on; what was written before is kept. */
+static void
+set_key(const char *key)
+{
+	char text[16];
+
+	snprintf(text, sizeof(text), "\"%s\"", key);
+	put_config(++version, text, "null");
+}
+
+static void
+set_up(void)
+{
+	if (store == NULL)
+		open_all(program);
+	for (int i = 0; i < SERVERS; i++)
+		put_entry(&servers[i], version);
+	set_key("k1");
+	run_for(TOLD_MS);
+	wait_until_serving();
+}
+
+/* The key @valid is served and @invalid is refused, all the while. */
+static void
+check_keys(const char *valid, const char *invalid, uint64_t for_ms)
+{
+	for (uint64_t ms = 0; ms < for_ms; ms += 50) {
+		CU_ASSERT_EQUAL(code_of("GET", "/look/a", valid), 200);
+		CU_ASSERT_EQUAL(code_of("GET", "/look/a", invalid), 401);
+		run_for(50);
+	}
+}
+
+/* A key that was taken away does not come alive with the older configuration, and
+ * changes are followed again although revisions start lower. */
+static void
+test_a_configuration_does_not_go_back(void)
+{
+	set_up();
+	ld_kv_store_mark(store);
+	set_key("k2");
+	for (int i = 0; i < 40; i++)
+		ld_kv_store_put(store, "servers/foreign", "{\"service\":7");
+	run_for(TOLD_MS);
+	set_servers(SERVES, SERVES);
+	ld_kv_store_return_older(store);
+	check_keys("k2", "k1", ENTRIES_BACK_MS + REREAD_MS);
+	/* The operator writes it again, and then another one. */
+	put_config(version, "\"k2\"", "null");
+	run_for(TOLD_MS);
+	check_keys("k2", "k1", 200);
+	set_key("k3");
+	run_for(TOLD_MS);
+	check_keys("k3", "k2", 200);
+}
+
+/* Revisions that the watch knows are given out again before it asks: what they
+ * tell now is not missed. */
+static void
+test_revisions_are_given_out_again(void)
+{
+	set_up();
+	ld_kv_store_mark(store);
+	for (int i = 0; i < 5; i++)
+		ld_kv_store_put(store, "servers/foreign", "{\"service\":7");
+	run_for(TOLD_MS);
+	ld_kv_store_silence(store, true);
+	ld_kv_store_return_older(store);
+	set_key("k2");
+	for (int i = 0; i < 8; i++)
+		ld_kv_store_put(store, "servers/foreign", "{\"service\":8");
+	ld_kv_store_silence(store, false);
+	run_for(TOLD_MS + REREAD_MS);
+	set_servers(SERVES, SERVES);
+	check_keys("k2", "k1", 200);
+}
+
+/* A server whose entry is not in the copy goes on; it is gone when it doesn't
+ * write its entry again. */
+static void
+test_entries_that_are_missing(void)
+{
+	set_up();
+	ld_kv_store_delete(store, "servers/i-1");
+	run_for(TOLD_MS + ENTRIES_BACK_MS);
+	ld_kv_store_mark(store);
+	put_entry(&servers[1], 7);
+	run_for(TOLD_MS);
+	ld_kv_store_return_older(store);
+	run_for(REREAD_MS / 2);
+	set_servers(SERVES, SERVES);
+	for (int i = 0; i < 20; i++)
+		CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+	CU_ASSERT(servers[1].arrivals > 0);
+	run_for(ENTRIES_BACK_MS + 2 * REREAD_MS);
+	set_servers(SERVES, SERVES);
+	for (int i = 0; i < 20; i++)
+		CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+	CU_ASSERT_EQUAL(servers[1].arrivals, 0);
+}
+
+/* The node's own entry, and control: no other holder while a lease of the earlier
+ * era may be relied on. */
+static void
+test_own_keys_are_written_again(void)
+{
+	uint64_t absent_ms = 0;
+
+	set_up();
+	ld_kv_store_mark(store);
+	/* A service with engines, so that there is something to control. */
+	ld_kv_store_put(store, "op/config",
+	    "{\"version\":500,\"route_table\":[],\"services\":[{\"name\":"
+	    "\"llm\","
+	    "\"max_connections\":100,\"engine\":{\"slots\":26,\"stride\":6,"
+	    "\"models\":[{\"name\":\"m0\",\"size\":6,\"pace\":1.0,"
+	    "\"load_s\":16.0,\"warm_s\":1.6,\"share\":1.0}]}}],\"tenants\":[]"
+	    "}");
+	for (int i = 0; i < 100 && !ld_kv_store_has(store, CONTROL_KEY); i++)
+		run_for(50);
+	CU_ASSERT(ld_kv_store_has(store, CONTROL_KEY));
+	ld_kv_store_return_older(store);
+	ld_kv_store_delete(store, NODE_KEY);
+	CU_ASSERT(!ld_kv_store_has(store, CONTROL_KEY));
+	for (; absent_ms < 8000 && !ld_kv_store_has(store, CONTROL_KEY);
+	     absent_ms += 20)
+		run_for(20);
+	CU_ASSERT(absent_ms >= LEASE_MS);
+	CU_ASSERT(ld_kv_store_has(store, CONTROL_KEY));
+	CU_ASSERT(ld_kv_store_has(store, NODE_KEY));
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct ld_test_case cases[] = {
+	    {"a configuration does not go back",
+		test_a_configuration_does_not_go_back},
+	    {"revisions are given out again",
+		test_revisions_are_given_out_again},
+	    {"entries that are missing", test_entries_that_are_missing},
+	    {"own keys are written again", test_own_keys_are_written_again},
+	    {NULL, NULL},
+	};
+	int rc;
+
+	(void)argc;
+	if (ld_common_init() != LD_OK)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	snprintf(
+	    program, sizeof(program), "%s/../lavenderdrift", dirname(argv[0]));
+	rc = ld_test_main("store era", cases);
+	kill(relay, SIGKILL);
+	close_all();
+	return rc;
+}
--- a/tests/unit/test_groups.c
+++ b/tests/unit/test_groups.c
@@ -1,4 +1,5 @@
 /* Control of groups: forming, losses, a change of the holder, outages. */
+#include "groups_internal.h"
 #include "groups_world.h"
 
 /* Found on the bench: three servers that came first became a small group, and
@@ -544,6 +545,46 @@
 	}
 }
 
+/* Epochs of a fence of the highest era stay below those of the next fence, and none
+ * is given out once they are used up. */
+static void
+test_epochs_of_a_fence(void)
+{
+	const int64_t fence = ((int64_t)1 << 47) - 2;
+	struct world w;
+	int64_t first;
+
+	world_open(&w);
+	ld_groups_lead(w.g, fence, w.now);
+	run(&w, true, 6000);
+	CU_ASSERT_EQUAL(count_open(&w, LARGE), 1);
+	first = server(&w, member_of(&w, LARGE, 0))->entry.member.epoch;
+	CU_ASSERT(first > fence && !ld_groups_spent(w.g));
+	/* Two are left, and losses go on. */
+	w.g->last_epoch = fence * EPOCHS_PER_FENCE + EPOCHS_PER_FENCE - 3;
+	for (int i = 0; i < 4; i++) {
+		int lost = member_of(&w, LARGE, 1);
+
+		if (lost < 0)
+			break;
+		alarm_of(&w, lost);
+		w.dead[lost] = true;
+		run(&w, true, 3000);
+		put(&w, lost, LD_MEMBER_NONE, NULL, 0, 0, NULL);
+		w.dead[lost] = false;
+		run(&w, true, 3000);
+	}
+	CU_ASSERT(ld_groups_spent(w.g));
+	for (int i = 0; i < SERVERS; i++)
+		CU_ASSERT(
+		    server(&w, i)->entry.member.epoch / EPOCHS_PER_FENCE <=
+		    fence);
+	ld_groups_yield(w.g);
+	ld_groups_lead(w.g, fence + 1, w.now);
+	CU_ASSERT(!ld_groups_spent(w.g));
+	world_close(&w);
+}
+
 int
 main(void)
 {
@@ -577,6 +618,7 @@
 	    {"servers with weights do not wait",
 		test_servers_with_weights_do_not_wait},
 	    {"random losses", test_random_losses},
+	    {"epochs of a fence", test_epochs_of_a_fence},
 	    {NULL, NULL},
 	};
 
--- a/tests/unit/test_store_client.c
+++ b/tests/unit/test_store_client.c
@@ -338,6 +338,83 @@
 	CU_PASS("nothing was read out of bounds");
 }
 
+/* ---- Eras ---- */
+
+/* As the codec of a store that tells its era. */
+static struct ld_store
+store_with_eras(struct ld_store_codec *c, struct ld_store_codec_ops *ops)
+{
+	*ops = *codec();
+	ops->era_field = "Era";
+	c->ops = ops;
+	return (struct ld_store){.codec = c};
+}
+
+static enum ld_status
+take_answer(struct ld_store *s, int64_t era, int64_t revision, int64_t *out)
+{
+	struct ld_store_decoded d = {.cluster_id = 1, .revision = revision};
+	int64_t floor = s->revision;
+	enum ld_status st;
+
+	ld_store_decoded_add(&d)->kv.mod_revision = revision;
+	st = store_apply_era(s, era, &d);
+	if (st == LD_OK)
+		st = store_check_source(s, &d, floor);
+	*out = d.events[0].kv.mod_revision;
+	CU_ASSERT(st != LD_OK || *out == d.revision);
+	ld_store_decoded_free(&d);
+	return st;
+}
+
+static void
+test_a_later_era_is_newer(void)
+{
+	struct ld_store_codec_ops ops;
+	struct ld_store_codec c;
+	struct ld_store s = store_with_eras(&c, &ops);
+	int64_t first, later;
+
+	CU_ASSERT_EQUAL(take_answer(&s, 1, 900, &first), LD_OK);
+	/* Revisions start lower, and what they tell is above all before. */
+	CU_ASSERT_EQUAL(take_answer(&s, 2, 7, &later), LD_OK);
+	CU_ASSERT(later > first);
+	CU_ASSERT_EQUAL(ld_store_era_of(first), 1);
+	CU_ASSERT_EQUAL(ld_store_era_of(later), 2);
+	CU_ASSERT_EQUAL(store_wire_revision(&s, later), 7);
+	CU_ASSERT_EQUAL(ld_store_era(&s), 2);
+	CU_ASSERT_EQUAL(ld_store_counters(&s)->eras, 1);
+	/* A proxy that still tells the era before, or none. */
+	CU_ASSERT_EQUAL(take_answer(&s, 1, 950, &first), LD_E_STALE);
+	CU_ASSERT_EQUAL(take_answer(&s, 0, 950, &first), LD_E_STALE);
+	/* Within an era a lower revision is older, as ever. */
+	CU_ASSERT_EQUAL(take_answer(&s, 2, 6, &later), LD_E_STALE);
+	CU_ASSERT_EQUAL(take_answer(&s, 2, 8, &later), LD_OK);
+}
+
+static void
+test_eras_out_of_range(void)
+{
+	struct ld_store_codec_ops ops;
+	struct ld_store_codec c;
+	struct ld_store s = store_with_eras(&c, &ops);
+	int64_t out, era = 0;
+
+	store_read_era(&s, LD_STR("era"), LD_STR("12"), &era);
+	CU_ASSERT_EQUAL(era, 12);
+	store_read_era(&s, LD_STR("Other"), LD_STR("13"), &era);
+	CU_ASSERT_EQUAL(era, 12);
+	store_read_era(&s, LD_STR("Era"), LD_STR("99999999999999999999"), &era);
+	CU_ASSERT_EQUAL(take_answer(&s, era, 5, &out), LD_E_PROTOCOL);
+	store_read_era(&s, LD_STR("Era"), LD_STR("-1"), &era);
+	CU_ASSERT_EQUAL(take_answer(&s, era, 5, &out), LD_E_PROTOCOL);
+	CU_ASSERT_EQUAL(
+	    take_answer(&s, 1, (int64_t)1 << LD_STORE_REVISION_BITS, &out),
+	    LD_E_PROTOCOL);
+	CU_ASSERT_EQUAL(ld_store_era(&s), 0);
+	CU_ASSERT_EQUAL(take_answer(&s, LD_STORE_ERA_MAX, 5, &out), LD_OK);
+}
+
 int
 main(void)
 {
@@ -353,6 +430,8 @@
 		test_restarted_list_keeps_leaving},
 	    {"a live list with faults", test_live_list_with_faults},
 	    {"mutated answers are refused cleanly", test_mutated_answers},
+	    {"a later era is newer", test_a_later_era_is_newer},
+	    {"eras out of range", test_eras_out_of_range},
 	    {NULL, NULL},
 	};
 
