--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -194,8 +194,9 @@
 	}
 }
 
+/* A group whose members may have to load, of the servers that are not set aside. */
 static bool
-form_of_rest(const struct step *s, struct plan *p, size_t model)
+form_with_loads(const struct step *s, struct plan *p, size_t model)
 {
 	struct free_servers kept;
 	bool formed;
@@ -226,7 +227,7 @@
 	if (work_of_group(s, (size_t)fits, p->all->n[fits] + 1) <
 	    FILL_SHARE * work_of_group(s, (size_t)want, p->all->n[want] + 1))
 		return false;
-	return form_of_rest(s, p, (size_t)fits);
+	return form_with_loads(s, p, (size_t)fits);
 }
 
 /* Groups of servers that all hold the weights, at most @most of the model. */
@@ -267,7 +268,7 @@
 	if (donor_is_closing(s, p->domain) || donor_rebalance(s, p) ||
 	    donor_give_up(s, p, model))
 		return false;
-	while (p->have.n[model] < target && form_of_rest(s, p, model))
+	while (p->have.n[model] < target && form_with_loads(s, p, model))
 		;
 	return p->have.n[model] >= target ||
 	    p->f->n < s->spec->models[model].size;
