--- /dev/null
+++ b/lib/http/request.c
@@ -0,0 +1,79 @@
+/* What one call sends, and how its connection behaves. */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "http_internal.h"
+
+/* Unacknowledged data older than this breaks a connection. */
+#define TCP_USER_TIMEOUT_MS 10000
+#define IDLE_CONNECTION_AGE_S 30L
+
+static int
+on_sockopt(void *user, curl_socket_t fd, curlsocktype purpose)
+{
+	unsigned int ms = TCP_USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	return CURL_SOCKOPT_OK;
+}
+
+static void
+set_message(struct ld_http_call *c, const struct ld_http_request *rq)
+{
+	CURL *e = c->easy;
+
+	curl_easy_setopt(e, CURLOPT_URL, rq->url);
+	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, rq->method);
+	if (rq->target != NULL)
+		curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, rq->target);
+	if (strcmp(rq->method, "HEAD") == 0)
+		curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
+	if (rq->body.p != NULL) {
+		c->body = ld_str_dup(rq->body);
+		curl_easy_setopt(e, CURLOPT_POST, 1L);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE, (long)rq->body.len);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDS, c->body);
+	}
+	/* An interim answer would delay the body by a round trip. */
+	c->headers = curl_slist_append(c->headers, "Expect:");
+	if (rq->bare) {
+		c->headers = curl_slist_append(c->headers, "Accept:");
+		c->headers = curl_slist_append(c->headers, "Content-Type:");
+	}
+	for (size_t i = 0; rq->headers != NULL && rq->headers[i] != NULL; i++)
+		c->headers = curl_slist_append(c->headers, rq->headers[i]);
+	curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->headers);
+	if (rq->connect_timeout_ms > 0)
+		curl_easy_setopt(
+		    e, CURLOPT_CONNECTTIMEOUT_MS, (long)rq->connect_timeout_ms);
+	if (rq->total_timeout_ms > 0)
+		curl_easy_setopt(
+		    e, CURLOPT_TIMEOUT_MS, (long)rq->total_timeout_ms);
+	if (rq->fresh) {
+		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+	}
+}
+
+static void
+set_connection(struct ld_http_call *c)
+{
+	CURL *e = c->easy;
+
+	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, IDLE_CONNECTION_AGE_S);
+}
+
+void
+http_set_request(struct ld_http_call *c, const struct ld_http_request *rq)
+{
+	curl_easy_setopt(c->easy, CURLOPT_PRIVATE, c);
+	set_connection(c);
+	set_message(c, rq);
+}
