groups: one look over all groups, not one for each domain; what was worth nothing goes

Change: the groups are sorted by domain once in a look; everything about a domain goes over its own.

--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -28,6 +28,7 @@
 /** struct group - one group */
 struct group {
 	struct group *next;
+	struct group *next_in_domain; /* of a plan, see placing.c */
 	char name[LD_GROUP_NAME_MAX];
 	int64_t epoch;
 	char model[LD_GROUP_NAME_MAX];
--- a/lib/groups/need.c
+++ b/lib/groups/need.c
@@ -3,23 +3,15 @@
 
 #include "placing_internal.h"
 
-/* Groups of the domain that serve or are about to; NULL: of all domains. */
-struct counts
-count_groups(const struct step *s, const char *domain)
+void
+count_group(const struct step *s, const struct group *gr, struct counts *c)
 {
-	struct counts c = {{0}};
-
-	for (const struct group *gr = s->g->groups; gr != NULL; gr = gr->next) {
-		const struct ld_model_spec *m;
+	const struct ld_model_spec *m =
+	    ld_engine_model(s->spec, ld_str_c(gr->model));
 
-		if (gr->phase == PHASE_RETIRED || gr->phase == PHASE_CLOSING ||
-		    (domain != NULL && strcmp(gr->domain, domain) != 0))
-			continue;
-		m = ld_engine_model(s->spec, ld_str_c(gr->model));
-		if (m != NULL)
-			c.n[m - s->spec->models]++;
-	}
-	return c;
+	if (m != NULL && gr->phase != PHASE_RETIRED &&
+	    gr->phase != PHASE_CLOSING)
+		c->n[m - s->spec->models]++;
 }
 
 /* A model's share of the work is told in servers, so that a group's part of it
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -138,80 +138,42 @@
 }
 
 static void
-form(const struct step *s, const struct ld_model_spec *m, const char *domain,
-    struct free_servers *f)
+form(const struct step *s, struct plan *p, const struct ld_model_spec *m)
 {
 	struct group *gr = ld_alloc(sizeof(*gr));
 
 	gr->epoch = ++s->g->last_epoch;
 	snprintf(gr->model, sizeof(gr->model), "%s", m->name);
 	group_name(gr->name, m->name, gr->epoch);
-	snprintf(gr->domain, sizeof(gr->domain), "%s", domain);
+	snprintf(gr->domain, sizeof(gr->domain), "%s", p->domain);
 	gr->member_count = m->size;
 	for (size_t i = 0; i < m->size; i++)
 		snprintf(gr->members[i].id, sizeof(gr->members[i].id), "%s",
-		    take_best(f, m->name)->entry.id);
+		    take_best(p->f, m->name)->entry.id);
 	gr->next = s->g->groups;
 	s->g->groups = gr;
+	gr->next_in_domain = p->groups;
+	p->groups = gr;
 	group_set_phase(gr, PHASE_FORMING, s->now_ms);
 	change_add(s->g, "forming", gr, gr->members[0].id, "servers are free");
 }
 
 static bool
-form_one(const struct step *s, size_t model, const char *domain,
-    struct free_servers *f)
+form_next(const struct step *s, struct plan *p, size_t model)
 {
 	const struct ld_model_spec *m = &s->spec->models[model];
 
-	if (m->size > f->n || ld_groups_spent(s->g) ||
-	    !loads_take(s, count_loads(f, m->name, m->size)))
+	if (m->size > p->f->n || ld_groups_spent(s->g) ||
+	    !loads_take(s, count_loads(p->f, m->name, m->size)))
 		return false;
-	form(s, m, domain, f);
+	form(s, p, m);
+	p->have.n[model]++;
+	p->all->n[model]++;
 	return true;
 }
 
 /* ---- What a domain should hold ---- */
 
-/* Servers whose weights a model of the domain waits for form no group of another
- * model that would have to load: the first would wait for a load as well, and so
- * would the next that loses a member. */
-static void
-set_aside(const struct step *s, const struct plan *p, size_t model,
-    struct free_servers *kept)
-{
-	struct free_servers *f = p->f;
-	size_t n = f->n;
-
-	kept->n = f->n = 0;
-	for (size_t i = 0; i < n; i++) {
-		struct ld_server *v = f->v[i];
-
-		if (!server_holds(v, s->spec->models[model].name) &&
-		    plan_lacks_holder(s, p, v))
-			kept->v[kept->n++] = v;
-		else
-			f->v[f->n++] = v;
-	}
-}
-
-/* A group whose members may have to load, of the servers that are not set aside. */
-static bool
-form_with_loads(const struct step *s, struct plan *p, size_t model)
-{
-	struct free_servers kept;
-	bool formed;
-
-	set_aside(s, p, model, &kept);
-	formed = form_one(s, model, p->domain, p->f);
-	for (size_t i = 0; i < kept.n; i++)
-		p->f->v[p->f->n++] = kept.v[i];
-	if (formed) {
-		p->have.n[model]++;
-		p->all->n[model]++;
-	}
-	return formed;
-}
-
 /*
  * Servers that are left over form whatever fits, unless another model needs
  * them much more and only lacks a few that may come.
@@ -222,12 +184,12 @@
 	int fits = neediest(s, p->all, p->f->n);
 	int want = neediest(s, p->all, p->servers);
 
-	if (fits < 0 || donor_is_closing(s, p->domain))
+	if (fits < 0 || donor_is_closing(p))
 		return false;
 	if (work_of_group(s, (size_t)fits, p->all->n[fits] + 1) <
 	    FILL_SHARE * work_of_group(s, (size_t)want, p->all->n[want] + 1))
 		return false;
-	return form_with_loads(s, p, (size_t)fits);
+	return form_next(s, p, (size_t)fits);
 }
 
 /* Groups of servers that all hold the weights, at most @most of the model. */
@@ -237,11 +199,8 @@
 	const struct ld_model_spec *m = &s->spec->models[model];
 
 	while (p->have.n[model] < most && p->f->n >= m->size &&
-	    count_loads(p->f, m->name, m->size) == 0 &&
-	    form_one(s, model, p->domain, p->f)) {
-		p->have.n[model]++;
-		p->all->n[model]++;
-	}
+	    count_loads(p->f, m->name, m->size) == 0 && form_next(s, p, model))
+		;
 }
 
 static void
@@ -265,10 +224,10 @@
 	form_loaded(s, p, model, target);
 	if (p->have.n[model] >= target)
 		return true;
-	if (donor_is_closing(s, p->domain) || donor_rebalance(s, p) ||
+	if (donor_is_closing(p) || donor_rebalance(s, p) ||
 	    donor_give_up(s, p, model))
 		return false;
-	while (p->have.n[model] < target && form_with_loads(s, p, model))
+	while (p->have.n[model] < target && form_next(s, p, model))
 		;
 	return p->have.n[model] >= target ||
 	    p->f->n < s->spec->models[model].size;
@@ -279,10 +238,7 @@
 form_groups(const struct step *s, struct plan *p)
 {
 	for (size_t m = 0; m < s->spec->model_count; m++) {
-		size_t dissolved = regroup(s, m, p->domain, p->f);
-
-		p->have.n[m] -= dissolved;
-		p->all->n[m] -= dissolved;
+		regroup(s, p, m);
 		/* What needs no load serves meanwhile. */
 		if (!form_target(s, p, m)) {
 			form_all_loaded(s, p);
@@ -305,6 +261,7 @@
 	bool filling; /* servers may still be about to register */
 	struct free_servers free;
 	struct plan plan;
+	struct group **end; /* of the plan's groups, while they are sorted */
 };
 
 static struct domain *
@@ -363,19 +320,28 @@
 	    s->now_ms < d->newest_ms + FIRST_QUIET_MS;
 }
 
-void
-placing_step(const struct step *s)
+/* The domain of a group: groups mostly follow those of the same. */
+static struct domain *
+domain_of_group(
+    const struct step *s, size_t n, const struct group *gr, size_t *last)
 {
-	struct counts all;
-	size_t n;
+	for (size_t i = 0; i < n; i++) {
+		struct domain *d = &s->g->domains[(*last + i) % n];
+
+		if (strcmp(d->name, gr->domain) != 0)
+			continue;
+		*last = (*last + i) % n;
+		return d;
+	}
+	return NULL;
+}
+
+/* Sorts the groups by domain; in @all they are counted over all domains. */
+static void
+begin_plans(const struct step *s, size_t n, struct counts *all)
+{
+	size_t last = 0;
 
-	loads_refill(s);
-	if (s->now_ms < s->g->lead_ms + SETTLE_MS || s->spec->model_count == 0)
-		return;
-	placing_mark_taken(s);
-	s->g->loads_counted = false;
-	n = survey(s);
-	all = count_groups(s, NULL);
 	for (size_t i = 0; i < n; i++) {
 		struct domain *d = &s->g->domains[i];
 
@@ -385,12 +351,42 @@
 		    .servers = d->servers,
 		    .f = &d->free,
 		    .target = target_of(s, d->servers),
-		    .have = count_groups(s, d->name),
-		    .all = &all,
+		    .all = all,
 		};
-		if (!d->filling)
-			form_groups(s, &d->plan);
+		d->end = &d->plan.groups;
+	}
+	for (struct group *gr = s->g->groups; gr != NULL; gr = gr->next) {
+		struct domain *d;
+
+		if (gr->phase == PHASE_RETIRED)
+			continue;
+		count_group(s, gr, all);
+		d = domain_of_group(s, n, gr, &last);
+		if (d == NULL)
+			continue;
+		count_group(s, gr, &d->plan.have);
+		gr->next_in_domain = NULL;
+		*d->end = gr;
+		d->end = &gr->next_in_domain;
 	}
+}
+
+void
+placing_step(const struct step *s)
+{
+	struct counts all = {{0}};
+	size_t n;
+
+	loads_refill(s);
+	if (s->now_ms < s->g->lead_ms + SETTLE_MS || s->spec->model_count == 0)
+		return;
+	placing_mark_taken(s);
+	s->g->loads_counted = false;
+	n = survey(s);
+	begin_plans(s, n, &all);
+	for (size_t i = 0; i < n; i++)
+		if (!s->g->domains[i].filling)
+			form_groups(s, &s->g->domains[i].plan);
 	/* Loads are scarce: groups that need them go first, in all domains. */
 	for (size_t i = 0; i < n; i++)
 		if (!s->g->domains[i].filling)
--- a/lib/groups/placing_internal.h
+++ b/lib/groups/placing_internal.h
@@ -20,12 +20,15 @@
 /**
  * struct plan - what a domain holds and should hold, in one look
  * @servers: that may be in a group
+ * @groups: its groups that are not retired, by next_in_domain: a look over all groups
+ *	for each domain would not be linear in the servers
  * @all: groups of all domains, kept up to date
  */
 struct plan {
 	const char *domain;
 	size_t servers;
 	struct free_servers *f;
+	struct group *groups;
 	struct counts target;
 	struct counts have;
 	struct counts *all;
@@ -41,8 +44,9 @@
 
 /* ---- need.c ---- */
 
-/** count_groups() - that serve or are about to; @domain NULL: of all domains */
-struct counts count_groups(const struct step *s, const char *domain);
+/** count_group() - adds the group to @c if it serves or is about to */
+void count_group(
+    const struct step *s, const struct group *gr, struct counts *c);
 /** work_of_group() - a group's part of the work if the model has @groups */
 double work_of_group(const struct step *s, size_t model, size_t groups);
 /** neediest() - model that fits into @room servers, -1 when none does */
@@ -85,30 +89,22 @@
 	bool has_free_holder;
 };
 
-/** regroup_waiting() - @f: the free servers of the domain */
-struct waiting regroup_waiting(const struct step *s, size_t model,
-    const char *domain, const struct free_servers *f);
+/** regroup_waiting() - groups of the model that wait in the domain */
+struct waiting regroup_waiting(
+    const struct step *s, const struct plan *p, size_t model);
 
 /**
  * regroup() - dissolve groups that wait for a load, if their members that hold the
  * weights and free servers that do are enough for one
  *
- * Their members are added to @f, for the caller to form groups of.
- * Return: groups that were dissolved.
+ * Their members are added to the free servers, to form groups of.
  */
-size_t regroup(const struct step *s, size_t model, const char *domain,
-    struct free_servers *f);
+void regroup(const struct step *s, struct plan *p, size_t model);
 
 /* ---- donors.c ---- */
 
 /** donor_is_closing() - a group of the domain ends, its servers are free soon */
-bool donor_is_closing(const struct step *s, const char *domain);
-/**
- * donor_is_worth_it() - one more group of @want is worth more than the last one of
- * @model, given the groups in @all
- */
-bool donor_is_worth_it(
-    const struct step *s, const struct counts *all, size_t want, size_t model);
+bool donor_is_closing(const struct plan *p);
 /**
  * donor_give_up() - end a small group whose hosts complete a group of @want
  *
@@ -132,15 +128,6 @@
 
 /** standby_step() - have @hosts hosts of a small group load the largest model */
 void standby_step(const struct step *s, const struct plan *p, size_t hosts);
-/**
- * standby_use() - close a small group whose hosts hold what groups wait for
- * @holders: servers that would be in such a group and hold the weights
- * @all: groups of all domains, kept up to date
- *
- * Return: true when one closes: its servers are free soon.
- */
-bool standby_use(const struct step *s, size_t model, const char *domain,
-    size_t holders, struct counts *all);
 
 /* ---- spares.c ---- */
 
--- a/lib/groups/regroup.c
+++ b/lib/groups/regroup.c
@@ -66,7 +66,7 @@
 /* Whether the group waits for a load; its holders are added to *holders. */
 static bool
 is_waiting(const struct step *s, const struct group *gr,
-    const struct ld_model_spec *m, const char *domain, size_t *holders)
+    const struct ld_model_spec *m, size_t *holders)
 {
 	bool waits;
 	size_t n;
@@ -74,7 +74,7 @@
 	/* The head of one that was taken up may have been told to open by the
 	 * holder before. */
 	if (gr->phase != PHASE_FORMING || gr->adopted ||
-	    strcmp(gr->domain, domain) != 0 || strcmp(gr->model, m->name) != 0)
+	    strcmp(gr->model, m->name) != 0)
 		return false;
 	n = count_holders(s, gr, m, &waits);
 	if (!waits)
@@ -84,36 +84,33 @@
 }
 
 struct waiting
-regroup_waiting(const struct step *s, size_t model, const char *domain,
-    const struct free_servers *f)
+regroup_waiting(const struct step *s, const struct plan *p, size_t model)
 {
 	const struct ld_model_spec *m = &s->spec->models[model];
-	struct waiting w = {0};
+	struct waiting w = {.holders = count_free_holders(p->f, m->name)};
 
-	for (size_t i = 0; i < f->n; i++)
-		w.holders += server_holds(f->v[i], m->name);
 	w.has_free_holder = w.holders > 0;
-	for (const struct group *gr = s->g->groups; gr != NULL; gr = gr->next)
-		w.groups += is_waiting(s, gr, m, domain, &w.holders);
+	for (const struct group *gr = p->groups; gr != NULL;
+	     gr = gr->next_in_domain)
+		w.groups += is_waiting(s, gr, m, &w.holders);
 	return w;
 }
 
-size_t
-regroup(const struct step *s, size_t model, const char *domain,
-    struct free_servers *f)
+void
+regroup(const struct step *s, struct plan *p, size_t model)
 {
 	const struct ld_model_spec *m = &s->spec->models[model];
-	struct waiting w = regroup_waiting(s, model, domain, f);
-	size_t dissolved = 0;
+	struct waiting w = regroup_waiting(s, p, model);
 
 	/* One group alone has nothing to gain. */
 	if (w.groups + w.has_free_holder < 2 || w.holders < m->size)
-		return 0;
-	for (struct group *gr = s->g->groups; gr != NULL; gr = gr->next) {
-		if (!is_waiting(s, gr, m, domain, &w.holders))
+		return;
+	for (struct group *gr = p->groups; gr != NULL;
+	     gr = gr->next_in_domain) {
+		if (!is_waiting(s, gr, m, &w.holders))
 			continue;
-		dissolve(s, gr, m, f);
-		dissolved++;
+		dissolve(s, gr, m, p->f);
+		p->have.n[model]--;
+		p->all->n[model]--;
 	}
-	return dissolved;
 }
--- a/lib/groups/spares.c
+++ b/lib/groups/spares.c
@@ -13,15 +13,15 @@
 
 /* Members of the domain's groups that are leaving. */
 static struct counts
-count_leaving(const struct step *s, const char *domain)
+count_leaving(const struct step *s, const struct plan *p)
 {
 	struct counts c = {{0}};
 
-	for (const struct group *gr = s->g->groups; gr != NULL; gr = gr->next) {
+	for (const struct group *gr = p->groups; gr != NULL;
+	     gr = gr->next_in_domain) {
 		const struct ld_model_spec *m;
 
-		if (gr->phase != PHASE_SERVING ||
-		    strcmp(gr->domain, domain) != 0)
+		if (gr->phase != PHASE_SERVING)
 			continue;
 		m = ld_engine_model(s->spec, ld_str_c(gr->model));
 		if (m == NULL)
@@ -133,14 +133,10 @@
 	const struct free_servers *f = p->f;
 	struct demand d = {
 	    .groups = p->have,
-	    .leaving = count_leaving(s, p->domain),
+	    .leaving = count_leaving(s, p),
 	};
 	struct counts held = {{0}};
 
-	/* A group that is missing needs the weights most. */
-	for (size_t i = 0; i < s->spec->model_count; i++)
-		if (d.groups.n[i] < p->target.n[i])
-			d.groups.n[i] = p->target.n[i];
 	for (size_t i = 0; i < f->n; i++) {
 		int m = spare_model(s, f->v[i]);
 
--- a/lib/store/watch.c
+++ b/lib/store/watch.c
@@ -325,13 +325,6 @@
 	};
 	char *url;
 
-	if (is_polled(w) && is_outdated(w)) {
-		ld_buf_free(&wire.path);
-		free(key);
-		w->copy_behind = true;
-		begin_read(w);
-		return;
-	}
 	s->codec->ops->encode(&op, &wire);
 	url = store_url(s, ld_buf_cstr(&wire.path));
 	rq.method = wire.method;
@@ -424,6 +417,18 @@
 		ld_store_read(w->store, &w->read, key);
 }
 
+/* From what is known, unless the store has come back from an older copy since. */
+static void
+go_on(struct store_watch *w)
+{
+	if (!is_outdated(w)) {
+		begin_stream(w);
+		return;
+	}
+	w->copy_behind = true;
+	begin_read(w);
+}
+
 static void
 on_timer(struct ld_timer *t, uint64_t now_ms)
 {
@@ -431,7 +436,7 @@
 	    offsetof(struct store_watch, timer));
 
 	if (w->polling) {
-		begin_stream(w);
+		go_on(w);
 		return;
 	}
 	if (w->stream != NULL)
@@ -499,7 +504,7 @@
 	if (w == NULL || !w->taking)
 		return;
 	w->taking = false;
-	begin_stream(w);
+	go_on(w);
 }
 
 void
