--- /dev/null
+++ b/tests/engine_entry.h
@@ -0,0 +1,17 @@
+/* Entries of model servers, for tests without a store. */
+#ifndef ENGINE_ENTRY_H
+#define ENGINE_ENTRY_H
+
+#include "ld_servers.h"
+
+/** engine_entry() - in no group; ld_servers_put() takes its strings over */
+static inline struct ld_server_entry
+engine_entry(const char *id, const char *zone)
+{
+	return (struct ld_server_entry){.id = ld_strdup(id),
+	    .service = ld_strdup("llm"),
+	    .address = ld_strdup("10.0.0.1:80"),
+	    .zone = ld_strdup(zone)};
+}
+
+#endif
--- a/tests/groups_world.h
+++ b/tests/groups_world.h
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "engine_entry.h"
 #include "ld_groups.h"
 #include "ld_test.h"
 
@@ -69,16 +70,13 @@
 put(struct world *w, int i, enum ld_member_state st, const char *group,
     int64_t epoch, uint32_t rank, const char *model)
 {
-	struct ld_server_entry e = {0};
+	struct ld_server_entry e;
 	char id[16];
 
 	id_of(i, id);
-	e.id = ld_strdup(id);
-	e.service = ld_strdup("llm");
-	e.address = ld_strdup("10.0.0.1:80");
-	e.zone = ld_strdup("z1");
-	e.domain = ld_strdup("d1");
+	e = engine_entry(id, "z1");
 	e.born_ms = 1;
+	e.domain = ld_strdup("d1");
 	if (w->staged[i][0] != '\0') {
 		e.staged = ld_alloc(sizeof(*e.staged));
 		e.staged[0] = ld_strdup(w->staged[i]);
--- a/tests/unit/test_aggregate.c
+++ b/tests/unit/test_aggregate.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "../../lib/relay/aggregate.h"
+#include "engine_entry.h"
 #include "ld_test.h"
 
 #define SEED 20261204
@@ -103,14 +104,11 @@
 static void
 add_head(struct ld_servers *t, int number)
 {
-	struct ld_server_entry e = {0};
+	struct ld_server_entry e;
 	char id[16];
 
 	snprintf(id, sizeof(id), "h%d", number);
-	e.id = ld_strdup(id);
-	e.service = ld_strdup("llm");
-	e.address = ld_strdup("10.0.0.1:80");
-	e.zone = ld_strdup("z");
+	e = engine_entry(id, "z");
 	ld_servers_put(t, &e, 0);
 }
 
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "engine_entry.h"
 #include "ld_dispatch.h"
 #include "ld_test.h"
 
@@ -23,12 +24,8 @@
 static struct ld_server *
 put(struct world *w, const char *id, const char *zone, bool leaving)
 {
-	struct ld_server_entry e = {0};
+	struct ld_server_entry e = engine_entry(id, zone);
 
-	e.id = ld_strdup(id);
-	e.service = ld_strdup("llm");
-	e.address = ld_strdup("10.0.0.1:80");
-	e.zone = ld_strdup(zone);
 	e.leaving = leaving;
 	e.member.state = LD_MEMBER_OPEN;
 	e.member.group = ld_strdup(id);
@@ -151,12 +148,8 @@
 put_member(
     struct world *w, const char *id, const char *group, enum ld_member_state st)
 {
-	struct ld_server_entry e = {0};
+	struct ld_server_entry e = engine_entry(id, "z1");
 
-	e.id = ld_strdup(id);
-	e.service = ld_strdup("llm");
-	e.address = ld_strdup("10.0.0.2:80");
-	e.zone = ld_strdup("z1");
 	e.member.state = st;
 	e.member.group = ld_strdup(group);
 	e.member.model = ld_strdup("m0");
--- a/tests/unit/test_groups_losses.c
+++ b/tests/unit/test_groups_losses.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "engine_entry.h"
 #include "ld_groups.h"
 #include "ld_test.h"
 
@@ -88,19 +89,16 @@
 publish(struct fleet *f, int i)
 {
 	struct sim *v = &f->s[i];
-	struct ld_server_entry e = {0};
+	struct ld_server_entry e;
 	char text[32];
 
 	if (!v->listed)
 		return;
 	snprintf(text, sizeof(text), "s%03d", i);
-	e.id = ld_strdup(text);
-	e.service = ld_strdup("llm");
-	e.address = ld_strdup("10.0.0.1:80");
-	e.zone = ld_strdup("z1");
+	e = engine_entry(text, "z1");
+	e.born_ms = 1;
 	snprintf(text, sizeof(text), "d%d", v->domain);
 	e.domain = ld_strdup(text);
-	e.born_ms = 1;
 	if (v->staged >= 0) {
 		e.staged = ld_alloc(sizeof(*e.staged));
 		e.staged[0] = ld_strdup(f->models[v->staged].name);
--- a/tests/unit/test_groups_size.c
+++ b/tests/unit/test_groups_size.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "engine_entry.h"
 #include "ld_groups.h"
 #include "ld_test.h"
 
@@ -27,17 +28,14 @@
 static void
 put(struct fleet *f, int i, const struct ld_order *o, enum ld_member_state st)
 {
-	struct ld_server_entry e = {0};
+	struct ld_server_entry e;
 	char text[32];
 
 	snprintf(text, sizeof(text), "i-%05d", i);
-	e.id = ld_strdup(text);
-	e.service = ld_strdup("llm");
-	e.address = ld_strdup("10.0.0.1:80");
-	e.zone = ld_strdup("z1");
+	e = engine_entry(text, "z1");
+	e.born_ms = 1;
 	snprintf(text, sizeof(text), "fabric-%d", i / DOMAIN_SERVERS);
 	e.domain = ld_strdup(text);
-	e.born_ms = 1;
 	e.member.state = st;
 	if (o != NULL && st != LD_MEMBER_NONE) {
 		e.member.group = ld_strdup(o->group);
--- a/tests/unit/test_placing_load.c
+++ b/tests/unit/test_placing_load.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "ld_dispatch.h"
+#include "engine_entry.h"
 #include "ld_test.h"
 
 #define NODES_MAX 200
@@ -95,18 +96,15 @@
 static void
 put_head(size_t node, size_t group)
 {
-	struct ld_server_entry e = {0};
-	char text[16];
+	struct ld_server_entry e;
+	char id[16], zone[16];
 
-	snprintf(text, sizeof(text), "h%zu", group);
-	e.id = ld_strdup(text);
-	e.service = ld_strdup("llm");
-	e.address = ld_strdup("10.0.0.1:80");
+	snprintf(id, sizeof(id), "h%zu", group);
+	snprintf(zone, sizeof(zone), "z%zu", domain_of(group));
+	e = engine_entry(id, zone);
 	e.member.state = LD_MEMBER_OPEN;
-	e.member.group = ld_strdup(text);
+	e.member.group = ld_strdup(id);
 	e.member.model = ld_strdup("m");
-	snprintf(text, sizeof(text), "z%zu", domain_of(group));
-	e.zone = ld_strdup(text);
 	w.heads[node][group] = ld_servers_put(w.nodes[node], &e, w.now);
 }
 
