relay: log the shared parts of each prompt

The logs could not tell whether servers that crash one after the other have a part of a prompt in common, or only requests that are sent again.

No decision reads them yet.

--- a/lib/dialect/ld_dialect.h
+++ b/lib/dialect/ld_dialect.h
@@ -6,6 +6,7 @@
 #define LD_DIALECT_H
 
 #include "ld_groups.h"
+#include "ld_quarantine.h"
 #include "ld_routes.h"
 #include "ld_servers.h"
 #include "ld_store_codec.h"
@@ -22,6 +23,7 @@
 	LD_FIELD_LEAVING, /* "1": the responding server is leaving */
 	LD_FIELD_MODEL,
 	LD_FIELD_TOKENS, /* "PROMPT,MAX_COMPLETION", in tokens */
+	LD_FIELD_PROMPT, /* parts of the prompt, see read_prompt */
 	LD_FIELD_PRIORITY, /* 0 (most urgent) to priority_last */
 	LD_FIELD_AUTHORIZATION,
 	LD_FIELD_COUNT
@@ -44,6 +46,7 @@
  *	malformed
  * @read_report: parses the report of a server; sets only the fields that the
  *	report contains
+ * @read_prompt: parses the parts of a prompt; malformed ones are skipped
  * @encode_order: encodes the body of an order
  */
 struct ld_dialect {
@@ -62,6 +65,7 @@
 	    struct ld_str id, struct ld_str value, struct ld_server_entry *out);
 	enum ld_status (*read_report)(
 	    struct ld_str body, struct ld_server_entry *out);
+	void (*read_prompt)(struct ld_str value, struct ld_prompt *out);
 	void (*encode_order)(const struct ld_order *o, struct ld_buf *out);
 };
 
--- a/lib/relay/finish.c
+++ b/lib/relay/finish.c
@@ -11,7 +11,7 @@
 request_record_end(
     struct request *q, const char *outcome, long code, const char *why)
 {
-	char id[LD_EVENT_TOKEN_BYTES];
+	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
 	uint64_t now = relay_now(q->relay);
 	bool answered = strcmp(outcome, "answered") == 0;
 
@@ -30,7 +30,7 @@
 	ld_event("request.end",
 	    "id=%s outcome=%s code=%ld why=%s ms=%llu first_ms=%lld "
 	    "predicted_ms=%llu gap_ms=%llu sends=%u maybe_ran=%d service=%s "
-	    "model=%s prompt=%llu account=%s last_server=%s",
+	    "model=%s prompt=%llu parts=%s account=%s last_server=%s",
 	    ld_event_token(ld_str_c(q->attempt_id), id), outcome, code, why,
 	    (unsigned long long)(now - q->start_ms),
 	    q->first_event_ms > 0 ? (long long)(q->first_event_ms - q->start_ms)
@@ -38,7 +38,7 @@
 	    (unsigned long long)q->predicted_ms,
 	    (unsigned long long)q->max_gap_ms, q->sends, q->maybe_ran,
 	    q->service, q->model, (unsigned long long)q->prompt_tokens,
-	    q->account,
+	    ld_prompt_text(&q->prompt, parts), q->account,
 	    q->tried_count > 0 ? q->tried[q->tried_count - 1] : "-");
 }
 
@@ -109,14 +109,15 @@
 void
 request_record_failed_send(struct request *q, const char *why, const char *next)
 {
-	char id[LD_EVENT_TOKEN_BYTES];
+	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
 
 	counts_send_ended(q, why);
 	ld_event("send.failed",
-	    "id=%s server=%s why=%s code=%ld ms=%llu next=%s last_event=%lld",
+	    "id=%s server=%s why=%s code=%ld ms=%llu next=%s last_event=%lld "
+	    "parts=%s",
 	    ld_event_token(ld_str_c(q->attempt_id), id),
 	    q->tried_count > 0 ? q->tried[q->tried_count - 1] : "-", why,
 	    q->response.code,
 	    (unsigned long long)(relay_now(q->relay) - q->sent_ms), next,
-	    (long long)q->last_event_id);
+	    (long long)q->last_event_id, ld_prompt_text(&q->prompt, parts));
 }
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -228,6 +228,16 @@
 		q->prompt_tokens = prompt;
 }
 
+static void
+read_prompt_parts(struct request *q)
+{
+	const struct ld_dialect *d = q->relay->dialect;
+
+	d->read_prompt(
+	    ld_str_c(ld_exchange_header(q->x, d->fields[LD_FIELD_PROMPT])),
+	    &q->prompt);
+}
+
 static char *
 copy_or_empty(const char *s)
 {
@@ -276,6 +286,7 @@
 		timeout_ms = rule->timeout_ms;
 	q->deadline_ms = q->start_ms + timeout_ms;
 	read_prompt_tokens(q);
+	read_prompt_parts(q);
 	q->timer.fn = on_timer;
 	q->next = r->requests;
 	q->prev_next = &r->requests;
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -64,6 +64,7 @@
 	uint64_t deadline_ms; /* the request fails then */
 	uint64_t objective_ms;
 	uint64_t prompt_tokens;
+	struct ld_prompt prompt;
 	/* The send in progress. */
 	struct ld_http_call *call;
 	struct ld_server *server;
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -452,6 +452,37 @@
 	ld_buf_free(&b);
 }
 
+/* ---- Prompts ---- */
+
+static void
+test_prompts(void)
+{
+	struct ld_prompt p = {0}, q = {0};
+	char text[LD_PROMPT_TEXT_BYTES];
+	struct ld_buf many = {0};
+
+	dialect()->read_prompt(
+	    LD_STR("5c1e07a2:800,91bd3f06:410, e4402b7d:250"), &p);
+	CU_ASSERT_EQUAL(p.part_count, 2);
+	CU_ASSERT_EQUAL(p.parts[0], ld_hash64(LD_STR("5c1e07a2"), 0));
+	CU_ASSERT_EQUAL(p.own, ld_hash64(LD_STR("e4402b7d"), 0));
+	/* The number of tokens is no part of the identity. */
+	dialect()->read_prompt(LD_STR(",5c1e07a2:1,,91bd3f06"), &q);
+	CU_ASSERT_EQUAL(q.part_count, 1);
+	CU_ASSERT_EQUAL(q.parts[0], p.parts[0]);
+	CU_ASSERT_EQUAL(q.own, p.parts[1]);
+	dialect()->read_prompt(LD_STR(""), &q);
+	CU_ASSERT_EQUAL(q.part_count, 0);
+	CU_ASSERT_EQUAL(q.own, 0);
+	CU_ASSERT_STRING_EQUAL(ld_prompt_text(&q, text), "-");
+	for (int i = 0; i < 1000; i++)
+		ld_buf_printf(&many, "%x:1,", i);
+	dialect()->read_prompt(ld_buf_str(&many), &q);
+	CU_ASSERT_EQUAL(q.part_count, LD_PROMPT_PARTS_MAX);
+	CU_ASSERT(strlen(ld_prompt_text(&q, text)) < LD_PROMPT_TEXT_BYTES);
+	ld_buf_free(&many);
+}
+
 int
 main(void)
 {
@@ -469,6 +500,7 @@
 	    {"answers of the store", test_store_answers},
 	    {"writes without effect", test_writes_without_effect},
 	    {"mutated input", test_mutated_input},
+	    {"parts of prompts", test_prompts},
 	    {NULL, NULL},
 	};
 
