tests/faults: prompts that crash each server, failing

One relay, two servers that break off after the head of the answer when a prompt has a certain part, and come back under a new id; ten prompts that share only that part.

--- a/tests/faults/ld_relay_server.c
+++ b/tests/faults/ld_relay_server.c
@@ -102,6 +102,14 @@
 	answer_with(x, code, id, ran, NULL, NULL);
 }
 
+static bool
+has_crashing_part(struct ld_exchange *x)
+{
+	const char *prompt = ld_exchange_header(x, "X-Prefix-Hash");
+
+	return prompt != NULL && strstr(prompt, RELAY_CRASHING_PART) != NULL;
+}
+
 static void
 on_request(struct ld_handler *h, struct ld_exchange *x)
 {
@@ -112,6 +120,17 @@
 	keep(s->authorization, sizeof(s->authorization), x, "Authorization");
 	keep(s->urgency, sizeof(s->urgency), x, "X-Request-Priority");
 	keep(s->last_event, sizeof(s->last_event), x, "Last-Event-Id");
+	if (s->down) {
+		ld_exchange_abort(x);
+		return;
+	}
+	if (s->behaviour == CRASHES_ON_PROMPT && has_crashing_part(x)) {
+		s->crashes++;
+		s->down = true;
+		begin_events(x);
+		ld_exchange_abort(x);
+		return;
+	}
 	switch (s->behaviour) {
 	case FAILS:
 		answer(x, 500, RELAY_REQUEST_ID, true);
--- a/tests/faults/ld_relay_server.h
+++ b/tests/faults/ld_relay_server.h
@@ -16,6 +16,9 @@
 #define RELAY_PAUSE_MS 1500
 #define RELAY_PAUSE_S "1.5"
 
+/** Part of a prompt on which servers crash. */
+#define RELAY_CRASHING_PART "deadbeef"
+
 /** enum behaviour - what a server does with a request */
 enum behaviour {
 	SERVES,
@@ -25,6 +28,7 @@
 	LEAVES, /* serves, and reports that it is leaving */
 	BREAKS_OFF, /* closes the connection without an answer */
 	ANSWERS_ANOTHER, /* the answer names another request */
+	CRASHES_ON_PROMPT, /* after the head, if the prompt has the part */
 	CUTS_STREAM, /* in the middle of the fourth event */
 	STREAMS_SLOWLY
 };
@@ -38,6 +42,8 @@
 	char id[8]; /* id of its entry in the store */
 	enum behaviour behaviour;
 	unsigned int arrivals;
+	unsigned int crashes; /* arrivals that it answered by a crash */
+	bool down; /* crashed; refuses connections until it is restarted */
 	/* Values from the last request, empty if absent. */
 	char account[32];
 	char authorization[32];
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -144,13 +144,20 @@
 void
 start_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key)
+{
+	start_prompt_at(c, address, method, path, key, NULL);
+}
+
+void
+start_prompt_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *key, const char *prompt)
 {
 	static const struct ld_http_sink_ops ops = {
 	    .field = on_field, .body = on_body, .done = on_done};
 	static const char attempt[] = "X-Attempt-Id: " RELAY_REQUEST_ID;
-	char url[128], authorization[64];
-	const char *headers[] = {
-	    "Host: h", attempt, "X-Deadline-Ms: 4000", authorization, NULL};
+	char url[128], authorization[64], parts[128];
+	const char *headers[] = {"Host: h", attempt, "X-Deadline-Ms: 4000",
+	    authorization, prompt != NULL ? parts : NULL, NULL};
 	struct ld_http_request rq = {.method = method,
 	    .url = url,
 	    .headers = headers,
@@ -163,6 +170,8 @@
 	snprintf(url, sizeof(url), "http://%s%s", address, path);
 	snprintf(authorization, sizeof(authorization),
 	    "Authorization: Bearer %s", key);
+	if (prompt != NULL)
+		snprintf(parts, sizeof(parts), "X-Prefix-Hash: %s", prompt);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(ld_http_start(http, &rq, &c->sink));
 }
 
@@ -203,6 +212,39 @@
 	return c.code;
 }
 
+long
+code_of_prompt(const char *prompt)
+{
+	struct client *c = ld_alloc(sizeof(*c));
+	long code;
+
+	start_prompt_at(c, relay_address, "POST", "/events/a", "k1", prompt);
+	wait_for(c);
+	code = c->code;
+	ld_buf_free(&c->body);
+	free(c);
+	return code;
+}
+
+void
+restart_crashed(void)
+{
+	static unsigned int restarts;
+
+	for (int i = 0; i < SERVERS; i++) {
+		struct server *s = &servers[i];
+		char key[32];
+
+		if (!s->down)
+			continue;
+		snprintf(key, sizeof(key), "servers/%s", s->id);
+		ld_kv_store_delete(store, key);
+		snprintf(s->id, sizeof(s->id), "r-%u", ++restarts);
+		put_entry(s, 0);
+		s->down = false;
+	}
+}
+
 /* ---- Start and end ---- */
 
 static void
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -59,6 +59,9 @@
 /** start_at() - send a request; @c must not move until it is done */
 void start_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key);
+/** start_prompt_at() - the same with the parts of a prompt, NULL for none */
+void start_prompt_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *key, const char *prompt);
 void wait_for(struct client *c);
 /** call_at() - send one request and wait; the body is to be freed */
 struct client call_at(
@@ -67,5 +70,9 @@
 struct client call(const char *method, const char *path, const char *key);
 /** code_of() - the status of its answer */
 long code_of(const char *method, const char *path, const char *key);
+/** code_of_prompt() - of a stream with these parts of a prompt */
+long code_of_prompt(const char *prompt);
+/** restart_crashed() - servers that are down come back under a new id */
+void restart_crashed(void);
 
 #endif
--- /dev/null
+++ b/tests/faults/test_crashing_prompts.c
@@ -0,0 +1,133 @@
+/* Prompts that crash each server that begins to answer them, at one relay. */
+#include <libgen.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+
+#include "ld_relay_session.h"
+
+/* Requests with the part that may reach servers: five crashes, and three more
+ * after them. */
+#define CRASHES_FREE 5
+#define ARRIVALS_AFTER 3
+#define ROUNDS 10
+/* After a restart a server's entry reaches the relay within this time, ms. */
+#define ENTRY_MS 400
+
+static char program[4096];
+
+static unsigned int
+crashes(void)
+{
+	return servers[0].crashes + servers[1].crashes;
+}
+
+/* ---- Tests, in this order, on one relay ---- */
+
+static void
+test_one_part_stops_reaching_servers(void)
+{
+	char prompt[64];
+
+	open_all(program);
+	wait_until_serving();
+	set_servers(CRASHES_ON_PROMPT, CRASHES_ON_PROMPT);
+	for (int i = 0; i < ROUNDS; i++) {
+		snprintf(prompt, sizeof(prompt),
+		    "aa:40," RELAY_CRASHING_PART ":100,d%x:20", i);
+		CU_ASSERT_NOT_EQUAL(code_of_prompt(prompt), 200);
+		restart_crashed();
+		run_for(ENTRY_MS);
+		/* The same account and first part. */
+		snprintf(prompt, sizeof(prompt), "aa:40,5%x:20", i);
+		CU_ASSERT_EQUAL(code_of_prompt(prompt), 200);
+	}
+	CU_ASSERT(crashes() <= CRASHES_FREE + ARRIVALS_AFTER);
+}
+
+static void
+test_it_is_refused_with_a_time_to_come_back(void)
+{
+	struct client *c = ld_alloc(sizeof(*c));
+	unsigned int before = crashes();
+
+	start_prompt_at(c, relay_address, "POST", "/events/a", "k1",
+	    "aa:40," RELAY_CRASHING_PART ":100,ee:20");
+	wait_for(c);
+	CU_ASSERT_EQUAL(c->code, 503);
+	CU_ASSERT(c->retry_after_s > 0);
+	CU_ASSERT_EQUAL(crashes(), before);
+	ld_buf_free(&c->body);
+	free(c);
+	restart_crashed();
+	run_for(ENTRY_MS);
+}
+
+static void
+test_a_restarted_relay_still_refuses_it(void)
+{
+	unsigned int before;
+	int status = 0;
+
+	/* The record of it has reached the store. */
+	run_for(3000);
+	CU_ASSERT_EQUAL(kill(relay, SIGKILL), 0);
+	CU_ASSERT_EQUAL(waitpid(relay, &status, 0), relay);
+	before = crashes();
+	start_relay();
+	wait_until_serving();
+	for (int i = 0; i < 3; i++) {
+		CU_ASSERT_NOT_EQUAL(
+		    code_of_prompt("aa:40," RELAY_CRASHING_PART ":100,ff:20"),
+		    200);
+		restart_crashed();
+		run_for(ENTRY_MS);
+	}
+	CU_ASSERT_EQUAL(crashes(), before);
+	CU_ASSERT_EQUAL(code_of_prompt("aa:40,cc:20"), 200);
+}
+
+/* Requests of one session that were at servers which crashed by chance. */
+static void
+test_a_session_that_met_crashes_is_served(void)
+{
+	for (int i = 0; i < 6; i++) {
+		/* Both sends break off, then the session is served. */
+		set_servers(BREAKS_OFF, BREAKS_OFF);
+		CU_ASSERT_EQUAL(code_of_prompt("aa:40,bb:100,b1:20"), 502);
+		set_servers(SERVES, SERVES);
+		CU_ASSERT_EQUAL(code_of_prompt("aa:40,bb:100,b2:20"), 200);
+	}
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, NULL, WNOHANG), relay);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct ld_test_case cases[] = {
+	    {"one part stops reaching servers",
+		test_one_part_stops_reaching_servers},
+	    {"it is refused with a time to come back",
+		test_it_is_refused_with_a_time_to_come_back},
+	    {"a restarted relay still refuses it",
+		test_a_restarted_relay_still_refuses_it},
+	    {"a session that met crashes is served",
+		test_a_session_that_met_crashes_is_served},
+	    {NULL, NULL},
+	};
+	int rc;
+
+	if (ld_common_init() != LD_OK)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	snprintf(
+	    program, sizeof(program), "%s/../lavenderdrift", dirname(argv[0]));
+	rc = ld_test_main("crashing prompts", cases);
+	if (rc != 0)
+		kill(relay, SIGKILL);
+	close_all();
+	return rc;
+}
