relay: quarantine parts of prompts that crash servers

Cause: what a node learns from a failed send it applied to the server alone, so the next such request, and the same one sent again, went to the next server. Nothing related crashes to the content of the requests. A missing attribution, of the class of queries of death.

Change: lib/quarantine weighs crashes against answers for each shared part of prompts; nodes exchange findings over the mesh; a part in quarantine is refused with the time until the next trial, its requests in flight end; a record in the store serves nodes that start later. group_records.c becomes leader_records.c, which holds both kinds of records. Alarms and findings share agg_notices.c. A datagram with findings has a sixth field, and only then.

--- /dev/null
+++ b/lib/quarantine/evidence.c
@@ -0,0 +1,159 @@
+/* See quarantine_internal.h. */
+#include "quarantine_internal.h"
+
+/* Nodes notice one crash at different times; a server takes longer than this to
+ * restart. */
+#define SAME_CRASH_MS 2000
+/* Older crashes no longer count. */
+#define CRASH_VALID_MS 60000
+/* A part whose answers went on this recently is not suspected: it covers the
+ * time in which a failing rack crashes several of its servers. */
+#define SOUND_VALID_MS 3000
+
+static struct evidence *
+set_of(struct evidence_table *t, uint64_t part)
+{
+	return t->sets[part % EVIDENCE_SETS];
+}
+
+struct evidence *
+evidence_find(struct evidence_table *t, uint64_t part)
+{
+	struct evidence *set = set_of(t, part);
+
+	for (size_t i = 0; i < EVIDENCE_WAYS; i++)
+		if (set[i].part == part)
+			return &set[i];
+	return NULL;
+}
+
+struct evidence *
+evidence_use(struct evidence_table *t, uint64_t part, uint64_t now_ms)
+{
+	struct evidence *e = evidence_find(t, part);
+	struct evidence *set = set_of(t, part);
+
+	if (e == NULL) {
+		e = &set[0];
+		for (size_t i = 1; i < EVIDENCE_WAYS; i++)
+			if (set[i].used_ms < e->used_ms)
+				e = &set[i];
+		*e = (struct evidence){.part = part};
+	}
+	e->used_ms = now_ms;
+	return e;
+}
+
+static bool
+is_recent(uint64_t at_ms, uint64_t now_ms)
+{
+	return at_ms != 0 && now_ms < at_ms + SOUND_VALID_MS;
+}
+
+bool
+evidence_is_sound(const struct evidence *e, uint64_t now_ms)
+{
+	return e != NULL && is_recent(e->sound_ms, now_ms);
+}
+
+bool
+evidence_is_own_sound(const struct evidence *e, uint64_t now_ms)
+{
+	return e != NULL && is_recent(e->own_sound_ms, now_ms);
+}
+
+static void
+remove_crash(struct evidence *e, size_t i)
+{
+	e->crash_count--;
+	for (; i < e->crash_count; i++)
+		e->crashes[i] = e->crashes[i + 1];
+}
+
+static bool
+is_same_crash(const struct crash *a, uint32_t server, uint64_t at_ms)
+{
+	uint64_t apart_ms =
+	    a->at_ms > at_ms ? a->at_ms - at_ms : at_ms - a->at_ms;
+
+	return a->server == server && apart_ms < SAME_CRASH_MS;
+}
+
+static void
+merge_crash(struct crash *c, const struct ld_finding *f)
+{
+	bool begun = f->kind == LD_FINDING_CRASH_BEGUN;
+
+	c->has_others |= c->request != f->request;
+	if (begun && !c->begun)
+		c->request = f->request;
+	c->begun |= begun;
+}
+
+void
+evidence_add_crash(
+    struct evidence *e, const struct ld_finding *f, uint64_t now_ms)
+{
+	for (size_t i = e->crash_count; i-- > 0;) {
+		struct crash *c = &e->crashes[i];
+
+		if (is_same_crash(c, f->server, now_ms)) {
+			merge_crash(c, f);
+			return;
+		}
+		if (now_ms >= c->at_ms + CRASH_VALID_MS)
+			remove_crash(e, i);
+	}
+	/* The newest ones are kept. */
+	if (e->crash_count == CRASHES_MAX)
+		remove_crash(e, 0);
+	e->crashes[e->crash_count++] = (struct crash){.server = f->server,
+	    .request = f->request,
+	    .begun = f->kind == LD_FINDING_CRASH_BEGUN,
+	    .at_ms = now_ms};
+}
+
+bool
+evidence_suffices(const struct evidence *e)
+{
+	unsigned int requests = 0, weight = 0;
+
+	for (size_t i = 0; i < e->crash_count; i++) {
+		const struct crash *c = &e->crashes[i];
+		size_t k = 0;
+
+		while (k < i && e->crashes[k].request != c->request)
+			k++;
+		requests += (k == i) + c->has_others;
+		weight += c->begun ? WEIGHT_BEGUN : WEIGHT_OTHER;
+	}
+	return weight >= WEIGHT_SUFFICES && requests >= REQUESTS_MIN;
+}
+
+static bool
+explains(const struct evidence *culprit, const struct crash *c)
+{
+	for (size_t i = 0; i < culprit->crash_count; i++) {
+		const struct crash *by = &culprit->crashes[i];
+
+		if (is_same_crash(by, c->server, c->at_ms) &&
+		    (by->request == c->request || (by->begun && !c->begun)))
+			return true;
+	}
+	return false;
+}
+
+void
+evidence_explain(struct evidence_table *t, const struct evidence *culprit)
+{
+	for (size_t s = 0; s < EVIDENCE_SETS; s++)
+		for (size_t w = 0; w < EVIDENCE_WAYS; w++) {
+			struct evidence *e = &t->sets[s][w];
+
+			if (e == culprit)
+				continue;
+			for (size_t i = e->crash_count; i-- > 0;)
+				if (explains(culprit, &e->crashes[i]))
+					remove_crash(e, i);
+		}
+}
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "relay_internal.h"
+#include "leader_records.h"
 
 /* Longest wait of one poll of the watch, ms. An answer is as old as its poll,
  * so that in a quiet period the API keys are known to be current as of two
@@ -266,7 +266,15 @@
 		struct ld_str name = {
 		    kv->key.p + groups.len, kv->key.len - groups.len};
 
-		group_records_apply(r, name, deleted ? NULL : kv);
+		leader_records_apply(
+		    r->group_records, name, deleted ? NULL : kv);
+	} else if (ld_str_starts(kv->key, LD_STR(RELAY_QUARANTINE_PREFIX))) {
+		struct ld_str parts = LD_STR(RELAY_QUARANTINE_PREFIX);
+		struct ld_str name = {
+		    kv->key.p + parts.len, kv->key.len - parts.len};
+
+		leader_records_apply(
+		    crashing_prompts_records(r), name, deleted ? NULL : kv);
 	} else if (ld_str_eq(kv->key, LD_STR(RELAY_CONTROL_KEY))) {
 		snprintf(f->control_holder, sizeof(f->control_holder), "%.*s",
 		    deleted ? 0 : (int)kv->value.len,
@@ -383,7 +391,8 @@
 	note_era(f, revision, n);
 	f->control_holder[0] = '\0';
 	mesh_snapshot_begin(f->relay);
-	group_records_snapshot_begin(f->relay);
+	leader_records_snapshot_begin(f->relay->group_records);
+	leader_records_snapshot_begin(crashing_prompts_records(f->relay));
 	changes_server_reset(f->relay, revision);
 	for (size_t i = 0; i < n; i++)
 		if (!is_superseded(f, &kvs[i]))
@@ -591,6 +600,7 @@
 	f->watch.ops = &ops;
 	r->feed = f;
 	group_records_open(r);
+	crashing_prompts_open(r);
 	ld_store_watch_start(r->store, &f->watch, LD_STR(""), true);
 }
 
@@ -599,6 +609,7 @@
 {
 	ld_store_watch_stop(&r->feed->watch);
 	group_records_close(r);
+	crashing_prompts_close(r);
 	ld_store_free(r->store);
 	free(r->feed);
 }
--- a/lib/relay/load_aggregation.c
+++ b/lib/relay/load_aggregation.c
@@ -24,8 +24,6 @@
 #define DOMAINS_MAX 16
 /* A load that ended or changed is repeated for this long, ms. */
 #define CHANGE_REPEAT_MS 400
-/* An alarm is repeated for this long, ms, as datagrams may be lost. */
-#define ALARM_REPEAT_MS 400
 
 uint32_t
 agg_domain(struct ld_str failure_domain)
@@ -220,15 +218,6 @@
 	return l;
 }
 
-static void
-fill_alarms(const struct load_aggregation *a, struct mesh_datagram *d)
-{
-	d->alarm_count = 0;
-	for (size_t i = 0; i < a->alarm_count; i++)
-		if (a->alarms[i].is_partial || d->kind == MESH_TOTAL)
-			d->alarms[d->alarm_count++] = a->alarms[i].alarm;
-}
-
 static void
 send_datagram(struct load_aggregation *a, struct peer *const *to, size_t n,
     struct mesh_datagram *d)
@@ -238,6 +227,20 @@
 	d->load_count = 0;
 	/* The first datagram carries them. */
 	d->alarm_count = 0;
+	d->finding_count = 0;
+}
+
+static void
+send_findings(struct load_aggregation *a, struct peer *const *to, size_t n,
+    struct mesh_datagram *d)
+{
+	size_t next = 0;
+
+	while (next < a->notice_count) {
+		next = agg_notices_fill_findings(a, d, next);
+		if (d->finding_count > 0)
+			send_datagram(a, to, n, d);
+	}
 }
 
 /* Sends as many datagrams as the loads need, at least one. */
@@ -251,7 +254,7 @@
 
 	if (n == 0)
 		return;
-	fill_alarms(a, &d);
+	agg_notices_fill_alarms(a, &d);
 	for (const struct ld_server *s = ld_servers_first(a->servers);
 	     s != NULL; s = s->next) {
 		struct mesh_load l = build_load(s, kind, now_ms);
@@ -267,6 +270,7 @@
 	}
 	if (sent == 0 || d.load_count > 0)
 		send_datagram(a, to, n, &d);
+	send_findings(a, to, n, &d);
 }
 
 /* ---- Recipients ---- */
@@ -391,17 +395,6 @@
 	probe_preferred(a, aggregator, now_ms);
 }
 
-static void
-expire_alarms(struct load_aggregation *a, uint64_t now_ms)
-{
-	size_t n = 0;
-
-	for (size_t i = 0; i < a->alarm_count; i++)
-		if (now_ms < a->alarms[i].since_ms + ALARM_REPEAT_MS)
-			a->alarms[n++] = a->alarms[i];
-	a->alarm_count = n;
-}
-
 void
 agg_tick(struct load_aggregation *a, uint64_t now_ms)
 {
@@ -414,7 +407,7 @@
 				: BROADCAST_INTERVAL_MS);
 	for (size_t i = 0; i < a->peer_count; i++)
 		peer_load_expire(&a->peers[i], a->servers, now_ms);
-	expire_alarms(a, now_ms);
+	agg_notices_expire(a, now_ms);
 	to = ld_alloc((a->peer_count + 1) * sizeof(*to));
 	if (has_aggregators(a))
 		send_aggregated(a, to, now_ms);
@@ -425,32 +418,6 @@
 
 /* ---- Receiving ---- */
 
-static bool
-add_alarm(struct load_aggregation *a, const struct mesh_alarm *alarm,
-    bool is_partial, uint64_t now_ms)
-{
-	for (size_t i = 0; i < a->alarm_count; i++)
-		if (a->alarms[i].alarm.epoch == alarm->epoch &&
-		    strcmp(a->alarms[i].alarm.group, alarm->group) == 0)
-			return false;
-	/* Above the limit it is sent when it is raised again. */
-	if (a->alarm_count < MESH_ALARMS_MAX)
-		a->alarms[a->alarm_count++] =
-		    (struct agg_alarm){*alarm, is_partial, now_ms};
-	a->next_ms = 0;
-	return true;
-}
-
-void
-agg_alarm(struct load_aggregation *a, const char *group, int64_t epoch,
-    uint64_t now_ms)
-{
-	struct mesh_alarm alarm = {.epoch = epoch};
-
-	snprintf(alarm.group, sizeof(alarm.group), "%s", group);
-	(void)add_alarm(a, &alarm, true, now_ms);
-}
-
 /* Whether the loads in such a datagram of @p are to be applied. */
 static bool
 is_applicable(const struct load_aggregation *a, const struct peer *p,
@@ -497,9 +464,7 @@
 	p->last_datagram_ms = now_ms;
 	p->can_delegate = d->can_delegate;
 	note_received(p, d->kind, now_ms);
-	for (size_t i = 0; i < d->alarm_count; i++)
-		if (add_alarm(a, &d->alarms[i], d->kind == MESH_REPORT, now_ms))
-			a->ops->alarm(a, &d->alarms[i]);
+	agg_notices_receive(a, d, now_ms);
 	if (!is_applicable(a, p, d->kind, now_ms))
 		return;
 	for (size_t i = 0; i < d->load_count; i++) {
--- a/lib/relay/load_aggregation.h
+++ b/lib/relay/load_aggregation.h
@@ -55,10 +55,26 @@
 	struct peer_load_table loads;
 };
 
-/** struct agg_alarm - a silent group, while its alarm is repeated */
-struct agg_alarm {
+/* Alarms and findings that are held to be sent, at most. */
+#define AGG_FINDINGS_MAX 64
+#define AGG_NOTICES_MAX (MESH_ALARMS_MAX + AGG_FINDINGS_MAX)
+
+enum agg_notice_kind {
+	AGG_ALARM,
+	AGG_FINDING,
+	AGG_NOTICE_KIND_COUNT
+};
+
+/**
+ * struct agg_notice - an alarm or a finding, while it is repeated
+ * @alarm, @finding: the one that @kind says
+ * @is_partial: own or of a source: sent to aggregators
+ */
+struct agg_notice {
+	enum agg_notice_kind kind;
 	struct mesh_alarm alarm;
-	bool is_partial; /* own or of a source: sent to aggregators */
+	struct ld_finding finding;
+	bool is_partial;
 	uint64_t since_ms;
 };
 
@@ -69,6 +85,7 @@
  * @send: send a datagram to @n peers; a loss delays load updates, and is safe
  * @prompt_sent: other nodes have sent prompts to @s
  * @alarm: a peer reports a silent group; called once for each alarm
+ * @finding: a peer sends a finding about a part of prompts; called once for each
  */
 struct agg_ops {
 	void (*send)(struct load_aggregation *a, struct peer *const *to,
@@ -77,6 +94,8 @@
 	    uint64_t tokens, uint64_t now_ms);
 	void (*alarm)(
 	    struct load_aggregation *a, const struct mesh_alarm *alarm);
+	void (*finding)(
+	    struct load_aggregation *a, const struct ld_finding *finding);
 };
 
 /**
@@ -97,8 +116,8 @@
 	size_t peer_count;
 	uint64_t number; /* of the last datagram */
 	uint64_t next_ms;
-	struct agg_alarm alarms[MESH_ALARMS_MAX];
-	size_t alarm_count;
+	struct agg_notice notices[AGG_NOTICES_MAX];
+	size_t notice_count;
 };
 
 uint32_t agg_domain(struct ld_str failure_domain);
@@ -141,6 +160,29 @@
 void agg_alarm(struct load_aggregation *a, const char *group, int64_t epoch,
     uint64_t now_ms);
 
+/** agg_finding() - send a finding to the others at the next tick */
+void agg_finding(
+    struct load_aggregation *a, const struct ld_finding *f, uint64_t now_ms);
+
+/* ---- agg_notices.c: alarms and findings, which all nodes receive ---- */
+
+/** agg_notices_expire() - drop those that were repeated for long enough */
+void agg_notices_expire(struct load_aggregation *a, uint64_t now_ms);
+/** agg_notices_fill_alarms() - set the alarms of a datagram of its kind */
+void agg_notices_fill_alarms(
+    const struct load_aggregation *a, struct mesh_datagram *d);
+/**
+ * agg_notices_fill_findings() - set the findings of a datagram of its kind
+ * @from: notice to begin with
+ *
+ * Return: the notice to begin the next datagram with.
+ */
+size_t agg_notices_fill_findings(
+    const struct load_aggregation *a, struct mesh_datagram *d, size_t from);
+/** agg_notices_receive() - report the new ones to the owner, and hold them */
+void agg_notices_receive(
+    struct load_aggregation *a, const struct mesh_datagram *d, uint64_t now_ms);
+
 /* ---- peer_load.c: applies one received load ---- */
 
 /**
--- a/lib/relay/mesh.c
+++ b/lib/relay/mesh.c
@@ -1,7 +1,7 @@
 /*
  * Datagrams in msgpack among the nodes that have an entry in the store: the
- * load at each group, and alarms of silent groups. The recipients are chosen in
- * load_aggregation.c.
+ * load at each group, alarms of silent groups, and findings about prompts that
+ * crash servers. The recipients are chosen in load_aggregation.c.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -56,6 +56,12 @@
 	agg_alarm(&r->mesh->aggregation, group, epoch, relay_now(r));
 }
 
+void
+mesh_finding(struct relay *r, const struct ld_finding *f)
+{
+	agg_finding(&r->mesh->aggregation, f, relay_now(r));
+}
+
 void
 mesh_tick(struct relay *r)
 {
@@ -97,6 +103,12 @@
 	control_alarm(r, group, alarm->epoch);
 }
 
+static void
+on_finding(struct load_aggregation *a, const struct ld_finding *f)
+{
+	crashing_prompts_receive(mesh_of(a)->relay, f);
+}
+
 static struct peer *
 find_peer_by_address(struct load_aggregation *a, const struct sockaddr_in *from)
 {
@@ -152,6 +164,7 @@
 	    .send = send_datagram,
 	    .prompt_sent = on_prompt_sent,
 	    .alarm = on_alarm,
+	    .finding = on_finding,
 	};
 	const struct ld_relay_settings *s = r->settings;
 	struct mesh *m = ld_alloc(sizeof(*m));
--- a/lib/relay/mesh_codec.c
+++ b/lib/relay/mesh_codec.c
@@ -1,12 +1,28 @@
 /* Datagrams between nodes: [number, kind, can_delegate, [[server, active,
- * sent_tokens, heard_ago]..], [[group, epoch]..]] in msgpack. */
+ * sent_tokens, heard_ago]..], [[group, epoch]..], [[finding, part, server,
+ * request]..]] in msgpack. Without findings the last array is omitted, as
+ * earlier versions don't know it. */
 #include <msgpack.h>
 #include <string.h>
 
 #include "mesh_codec.h"
 #include "msgpack_bounded.h"
 
-#define DATAGRAM_FIELDS 5
+#define DATAGRAM_FIELDS_MIN 5
+#define DATAGRAM_FIELDS 6
+
+static void
+pack_findings(const struct mesh_datagram *d, msgpack_packer *pk)
+{
+	msgpack_pack_array(pk, d->finding_count);
+	for (size_t i = 0; i < d->finding_count; i++) {
+		msgpack_pack_array(pk, 4);
+		msgpack_pack_uint32(pk, (uint32_t)d->findings[i].kind);
+		msgpack_pack_uint64(pk, d->findings[i].part);
+		msgpack_pack_uint32(pk, d->findings[i].server);
+		msgpack_pack_uint32(pk, d->findings[i].request);
+	}
+}
 
 void
 mesh_encode(const struct mesh_datagram *d, struct ld_buf *out)
@@ -14,7 +30,8 @@
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, out, mp_append);
-	msgpack_pack_array(&pk, DATAGRAM_FIELDS);
+	msgpack_pack_array(
+	    &pk, d->finding_count > 0 ? DATAGRAM_FIELDS : DATAGRAM_FIELDS_MIN);
 	msgpack_pack_uint64(&pk, d->number);
 	msgpack_pack_uint32(&pk, (uint32_t)d->kind);
 	if (d->can_delegate)
@@ -38,6 +55,8 @@
 		msgpack_pack_str_body(&pk, d->alarms[i].group, n);
 		msgpack_pack_int64(&pk, d->alarms[i].epoch);
 	}
+	if (d->finding_count > 0)
+		pack_findings(d, &pk);
 }
 
 static bool
@@ -74,15 +93,47 @@
 	return true;
 }
 
+static bool
+read_finding(const msgpack_object *o, struct ld_finding *out)
+{
+	uint64_t kind, part, server, request;
+	size_t n;
+	const msgpack_object *v = mp_array(o, 4, true, &n);
+
+	if (v == NULL || !mp_uint(&v[0], LD_FINDING_KIND_COUNT - 1, &kind) ||
+	    !mp_uint(&v[1], UINT64_MAX, &part) || part == 0 ||
+	    !mp_uint(&v[2], UINT32_MAX, &server) ||
+	    !mp_uint(&v[3], UINT32_MAX, &request))
+		return false;
+	*out = (struct ld_finding){(enum ld_finding_kind)kind, part,
+	    (uint32_t)server, (uint32_t)request};
+	return true;
+}
+
+static bool
+read_findings(const msgpack_object *o, struct mesh_datagram *out)
+{
+	const msgpack_object *v =
+	    mp_array(o, MESH_FINDINGS_MAX, false, &out->finding_count);
+
+	if (v == NULL)
+		return false;
+	for (size_t i = 0; i < out->finding_count; i++)
+		if (!read_finding(&v[i], &out->findings[i]))
+			return false;
+	return true;
+}
+
 static bool
 read_datagram(const msgpack_object *o, struct mesh_datagram *out)
 {
 	const msgpack_object *loads, *alarms;
 	uint64_t kind;
 	size_t n;
-	const msgpack_object *v = mp_array(o, DATAGRAM_FIELDS, true, &n);
+	const msgpack_object *v = mp_array(o, DATAGRAM_FIELDS, false, &n);
 
-	if (v == NULL || !mp_uint(&v[0], UINT64_MAX, &out->number) ||
+	if (v == NULL || n < DATAGRAM_FIELDS_MIN ||
+	    !mp_uint(&v[0], UINT64_MAX, &out->number) ||
 	    !mp_uint(&v[1], MESH_KIND_COUNT - 1, &kind) ||
 	    v[2].type != MSGPACK_OBJECT_BOOLEAN)
 		return false;
@@ -98,7 +149,8 @@
 	for (size_t i = 0; i < out->alarm_count; i++)
 		if (!read_alarm(&alarms[i], &out->alarms[i]))
 			return false;
-	return true;
+	out->finding_count = 0;
+	return n == DATAGRAM_FIELDS_MIN || read_findings(&v[5], out);
 }
 
 bool
--- a/lib/relay/mesh_codec.h
+++ b/lib/relay/mesh_codec.h
@@ -3,10 +3,13 @@
 #define MESH_CODEC_H
 
 #include "ld_common.h"
+#include "ld_quarantine.h"
 
 /* Most loads (groups with requests) and alarms in one datagram. */
 #define MESH_LOADS_MAX 80
 #define MESH_ALARMS_MAX 8
+/* Most findings in one datagram, which then carries no loads. */
+#define MESH_FINDINGS_MAX 32
 #define MESH_GROUP_NAME_MAX 64
 /* Ages are sent up to this limit, ms: fits into 16 bits. */
 #define MESH_HEARD_AGO_MAX_MS 60000U
@@ -47,6 +50,8 @@
 	size_t load_count;
 	struct mesh_alarm alarms[MESH_ALARMS_MAX];
 	size_t alarm_count;
+	struct ld_finding findings[MESH_FINDINGS_MAX];
+	size_t finding_count;
 };
 
 /** mesh_encode() - append the datagram as msgpack */
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -115,6 +115,7 @@
 			return false;
 		if (!seen)
 			relay_event(q, event, id);
+		request_note_event(q);
 		events_consume(&q->events, event);
 	}
 	return true;
@@ -176,6 +177,8 @@
 	    q->response.code != 504 && request_retry(q, "server-error"))
 		return;
 	ld_dispatch_answered(s, now);
+	if (q->response.code < 300)
+		request_note_answer(q);
 	request_relay_response(q);
 }
 
@@ -184,9 +187,11 @@
 {
 	request_mark_ran(q);
 	if (events_pending_bytes(&q->events) > 0) {
+		request_note_crash(q);
 		request_retry_or_fail(q, "event-cut");
 		return;
 	}
+	request_note_answer(q);
 	ld_dispatch_answered(q->server, relay_now(q->relay));
 	if (q->response_started)
 		request_end_stream(q);
@@ -224,6 +229,8 @@
 	}
 	if (result->sent)
 		request_mark_maybe_ran(q);
+	if (result->sent && result->status == LD_E_CLOSED)
+		request_note_crash(q);
 	ld_dispatch_failed(q->server, relay_now(q->relay));
 	request_retry_or_fail(q, failure_name(result->status));
 }
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -20,6 +20,8 @@
 #define RELAY_NODES_PREFIX "lavenderdrift/nodes/"
 /* Members of each serving group, written by the leader. */
 #define RELAY_GROUPS_PREFIX "lavenderdrift/groups/"
+/* Parts of prompts in quarantine, written by the leader. */
+#define RELAY_QUARANTINE_PREFIX "lavenderdrift/quarantine/"
 
 struct control;
 struct counts;
@@ -28,7 +30,8 @@
 struct leader;
 struct mesh;
 struct ready;
-struct group_records;
+struct crashing_prompts;
+struct leader_records;
 struct request;
 struct changes_server;
 struct usage;
@@ -58,7 +61,8 @@
 	struct mesh *mesh;
 	struct changes_server *changes_server;
 	struct follow *follow;
-	struct group_records *group_records;
+	struct leader_records *group_records;
+	struct crashing_prompts *crashing_prompts;
 	struct ld_routes *routes; /* NULL before the first read */
 	struct ld_servers *servers;
 	struct request *requests;
@@ -232,6 +236,8 @@
 void mesh_entry_recreate(struct relay *r);
 /** mesh_alarm() - report a silent group to the leader */
 void mesh_alarm(struct relay *r, const char *group, int64_t epoch);
+/** mesh_finding() - send a finding about a part of prompts to the other nodes */
+void mesh_finding(struct relay *r, const struct ld_finding *f);
 /** mesh_has_larger_node() - a listed node has a larger share of a core */
 bool mesh_has_larger_node(const struct relay *r);
 /** struct mesh_delegate - a peer through which the store can be followed */
@@ -262,12 +268,17 @@
 void group_records_open(struct relay *r);
 /** group_records_close() - call before the store's client is freed */
 void group_records_close(struct relay *r);
-void group_records_tick(struct relay *r);
-/** group_records_snapshot_begin() - all existing records follow */
-void group_records_snapshot_begin(struct relay *r);
-/** group_records_apply() - @group was written, or deleted if @kv is NULL */
-void group_records_apply(
-    struct relay *r, struct ld_str group, const struct ld_store_kv *kv);
+
+/* ---- crashing_prompts.c: prompts that crash the servers they reach ---- */
+
+void crashing_prompts_open(struct relay *r);
+/** crashing_prompts_close() - call before the store's client is freed */
+void crashing_prompts_close(struct relay *r);
+void crashing_prompts_tick(struct relay *r);
+/** crashing_prompts_records() - of the parts in quarantine, in the store */
+struct leader_records *crashing_prompts_records(struct relay *r);
+/** crashing_prompts_receive() - a finding of another node */
+void crashing_prompts_receive(struct relay *r, const struct ld_finding *f);
 
 /* ---- counts.c ---- */
 
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -107,6 +107,7 @@
 	response_reset(&q->response);
 	events_reset(&q->events);
 	q->last_byte_ms = 0;
+	q->send_first_event_ms = 0;
 	q->sent_ms = now;
 	q->sends++;
 	relay_count(r, LD_M_RELAY_SENDS);
@@ -168,6 +169,11 @@
 		request_fail(q, "deadline", 0);
 		return;
 	}
+	if (request_is_quarantined(q, &c.retry_after_ms)) {
+		relay_count(r, LD_M_RELAY_QUARANTINE_REFUSED);
+		request_fail(q, "quarantined", c.retry_after_ms);
+		return;
+	}
 	if (q->response_started || q->sends > 0)
 		d.remaining_ms = q->deadline_ms - now;
 	memcpy(d.tried, q->tried, sizeof(d.tried));
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -70,6 +70,7 @@
 	struct ld_server *server;
 	char group[LD_GROUP_NAME_MAX]; /* of the last send, "-" for none */
 	uint64_t sent_ms;
+	uint64_t send_first_event_ms; /* first event of this send, 0: none */
 	uint64_t last_byte_ms; /* last body bytes of this send, 0: none */
 	uint64_t predicted_ms; /* time to the first event */
 	uint64_t predicted_uncorrected_ms; /* without the learned bias */
@@ -78,6 +79,7 @@
 	unsigned int sends;
 	unsigned int possible_runs; /* sends that may have run */
 	bool maybe_ran;
+	bool answer_went_on; /* see request_note_answer() */
 	char *tried[LD_DISPATCH_TRIED_MAX];
 	size_t tried_count;
 	/* Event streams only. */
@@ -136,6 +138,20 @@
 void request_record_failed_send(
     struct request *q, const char *why, const char *next);
 
+/* ---- crashing_prompts.c ---- */
+
+/**
+ * request_is_quarantined() - a part of its prompt crashes servers
+ * @retry_after_ms: set to the time until the next trial if so
+ */
+bool request_is_quarantined(struct request *q, uint64_t *retry_after_ms);
+/** request_note_crash() - the server of the send in progress crashed */
+void request_note_crash(struct request *q);
+/** request_note_event() - an event of the send in progress was received */
+void request_note_event(struct request *q);
+/** request_note_answer() - the answer is complete or has gone on for long */
+void request_note_answer(struct request *q);
+
 /* ---- counts.c ---- */
 
 void counts_request_ended(const struct request *q, const char *outcome);
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -57,6 +57,7 @@
 take_retry(struct request *q)
 {
 	struct ld_retry_budget *b;
+	uint64_t retry_after_ms;
 
 	if (q->maybe_ran && !q->retryable)
 		return false;
@@ -64,6 +65,8 @@
 		return false;
 	if (relay_now(q->relay) + RETRY_MIN_REMAINING_MS >= q->deadline_ms)
 		return false;
+	if (request_is_quarantined(q, &retry_after_ms))
+		return false;
 	b = retry_budget(q->relay, q->service);
 	b->extra = extra_retries(q->relay);
 	return ld_retry_try_acquire(b, relay_now(q->relay));
@@ -122,6 +125,7 @@
 	    now < since + SILENT_MOVE_MS || q->possible_runs + 1 >= q->max_runs)
 		return;
 	request_mark_maybe_ran(q);
+	request_note_crash(q);
 	request_retry_or_fail(q, "group-silent");
 }
 
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <sys/stat.h>
 
-#include "relay_internal.h"
+#include "leader_records.h"
 
 #define TICK_MS 15
 /* Interval at which the settings file is checked for changes. */
@@ -162,7 +162,8 @@
 	leader_tick(r);
 	mesh_tick(r);
 	control_tick(r);
-	group_records_tick(r);
+	leader_records_tick(r->group_records);
+	crashing_prompts_tick(r);
 	silent_groups_check(r);
 	usage_tick(r);
 	check_stop(p);
--- a/tests/unit/test_aggregate.c
+++ b/tests/unit/test_aggregate.c
@@ -32,6 +32,7 @@
 	unsigned int received; /* datagrams */
 	unsigned int bytes;
 	unsigned int alarms;
+	unsigned int findings;
 };
 
 /** struct flight - a datagram in flight */
@@ -101,6 +102,12 @@
 	((struct node *)a)->alarms++;
 }
 
+static void
+on_finding(struct load_aggregation *a, const struct ld_finding *f)
+{
+	((struct node *)a)->findings++;
+}
+
 static void
 add_head(struct ld_servers *t, int number)
 {
@@ -147,6 +154,7 @@
 	    .send = send_datagram,
 	    .prompt_sent = on_prompt_sent,
 	    .alarm = on_alarm,
+	    .finding = on_finding,
 	};
 	struct node *n = &fleet.nodes[i];
 
@@ -501,6 +509,40 @@
 	fleet_close();
 }
 
+/* More findings than one datagram takes reach each node, beside an alarm. */
+static void
+test_findings_reach_all(void)
+{
+	enum {
+		COUNT = MESH_FINDINGS_MAX + 10
+	};
+
+	for (size_t nodes = 8; nodes <= 195; nodes += 187) {
+		fleet_open(nodes, 0.0015);
+		run(2000, 300);
+		agg_alarm(&fleet.nodes[5].a, "m0/7", 7, fleet.now);
+		for (uint64_t part = 1; part <= COUNT; part++) {
+			struct ld_finding f = {.kind = LD_FINDING_CRASH,
+			    .part = part,
+			    .server = 3,
+			    .request = 4};
+
+			agg_finding(&fleet.nodes[5].a, &f, fleet.now);
+		}
+		run(250, 300);
+		for (size_t i = 0; i < fleet.n; i++) {
+			CU_ASSERT_EQUAL(
+			    fleet.nodes[i].findings, i == 5 ? 0 : COUNT);
+			CU_ASSERT_EQUAL(fleet.nodes[i].alarms, i == 5 ? 0 : 1);
+		}
+		/* Forwarding ends. */
+		run(2000, 300);
+		for (size_t i = 0; i < fleet.n; i++)
+			CU_ASSERT(fleet.nodes[i].findings <= COUNT);
+		fleet_close();
+	}
+}
+
 /* Requests in flight are counted for as long as nodes report them. */
 static void
 test_requests_in_flight(void)
@@ -543,6 +585,7 @@
 	    {"aggregators are lost", test_aggregators_are_lost},
 	    {"a gap is not counted", test_a_gap_is_not_counted},
 	    {"alarms reach all", test_alarms_reach_all},
+	    {"findings reach all", test_findings_reach_all},
 	    {"requests in flight", test_requests_in_flight},
 	    {NULL, NULL},
 	};
--- a/tests/unit/test_relay_parts.c
+++ b/tests/unit/test_relay_parts.c
@@ -225,14 +225,60 @@
 	ld_buf_free(&b);
 }
 
+static struct mesh_datagram
+full_findings(void)
+{
+	struct mesh_datagram d = {.number = UINT64_MAX, .kind = MESH_TOTAL};
+
+	d.finding_count = MESH_FINDINGS_MAX;
+	for (uint32_t i = 0; i < MESH_FINDINGS_MAX; i++)
+		d.findings[i] = (struct ld_finding){
+		    LD_FINDING_CRASH, UINT64_MAX - i, UINT32_MAX, UINT32_MAX};
+	return d;
+}
+
 static void
-test_mutated_datagrams(void)
+test_findings(void)
+{
+	struct mesh_datagram d = full_findings(), back = {0};
+	struct ld_buf b = {0};
+
+	mesh_encode(&d, &b);
+	CU_ASSERT(b.len <= 2048);
+	CU_ASSERT_FATAL(mesh_decode(ld_buf_str(&b), &back));
+	CU_ASSERT_EQUAL(back.finding_count, MESH_FINDINGS_MAX);
+	for (size_t i = 0; i < MESH_FINDINGS_MAX; i++) {
+		CU_ASSERT_EQUAL(back.findings[i].kind, d.findings[i].kind);
+		CU_ASSERT_EQUAL(back.findings[i].part, d.findings[i].part);
+		CU_ASSERT_EQUAL(back.findings[i].server, d.findings[i].server);
+		CU_ASSERT_EQUAL(
+		    back.findings[i].request, d.findings[i].request);
+	}
+	ld_buf_free(&b);
+	/* A kind of a later version, and no part. */
+	d.findings[0].kind = LD_FINDING_KIND_COUNT;
+	mesh_encode(&d, &b);
+	CU_ASSERT(!mesh_decode(ld_buf_str(&b), &back));
+	ld_buf_free(&b);
+	d.findings[0] = (struct ld_finding){.kind = LD_FINDING_SOUND};
+	mesh_encode(&d, &b);
+	CU_ASSERT(!mesh_decode(ld_buf_str(&b), &back));
+	ld_buf_free(&b);
+	/* Nodes of earlier versions read datagrams without findings. */
+	d = full_datagram();
+	mesh_encode(&d, &b);
+	CU_ASSERT_EQUAL((unsigned char)b.p[0], 0x95);
+	ld_buf_free(&b);
+}
+
+static void
+check_mutated(const struct mesh_datagram *d)
 {
-	struct mesh_datagram d = full_datagram(), back;
+	struct mesh_datagram back;
 	struct ld_buf whole = {0}, b = {0};
 	struct ld_rand rand;
 
-	mesh_encode(&d, &whole);
+	mesh_encode(d, &whole);
 	ld_rand_seed(&rand, 1);
 	for (int i = 0; i < 20000; i++) {
 		b.len = 0;
@@ -243,6 +289,7 @@
 		if (!mesh_decode(ld_buf_str(&b), &back))
 			continue;
 		CU_ASSERT_FATAL(back.load_count <= MESH_LOADS_MAX);
+		CU_ASSERT_FATAL(back.finding_count <= MESH_FINDINGS_MAX);
 		for (size_t k = 0; k < back.alarm_count; k++)
 			CU_ASSERT(
 			    strnlen(back.alarms[k].group, MESH_GROUP_NAME_MAX) <
@@ -252,6 +299,16 @@
 	ld_buf_free(&b);
 }
 
+static void
+test_mutated_datagrams(void)
+{
+	struct mesh_datagram loads = full_datagram(),
+			     findings = full_findings();
+
+	check_mutated(&loads);
+	check_mutated(&findings);
+}
+
 int
 main(void)
 {
@@ -263,6 +320,7 @@
 		test_what_servers_say_of_themselves},
 	    {"answers", test_answers},
 	    {"datagrams", test_datagrams},
+	    {"findings in datagrams", test_findings},
 	    {"mutated datagrams", test_mutated_datagrams},
 	    {"fields of one connection", test_connection_fields_stay_here},
 	    {NULL, NULL},
