--- a/lib/quarantine/prompt.c
+++ b/lib/quarantine/prompt.c
@@ -5,7 +5,7 @@
 #include "ld_quarantine.h"
 
 /* Longest text of one part and its separator. */
-#define PART_BYTES 18
+#define PART_BYTES ((size_t)18)
 
 const char *
 ld_prompt_text(const struct ld_prompt *p, char out[LD_PROMPT_TEXT_BYTES])
