relay: a stream without framing and events is broken off, not complete

Looked for with test_unframed_answers (a raw server): whole answers, resets and ends inside an event were handled. Not so a head that is followed by the orderly close of a process that ends: the client got a whole, empty stream.

Cause: the end of the connection was taken for the end of the answer, though nothing but the connection frames it. Change: such a stream without an event is cut: sent again or failed, and evidence for the quarantine, as servers may crash so. A server that cuts a stream inside an event is now avoided for a while like one that resets it.

Remains: an orderly close between two events can't be told from the end.

--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -182,12 +182,22 @@
 	request_relay_response(q);
 }
 
+/* Without a length or chunks the end of the connection ends the stream, also
+ * when the server's process ends. */
+static bool
+stream_is_cut(const struct request *q)
+{
+	return events_pending_bytes(&q->events) > 0 ||
+	    (!q->response.has_framing && q->send_first_event_ms == 0);
+}
+
 static void
 handle_stream_end(struct request *q)
 {
 	request_mark_ran(q);
-	if (events_pending_bytes(&q->events) > 0) {
+	if (stream_is_cut(q)) {
 		request_note_crash(q);
+		ld_dispatch_failed(q->server, relay_now(q->relay));
 		request_retry_or_fail(q, "event-cut");
 		return;
 	}
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -20,6 +20,7 @@
 	bool leaving; /* the server states that it is shutting down */
 	uint64_t retry_after_ms; /* from Retry-After, 0: absent or not valid */
 	bool is_encoded;
+	bool has_framing; /* a length or chunks: its end is certain */
 };
 
 /** enum response_verdict - how a response is handled */
--- a/lib/relay/response.c
+++ b/lib/relay/response.c
@@ -74,6 +74,8 @@
 	rsp->is_signed |= is_field(name, d->fields[LD_FIELD_SIGNATURE]);
 	rsp->not_run |= is_field(name, d->fields[LD_FIELD_NOT_EXECUTED]);
 	rsp->is_encoded |= is_field(name, "Content-Encoding");
+	rsp->has_framing |= is_field(name, "Content-Length") ||
+	    is_field(name, "Transfer-Encoding");
 	if (is_field(name, d->fields[LD_FIELD_LEAVING]))
 		rsp->leaving = ld_str_eq(value, LD_STR("1"));
 	if (is_field(name, "Retry-After"))
