peers: tell a restarted node of the earlier process at its address

Cause: at one address the higher incarnation wins, and incarnations are random. A process whose incarnation is lower raises its generation once it hears of its predecessor. Only its own first exchange of tables tells it (REQUEST_ALL_BUCKETS, while it knows two members at most), since hashes of buckets skip the dead. If two nodes that look for the dead member dial it before that exchange, it knows three, asks for differing buckets alone, and is never told; its own entry is dropped as older by all, without a word, as often as its tables are compared.

Change: whoever gets a join whose entry is older than the one it holds for that address sends that one back on the link. The new process then claims the address at once.

--- a/lib/peers/join.c
+++ b/lib/peers/join.c
@@ -79,10 +79,27 @@
 	mesh_schedule_update(p);
 }
 
+/*
+ * The peer took the address of an earlier process whose entry is newer by chance
+ * of its incarnation. The exchange of tables skips the dead, so the peer might
+ * never learn of that entry, which it has to supersede.
+ */
+static void
+send_predecessor(
+    struct ld_peers *p, const struct link *l, const struct member *predecessor)
+{
+	struct batch b = {0};
+
+	batch_member(p, l, &b, predecessor);
+	batch_send(p, l, &b);
+	batch_fini(&b);
+}
+
 void
 link_joined(struct ld_peers *p, struct link *l, const struct ld_wire_join *join)
 {
 	const struct ld_wire_member *peer = &join->self;
+	struct member *known;
 	uint32_t id = l->id;
 
 	l->selected_by_peer = join->mesh;
@@ -99,11 +116,13 @@
 		return;
 	}
 	member_merge(p, peer, id);
-	if (member_find(p, peer->address) == NULL ||
-	    member_find(p, peer->address) == p->self) {
+	known = member_find(p, peer->address);
+	if (known == NULL || known == p->self) {
 		p->counters.messages_refused++;
 		link_close(p, l);
 		return;
 	}
+	if (known->incarnation != peer->incarnation)
+		send_predecessor(p, l, known);
 	link_established(p, l, peer);
 }
--- a/tests/peers_net.h
+++ b/tests/peers_net.h
@@ -60,6 +60,7 @@
 	struct ld_peers *peers; /* NULL: no process */
 	uint32_t process;
 	bool frozen;
+	bool waits_for_dials; /* started without seeds */
 	int region;
 	int domain;
 	char address[LD_PEERS_ADDRESS_MAX_BYTES];
@@ -408,7 +409,7 @@
 	config.domain = ld_str_c(domain);
 	config.region = ld_str_c(region);
 	config.seeds = seeds;
-	config.seed_count = NET_SEEDS;
+	config.seed_count = node->waits_for_dials ? 0 : NET_SEEDS;
 	config.seed = ld_rand_u64(&n->rand);
 	node->process++;
 	node->frozen = false;
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -93,6 +93,33 @@
 	}
 }
 
+/* The new process knows others before its own first exchange of tables. */
+static void
+test_restart_that_others_dial_first(void)
+{
+	struct ld_peers_member before, after;
+
+	for (uint64_t seed = 10; seed < 30; seed++) {
+		struct ld_str address;
+
+		start(SMALL, 1, 3, 0, seed);
+		address = ld_str_c(net.node[4].address);
+		net_kill(&net, 4);
+		net_run(&net, 12000);
+		ld_peers_find(net.node[0].peers, address, &before);
+		CU_ASSERT_EQUAL(before.state, LD_PEERS_DEAD);
+		net.node[4].waits_for_dials = true;
+		net_start(&net, 4);
+		net_run(&net, 30000);
+		CU_ASSERT_EQUAL(
+		    ld_peers_find(net.node[0].peers, address, &after), LD_OK);
+		CU_ASSERT_EQUAL(after.state, LD_PEERS_ALIVE);
+		CU_ASSERT_NOT_EQUAL(before.incarnation, after.incarnation);
+		CU_ASSERT_TRUE(net_agree(&net));
+		net_free(&net);
+	}
+}
+
 static void
 test_frozen_node_returns_as_itself(void)
 {
@@ -333,6 +360,8 @@
 		test_killed_node_is_counted_until_gone},
 	    {"a new node counts the dead", test_new_node_counts_the_dead},
 	    {"a restart supersedes", test_restart_supersedes},
+	    {"a restart that others dial first",
+		test_restart_that_others_dial_first},
 	    {"a frozen node returns", test_frozen_node_returns_as_itself},
 	    {"leaving is no death", test_leaving_is_no_death},
 	    {"a silent connection is replaced",
