tests: ports and keys of their own for each test program

Test programs took ports that were free a moment ago, from the range that the kernel gives to outgoing connections, and started on them again later; all runs of the peer tests shared one key. Of 40 runs of test_peer_processes, 20 at once, two failed with "can't listen: Address already in use"; one of five runs of test_crashing_prompts did so too, alone.

No bound changed. ld_address_new() keeps its own network of 127.0.0.0/8 for each session, which no outgoing connection uses.

--- a/tests/faults/ld_session.c
+++ b/tests/faults/ld_session.c
@@ -139,21 +139,6 @@
 
 /* ---- Addresses ---- */
 
-uint16_t
-ld_free_port(void)
-{
-	struct sockaddr_in a = {.sin_family = AF_INET};
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&a, &len) != 0)
-		abort();
-	close(fd);
-	return ntohs(a.sin_port);
-}
-
 static bool
 parse_address(const char *text, struct sockaddr_in *out)
 {
--- a/tests/faults/ld_session.h
+++ b/tests/faults/ld_session.h
@@ -11,6 +11,7 @@
 #include <sys/types.h>
 
 #include "ld_loop.h"
+#include "ld_ports.h"
 
 #define LD_PROCS_MAX 64
 #define LD_ALIASES_MAX 512
@@ -57,8 +58,6 @@
 
 /* ---- Processes ---- */
 
-/** ld_free_port() - a free port of 127.0.0.1 */
-uint16_t ld_free_port(void);
 /** ld_loop_run_for() - run @loop for this time, ms */
 void ld_loop_run_for(struct ld_loop *loop, uint64_t ms);
 /** ld_address_new() - a free address of this session: new IP, free port */
--- a/tests/faults/test_peer_processes.c
+++ b/tests/faults/test_peer_processes.c
@@ -10,16 +10,17 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "ld_ports.h"
 #include "ld_test.h"
 #include "peer_task.h"
 
 #define NODES 6 /* the first is the parent's */
-#define KEY LD_STR("0123456789abcdef0123456789abcdef")
 #define CHECK_MS 20
 #define LIMIT_MS 30000
 #define CATALOGUE_LIMIT_MS 4000
 #define VICTIM 3
 
+static const char *run_key; /* of all processes of this run */
 static char addresses[NODES][32];
 static pid_t pids[NODES];
 static struct ld_loop *loop;
@@ -28,21 +29,6 @@
 
 /* ---- Processes ---- */
 
-/* A port that was free a moment ago. */
-static void
-free_address(char out[32])
-{
-	struct sockaddr_in sa = {.sin_family = AF_INET};
-	socklen_t len = sizeof(sa);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	CU_ASSERT_FATAL(bind(fd, (struct sockaddr *)&sa, len) == 0);
-	getsockname(fd, (struct sockaddr *)&sa, &len);
-	snprintf(out, 32, "127.0.0.1:%d", ntohs(sa.sin_port));
-	close(fd);
-}
-
 static void
 on_catalogue(void *arg, uint64_t revision, struct ld_str bytes)
 {
@@ -62,7 +48,7 @@
 	    .region = LD_STR("r0"),
 	    .seeds = seeds,
 	    .seed_count = 2,
-	    .key = KEY,
+	    .key = ld_str_c(run_key),
 	};
 
 	loop = ld_loop_new();
@@ -97,7 +83,7 @@
 start_all(void)
 {
 	for (int i = 0; i < NODES; i++)
-		free_address(addresses[i]);
+		ld_free_address(addresses[i]);
 	for (int i = 1; i < NODES; i++)
 		start_process(i);
 	start_task(0);
@@ -133,6 +119,28 @@
 		ld_timer_after(ld_loop_timers(loop), t, CHECK_MS);
 }
 
+/* What the parent's node knows, and which processes still run. */
+static void
+print_state(void)
+{
+	const struct ld_peers *p = ld_peer_task_peers(task);
+	struct ld_peers_member m;
+
+	printf("gave up: %zu alive of %zu members\n", ld_peers_alive_count(p),
+	    ld_peers_member_count(p));
+	for (int i = 0; i < NODES; i++) {
+		bool known =
+		    ld_peers_find(p, ld_str_c(addresses[i]), &m) == LD_OK;
+		int status = 0;
+		bool ended = i > 0 && waitpid(pids[i], &status, WNOHANG) != 0;
+
+		printf("  node %d at %s: state %d incarnation %llu, %s %d\n", i,
+		    addresses[i], known ? (int)m.state : -1,
+		    known ? (unsigned long long)m.incarnation : 0ULL,
+		    ended ? "ended with status" : "runs", status);
+	}
+}
+
 /* Return: ms it took, or UINT64_MAX. */
 static uint64_t
 wait_for(bool (*done)(void))
@@ -143,6 +151,8 @@
 	w.limit_ms = begin + LIMIT_MS;
 	ld_timer_start(ld_loop_timers(loop), &w.timer, begin + 1);
 	ld_loop_run(loop);
+	if (!w.ok)
+		print_state();
 	return w.ok ? ld_loop_now(loop) - begin : UINT64_MAX;
 }
 
@@ -268,5 +278,6 @@
 
 	if (ld_common_init() != LD_OK)
 		return 2;
+	run_key = ld_run_key();
 	return ld_test_main("peer processes", cases);
 }
--- a/tests/standin_process.h
+++ b/tests/standin_process.h
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "ld_http.h"
+#include "ld_ports.h"
 #include "ld_test.h"
 
 #define ADDRESS_BYTES 32
@@ -33,15 +34,7 @@
 static inline void
 pick_port(struct standin *s)
 {
-	struct sockaddr_in a = {.sin_family = AF_INET};
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	CU_ASSERT_FATAL(bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0);
-	CU_ASSERT_FATAL(getsockname(fd, (struct sockaddr *)&a, &len) == 0);
-	close(fd);
-	snprintf(s->port, sizeof(s->port), "%u", ntohs(a.sin_port));
+	snprintf(s->port, sizeof(s->port), "%u", ld_free_port());
 	snprintf(s->address, sizeof(s->address), "127.0.0.1:%s", s->port);
 }
 
--- a/tests/unit/test_peer_task.c
+++ b/tests/unit/test_peer_task.c
@@ -5,12 +5,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "ld_ports.h"
 #include "ld_test.h"
 #include "ld_wire.h"
 #include "peer_task.h"
 
 #define TASKS 4
-#define KEY LD_STR("0123456789abcdef0123456789abcdef")
+#define KEY ld_str_c(ld_run_key())
 #define CHECK_MS 20
 #define LIMIT_MS 15000
 
@@ -80,21 +81,6 @@
 	ld_buf_adds(&n->direct, bytes);
 }
 
-/* Finds an unused port; another process may still take it. */
-static void
-free_address(char out[32])
-{
-	struct sockaddr_in sa = {.sin_family = AF_INET};
-	socklen_t len = sizeof(sa);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	CU_ASSERT_FATAL(bind(fd, (struct sockaddr *)&sa, len) == 0);
-	getsockname(fd, (struct sockaddr *)&sa, &len);
-	snprintf(out, 32, "127.0.0.1:%d", ntohs(sa.sin_port));
-	close(fd);
-}
-
 static void
 start(int i, struct ld_str key)
 {
@@ -122,7 +108,7 @@
 	loop = ld_loop_new();
 	memset(nodes, 0, sizeof(nodes));
 	for (int i = 0; i < TASKS; i++)
-		free_address(nodes[i].address);
+		ld_free_address(nodes[i].address);
 	for (int i = 0; i < TASKS; i++)
 		start(i, KEY);
 }
@@ -209,7 +195,7 @@
 	loop = ld_loop_new();
 	memset(nodes, 0, sizeof(nodes));
 	for (int i = 0; i < TASKS; i++)
-		free_address(nodes[i].address);
+		ld_free_address(nodes[i].address);
 	start(0, KEY);
 	start(1, LD_STR("another key of enough bytes"));
 	CU_ASSERT_TRUE(wait_for(wrong_key_counted));
