soak: a part of prompts that crashes servers

The soak's three relays had no prompts; from seed 2000 on streams have them, one in ten with a part that crashes its server, under all other faults. Earlier seeds draw what they drew before. Checked: of such requests, sent later than 4 s after the fifth crash by a relay that had no fault for 1 s, three at most reach a server.

--- a/tests/faults/ld_soak.h
+++ b/tests/faults/ld_soak.h
@@ -19,6 +19,14 @@
 /** Events of a whole stream. */
 #define SOAK_EVENTS 6
 
+/* From this seed on streams have prompts, and one part crashes servers. Earlier
+ * seeds draw what they drew before. */
+#define SOAK_PROMPT_SEEDS 2000
+/* So many crashes may come, and so many requests with the part reach servers
+ * later, from relays that had no fault for SOAK_SLACK_MS. */
+#define SOAK_CRASHES 5
+#define SOAK_ARRIVALS_AFTER 3
+
 /* Bounds that follow from the settings of the relays, ms. */
 #define SOAK_REVOKE_MS 5000
 #define SOAK_DRAIN_MS 2000
@@ -46,6 +54,7 @@
 	int relay;
 	int key;
 	uint64_t sent_ms;
+	bool is_deadly; /* its prompt crashes servers */
 	bool done;
 	enum ld_status status;
 	long code;
@@ -88,6 +97,7 @@
 	int lives; /* number of starts, part of its id */
 	enum soak_mood mood;
 	bool gone; /* stopped, before a restart */
+	uint64_t crashed_ms; /* time of a crash, 0: none since the restart */
 	uint64_t leaving_ms; /* time its entry was set to leaving, 0: not */
 };
 
@@ -131,6 +141,10 @@
 	uint64_t server_paths_ms;
 	struct soak_attempt *attempts;
 	uint32_t attempt_count;
+	bool next_is_deadly; /* the next request */
+	unsigned int crashes;
+	uint64_t last_free_crash_ms; /* time of the SOAK_CRASHES-th, 0: none */
+	unsigned int arrivals_after;
 	unsigned int answered[SOAK_KINDS];
 	unsigned int faults;
 };
@@ -169,11 +183,19 @@
 void soak_server_open(struct soak *s, int i);
 void soak_server_put_entry(struct soak_server *v, const char *state);
 void soak_server_delete_entry(struct soak_server *v);
+/** soak_servers_tick() - restart servers that crashed */
+void soak_servers_tick(struct soak *s);
 /** soak_work_tick() - send the answers that are due */
 void soak_work_tick(struct soak *s);
 
 /* ---- ld_soak_client.c ---- */
 
+static inline bool
+soak_has_prompts(const struct soak *s)
+{
+	return s->seed >= SOAK_PROMPT_SEEDS;
+}
+
 /** soak_send() - send a request; NULL after SOAK_ATTEMPTS_MAX requests */
 struct soak_attempt *soak_send(
     struct soak *s, enum soak_kind kind, int relay, int key);
--- a/tests/faults/ld_soak_client.c
+++ b/tests/faults/ld_soak_client.c
@@ -10,6 +10,9 @@
 #define GIVE_UP_MS 5000
 /* Requests sent in one tick at most; ticks are 5 ms apart. */
 #define SENDS_PER_TICK 2
+/* One stream in this many has the part that crashes servers. */
+#define DEADLY_ONE_IN 10
+#define SESSIONS 7
 
 static void
 on_field(struct ld_http_sink *k, struct ld_str name, struct ld_str value)
@@ -112,9 +115,10 @@
 	    .field = on_field, .body = on_body, .done = on_done};
 	static const char *const paths[] = {"look", "book", "events"};
 	struct soak_attempt *a = &s->attempts[s->attempt_count];
-	char url[96], id[48], bearer[48];
-	const char *headers[] = {
-	    "Host: h", id, "X-Deadline-Ms: 3000", bearer, NULL};
+	char url[96], id[48], bearer[48], prompt[80];
+	bool has_prompt = soak_has_prompts(s) && kind == SOAK_STREAM;
+	const char *headers[] = {"Host: h", id, "X-Deadline-Ms: 3000", bearer,
+	    has_prompt ? prompt : NULL, NULL};
 	struct ld_http_request rq = {
 	    .method = kind == SOAK_LOOK ? "GET" : "POST",
 	    .url = url,
@@ -134,12 +138,16 @@
 	    .kind = kind,
 	    .relay = relay,
 	    .key = key,
+	    .is_deadly = has_prompt && s->next_is_deadly,
 	    .sent_ms = soak_now(s)};
 	snprintf(url, sizeof(url), "http://%s/%s/a", s->relays[relay].entry,
 	    paths[kind]);
 	snprintf(id, sizeof(id), "X-Attempt-Id: %08x%08x", (uint32_t)s->seed,
 	    a->number);
 	snprintf(bearer, sizeof(bearer), "Authorization: Bearer key-%d", key);
+	snprintf(prompt, sizeof(prompt), "X-Prefix-Hash: f0:40,%s%u:100,%x:20",
+	    a->is_deadly ? "dead" : "5e55",
+	    a->is_deadly ? 0 : a->number % SESSIONS, a->number);
 	if (ld_http_start(s->http, &rq, &a->sink) == NULL)
 		abort();
 	return a;
@@ -156,8 +164,12 @@
 {
 	uint64_t n = ld_rand_below(&s->rand, SENDS_PER_TICK);
 
-	for (uint64_t i = 0; i < n; i++)
+	for (uint64_t i = 0; i < n; i++) {
+		s->next_is_deadly = soak_has_prompts(s) &&
+		    ld_rand_below(&s->rand, DEADLY_ONE_IN) == 0;
 		(void)soak_send(s,
 		    (enum soak_kind)ld_rand_below(&s->rand, SOAK_KINDS),
 		    (int)ld_rand_below(&s->rand, SOAK_RELAYS), soak_key(s));
+	}
+	s->next_is_deadly = false;
 }
--- a/tests/faults/ld_soak_server.c
+++ b/tests/faults/ld_soak_server.c
@@ -12,6 +12,10 @@
 #define EVENT_MS 25
 /* A server that hangs answers after this, ms: beyond the route's time-out. */
 #define HANG_MS 5000
+/* Between the head of an answer and the crash of its server, and until that is
+ * back, ms. */
+#define CRASH_AFTER_MS 30
+#define CRASHED_MS 700
 
 /** enum deed - what a server does with one request */
 enum deed {
@@ -56,6 +60,19 @@
 		soak_broken(s, a, "sent to a server that leaves");
 }
 
+static void
+check_deadly_arrival(struct soak *s, const struct soak_attempt *a)
+{
+	uint64_t from = s->last_free_crash_ms;
+
+	if (!a->is_deadly || from == 0 ||
+	    a->sent_ms <= from + SOAK_CALM_MS + SOAK_SLACK_MS ||
+	    a->sent_ms < s->relays[a->relay].calm_since_ms + SOAK_SLACK_MS)
+		return;
+	if (++s->arrivals_after > SOAK_ARRIVALS_AFTER)
+		soak_broken(s, a, "its prompt crashed servers before");
+}
+
 static void
 note_run(struct soak *s, struct soak_attempt *a)
 {
@@ -140,6 +157,10 @@
 		return;
 	}
 	snprintf(id, sizeof(id), "i-%d-%d", (int)(v - s->servers), v->lives);
+	if (v->crashed_ms != 0) {
+		ld_exchange_abort(x);
+		return;
+	}
 	if (v->gone || expected == NULL || strcmp(expected, id) != 0) {
 		answer(x, 421, "X-Not-Executed", a->number, LD_STR("other"));
 		return;
@@ -150,6 +171,7 @@
 		return;
 	}
 	check_arrival(s, v, a);
+	check_deadly_arrival(s, a);
 	check_fields(s, a, x);
 	note_run(s, a);
 	if (deed == DEED_FAIL) {
@@ -190,6 +212,40 @@
 	ld_exchange_begin_with(w->x, 200, headers);
 }
 
+/* All its connections end; it serves again under another id. */
+static void
+crash(struct soak *s, struct soak_work *culprit)
+{
+	struct soak_server *v = culprit->server;
+
+	v->crashed_ms = soak_now(s);
+	for (struct soak_work *w = s->work; w != NULL; w = w->next) {
+		if (w->server != v || w->x == NULL)
+			continue;
+		ld_exchange_abort(w->x);
+		w->x = NULL;
+	}
+	if (++s->crashes == SOAK_CRASHES)
+		s->last_free_crash_ms = soak_now(s);
+}
+
+void
+soak_servers_tick(struct soak *s)
+{
+	for (int i = 0; i < SOAK_SERVERS; i++) {
+		struct soak_server *v = &s->servers[i];
+
+		if (v->crashed_ms == 0 || v->gone ||
+		    soak_now(s) < v->crashed_ms + CRASHED_MS)
+			continue;
+		soak_server_delete_entry(v);
+		v->lives++;
+		v->crashed_ms = 0;
+		soak_server_put_entry(
+		    v, v->leaving_ms != 0 ? "draining" : "ready");
+	}
+}
+
 /* Returns false when the work is done. */
 static bool
 next_event(struct soak *s, struct soak_work *w)
@@ -198,7 +254,15 @@
 
 	if (!w->begun)
 		begin_stream(w);
+	if (w->attempt->is_deadly && w->begun) {
+		crash(s, w);
+		return false;
+	}
 	w->begun = true;
+	if (w->attempt->is_deadly) {
+		w->due_ms = soak_now(s) + CRASH_AFTER_MS;
+		return true;
+	}
 	if (w->event == w->cut_at) {
 		ld_exchange_write(w->x, LD_STR("id: 9\nda"));
 		ld_exchange_abort(w->x);
--- a/tests/faults/test_relay_soak.c
+++ b/tests/faults/test_relay_soak.c
@@ -24,6 +24,7 @@
 {
 	ld_loop_run_for(s->loop, TICK_MS);
 	soak_work_tick(s);
+	soak_servers_tick(s);
 	soak_watch_processes(s);
 }
 
@@ -74,10 +75,13 @@
 	}
 	soak_faults_end(&s);
 	check_recovery(&s);
-	printf("seed %llu: %u requests, %u faults, served %u %u %u%s\n",
+	printf(
+	    "seed %llu: %u requests, %u faults, served %u %u %u, %u crashes by "
+	    "a prompt, %u late arrivals%s\n",
 	    (unsigned long long)seed, s.attempt_count, s.faults,
 	    s.answered[SOAK_LOOK], s.answered[SOAK_BOOK],
-	    s.answered[SOAK_STREAM], s.session.failed ? " BROKEN" : "");
+	    s.answered[SOAK_STREAM], s.crashes, s.arrivals_after,
+	    s.session.failed ? " BROKEN" : "");
 	/* Without answered requests the run would check nothing. */
 	for (int i = 0; i < SOAK_KINDS; i++)
 		CU_ASSERT(s.answered[i] * 10 >= s.attempt_count / SOAK_KINDS);
@@ -116,6 +120,14 @@
 	}
 }
 
+static void
+test_crashing_prompts(void)
+{
+	for (uint64_t seed = SOAK_PROMPT_SEEDS; seed < SOAK_PROMPT_SEEDS + 2;
+	     seed++)
+		play(seed);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -125,6 +137,7 @@
 	};
 	static const struct ld_test_case cases[] = {
 	    {"seeds that failed once", test_past_seeds},
+	    {"prompts that crash servers", test_crashing_prompts},
 	    {NULL, NULL},
 	};
 
