tests: endless servers answer one connection only

Cause: the test. The client closes the connection with the bytes past the end and opens another one, which the server answered anew; the test checks the next call only while the server has not noticed the close, which takes longer beside load. Not seen: an answer made of bytes on the first connection (log: 1,441,810 bytes were sent on it, five taken by the first call).

Change: the server closes later connections without an answer, so an answer to the next call can only come from the first one, whenever the close is noticed. The check is as before.

--- a/tests/faults/test_http_endless.c
+++ b/tests/faults/test_http_endless.c
@@ -31,6 +31,7 @@
 	const char *again;
 	uint64_t every_ms; /* interval between @again, 0: as fast as possible */
 	size_t sent;
+	unsigned int connections;
 	bool closed;
 	char burst[65536];
 	size_t burst_len;
@@ -88,6 +89,12 @@
 	struct sender *s = w->data;
 	int fd = accept(w->fd, NULL, NULL);
 
+	/* Only the first one is answered, so that any answer to a later request
+	 * came from bytes on the first one. */
+	if (s->connections++ > 0) {
+		close(fd);
+		return;
+	}
 	ev_io_init(&s->writes, on_writable, fd, EV_WRITE);
 	s->writes.data = s;
 	send_bytes(s, s->head, strlen(s->head));
