--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -121,9 +121,10 @@
 	send_finding(qn, LD_FINDING_QUARANTINED, e->part);
 }
 
-/* Begins a quarantine, or begins it anew after a crash in a trial. */
+/* Starts a quarantine, or starts it anew after a crash in a trial. */
 static void
-begin(struct ld_quarantine *qn, struct entry *e, uint64_t part, uint64_t now_ms)
+start_quarantine(
+    struct ld_quarantine *qn, struct entry *e, uint64_t part, uint64_t now_ms)
 {
 	struct ld_str bytes = {(const char *)&part, sizeof(part)};
 	uint64_t ms = e->part == part ? 2 * e->ms : QUARANTINE_MS;
@@ -148,7 +149,7 @@
 		qn->ops->changed(qn->user, LD_QUARANTINE_FULL, part, 0);
 		return;
 	}
-	begin(qn, e, part, now_ms);
+	start_quarantine(qn, e, part, now_ms);
 	qn->ops->changed(qn->user, why, part, e->until_ms);
 	if (why == LD_QUARANTINE_BY_CRASHES || why == LD_QUARANTINE_BY_RELAPSE)
 		announce(qn, e, now_ms);
@@ -163,7 +164,7 @@
     struct ld_quarantine *qn, struct entry *e, uint64_t now_ms)
 {
 	if (now_ms >= e->since_ms + IN_FLIGHT_MS)
-		begin(qn, e, e->part, now_ms);
+		start_quarantine(qn, e, e->part, now_ms);
 	announce(qn, e, now_ms);
 }
 
@@ -192,12 +193,13 @@
 		    now_ms);
 }
 
+/* Tells the other nodes that an answer to a suspected part went on. */
 static void
-object(struct ld_quarantine *qn, struct evidence *v, uint64_t now_ms)
+contradict(struct ld_quarantine *qn, struct evidence *v, uint64_t now_ms)
 {
-	if (v->objected_ms != 0 && now_ms < v->objected_ms + RESEND_MS)
+	if (v->contradicted_ms != 0 && now_ms < v->contradicted_ms + RESEND_MS)
 		return;
-	v->objected_ms = now_ms;
+	v->contradicted_ms = now_ms;
 	send_finding(qn, LD_FINDING_SOUND, v->part);
 }
 
@@ -271,7 +273,7 @@
 		v->sound_ms = v->own_sound_ms = now_ms;
 		v->crash_count = 0;
 		if (release_sound(qn, v->part) || was_suspected)
-			object(qn, v, now_ms);
+			contradict(qn, v, now_ms);
 	}
 }
 
@@ -300,7 +302,7 @@
 		return;
 	}
 	if (evidence_is_own_sound(v, now_ms)) {
-		object(qn, v, now_ms);
+		contradict(qn, v, now_ms);
 		return;
 	}
 	if (evidence_is_sound(v, now_ms))
@@ -317,7 +319,7 @@
 	struct evidence *v = evidence_find(&qn->evidence, part);
 
 	if (evidence_is_own_sound(v, now_ms))
-		object(qn, v, now_ms);
+		contradict(qn, v, now_ms);
 	else if (!evidence_is_sound(v, now_ms) && find_entry(qn, part) == NULL)
 		impose(qn, part, LD_QUARANTINE_BY_RECORD, now_ms);
 }
--- a/lib/quarantine/quarantine_internal.h
+++ b/lib/quarantine/quarantine_internal.h
@@ -33,7 +33,7 @@
  * @used_ms: last use, to replace the least recently used
  * @sound_ms: last answer that went on, at any node, 0: none
  * @own_sound_ms: the same at this node
- * @objected_ms: last sent as sound to the other nodes
+ * @contradicted_ms: last sent as sound to the other nodes
  * @crashes: since the last answer that went on, at most one per server and
  *	restart
  */
@@ -42,7 +42,7 @@
 	uint64_t used_ms;
 	uint64_t sound_ms;
 	uint64_t own_sound_ms;
-	uint64_t objected_ms;
+	uint64_t contradicted_ms;
 	struct crash crashes[CRASHES_MAX];
 	size_t crash_count;
 };
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -141,10 +141,8 @@
 /* ---- Servers ---- */
 
 static void
-apply_server(struct relay *r, const struct ld_store_kv *kv)
+apply_server(struct relay *r, struct ld_str id, const struct ld_store_kv *kv)
 {
-	size_t n = strlen(r->dialect->servers_prefix);
-	struct ld_str id = {kv->key.p + n, kv->key.len - n};
 	char text[LD_EVENT_TOKEN_BYTES];
 	struct ld_server_entry e;
 	const struct ld_server *s;
@@ -235,46 +233,43 @@
 
 /* ---- The watch ---- */
 
+/* Whether the key is below @prefix; if so, sets @name to the rest of it. */
+static bool
+is_below(const struct ld_store_kv *kv, const char *prefix, struct ld_str *name)
+{
+	size_t n = strlen(prefix);
+
+	if (!ld_str_starts(kv->key, ld_str_c(prefix)))
+		return false;
+	*name = (struct ld_str){kv->key.p + n, kv->key.len - n};
+	return true;
+}
+
 static void
 apply_key(struct feed *f, const struct ld_store_kv *kv, bool deleted)
 {
 	struct relay *r = f->relay;
-	struct ld_str prefix = ld_str_c(r->dialect->servers_prefix);
+	const struct ld_store_kv *written = deleted ? NULL : kv;
+	struct ld_str name;
 
 	if (ld_str_eq(kv->key, ld_str_c(r->dialect->config_key))) {
 		if (!deleted)
 			apply_routes(r, kv);
-	} else if (ld_str_starts(kv->key, prefix)) {
-		struct ld_str id = {
-		    kv->key.p + prefix.len, kv->key.len - prefix.len};
-
+	} else if (is_below(kv, r->dialect->servers_prefix, &name)) {
 		if (deleted)
-			note_server_gone(f, id, "entry-removed");
+			note_server_gone(f, name, "entry-removed");
 		else
-			apply_server(r, kv);
-	} else if (ld_str_starts(kv->key, LD_STR(RELAY_NODES_PREFIX))) {
-		struct ld_str nodes = LD_STR(RELAY_NODES_PREFIX);
-		struct ld_str name = {
-		    kv->key.p + nodes.len, kv->key.len - nodes.len};
-
+			apply_server(r, name, kv);
+	} else if (is_below(kv, RELAY_NODES_PREFIX, &name)) {
 		if (deleted)
 			mesh_peer_deleted(r, name);
 		else
 			mesh_peer_put(r, name, kv->value);
-	} else if (ld_str_starts(kv->key, LD_STR(RELAY_GROUPS_PREFIX))) {
-		struct ld_str groups = LD_STR(RELAY_GROUPS_PREFIX);
-		struct ld_str name = {
-		    kv->key.p + groups.len, kv->key.len - groups.len};
-
-		leader_records_apply(
-		    r->group_records, name, deleted ? NULL : kv);
-	} else if (ld_str_starts(kv->key, LD_STR(RELAY_QUARANTINE_PREFIX))) {
-		struct ld_str parts = LD_STR(RELAY_QUARANTINE_PREFIX);
-		struct ld_str name = {
-		    kv->key.p + parts.len, kv->key.len - parts.len};
-
+	} else if (is_below(kv, RELAY_GROUPS_PREFIX, &name)) {
+		leader_records_apply(r->group_records, name, written);
+	} else if (is_below(kv, RELAY_QUARANTINE_PREFIX, &name)) {
 		leader_records_apply(
-		    crashing_prompts_records(r), name, deleted ? NULL : kv);
+		    crashing_prompts_records(r), name, written);
 	} else if (ld_str_eq(kv->key, LD_STR(RELAY_CONTROL_KEY))) {
 		snprintf(f->control_holder, sizeof(f->control_holder), "%.*s",
 		    deleted ? 0 : (int)kv->value.len,
@@ -286,17 +281,12 @@
 in_snapshot(const struct relay *r, const char *id,
     const struct ld_store_kv *kvs, size_t n)
 {
-	struct ld_str prefix = ld_str_c(r->dialect->servers_prefix);
-	struct ld_str want = ld_str_c(id);
+	struct ld_str name;
 
-	for (size_t i = 0; i < n; i++) {
-		struct ld_str key = kvs[i].key;
-
-		if (key.len == prefix.len + want.len &&
-		    ld_str_starts(key, prefix) &&
-		    memcmp(key.p + prefix.len, want.p, want.len) == 0)
+	for (size_t i = 0; i < n; i++)
+		if (is_below(&kvs[i], r->dialect->servers_prefix, &name) &&
+		    ld_str_eq(name, ld_str_c(id)))
 			return true;
-	}
 	return false;
 }
 
@@ -370,13 +360,13 @@
 static bool
 is_superseded(const struct feed *f, const struct ld_store_kv *kv)
 {
-	struct ld_str prefix = ld_str_c(f->relay->dialect->servers_prefix);
 	const struct ld_server *s;
+	struct ld_str id;
 
-	if (!is_in_era_doubt(f) || !ld_str_starts(kv->key, prefix))
+	if (!is_in_era_doubt(f) ||
+	    !is_below(kv, f->relay->dialect->servers_prefix, &id))
 		return false;
-	s = ld_servers_find(f->relay->servers,
-	    (struct ld_str){kv->key.p + prefix.len, kv->key.len - prefix.len});
+	s = ld_servers_find(f->relay->servers, id);
 	return s != NULL && s->listed;
 }
 
