quarantine: suspect the own part of a prompt as well

Cause: only shared parts were suspected, and only if two requests crashed servers, so a prompt without a guilty shared part had no bound but its own clients' patience.

Change: the own part counts as a part for requests that had begun, without the need of a second request; it explains nothing for the shared parts of its prompt, which may be the cause. More findings are held for sending (256), as each such request has one more.

Failed before: test_quarantine "a prompt that is sent again stops" 11 passed, 1 failed; test_crashing_prompts "one prompt stops reaching servers" 4 passed, 1 failed. After: 12 and 5 passed. holds() of test_quarantine asks with an own part that no test uses; its check is as before.

--- a/lib/quarantine/evidence.c
+++ b/lib/quarantine/evidence.c
@@ -113,6 +113,13 @@
 	    .at_ms = now_ms};
 }
 
+/* Of the own part of a request: all its crashes are of that request. */
+static bool
+is_own_part(const struct evidence *e)
+{
+	return e->crash_count > 0 && e->crashes[0].request == (uint32_t)e->part;
+}
+
 bool
 evidence_suffices(const struct evidence *e)
 {
@@ -127,7 +134,8 @@
 		requests += (k == i) + c->has_others;
 		weight += c->begun ? WEIGHT_BEGUN : WEIGHT_OTHER;
 	}
-	return weight >= WEIGHT_SUFFICES && requests >= REQUESTS_MIN;
+	return weight >= WEIGHT_SUFFICES &&
+	    (requests >= REQUESTS_MIN || is_own_part(e));
 }
 
 static bool
@@ -136,8 +144,10 @@
 	for (size_t i = 0; i < culprit->crash_count; i++) {
 		const struct crash *by = &culprit->crashes[i];
 
-		if (is_same_crash(by, c->server, c->at_ms) &&
-		    (by->request == c->request || (by->begun && !c->begun)))
+		if (!is_same_crash(by, c->server, c->at_ms))
+			continue;
+		if (by->request == c->request ? !is_own_part(culprit)
+					      : by->begun && !c->begun)
 			return true;
 	}
 	return false;
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -224,6 +224,15 @@
 
 /* ---- Events of this node ---- */
 
+static bool
+has_part(const struct ld_prompt *p, uint64_t part)
+{
+	for (size_t i = 0; i < p->part_count; i++)
+		if (p->parts[i] == part)
+			return true;
+	return p->own == part;
+}
+
 bool
 ld_quarantine_contains(const struct ld_quarantine *qn,
     const struct ld_prompt *p, uint64_t now_ms, uint64_t *until_ms)
@@ -231,50 +240,66 @@
 	for (size_t i = 0; i < PARTS_MAX; i++) {
 		const struct entry *e = &qn->entries[i];
 
-		if (!is_active(e, now_ms))
+		if (!is_active(e, now_ms) || !has_part(p, e->part))
 			continue;
-		for (size_t k = 0; k < p->part_count; k++)
-			if (p->parts[k] == e->part) {
-				*until_ms = e->until_ms;
-				return true;
-			}
+		*until_ms = e->until_ms;
+		return true;
 	}
 	return false;
 }
 
-/* From the last part to the first: the last ones are shared by the fewest other
- * requests, and one that is quarantined explains the crash. */
+static void
+suspect(struct ld_quarantine *qn, const struct ld_finding *f, uint64_t now_ms)
+{
+	if (evidence_is_sound(evidence_find(&qn->evidence, f->part), now_ms))
+		return;
+	qn->ops->send(qn->user, f);
+	judge_crash(qn, f, now_ms);
+}
+
+/*
+ * From the last shared part to the first: the last ones are shared by the fewest
+ * other requests, and one that is quarantined explains the crash. The own part
+ * is suspected only of a request that had begun, as each request has one.
+ */
 void
 ld_quarantine_crashed(struct ld_quarantine *qn, const struct ld_prompt *p,
     uint32_t server, bool begun, uint64_t now_ms)
 {
-	for (size_t i = p->part_count; i-- > 0;) {
-		struct ld_finding f = {
-		    begun ? LD_FINDING_CRASH_BEGUN : LD_FINDING_CRASH,
-		    p->parts[i], server, (uint32_t)p->own};
+	struct ld_finding f = {
+	    .kind = begun ? LD_FINDING_CRASH_BEGUN : LD_FINDING_CRASH,
+	    .server = server,
+	    .request = (uint32_t)p->own};
 
-		if (evidence_is_sound(
-			evidence_find(&qn->evidence, f.part), now_ms))
-			continue;
-		qn->ops->send(qn->user, &f);
-		judge_crash(qn, &f, now_ms);
+	for (size_t i = p->part_count; i-- > 0;) {
+		f.part = p->parts[i];
+		suspect(qn, &f, now_ms);
 	}
+	f.part = p->own;
+	if (begun && p->own != 0)
+		suspect(qn, &f, now_ms);
+}
+
+static void
+note_sound(struct ld_quarantine *qn, uint64_t part, uint64_t now_ms)
+{
+	struct evidence *v = evidence_use(&qn->evidence, part, now_ms);
+	bool was_suspected = v->crash_count > 0;
+
+	v->sound_ms = v->own_sound_ms = now_ms;
+	v->crash_count = 0;
+	if (release_sound(qn, part) || was_suspected)
+		contradict(qn, v, now_ms);
 }
 
 void
 ld_quarantine_answered(
     struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms)
 {
-	for (size_t i = 0; i < p->part_count; i++) {
-		struct evidence *v =
-		    evidence_use(&qn->evidence, p->parts[i], now_ms);
-		bool was_suspected = v->crash_count > 0;
-
-		v->sound_ms = v->own_sound_ms = now_ms;
-		v->crash_count = 0;
-		if (release_sound(qn, v->part) || was_suspected)
-			contradict(qn, v, now_ms);
-	}
+	for (size_t i = 0; i < p->part_count; i++)
+		note_sound(qn, p->parts[i], now_ms);
+	if (p->own != 0)
+		note_sound(qn, p->own, now_ms);
 }
 
 /* ---- Events of other nodes ---- */
--- a/lib/quarantine/quarantine_internal.h
+++ b/lib/quarantine/quarantine_internal.h
@@ -11,7 +11,8 @@
 #define WEIGHT_OTHER 3
 #define WEIGHT_SUFFICES 15
 #define CRASHES_MAX 5
-/* A single request may be sent to several servers of one failing rack. */
+/* A shared part is suspected if two requests or more crashed servers: a single
+ * one may crash them by its own part. */
 #define REQUESTS_MIN 2
 
 /**
@@ -29,7 +30,7 @@
 
 /**
  * struct evidence - what is known about one part
- * @part: 0: free slot
+ * @part: a shared part, or the own part of a request; 0: free slot
  * @used_ms: last use, to replace the least recently used
  * @sound_ms: last answer that went on, at any node, 0: none
  * @own_sound_ms: the same at this node
@@ -70,6 +71,9 @@
 /**
  * evidence_explain() - @culprit explains its crashes: remove those that it shares
  * with other parts, unless their evidence is as strong and of another request
+ *
+ * The own part of a request explains nothing for the shared ones of the same
+ * request: these may be the cause.
  */
 void evidence_explain(struct evidence_table *t, const struct evidence *culprit);
 
--- a/lib/relay/load_aggregation.h
+++ b/lib/relay/load_aggregation.h
@@ -56,7 +56,7 @@
 };
 
 /* Alarms and findings that are held to be sent, at most. */
-#define AGG_FINDINGS_MAX 64
+#define AGG_FINDINGS_MAX 256
 #define AGG_NOTICES_MAX (MESH_ALARMS_MAX + AGG_FINDINGS_MAX)
 
 enum agg_notice_kind {
--- a/tests/faults/test_crashing_prompts.c
+++ b/tests/faults/test_crashing_prompts.c
@@ -46,6 +46,22 @@
 	CU_ASSERT(crashes() <= CRASHES_FREE + ARRIVALS_AFTER);
 }
 
+/* Clients send one prompt again and again; what it shares with others is sound. */
+static void
+test_one_prompt_stops_reaching_servers(void)
+{
+	unsigned int before = crashes();
+
+	for (int i = 0; i < ROUNDS; i++) {
+		CU_ASSERT_NOT_EQUAL(
+		    code_of_prompt("ab:40," RELAY_CRASHING_PART "2:20"), 200);
+		restart_crashed();
+		run_for(ENTRY_MS);
+		CU_ASSERT_EQUAL(code_of_prompt("ab:40,77:20"), 200);
+	}
+	CU_ASSERT(crashes() - before <= CRASHES_FREE + ARRIVALS_AFTER);
+}
+
 static void
 test_it_is_refused_with_a_time_to_come_back(void)
 {
@@ -110,6 +126,8 @@
 	static const struct ld_test_case cases[] = {
 	    {"one part stops reaching servers",
 		test_one_part_stops_reaching_servers},
+	    {"one prompt stops reaching servers",
+		test_one_prompt_stops_reaching_servers},
 	    {"it is refused with a time to come back",
 		test_it_is_refused_with_a_time_to_come_back},
 	    {"a restarted relay still refuses it",
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -124,7 +124,8 @@
 static bool
 holds(size_t node, uint64_t part)
 {
-	struct ld_prompt p = {.parts = {part}, .part_count = 1, .own = 1};
+	struct ld_prompt p = {
+	    .parts = {part}, .part_count = 1, .own = UINT64_MAX};
 	uint64_t until_ms;
 
 	return ld_quarantine_contains(w.nodes[node].qn, &p, w.now, &until_ms);
@@ -380,6 +381,37 @@
 	world_close();
 }
 
+/* A prompt that crashes servers by itself, sent again and again at any node: its
+ * last part is quarantined, the part that it shares is not. */
+static void
+test_a_prompt_that_is_sent_again_stops(void)
+{
+	struct ld_prompt sound = prompt_of(0x55, 8);
+	uint64_t until_ms;
+
+	world_open(4, 1);
+	for (uint32_t i = 1; i <= 3; i++) {
+		struct ld_prompt p = prompt_of(0x55, 7);
+
+		for (size_t n = 0; n < 4; n++)
+			CU_ASSERT(!ld_quarantine_contains(
+			    w.nodes[n].qn, &p, w.now, &until_ms));
+		crash_with(i, 0x55, 7, i);
+	}
+	for (size_t n = 0; n < 4; n++) {
+		struct ld_prompt p = prompt_of(0x55, 7);
+
+		CU_ASSERT(ld_quarantine_contains(
+		    w.nodes[n].qn, &p, w.now, &until_ms));
+		CU_ASSERT(!ld_quarantine_contains(
+		    w.nodes[n].qn, &sound, w.now, &until_ms));
+	}
+	/* It hides nothing from the part: another request with it suffices. */
+	crash_with(0, 0x55, 9, 4);
+	CU_ASSERT_EQUAL(holders(0x55), 4);
+	world_close();
+}
+
 static void
 test_one_request_alone_is_no_evidence(void)
 {
@@ -527,6 +559,8 @@
 		test_crashes_by_chance_quarantine_nothing},
 	    {"a session at the same servers is spared",
 		test_a_session_at_the_same_servers_is_spared},
+	    {"a prompt that is sent again stops",
+		test_a_prompt_that_is_sent_again_stops},
 	    {"one request alone is no evidence",
 		test_one_request_alone_is_no_evidence},
 	    {"one crash counts once", test_one_crash_counts_once},
