tests: one main for the tests of a single relay

No case, check or bound changes. test_relay 18, test_crashing_prompts 5, test_unframed_answers 5 passed, 0 failed.

--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -1,5 +1,6 @@
 /* Client, store and servers around one relay. */
 #include <fcntl.h>
+#include <libgen.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -17,6 +18,7 @@
 pid_t relay;
 char relay_address[32];
 char metrics_address[32];
+char relay_program[4096];
 
 static struct ld_loop *loop;
 static struct ld_http *http;
@@ -341,3 +343,21 @@
 	ld_loop_free(loop);
 	unlink(settings_path);
 }
+
+int
+relay_test_main(
+    char **argv, const char *suite, const struct ld_test_case *cases)
+{
+	int rc;
+
+	if (ld_common_init() != LD_OK)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	snprintf(relay_program, sizeof(relay_program), "%s/../lavenderdrift",
+	    dirname(argv[0]));
+	rc = ld_test_main(suite, cases);
+	if (rc != 0)
+		kill(relay, SIGKILL);
+	close_all();
+	return rc;
+}
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -32,6 +32,17 @@
 extern char relay_address[32];
 extern char metrics_address[32];
 
+/** relay_program - the program beside the test's own, set by relay_test_main() */
+extern char relay_program[4096];
+
+/**
+ * relay_test_main() - run the cases of one suite on one relay
+ *
+ * The cases call open_all() first; what is open is closed afterwards.
+ * Return: the exit status, 0 when every test passed.
+ */
+int relay_test_main(
+    char **argv, const char *suite, const struct ld_test_case *cases);
 /** open_all() - start all; @binary is the program of the relay */
 void open_all(const char *binary);
 void close_all(void);
--- a/tests/faults/test_crashing_prompts.c
+++ b/tests/faults/test_crashing_prompts.c
@@ -1,5 +1,4 @@
 /* Prompts that crash each server that begins to answer them, at one relay. */
-#include <libgen.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,8 +14,6 @@
 /* After a restart a server's entry reaches the relay within this time, ms. */
 #define ENTRY_MS 400
 
-static char program[4096];
-
 static unsigned int
 crashes(void)
 {
@@ -30,7 +27,7 @@
 {
 	char prompt[64];
 
-	open_all(program);
+	open_all(relay_program);
 	wait_until_serving();
 	set_servers(CRASHES_ON_PROMPT, CRASHES_ON_PROMPT);
 	for (int i = 0; i < ROUNDS; i++) {
@@ -136,16 +133,6 @@
 		test_a_session_that_met_crashes_is_served},
 	    {NULL, NULL},
 	};
-	int rc;
 
-	if (ld_common_init() != LD_OK)
-		return 2;
-	signal(SIGPIPE, SIG_IGN);
-	snprintf(
-	    program, sizeof(program), "%s/../lavenderdrift", dirname(argv[0]));
-	rc = ld_test_main("crashing prompts", cases);
-	if (rc != 0)
-		kill(relay, SIGKILL);
-	close_all();
-	return rc;
+	return relay_test_main(argv, "crashing prompts", cases);
 }
--- a/tests/faults/test_relay.c
+++ b/tests/faults/test_relay.c
@@ -1,6 +1,5 @@
 /* A relay in its own process, between a client, a store and two servers that
  * run in the test process. */
-#include <libgen.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,8 +8,6 @@
 
 #include "ld_relay_session.h"
 
-static char program[4096];
-
 /* ---- Tests, in this order, on one relay ---- */
 
 static void
@@ -18,7 +15,7 @@
 {
 	struct client c;
 
-	open_all(program);
+	open_all(relay_program);
 	wait_until_serving();
 	set_servers(SERVES, SERVES);
 	c = call("GET", "/look/a?b=c", "k1");
@@ -481,16 +478,6 @@
 	    {"a start from an old copy", test_a_start_from_an_old_copy},
 	    {NULL, NULL},
 	};
-	int rc;
-
-	if (ld_common_init() != LD_OK)
-		return 2;
-	signal(SIGPIPE, SIG_IGN);
-	snprintf(
-	    program, sizeof(program), "%s/../lavenderdrift", dirname(argv[0]));
-	rc = ld_test_main("relay", cases);
-	if (rc != 0)
-		kill(relay, SIGKILL);
-	close_all();
-	return rc;
+
+	return relay_test_main(argv, "relay", cases);
 }
--- a/tests/faults/test_unframed_answers.c
+++ b/tests/faults/test_unframed_answers.c
@@ -1,7 +1,6 @@
 /* Answers with neither a length nor chunks, which end with their connection. */
 #include <arpa/inet.h>
 #include <ev.h>
-#include <libgen.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -31,7 +30,6 @@
 	unsigned int requests;
 };
 
-static char program[4096];
 static struct unframed unframed;
 
 static void
@@ -141,7 +139,7 @@
 static void
 test_whole_answers(void)
 {
-	open_all(program);
+	open_all(relay_program);
 	unframed_open();
 	wait_until_serving();
 	list_servers(false);
@@ -207,16 +205,6 @@
 	    {"streams go on elsewhere", test_streams_go_on_elsewhere},
 	    {NULL, NULL},
 	};
-	int rc;
-
-	if (ld_common_init() != LD_OK)
-		return 2;
-	signal(SIGPIPE, SIG_IGN);
-	snprintf(
-	    program, sizeof(program), "%s/../lavenderdrift", dirname(argv[0]));
-	rc = ld_test_main("unframed answers", cases);
-	if (rc != 0)
-		kill(relay, SIGKILL);
-	close_all();
-	return rc;
+
+	return relay_test_main(argv, "unframed answers", cases);
 }
