relay: log the limits that servers name

The logs could not tell whether nodes send as before to a server that names a limit, or more. Now server.limit says when a limit is named, changes or ends, and server.limit_use what a node has sent under it.

lib/allowance holds the rate that a server grants and the counts in a sliding window; the budget of retries uses the same window instead of one of its own (test_dispatch, unchanged: 15 passed). read_milli() reads both numbers that servers name in seconds or a second.

--- /dev/null
+++ b/lib/allowance/ld_allowance.h
@@ -0,0 +1,90 @@
+/*
+ * A rate of requests that a server grants to all nodes together.
+ * Source: lib/allowance.
+ */
+#ifndef LD_ALLOWANCE_H
+#define LD_ALLOWANCE_H
+
+#include "ld_common.h"
+
+/* ---- Counts in a sliding window ---- */
+
+#define LD_WINDOW_SLOTS_MAX 64
+
+/**
+ * struct ld_window - counts of the last @slots slots of @slot_ms each
+ * @slot_number: current slot, counted from time 0
+ */
+struct ld_window {
+	uint64_t slot_ms;
+	size_t slots;
+	uint64_t slot_number;
+	uint32_t counts[LD_WINDOW_SLOTS_MAX];
+};
+
+/** ld_window_init() - @slots: at most LD_WINDOW_SLOTS_MAX */
+void ld_window_init(struct ld_window *w, uint64_t slot_ms, size_t slots);
+void ld_window_add(struct ld_window *w, uint32_t n, uint64_t now_ms);
+/** ld_window_get() - count of the slot @ago slots before the current one */
+uint32_t ld_window_get(struct ld_window *w, size_t ago, uint64_t now_ms);
+/** ld_window_sum() - counts of the current and the @slots - 1 slots before */
+uint64_t ld_window_sum(struct ld_window *w, size_t slots, uint64_t now_ms);
+
+/* ---- Allowances ---- */
+
+/** Rate of a server that names none. */
+#define LD_RATE_UNLIMITED UINT32_MAX
+/** Share of a node that knows the requests of all others, in permille. */
+#define LD_SHARE_WHOLE 1000U
+
+/**
+ * struct ld_allowance - the rate that one server grants, and its use
+ * @rate_milli: requests per 1,000 s, or LD_RATE_UNLIMITED
+ * @observed_ms: when the answer that said so was received, by any node
+ * @sent: requests sent to the server, by all nodes as far as known
+ * @denied: requests that would have been sent to it without the limit
+ */
+struct ld_allowance {
+	uint32_t rate_milli;
+	uint64_t observed_ms;
+	struct ld_window sent;
+	struct ld_window denied;
+};
+
+struct ld_allowance *ld_allowance_new(void);
+void ld_allowance_free(struct ld_allowance *a);
+
+/**
+ * ld_allowance_observe() - an answer of the server named @rate_milli
+ * @at_ms: when it was received; an observation older than the last is ignored
+ *
+ * Return: true if the rate in force has changed.
+ */
+bool ld_allowance_observe(
+    struct ld_allowance *a, uint32_t rate_milli, uint64_t at_ms);
+/**
+ * ld_allowance_is_limited() - a limit is in force
+ * @a: may be NULL
+ *
+ * A limit that no answer has confirmed for some time is no longer in force.
+ */
+bool ld_allowance_is_limited(const struct ld_allowance *a, uint64_t now_ms);
+/**
+ * ld_allowance_admits() - whether one more request may be sent
+ * @share: part of the rate that this node may use, in permille; less than
+ *	LD_SHARE_WHOLE if it doesn't know the requests of all others
+ * @random: uniform in [0, 1), new for each request
+ */
+bool ld_allowance_admits(
+    struct ld_allowance *a, uint32_t share, double random, uint64_t now_ms);
+/** ld_allowance_wait_ms() - time until one more request is within the rate */
+uint64_t ld_allowance_wait_ms(
+    struct ld_allowance *a, uint32_t share, uint64_t now_ms);
+/** ld_allowance_sent() - requests sent in the last @ms, whole slots */
+uint64_t ld_allowance_sent(
+    struct ld_allowance *a, uint64_t ms, uint64_t now_ms);
+/** ld_allowance_denied() - the same of the requests denied */
+uint64_t ld_allowance_denied(
+    struct ld_allowance *a, uint64_t ms, uint64_t now_ms);
+
+#endif
--- a/lib/dialect/ld_dialect.h
+++ b/lib/dialect/ld_dialect.h
@@ -21,6 +21,8 @@
 	LD_FIELD_EXPECT_SERVER, /* other servers must refuse the request */
 	LD_FIELD_NOT_EXECUTED, /* the server did not execute the request */
 	LD_FIELD_LEAVING, /* "1": the responding server is leaving */
+	LD_FIELD_RATE_LIMIT, /* requests a second that the server takes from
+			      * all nodes together, a decimal number */
 	LD_FIELD_MODEL,
 	LD_FIELD_TOKENS, /* "PROMPT,MAX_COMPLETION", in tokens */
 	LD_FIELD_PROMPT, /* parts of the prompt, see read_prompt */
--- a/lib/dispatch/ld_dispatch.h
+++ b/lib/dispatch/ld_dispatch.h
@@ -5,6 +5,7 @@
 #ifndef LD_DISPATCH_H
 #define LD_DISPATCH_H
 
+#include "ld_allowance.h"
 #include "ld_routes.h"
 #include "ld_servers.h"
 
@@ -149,15 +150,11 @@
  * number. Each node applies the limit to its own requests, and its share of the
  * fixed number is @extra.
  */
-#define LD_RETRY_SLOTS 20
-
 struct ld_retry_budget {
-	uint64_t slot_ms;
 	uint64_t permille;
 	uint64_t extra;
-	uint64_t slot_number; /* current slot, counted from time 0 */
-	uint32_t requests[LD_RETRY_SLOTS];
-	uint32_t retries[LD_RETRY_SLOTS];
+	struct ld_window requests;
+	struct ld_window retries;
 };
 
 void ld_retry_init(struct ld_retry_budget *b, uint64_t window_ms,
--- a/lib/metrics/metrics.c
+++ b/lib/metrics/metrics.c
@@ -97,6 +97,8 @@
 	"Groups whose streams all stood still."),
     COUNTER(LD_M_RELAY_CRASH_SUSPECTS, "ld_relay_crash_suspects_total",
 	"requests", "Requests without an answer at servers that crashed."),
+    COUNTER(LD_M_RELAY_SERVER_LIMITS, "ld_relay_server_limits_total", "changes",
+	"Changes of the rates that servers say they take."),
     COUNTER(LD_M_RELAY_QUARANTINES, "ld_relay_quarantines_total", "parts",
 	"Parts of prompts that were quarantined."),
     COUNTER(LD_M_RELAY_QUARANTINE_REFUSED, "ld_relay_quarantine_refused_total",
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -26,6 +26,24 @@
 		q->server->last_byte_ms = now;
 }
 
+/* The rate that the answer names; a valid one without a rate ends an earlier
+ * limit. */
+static void
+record_rate(struct request *q)
+{
+	const struct response *rsp = &q->response;
+	struct ld_server *s = q->server;
+	uint64_t now = relay_now(q->relay);
+	uint32_t rate = rsp->names_rate ? rsp->rate_milli : LD_RATE_UNLIMITED;
+
+	if (rsp->has_attempt_id && !rsp->attempt_id_matches)
+		return;
+	if (!rsp->names_rate && response_verdict(rsp) != RESPONSE_VALID)
+		return;
+	if (ld_server_observe_rate(s, rate, now))
+		server_limits_log(q->relay, s, q->attempt_id);
+}
+
 /* Records what the head of a response states about the server itself. A 421
  * comes from a server other than the addressed one, so it is ignored here. */
 static void
@@ -42,6 +60,7 @@
 		    q->attempt_id, s->entry.id, rsp->code);
 		control_servers_changed(q->relay);
 	}
+	record_rate(q);
 	if (rsp->code == 503 && rsp->retry_after_ms > 0) {
 		ld_dispatch_retry_after(
 		    s, relay_now(q->relay), rsp->retry_after_ms);
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -72,6 +72,7 @@
 	struct ld_rand rand;
 	uint64_t silence_checked_ms; /* last check of the groups' streams */
 	uint64_t on_time_since_ms; /* no late check since then */
+	uint64_t limits_logged_ms; /* see server_limits_tick() */
 	bool stopping;
 	bool refusing; /* the notice period of the stop has passed */
 	struct ld_metrics *metrics;
@@ -124,6 +125,17 @@
 void silent_groups_on_alarm(
     struct relay *r, struct ld_str group, int64_t epoch);
 
+/* ---- server_limits.c: rates that servers grant to all nodes together ---- */
+
+/**
+ * server_limits_log() - the limit of @s has changed
+ * @source: id of the request whose answer said so, or "peer"
+ */
+void server_limits_log(
+    struct relay *r, const struct ld_server *s, const char *source);
+/** server_limits_tick() - periodically log the use of the limits in force */
+void server_limits_tick(struct relay *r);
+
 /* ---- feed.c ---- */
 
 void feed_open(struct relay *r);
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -79,6 +79,8 @@
 	s->sent_tokens += q->prompt_tokens;
 	s->uncounted_tokens += q->prompt_tokens;
 	s->uncounted_ms = s->load_changed_ms = relay_now(q->relay);
+	if (s->allowance != NULL)
+		ld_window_add(&s->allowance->sent, 1, relay_now(q->relay));
 	if (q->tried_count < LD_DISPATCH_TRIED_MAX)
 		q->tried[q->tried_count++] = ld_strdup(s->entry.id);
 }
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -19,6 +19,8 @@
 	bool not_run; /* the server states that it did not run the request */
 	bool leaving; /* the server states that it is shutting down */
 	uint64_t retry_after_ms; /* from Retry-After, 0: absent or not valid */
+	bool names_rate; /* the server names the rate that it takes */
+	uint32_t rate_milli; /* requests per 1,000 s */
 	bool is_encoded;
 	bool has_framing; /* a length or chunks: its end is certain */
 };
--- a/lib/relay/response.c
+++ b/lib/relay/response.c
@@ -9,8 +9,8 @@
 
 /* Upper bound of a server's Retry-After. A longer one is an error of the
  * server: no server process runs for an hour. */
-#define RETRY_AFTER_MAX_S 3600
-#define MS_PER_S 1000
+#define RETRY_AFTER_MAX_MS 3600000
+#define MILLI 1000
 
 /* Fields that are not relayed: those that concern one connection only
  * (RFC 9110, 7.6.1), and Content-Length, which is set for each connection. */
@@ -44,22 +44,44 @@
 	*rsp = (struct response){0};
 }
 
-/* Accepts seconds, with or without a fraction. A date (RFC 9110, 10.2.3) or a
- * malformed value counts as absent. */
-static uint64_t
-read_retry_after_ms(struct ld_str value)
+/* Reads a decimal number in thousandths, at most @max. A malformed or negative
+ * one counts as absent. */
+static bool
+read_milli(struct ld_str value, uint64_t max, uint64_t *milli)
 {
 	char text[32], *end = NULL;
-	double s;
+	double n;
 
 	if (value.len == 0 || value.len >= sizeof(text))
-		return 0;
+		return false;
 	snprintf(text, sizeof(text), "%.*s", LD_FMT(value));
-	s = strtod(text, &end);
-	if (end == text || *end != '\0' || !(s > 0))
-		return 0;
-	return s < RETRY_AFTER_MAX_S ? (uint64_t)llround(s * MS_PER_S)
-				     : (uint64_t)RETRY_AFTER_MAX_S * MS_PER_S;
+	n = strtod(text, &end);
+	if (end == text || *end != '\0' || !(n >= 0))
+		return false;
+	*milli = n * MILLI < (double)max ? (uint64_t)llround(n * MILLI) : max;
+	return true;
+}
+
+/* Seconds, with or without a fraction. A date (RFC 9110, 10.2.3) counts as
+ * absent. */
+static uint64_t
+read_retry_after_ms(struct ld_str value)
+{
+	uint64_t ms = 0;
+
+	(void)read_milli(value, RETRY_AFTER_MAX_MS, &ms);
+	return ms;
+}
+
+static void
+read_rate(struct response *rsp, struct ld_str value)
+{
+	uint64_t milli;
+
+	if (!read_milli(value, LD_RATE_UNLIMITED - 1, &milli))
+		return;
+	rsp->names_rate = true;
+	rsp->rate_milli = (uint32_t)milli;
 }
 
 void
@@ -80,6 +102,8 @@
 		rsp->leaving = ld_str_eq(value, LD_STR("1"));
 	if (is_field(name, "Retry-After"))
 		rsp->retry_after_ms = read_retry_after_ms(value);
+	if (is_field(name, d->fields[LD_FIELD_RATE_LIMIT]))
+		read_rate(rsp, value);
 	if (is_connection_field(name) ||
 	    rsp->field_count == RESPONSE_FIELDS_MAX)
 		return;
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -166,6 +166,7 @@
 	crashing_prompts_tick(r);
 	silent_groups_check(r);
 	usage_tick(r);
+	server_limits_tick(r);
 	check_stop(p);
 	ld_timer_after(ld_loop_timers(r->loop), t, TICK_MS);
 }
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -5,6 +5,7 @@
 #ifndef LD_SERVERS_H
 #define LD_SERVERS_H
 
+#include "ld_allowance.h"
 #include "ld_common.h"
 
 /** enum ld_member_state - state of a server in its group, as it reports it */
@@ -90,6 +91,7 @@
  * @uncounted_tokens, @uncounted_ms: prompt tokens of this process that the
  *	totals received may not include yet, and when the last of them were sent
  * @load_changed_ms: last change of one of the loads above
+ * @allowance: the rate of requests that it grants, NULL until it named one
  */
 struct ld_server {
 	struct ld_server *next;
@@ -123,6 +125,7 @@
 	uint64_t uncounted_tokens;
 	uint64_t uncounted_ms;
 	uint64_t load_changed_ms;
+	struct ld_allowance *allowance;
 };
 
 struct ld_servers;
@@ -161,6 +164,16 @@
     uint64_t now_ms);
 /** ld_servers_note_leaving() - the server reported that it is leaving */
 void ld_servers_note_leaving(struct ld_server *s);
+/**
+ * ld_server_observe_rate() - an answer named the rate of requests that @s takes
+ * @rate_milli, @at_ms: as in ld_allowance_observe()
+ *
+ * Return: true if the rate in force has changed.
+ */
+bool ld_server_observe_rate(
+    struct ld_server *s, uint32_t rate_milli, uint64_t at_ms);
+/** ld_server_is_limited() - a rate that it named is in force */
+bool ld_server_is_limited(const struct ld_server *s, uint64_t now_ms);
 struct ld_server *ld_servers_find(struct ld_servers *t, struct ld_str id);
 /** ld_servers_find_hash() - by id_hash; NULL when there is none */
 struct ld_server *ld_servers_find_hash(struct ld_servers *t, uint32_t id_hash);
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -48,6 +48,14 @@
 	*e = (struct ld_server_entry){0};
 }
 
+static void
+server_free(struct ld_server *s)
+{
+	ld_server_entry_fini(&s->entry);
+	ld_allowance_free(s->allowance);
+	free(s);
+}
+
 struct ld_servers *
 ld_servers_new(void)
 {
@@ -63,8 +71,7 @@
 		return;
 	for (struct ld_server *s = t->first; s != NULL; s = next) {
 		next = s->next;
-		ld_server_entry_fini(&s->entry);
-		free(s);
+		server_free(s);
 	}
 	free(t->heads);
 	free(t);
@@ -147,11 +154,14 @@
 
 	if (s == NULL)
 		s = server_new(t, ld_str_c(e->id), now_ms);
-	/* A restarted server with the same id starts without past failures. */
+	/* A restarted server with the same id starts without past failures
+	 * and limits. */
 	if (s->entry.started_ms != e->started_ms) {
 		s->suspect_until_ms = 0;
 		s->failures = 0;
 		s->reported_leaving = false;
+		ld_allowance_free(s->allowance);
+		s->allowance = NULL;
 	}
 	ld_server_entry_fini(&s->entry);
 	s->entry = *e;
@@ -192,6 +202,22 @@
 	s->entry.leaving = true;
 }
 
+bool
+ld_server_observe_rate(struct ld_server *s, uint32_t rate_milli, uint64_t at_ms)
+{
+	if (s->allowance == NULL && rate_milli == LD_RATE_UNLIMITED)
+		return false;
+	if (s->allowance == NULL)
+		s->allowance = ld_allowance_new();
+	return ld_allowance_observe(s->allowance, rate_milli, at_ms);
+}
+
+bool
+ld_server_is_limited(const struct ld_server *s, uint64_t now_ms)
+{
+	return ld_allowance_is_limited(s->allowance, now_ms);
+}
+
 void
 ld_servers_remove(struct ld_servers *t, struct ld_str id, uint64_t now_ms)
 {
@@ -235,8 +261,7 @@
 		remove_from_bucket(t, s);
 		t->count--;
 		t->ranks_outdated = true;
-		ld_server_entry_fini(&s->entry);
-		free(s);
+		server_free(s);
 	}
 }
 
