--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -76,11 +76,7 @@
 	ld_dispatch_prompt_sent(
 	    ld_routes_service(q->relay->routes, ld_str_c(q->service)), s,
 	    q->prompt_tokens, relay_now(q->relay));
-	s->sent_tokens += q->prompt_tokens;
-	s->uncounted_tokens += q->prompt_tokens;
-	s->uncounted_ms = s->load_changed_ms = relay_now(q->relay);
-	if (s->allowance != NULL)
-		ld_window_add(&s->allowance->sent, 1, relay_now(q->relay));
+	ld_server_note_sent(s, q->prompt_tokens, relay_now(q->relay));
 	if (q->tried_count < LD_DISPATCH_TRIED_MAX)
 		q->tried[q->tried_count++] = ld_strdup(s->entry.id);
 }
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -164,6 +164,9 @@
     uint64_t now_ms);
 /** ld_servers_note_leaving() - the server reported that it is leaving */
 void ld_servers_note_leaving(struct ld_server *s);
+/** ld_server_note_sent() - this process sends a request with @prompt_tokens */
+void ld_server_note_sent(
+    struct ld_server *s, uint64_t prompt_tokens, uint64_t now_ms);
 /**
  * ld_server_observe_rate() - an answer named the rate of requests that @s takes
  * @rate_milli, @at_ms: as in ld_allowance_observe()
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -202,6 +202,17 @@
 	s->entry.leaving = true;
 }
 
+void
+ld_server_note_sent(
+    struct ld_server *s, uint64_t prompt_tokens, uint64_t now_ms)
+{
+	s->sent_tokens += prompt_tokens;
+	s->uncounted_tokens += prompt_tokens;
+	s->uncounted_ms = s->load_changed_ms = now_ms;
+	if (s->allowance != NULL)
+		ld_window_add(&s->allowance->sent, 1, now_ms);
+}
+
 bool
 ld_server_observe_rate(struct ld_server *s, uint32_t rate_milli, uint64_t at_ms)
 {
