load_aggregation: try every candidate of a failure domain without an aggregator

Found by test_server_limits (nodes cut off and back, 195 nodes): two aggregators that had been cut off still did not exchange partial sums 12 s after their return, so a fifth of the load was unknown to the nodes of a domain, and they placed requests without it.

Cause: of up to four candidates of an unknown domain, the one with the index of the last datagram's number was tried. An aggregator sends two datagrams a tick, so only every second candidate was ever tried, and with four datagrams always the same one.

The index now counts ticks.

--- a/lib/relay/load_aggregation.c
+++ b/lib/relay/load_aggregation.c
@@ -280,6 +280,7 @@
 	uint32_t domain;
 	struct peer *v[CANDIDATES_MAX];
 	size_t n;
+	bool has_aggregator; /* one of its nodes sends partial sums */
 };
 
 static void
@@ -298,8 +299,8 @@
 	c->v[at] = p;
 }
 
-/* Known aggregators, and one candidate of each failure domain in turn, so that
- * aggregators that do not know each other yet get in contact. */
+/* Known aggregators, and one candidate in turn of each failure domain without
+ * one, so that aggregators that do not know each other yet get in contact. */
 static size_t
 find_aggregators(
     struct load_aggregation *a, struct peer **out, size_t max, uint64_t now_ms)
@@ -319,13 +320,17 @@
 			domains[count++] =
 			    (struct candidates){.domain = p->domain};
 		add_candidate(&domains[d], p);
-		if (n < max && is_recent(a, p->partial_received_ms, now_ms))
+		if (!is_recent(a, p->partial_received_ms, now_ms))
+			continue;
+		domains[d].has_aggregator = true;
+		if (n < max)
 			out[n++] = p;
 	}
+	a->rotation++;
 	for (size_t d = 0; d < count && n < max; d++) {
-		struct peer *p = domains[d].v[a->number % domains[d].n];
+		struct peer *p = domains[d].v[a->rotation % domains[d].n];
 
-		if (!is_recent(a, p->partial_received_ms, now_ms) &&
+		if (!domains[d].has_aggregator &&
 		    !is_recent(a, p->report_received_ms, now_ms))
 			out[n++] = p;
 	}
--- a/lib/relay/load_aggregation.h
+++ b/lib/relay/load_aggregation.h
@@ -115,6 +115,7 @@
 	struct peer *peers;
 	size_t peer_count;
 	uint64_t number; /* of the last datagram */
+	size_t rotation; /* candidate of other domains that is tried next */
 	uint64_t next_ms;
 	struct agg_notice notices[AGG_NOTICES_MAX];
 	size_t notice_count;
--- a/tests/unit/test_aggregate.c
+++ b/tests/unit/test_aggregate.c
@@ -220,6 +220,28 @@
 	fleet_close();
 }
 
+static void
+test_aggregators_that_were_cut_off_find_each_other(void)
+{
+	static const uint64_t cut_ms[] = {4000, 7900, 12000};
+
+	for (int i = 0; i < 3; i++) {
+		fleet_open(195, 0.0015);
+		run(2000, 500);
+		for (size_t n = 0; n < 195; n += 3)
+			fleet.nodes[n].cut = true;
+		run(cut_ms[i], 500);
+		for (size_t n = 0; n < 195; n += 3)
+			fleet.nodes[n].cut = false;
+		run(3000, 500);
+		reset_counts();
+		run(2000, 500);
+		CU_ASSERT(least_reported() >= 0.97);
+		CU_ASSERT(most_reported() <= 1.0);
+		fleet_close();
+	}
+}
+
 /* A node was suspended for seconds: its old prompts are not counted as new. */
 static void
 test_a_gap_is_not_counted(void)
@@ -337,6 +359,8 @@
 	    {"few nodes report directly", test_few_nodes_report_directly},
 	    {"all choose the same", test_all_choose_the_same},
 	    {"aggregators are lost", test_aggregators_are_lost},
+	    {"aggregators that were cut off find each other",
+		test_aggregators_that_were_cut_off_find_each_other},
 	    {"a gap is not counted", test_a_gap_is_not_counted},
 	    {"alarms reach all", test_alarms_reach_all},
 	    {"findings reach all", test_findings_reach_all},
