--- a/lib/allowance/allowance.c
+++ b/lib/allowance/allowance.c
@@ -4,24 +4,34 @@
 #include "ld_allowance.h"
 
 #define MILLI 1000ULL
-/* Counts are kept for 16 s. A rate below BURST_MIN in that time is not kept to
- * exactly: the server then gets up to BURST_MIN requests in 16 s. */
+#define US_PER_MS 1000ULL
+#define US_PER_S 1000000ULL
+/* Counts are kept for 16 s. The server of a rate below BURST_MIN in that time
+ * gets up to BURST_MIN requests in 16 s. */
 #define SLOT_MS 250
 #define SLOTS LD_WINDOW_SLOTS_MAX
-/* Requests that may be sent at once after a pause: those of BURST_MS, at least
+/* Requests that may be sent at once after a pause: those of BURST_US, at least
  * BURST_MIN. With less, arrivals at random times leave much of a rate unused. */
-#define BURST_MS 750
+#define BURST_US 750000
 #define BURST_MIN 3
 /* All nodes together consider at most this multiple of the rate. */
 #define CONTENTION 2
-/* Slots over which the offered requests are counted: 1 s. */
+/* Slots over which the offered requests of all nodes are counted: 1 s. */
 #define OFFERED_SLOTS 4
 /* A limit stays in force for this time after the last answer, ms, and for
  * EXPIRY_REQUESTS intervals between requests at its rate. */
 #define EXPIRY_MS 10000
 #define EXPIRY_REQUESTS 2
-/* Upper bound of a wait, ms. */
-#define WAIT_MAX_MS 60000
+/* Upper bound of the time between two requests. */
+#define INTERVAL_MAX_US 60000000ULL
+
+static void
+use_init(struct ld_allowance_use *u)
+{
+	ld_window_init(&u->sent, SLOT_MS, SLOTS);
+	ld_window_init(&u->cost_us, SLOT_MS, SLOTS);
+	ld_window_init(&u->denied, SLOT_MS, SLOTS);
+}
 
 struct ld_allowance *
 ld_allowance_new(void)
@@ -29,8 +39,9 @@
 	struct ld_allowance *a = ld_alloc(sizeof(*a));
 
 	a->rate_milli = LD_RATE_UNLIMITED;
-	ld_window_init(&a->sent, SLOT_MS, SLOTS);
-	ld_window_init(&a->denied, SLOT_MS, SLOTS);
+	a->share = LD_SHARE_WHOLE;
+	use_init(&a->own);
+	use_init(&a->others);
 	return a;
 }
 
@@ -48,100 +59,141 @@
 
 	if (at_ms < a->observed_ms)
 		return false;
-	a->observed_ms = at_ms;
+	/* The time of the end is kept, so that it isn't reported forever. */
+	if (changed || rate_milli != LD_RATE_UNLIMITED)
+		a->observed_ms = at_ms;
 	a->rate_milli = rate_milli;
 	return changed;
 }
 
 bool
-ld_allowance_is_limited(const struct ld_allowance *a, uint64_t now_ms)
+ld_allowance_is_recent(const struct ld_allowance *a, uint64_t now_ms)
 {
 	uint64_t expiry_ms = EXPIRY_MS;
 
-	if (a == NULL || a->rate_milli == LD_RATE_UNLIMITED)
+	if (a == NULL || a->observed_ms == 0)
 		return false;
 	if (a->rate_milli > 0)
 		expiry_ms += EXPIRY_REQUESTS * MILLI * MILLI / a->rate_milli;
 	return now_ms < a->observed_ms + expiry_ms;
 }
 
-/* In thousandths of a request. */
+bool
+ld_allowance_is_limited(const struct ld_allowance *a, uint64_t now_ms)
+{
+	return ld_allowance_is_recent(a, now_ms) &&
+	    a->rate_milli != LD_RATE_UNLIMITED;
+}
+
+/* ---- Use ---- */
+
+/* Requests per 1,000 s, over the last @slots whole slots and the current one. */
 static uint64_t
-burst_milli(const struct ld_allowance *a, uint32_t share)
+rate_milli_of(uint64_t count, size_t slots, uint64_t now_ms)
 {
-	uint64_t burst = (uint64_t)a->rate_milli * BURST_MS / MILLI;
+	return count * MILLI * MILLI / (slots * SLOT_MS + now_ms % SLOT_MS);
+}
 
-	if (burst < BURST_MIN * MILLI)
-		burst = BURST_MIN * MILLI;
-	burst = burst * share / LD_SHARE_WHOLE;
-	return burst > MILLI ? burst : MILLI;
+static uint64_t
+offered(struct ld_allowance_use *u, size_t slots, uint64_t now_ms)
+{
+	return ld_window_sum(&u->sent, slots, now_ms) +
+	    ld_window_sum(&u->denied, slots, now_ms);
 }
 
-/*
- * Time until one more request is within the rate, 0: now. It is when for each
- * past slot the requests since its start are at most the burst and the rate
- * over the time since then. That is a token bucket whose level depends on the
- * kept counts alone, so that the levels of all nodes converge.
- */
+/* Time between two requests at the part @share of the rate. */
 static uint64_t
-next_ms(struct ld_allowance *a, uint32_t share, uint64_t now_ms)
+interval_us(const struct ld_allowance *a, uint32_t share)
 {
-	uint64_t burst = burst_milli(a, share), count_milli = MILLI;
 	uint64_t rate = (uint64_t)a->rate_milli * share / LD_SHARE_WHOLE;
-	uint64_t wait_ms = 0;
+	uint64_t us = rate > 0 ? MILLI * US_PER_S / rate : INTERVAL_MAX_US;
 
-	for (size_t ago = 0; ago < SLOTS; ago++) {
-		uint64_t since_ms = now_ms % SLOT_MS + ago * SLOT_MS, needed_ms;
-
-		count_milli += MILLI * ld_window_get(&a->sent, ago, now_ms);
-		if (count_milli <= burst)
-			continue;
-		if (rate == 0)
-			return WAIT_MAX_MS;
-		needed_ms = (count_milli - burst) * MILLI / rate;
-		if (needed_ms > since_ms && needed_ms - since_ms > wait_ms)
-			wait_ms = needed_ms - since_ms;
-	}
-	return wait_ms < WAIT_MAX_MS ? wait_ms : WAIT_MAX_MS;
+	return us < INTERVAL_MAX_US ? us : INTERVAL_MAX_US;
+}
+
+void
+ld_allowance_count_sent(struct ld_allowance *a, struct ld_allowance_use *use,
+    uint32_t n, uint64_t now_ms)
+{
+	ld_window_add(&use->sent, n, now_ms);
+	if (a->rate_milli != LD_RATE_UNLIMITED)
+		ld_window_add(&use->cost_us,
+		    (uint32_t)interval_us(a, a->share) * n, now_ms);
 }
 
-/* Requests per 1,000 s that were offered in the last second. */
 static uint64_t
-offered_milli(struct ld_allowance *a, uint64_t now_ms)
+burst_us(const struct ld_allowance *a)
 {
-	uint64_t count = ld_window_sum(&a->sent, OFFERED_SLOTS + 1, now_ms) +
-	    ld_window_sum(&a->denied, OFFERED_SLOTS + 1, now_ms);
+	uint64_t burst = BURST_MIN * interval_us(a, LD_SHARE_WHOLE);
+	uint64_t cost = interval_us(a, a->share);
 
-	return count * MILLI * MILLI /
-	    (OFFERED_SLOTS * SLOT_MS + now_ms % SLOT_MS + 1);
+	if (burst < BURST_US)
+		burst = BURST_US;
+	return burst > cost ? burst : cost;
 }
 
-bool
-ld_allowance_admits(
-    struct ld_allowance *a, uint32_t share, double random, uint64_t now_ms)
+/*
+ * One more request is within the rate when for each past slot its cost and the
+ * cost since the slot's start are at most the burst and the time since then. That
+ * is a token bucket whose level depends on the kept costs alone, so that the
+ * levels of all nodes converge.
+ */
+uint64_t
+ld_allowance_wait_ms(struct ld_allowance *a, uint64_t now_ms)
 {
-	if (a->rate_milli == 0)
-		return false;
-	if (random * (double)offered_milli(a, now_ms) >
-	    CONTENTION * (double)a->rate_milli)
+	uint64_t sum_us = interval_us(a, a->share), wait_us = 0;
+	uint64_t burst = burst_us(a);
+
+	if (a->rate_milli == 0 || a->share == 0)
+		return INTERVAL_MAX_US / US_PER_MS;
+	for (size_t ago = 0; ago < SLOTS; ago++) {
+		uint64_t since_us =
+		    US_PER_MS * (now_ms % SLOT_MS + ago * SLOT_MS);
+
+		sum_us += ld_window_get(&a->own.cost_us, ago, now_ms) +
+		    ld_window_get(&a->others.cost_us, ago, now_ms);
+		if (sum_us > burst + since_us + wait_us)
+			wait_us = sum_us - burst - since_us;
+	}
+	return (wait_us + US_PER_MS - 1) / US_PER_MS;
+}
+
+/* Many nodes may see the same free place: each considers a random part of its
+ * requests only, so that all together stay near the rate. A node that doesn't
+ * know the others' requests does the same for its own share of the rate: with a
+ * whole first request for each, many such nodes would exceed it. */
+static bool
+is_drawn(struct ld_allowance *a, double random, uint64_t now_ms)
+{
+	double rate = (double)a->rate_milli * a->share / LD_SHARE_WHOLE;
+	uint64_t all = offered(&a->own, OFFERED_SLOTS + 1, now_ms) +
+	    offered(&a->others, OFFERED_SLOTS + 1, now_ms);
+	uint64_t own = 1 + offered(&a->own, SLOTS, now_ms);
+
+	if (random * (double)rate_milli_of(all, OFFERED_SLOTS, now_ms) >
+	    CONTENTION * rate)
 		return false;
-	return next_ms(a, share, now_ms) == 0;
+	return a->share == LD_SHARE_WHOLE ||
+	    random * (double)rate_milli_of(own, SLOTS - 1, now_ms) <= rate;
 }
 
-uint64_t
-ld_allowance_wait_ms(struct ld_allowance *a, uint32_t share, uint64_t now_ms)
+bool
+ld_allowance_admits(struct ld_allowance *a, double random, uint64_t now_ms)
 {
-	return next_ms(a, share, now_ms);
+	return is_drawn(a, random, now_ms) &&
+	    ld_allowance_wait_ms(a, now_ms) == 0;
 }
 
 uint64_t
 ld_allowance_sent(struct ld_allowance *a, uint64_t ms, uint64_t now_ms)
 {
-	return ld_window_sum(&a->sent, ms / SLOT_MS, now_ms);
+	return ld_window_sum(&a->own.sent, ms / SLOT_MS, now_ms) +
+	    ld_window_sum(&a->others.sent, ms / SLOT_MS, now_ms);
 }
 
 uint64_t
 ld_allowance_denied(struct ld_allowance *a, uint64_t ms, uint64_t now_ms)
 {
-	return ld_window_sum(&a->denied, ms / SLOT_MS, now_ms);
+	return ld_window_sum(&a->own.denied, ms / SLOT_MS, now_ms) +
+	    ld_window_sum(&a->others.denied, ms / SLOT_MS, now_ms);
 }
--- a/lib/allowance/ld_allowance.h
+++ b/lib/allowance/ld_allowance.h
@@ -34,21 +34,37 @@
 
 /** Rate of a server that names none. */
 #define LD_RATE_UNLIMITED UINT32_MAX
-/** Share of a node that knows the requests of all others, in permille. */
+/** Share of nodes that know the requests of all others, in permille. */
 #define LD_SHARE_WHOLE 1000U
 
+/**
+ * struct ld_allowance_use - requests for one server
+ * @sent: sent to the server
+ * @cost_us: of these, each the time between two requests at the rate and share
+ *	that were in force then
+ * @denied: would have been sent to it without the limit
+ */
+struct ld_allowance_use {
+	struct ld_window sent;
+	struct ld_window cost_us;
+	struct ld_window denied;
+};
+
 /**
  * struct ld_allowance - the rate that one server grants, and its use
  * @rate_milli: requests per 1,000 s, or LD_RATE_UNLIMITED
  * @observed_ms: when the answer that said so was received, by any node
- * @sent: requests sent to the server, by all nodes as far as known
- * @denied: requests that would have been sent to it without the limit
+ * @share: part of the rate that may be used, in permille: the part of all nodes
+ *	whose requests are counted here
+ * @own: requests of this node
+ * @others: those of the other nodes, as far as known
  */
 struct ld_allowance {
 	uint32_t rate_milli;
 	uint64_t observed_ms;
-	struct ld_window sent;
-	struct ld_window denied;
+	uint32_t share;
+	struct ld_allowance_use own;
+	struct ld_allowance_use others;
 };
 
 struct ld_allowance *ld_allowance_new(void);
@@ -62,6 +78,9 @@
  */
 bool ld_allowance_observe(
     struct ld_allowance *a, uint32_t rate_milli, uint64_t at_ms);
+/** ld_allowance_count_sent() - @n requests were sent; @use is part of @a */
+void ld_allowance_count_sent(struct ld_allowance *a,
+    struct ld_allowance_use *use, uint32_t n, uint64_t now_ms);
 /**
  * ld_allowance_is_limited() - a limit is in force
  * @a: may be NULL
@@ -69,17 +88,19 @@
  * A limit that no answer has confirmed for some time is no longer in force.
  */
 bool ld_allowance_is_limited(const struct ld_allowance *a, uint64_t now_ms);
+/**
+ * ld_allowance_is_recent() - its rate was confirmed, or a limit ended, recently
+ * @a: may be NULL
+ */
+bool ld_allowance_is_recent(const struct ld_allowance *a, uint64_t now_ms);
 /**
  * ld_allowance_admits() - whether one more request may be sent
- * @share: part of the rate that this node may use, in permille; less than
- *	LD_SHARE_WHOLE if it doesn't know the requests of all others
  * @random: uniform in [0, 1), new for each request
  */
 bool ld_allowance_admits(
-    struct ld_allowance *a, uint32_t share, double random, uint64_t now_ms);
+    struct ld_allowance *a, double random, uint64_t now_ms);
 /** ld_allowance_wait_ms() - time until one more request is within the rate */
-uint64_t ld_allowance_wait_ms(
-    struct ld_allowance *a, uint32_t share, uint64_t now_ms);
+uint64_t ld_allowance_wait_ms(struct ld_allowance *a, uint64_t now_ms);
 /** ld_allowance_sent() - requests sent in the last @ms, whole slots */
 uint64_t ld_allowance_sent(
     struct ld_allowance *a, uint64_t ms, uint64_t now_ms);
--- a/lib/allowance/window.c
+++ b/lib/allowance/window.c
@@ -30,8 +30,11 @@
 void
 ld_window_add(struct ld_window *w, uint32_t n, uint64_t now_ms)
 {
+	uint32_t *count;
+
 	advance(w, now_ms);
-	w->counts[w->slot_number % w->slots] += n;
+	count = &w->counts[w->slot_number % w->slots];
+	*count = n < UINT32_MAX - *count ? *count + n : UINT32_MAX;
 }
 
 uint32_t
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -38,12 +38,15 @@
 /* Time after which a refused request may be retried, if none can be predicted,
  * ms. */
 #define RETRY_AFTER_MS 400
+/* Upper bound of that time for a request that limits keep away, ms. */
+#define LIMITED_RETRY_MAX_MS 30000
 #define US_PER_MS 1000.0
 
 const char *
 ld_dispatch_verdict_name(enum ld_dispatch_verdict v)
 {
-	static const char *const names[] = {"send", "no-server", "too-late"};
+	static const char *const names[] = {
+	    "send", "no-server", "limited", "too-late"};
 
 	return names[v];
 }
@@ -192,6 +195,17 @@
 	return cost - DRAW_SCALE_MS * (log(free) - log(-log(random)));
 }
 
+/* Servers that a limit keeps away are remembered up to this number. */
+#define DENIED_MAX 128
+#define MILLI 1000
+
+/** struct denied - servers whose limit keeps the request away */
+struct denied {
+	struct ld_server *servers[DENIED_MAX];
+	double costs[DENIED_MAX];
+	size_t n;
+};
+
 /** struct draw - best candidate so far */
 struct draw {
 	struct ld_server *server;
@@ -199,8 +213,59 @@
 	bool is_last_resort;
 	struct ld_server *soonest; /* shortest wait, except last resorts */
 	uint64_t soonest_ms;
+	struct denied denied;
 };
 
+/* Whether the server's limit has room; if not, the server is remembered. */
+static bool
+is_within_limit(struct draw *d, struct ld_server *s, double cost, double random,
+    uint64_t now_ms)
+{
+	struct denied *x = &d->denied;
+
+	if (!ld_server_is_limited(s, now_ms) ||
+	    ld_allowance_admits(s->allowance, random, now_ms))
+		return true;
+	if (x->n < DENIED_MAX) {
+		x->servers[x->n] = s;
+		x->costs[x->n++] = cost;
+	}
+	return false;
+}
+
+/* Counts the request at each server that it would have been sent to without
+ * its limit, and the limits of the others. */
+static void
+count_denied(
+    const struct draw *d, const struct ld_dispatch_request *rq, uint64_t now_ms)
+{
+	bool has_server = d->server != NULL && !d->is_last_resort;
+
+	for (size_t i = 0; i < d->denied.n && !rq->repeated; i++)
+		if (!has_server || d->denied.costs[i] < d->cost)
+			ld_server_note_denied(d->denied.servers[i], now_ms);
+}
+
+/* Time until a denied request can be sent, after those denied before it, whose
+ * clients come back as well. */
+static uint64_t
+limits_wait_ms(const struct denied *x, uint64_t now_ms)
+{
+	uint64_t wait_ms = UINT64_MAX, before = 0, rate_milli = 1;
+
+	for (size_t i = 0; i < x->n; i++) {
+		struct ld_allowance *a = x->servers[i]->allowance;
+		uint64_t ms = ld_allowance_wait_ms(a, now_ms);
+		uint64_t denied = ld_allowance_denied(a, MILLI, now_ms);
+
+		rate_milli += a->rate_milli;
+		wait_ms = ms < wait_ms ? ms : wait_ms;
+		before = denied > before ? denied : before;
+	}
+	wait_ms += before * MILLI * MILLI / rate_milli;
+	return wait_ms < LIMITED_RETRY_MAX_MS ? wait_ms : LIMITED_RETRY_MAX_MS;
+}
+
 static void
 draw_consider(struct draw *d, const struct ld_dispatch_request *rq,
     struct ld_server *s, struct ld_rand *rand, uint64_t now_ms)
@@ -218,6 +283,9 @@
 	} else {
 		cost = plain_cost(rq, s, random);
 	}
+	if (!last_resort &&
+	    !is_within_limit(d, s, cost, ld_rand_unit(rand), now_ms))
+		return;
 	if (!last_resort &&
 	    (d->soonest == NULL || predicted_ms < d->soonest_ms)) {
 		d->soonest = s;
@@ -257,11 +325,16 @@
 		out->candidates++;
 		draw_consider(&d, rq, s, rand, now_ms);
 	}
+	count_denied(&d, rq, now_ms);
 	out->server = d.server;
 	if (d.server == NULL && retry_at_ms > 0)
 		out->retry_after_ms = retry_at_ms - now_ms;
-	if (d.server == NULL || d.is_last_resort)
-		return LD_DISPATCH_NO_SERVER;
+	if (d.server == NULL || d.is_last_resort) {
+		if (d.denied.n == 0)
+			return LD_DISPATCH_NO_SERVER;
+		out->retry_after_ms = limits_wait_ms(&d.denied, now_ms);
+		return LD_DISPATCH_LIMITED;
+	}
 	if (e->model_count == 0)
 		return LD_DISPATCH_SEND;
 	out->predicted_uncorrected_ms =
--- a/lib/dispatch/ld_dispatch.h
+++ b/lib/dispatch/ld_dispatch.h
@@ -21,6 +21,7 @@
  * @remaining_ms: time until the answer, or its first event, is late
  * @bias_ms: recent mean prediction error for this model, see
  *	ld_dispatch_bias_ms()
+ * @repeated: an earlier selection for the same send found no server
  * @tried: ids of the servers that were tried before
  */
 struct ld_dispatch_request {
@@ -30,6 +31,7 @@
 	struct ld_str zone;
 	uint64_t remaining_ms;
 	double bias_ms;
+	bool repeated;
 	const char *tried[LD_DISPATCH_TRIED_MAX];
 	size_t tried_count;
 };
@@ -38,6 +40,7 @@
 enum ld_dispatch_verdict {
 	LD_DISPATCH_SEND,
 	LD_DISPATCH_NO_SERVER, /* no server is available now */
+	LD_DISPATCH_LIMITED, /* the limits of all servers are used up */
 	LD_DISPATCH_TOO_LATE /* no server is predicted to answer in time */
 };
 
@@ -59,7 +62,12 @@
 	size_t candidates;
 };
 
-/** ld_dispatch_pick() - select a server; doesn't modify the table's state */
+/**
+ * ld_dispatch_pick() - select a server
+ *
+ * Modifies the table only by counting the request at servers whose limit keeps
+ * it away.
+ */
 enum ld_dispatch_verdict ld_dispatch_pick(struct ld_servers *servers,
     const struct ld_dispatch_request *rq, struct ld_rand *rand, uint64_t now_ms,
     struct ld_dispatch_choice *out);
--- a/lib/relay/load_aggregation.c
+++ b/lib/relay/load_aggregation.c
@@ -188,6 +188,76 @@
 	    agg_current_aggregator(a, now_ms) == NULL || has_sources(a, now_ms);
 }
 
+/* ---- Completeness of the loads received ---- */
+
+static size_t
+count_alive(
+    const struct load_aggregation *a, bool only_own_domain, uint64_t now_ms)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < a->peer_count; i++) {
+		const struct peer *p = &a->peers[i];
+
+		if (!only_own_domain || p->domain == a->domain)
+			n += agg_is_alive(a, p, now_ms);
+	}
+	return n;
+}
+
+/* Nodes of other domains whose loads arrive in partial sums. */
+static size_t
+count_in_partials(const struct load_aggregation *a, uint64_t now_ms)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < a->peer_count; i++) {
+		const struct peer *p = &a->peers[i];
+
+		if (p->domain != a->domain &&
+		    is_recent(a, p->partial_received_ms, now_ms))
+			n += p->covered;
+	}
+	return n;
+}
+
+/* Number of nodes whose requests are counted in datagrams of @kind. */
+static uint32_t
+covered_by(
+    const struct load_aggregation *a, enum mesh_kind kind, uint64_t now_ms)
+{
+	size_t n = 1;
+
+	if (has_aggregators(a) && kind != MESH_REPORT)
+		n += count_alive(a, true, now_ms);
+	if (kind == MESH_TOTAL)
+		n += count_in_partials(a, now_ms);
+	return (uint32_t)n;
+}
+
+/* Limits of servers are used to the part of all nodes whose loads are received:
+ * the others may be using theirs. */
+static void
+update_shares(struct load_aggregation *a, uint64_t now_ms)
+{
+	const struct peer *aggregator = agg_current_aggregator(a, now_ms);
+	size_t nodes = a->peer_count + 1, covered = 1;
+
+	if (!has_aggregators(a))
+		covered += count_alive(a, false, now_ms);
+	else if (agg_receives_partials(a, now_ms))
+		covered = covered_by(a, MESH_TOTAL, now_ms);
+	else if (agg_is_alive(a, aggregator, now_ms) && aggregator->covered > 0)
+		covered = aggregator->covered;
+	if (covered > nodes)
+		covered = nodes;
+	for (struct ld_server *s = ld_servers_first(a->servers); s != NULL;
+	     s = s->next)
+		if (s->allowance != NULL)
+			s->allowance->share =
+			    (uint32_t)(covered * LD_SHARE_WHOLE / nodes);
+}
+
 /* ---- Datagrams ---- */
 
 static uint64_t
@@ -201,20 +271,28 @@
 build_load(const struct ld_server *s, enum mesh_kind kind, uint64_t now_ms)
 {
 	struct mesh_load l = {.server = s->id_hash, .active = s->active};
-	uint64_t tokens = s->sent_tokens + s->source_tokens;
 	uint64_t heard = max_ms(s->last_byte_ms, s->source_last_byte_ms), ago;
 
+	for (int c = 0; c < LD_COUNT_KINDS; c++) {
+		const struct ld_shared_count *n = &s->counts[c];
+
+		l.counts[c] = (uint32_t)(n->own + n->sources +
+		    (kind == MESH_TOTAL ? n->partials : 0));
+	}
 	if (kind == MESH_TOTAL) {
 		l.active += s->peer_active;
-		tokens += s->partial_tokens;
 		heard = max_ms(heard, s->peer_last_byte_ms);
 	} else {
 		l.active += s->source_active;
 	}
 	ago = now_ms > heard ? now_ms - heard : 0;
-	l.sent_tokens = (uint32_t)tokens;
 	l.heard_ago_ms =
 	    ago < MESH_HEARD_AGO_MAX_MS ? (uint32_t)ago : MESH_HEARD_AGO_MAX_MS;
+	l.has_rate = ld_allowance_is_recent(s->allowance, now_ms);
+	if (l.has_rate) {
+		l.rate_milli = s->allowance->rate_milli;
+		l.rate_ago_ms = (uint32_t)(now_ms - s->allowance->observed_ms);
+	}
 	return l;
 }
 
@@ -225,6 +303,7 @@
 	d->number = ++a->number;
 	a->ops->send(a, to, n, d);
 	d->load_count = 0;
+	d->covered = 0;
 	/* The first datagram carries them. */
 	d->alarm_count = 0;
 	d->finding_count = 0;
@@ -250,7 +329,7 @@
 {
 	struct mesh_datagram d = {
 	    .kind = kind, .can_delegate = a->can_delegate};
-	size_t sent = 0;
+	size_t sent = 0, room = MESH_LOADS_MAX;
 
 	if (n == 0)
 		return;
@@ -259,13 +338,17 @@
 	     s != NULL; s = s->next) {
 		struct mesh_load l = build_load(s, kind, now_ms);
 
-		if (l.active == 0 &&
+		if (l.active == 0 && !l.has_rate &&
 		    now_ms >= s->load_changed_ms + CHANGE_REPEAT_MS)
 			continue;
 		d.loads[d.load_count++] = l;
-		if (d.load_count < MESH_LOADS_MAX)
+		room -= l.has_rate ? MESH_RATE_LOADS : 1;
+		if (l.has_rate)
+			d.covered = covered_by(a, kind, now_ms);
+		if (room >= MESH_RATE_LOADS)
 			continue;
 		send_datagram(a, to, n, &d);
+		room = MESH_LOADS_MAX;
 		sent++;
 	}
 	if (sent == 0 || d.load_count > 0)
@@ -407,6 +490,7 @@
 
 	if (now_ms < a->next_ms)
 		return;
+	update_shares(a, now_ms);
 	a->next_ms = now_ms +
 	    (has_aggregators(a) ? AGGREGATION_INTERVAL_MS
 				: BROADCAST_INTERVAL_MS);
@@ -468,6 +552,8 @@
 	p->number = d->number;
 	p->last_datagram_ms = now_ms;
 	p->can_delegate = d->can_delegate;
+	if (d->covered > 0)
+		p->covered = d->covered;
 	note_received(p, d->kind, now_ms);
 	agg_notices_receive(a, d, now_ms);
 	if (!is_applicable(a, p, d->kind, now_ms))
@@ -480,6 +566,10 @@
 
 		if (s == NULL || l->server == 0)
 			continue;
+		if (l->has_rate &&
+		    ld_server_observe_rate(s, l->rate_milli,
+			now_ms > l->rate_ago_ms ? now_ms - l->rate_ago_ms : 0))
+			a->ops->rate_changed(a, s);
 		tokens = peer_load_update(p, s, d->kind, l, now_ms);
 		if (tokens > 0)
 			a->ops->prompt_sent(a, s, tokens, now_ms);
--- a/lib/relay/load_aggregation.h
+++ b/lib/relay/load_aggregation.h
@@ -20,9 +20,10 @@
 /** struct peer_load - load at one server, as last reported by a peer */
 struct peer_load {
 	uint32_t server; /* id_hash of the server, 0: free slot */
-	uint32_t tokens;
+	uint32_t counts[LD_COUNT_KINDS];
 	uint32_t
 	    counted_active; /* requests added to peer_active of the server */
+	bool has_rate; /* as last reported */
 	bool is_source; /* and to its source_active */
 	uint64_t received_ms;
 };
@@ -46,6 +47,7 @@
 	uint64_t excluded_until_ms; /* not used as delegate until then */
 	uint64_t last_datagram_ms; /* any datagram, 0: none yet */
 	uint64_t alive_since_ms; /* without a gap */
+	uint32_t covered; /* as in its last datagram with a rate */
 	uint64_t number; /* of the newest datagram */
 	uint64_t first_report_ms; /* sent first since it was listed, 0: none */
 	uint64_t probe_sent_ms;
@@ -84,6 +86,7 @@
  * struct agg_ops - callbacks to the owner
  * @send: send a datagram to @n peers; a loss delays load updates, and is safe
  * @prompt_sent: other nodes have sent prompts to @s
+ * @rate_changed: a peer reports another rate that @s takes
  * @alarm: a peer reports a silent group; called once for each alarm
  * @finding: a peer sends a finding about a part of prompts; called once for each
  */
@@ -92,6 +95,7 @@
 	    size_t n, const struct mesh_datagram *d);
 	void (*prompt_sent)(struct load_aggregation *a, struct ld_server *s,
 	    uint64_t tokens, uint64_t now_ms);
+	void (*rate_changed)(struct load_aggregation *a, struct ld_server *s);
 	void (*alarm)(
 	    struct load_aggregation *a, const struct mesh_alarm *alarm);
 	void (*finding)(
--- a/lib/relay/mesh.c
+++ b/lib/relay/mesh.c
@@ -93,6 +93,12 @@
 	    now_ms);
 }
 
+static void
+on_rate_changed(struct load_aggregation *a, struct ld_server *s)
+{
+	server_limits_log(mesh_of(a)->relay, s, "peer");
+}
+
 static void
 on_alarm(struct load_aggregation *a, const struct mesh_alarm *alarm)
 {
@@ -163,6 +169,7 @@
 	static const struct agg_ops ops = {
 	    .send = send_datagram,
 	    .prompt_sent = on_prompt_sent,
+	    .rate_changed = on_rate_changed,
 	    .alarm = on_alarm,
 	    .finding = on_finding,
 	};
--- a/lib/relay/mesh_codec.c
+++ b/lib/relay/mesh_codec.c
@@ -1,7 +1,9 @@
 /* Datagrams between nodes: [number, kind, can_delegate, [[server, active,
- * sent_tokens, heard_ago]..], [[group, epoch]..], [[finding, part, server,
- * request]..]] in msgpack. Without findings the last array is omitted, as
- * earlier versions don't know it. */
+ * tokens, heard_ago, (sent, denied, rate, rate_ago)]..], [[group, epoch]..],
+ * [[finding, part, server, request]..], covered] in msgpack. What earlier
+ * versions don't know is omitted unless needed: the four fields of a load
+ * without a rate, the covered nodes if no load has a rate, and the findings if
+ * there are none and no covered nodes. */
 #include <msgpack.h>
 #include <string.h>
 
@@ -9,7 +11,10 @@
 #include "msgpack_bounded.h"
 
 #define DATAGRAM_FIELDS_MIN 5
-#define DATAGRAM_FIELDS 6
+#define DATAGRAM_FIELDS_FINDINGS 6
+#define DATAGRAM_FIELDS_MAX 7
+#define LOAD_FIELDS_MIN 4
+#define LOAD_FIELDS_MAX 8
 
 static void
 pack_findings(const struct mesh_datagram *d, msgpack_packer *pk)
@@ -24,14 +29,38 @@
 	}
 }
 
+static void
+pack_load(const struct mesh_load *l, msgpack_packer *pk)
+{
+	msgpack_pack_array(pk, l->has_rate ? LOAD_FIELDS_MAX : LOAD_FIELDS_MIN);
+	msgpack_pack_uint32(pk, l->server);
+	msgpack_pack_uint32(pk, l->active);
+	msgpack_pack_uint32(pk, l->counts[LD_COUNT_TOKENS]);
+	msgpack_pack_uint32(pk, l->heard_ago_ms);
+	if (!l->has_rate)
+		return;
+	msgpack_pack_uint32(pk, l->counts[LD_COUNT_SENT]);
+	msgpack_pack_uint32(pk, l->counts[LD_COUNT_DENIED]);
+	msgpack_pack_uint32(pk, l->rate_milli);
+	msgpack_pack_uint32(pk, l->rate_ago_ms);
+}
+
+static uint32_t
+field_count(const struct mesh_datagram *d)
+{
+	if (d->covered > 0)
+		return DATAGRAM_FIELDS_MAX;
+	return d->finding_count > 0 ? DATAGRAM_FIELDS_FINDINGS
+				    : DATAGRAM_FIELDS_MIN;
+}
+
 void
 mesh_encode(const struct mesh_datagram *d, struct ld_buf *out)
 {
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, out, mp_append);
-	msgpack_pack_array(
-	    &pk, d->finding_count > 0 ? DATAGRAM_FIELDS : DATAGRAM_FIELDS_MIN);
+	msgpack_pack_array(&pk, field_count(d));
 	msgpack_pack_uint64(&pk, d->number);
 	msgpack_pack_uint32(&pk, (uint32_t)d->kind);
 	if (d->can_delegate)
@@ -39,13 +68,8 @@
 	else
 		msgpack_pack_false(&pk);
 	msgpack_pack_array(&pk, d->load_count);
-	for (size_t i = 0; i < d->load_count; i++) {
-		msgpack_pack_array(&pk, 4);
-		msgpack_pack_uint32(&pk, d->loads[i].server);
-		msgpack_pack_uint32(&pk, d->loads[i].active);
-		msgpack_pack_uint32(&pk, d->loads[i].sent_tokens);
-		msgpack_pack_uint32(&pk, d->loads[i].heard_ago_ms);
-	}
+	for (size_t i = 0; i < d->load_count; i++)
+		pack_load(&d->loads[i], &pk);
 	msgpack_pack_array(&pk, d->alarm_count);
 	for (size_t i = 0; i < d->alarm_count; i++) {
 		size_t n = strlen(d->alarms[i].group);
@@ -55,25 +79,48 @@
 		msgpack_pack_str_body(&pk, d->alarms[i].group, n);
 		msgpack_pack_int64(&pk, d->alarms[i].epoch);
 	}
-	if (d->finding_count > 0)
+	if (field_count(d) > DATAGRAM_FIELDS_MIN)
 		pack_findings(d, &pk);
+	if (field_count(d) == DATAGRAM_FIELDS_MAX)
+		msgpack_pack_uint32(&pk, d->covered);
+}
+
+static bool
+read_rate(const msgpack_object *v, struct mesh_load *out)
+{
+	uint64_t sent, denied, rate, rate_ago;
+
+	if (!mp_uint(&v[0], UINT32_MAX, &sent) ||
+	    !mp_uint(&v[1], UINT32_MAX, &denied) ||
+	    !mp_uint(&v[2], LD_RATE_UNLIMITED, &rate) ||
+	    !mp_uint(&v[3], UINT32_MAX, &rate_ago))
+		return false;
+	out->has_rate = true;
+	out->counts[LD_COUNT_SENT] = (uint32_t)sent;
+	out->counts[LD_COUNT_DENIED] = (uint32_t)denied;
+	out->rate_milli = (uint32_t)rate;
+	out->rate_ago_ms = (uint32_t)rate_ago;
+	return true;
 }
 
 static bool
 read_load(const msgpack_object *o, struct mesh_load *out)
 {
-	uint64_t server, active, sent_tokens, heard_ago;
+	uint64_t server, active, tokens, heard_ago;
 	size_t n;
-	const msgpack_object *v = mp_array(o, 4, true, &n);
+	const msgpack_object *v = mp_array(o, LOAD_FIELDS_MAX, false, &n);
 
-	if (v == NULL || !mp_uint(&v[0], UINT32_MAX, &server) ||
+	if (v == NULL || (n != LOAD_FIELDS_MIN && n != LOAD_FIELDS_MAX) ||
+	    !mp_uint(&v[0], UINT32_MAX, &server) ||
 	    !mp_uint(&v[1], UINT16_MAX, &active) ||
-	    !mp_uint(&v[2], UINT32_MAX, &sent_tokens) ||
+	    !mp_uint(&v[2], UINT32_MAX, &tokens) ||
 	    !mp_uint(&v[3], MESH_HEARD_AGO_MAX_MS, &heard_ago))
 		return false;
-	*out = (struct mesh_load){(uint32_t)server, (uint32_t)active,
-	    (uint32_t)sent_tokens, (uint32_t)heard_ago};
-	return true;
+	*out = (struct mesh_load){.server = (uint32_t)server,
+	    .active = (uint32_t)active,
+	    .heard_ago_ms = (uint32_t)heard_ago,
+	    .counts = {[LD_COUNT_TOKENS] = (uint32_t)tokens}};
+	return n == LOAD_FIELDS_MIN || read_rate(&v[LOAD_FIELDS_MIN], out);
 }
 
 static bool
@@ -128,9 +175,9 @@
 read_datagram(const msgpack_object *o, struct mesh_datagram *out)
 {
 	const msgpack_object *loads, *alarms;
-	uint64_t kind;
+	uint64_t kind, covered = 0;
 	size_t n;
-	const msgpack_object *v = mp_array(o, DATAGRAM_FIELDS, false, &n);
+	const msgpack_object *v = mp_array(o, DATAGRAM_FIELDS_MAX, false, &n);
 
 	if (v == NULL || n < DATAGRAM_FIELDS_MIN ||
 	    !mp_uint(&v[0], UINT64_MAX, &out->number) ||
@@ -150,6 +197,9 @@
 		if (!read_alarm(&alarms[i], &out->alarms[i]))
 			return false;
 	out->finding_count = 0;
+	if (n == DATAGRAM_FIELDS_MAX && !mp_uint(&v[6], UINT16_MAX, &covered))
+		return false;
+	out->covered = (uint32_t)covered;
 	return n == DATAGRAM_FIELDS_MIN || read_findings(&v[5], out);
 }
 
--- a/lib/relay/mesh_codec.h
+++ b/lib/relay/mesh_codec.h
@@ -4,9 +4,12 @@
 
 #include "ld_common.h"
 #include "ld_quarantine.h"
+#include "ld_servers.h"
 
 /* Most loads (groups with requests) and alarms in one datagram. */
 #define MESH_LOADS_MAX 80
+/* Loads that one with a rate takes the place of. */
+#define MESH_RATE_LOADS 2
 #define MESH_ALARMS_MAX 8
 /* Most findings in one datagram, which then carries no loads. */
 #define MESH_FINDINGS_MAX 32
@@ -23,12 +26,23 @@
 	MESH_KIND_COUNT
 };
 
-/** struct mesh_load - requests at one server, from the nodes covered */
+/**
+ * struct mesh_load - requests at one server, from the nodes covered
+ * @server: id_hash of struct ld_server
+ * @heard_ago_ms: age of the last byte, the maximum: none
+ * @counts: totals modulo 2^32; only the prompt tokens unless @has_rate
+ * @has_rate: the server named a limit, or no longer does, recently
+ * @rate_milli: requests per 1,000 s, or LD_RATE_UNLIMITED
+ * @rate_ago_ms: age of the answer that named it
+ */
 struct mesh_load {
-	uint32_t server; /* id_hash of struct ld_server */
+	uint32_t server;
 	uint32_t active;
-	uint32_t sent_tokens; /* prompt tokens in total, modulo 2^32 */
-	uint32_t heard_ago_ms; /* age of the last byte, the maximum: none */
+	uint32_t heard_ago_ms;
+	uint32_t counts[LD_COUNT_KINDS];
+	bool has_rate;
+	uint32_t rate_milli;
+	uint32_t rate_ago_ms;
 };
 
 /** struct mesh_alarm - a group that is silent */
@@ -41,11 +55,14 @@
  * struct mesh_datagram - one message between nodes
  * @number: sequence number; a datagram with a lower one arrived out of order
  * @can_delegate: peers may follow the store through the sender
+ * @covered: number of nodes whose requests the loads count, 0: not given, as in
+ *	datagrams without a rate
  */
 struct mesh_datagram {
 	uint64_t number;
 	enum mesh_kind kind;
 	bool can_delegate;
+	uint32_t covered;
 	struct mesh_load loads[MESH_LOADS_MAX];
 	size_t load_count;
 	struct mesh_alarm alarms[MESH_ALARMS_MAX];
--- a/lib/relay/peer_load.c
+++ b/lib/relay/peer_load.c
@@ -6,9 +6,13 @@
 /* A load that is not reported again within this time is removed, ms: several
  * consecutive datagrams may be lost. */
 #define LOAD_EXPIRY_MS 600
-/* A larger increase between two datagrams, in tokens, is an error of the peer
- * or a restart: the limit is some hundred long prompts. */
-#define TOKEN_STEP_MAX 400000
+/* A larger increase between two datagrams is an error of the peer or a restart:
+ * the limits are those of some hundred long prompts. */
+static const uint32_t step_max[LD_COUNT_KINDS] = {
+    [LD_COUNT_TOKENS] = 400000,
+    [LD_COUNT_SENT] = 1000,
+    [LD_COUNT_DENIED] = 10000,
+};
 /* A peer that was alive for this long without a gap has reported everything it
  * ever sent, ms. */
 #define CONTINUITY_MS 1000
@@ -111,21 +115,33 @@
 		s->source_last_byte_ms = at;
 }
 
-/* The part of the tokens newly reported in totals that this node itself
- * sent. */
+/* The part of what totals newly report that this node itself has counted. */
 static uint32_t
-take_own_tokens(struct ld_server *s, uint32_t tokens, uint64_t now)
+take_own(struct ld_shared_count *c, uint32_t n, uint64_t now)
 {
 	uint32_t own;
 
-	if (now >= s->uncounted_ms + UNCOUNTED_EXPIRY_MS)
-		s->uncounted_tokens = 0;
-	own = tokens < s->uncounted_tokens ? tokens
-					   : (uint32_t)s->uncounted_tokens;
-	s->uncounted_tokens -= own;
+	if (now >= c->uncounted_ms + UNCOUNTED_EXPIRY_MS)
+		c->uncounted = 0;
+	own = n < c->uncounted ? n : (uint32_t)c->uncounted;
+	c->uncounted -= own;
 	return own;
 }
 
+/* Returns what other nodes have counted since the last report. */
+static uint32_t
+update_count(
+    struct ld_shared_count *c, enum mesh_kind kind, uint32_t step, uint64_t now)
+{
+	if (kind == MESH_REPORT)
+		c->sources += step;
+	else if (kind == MESH_PARTIAL)
+		c->partials += step;
+	else
+		step -= take_own(c, step, now);
+	return step;
+}
+
 uint64_t
 peer_load_update(struct peer *p, struct ld_server *s, enum mesh_kind kind,
     const struct mesh_load *l, uint64_t now_ms)
@@ -134,26 +150,34 @@
 	struct peer_load *e = find_or_add(&p->loads, l->server, &is_new);
 	bool has_gap = is_new ? now_ms < p->alive_since_ms + CONTINUITY_MS
 			      : p->alive_since_ms > e->received_ms;
-	uint32_t new_tokens = l->sent_tokens - e->tokens;
-	bool changed = new_tokens != 0 || e->counted_active != l->active ||
+	bool changed =
+	    l->counts[LD_COUNT_TOKENS] != e->counts[LD_COUNT_TOKENS] ||
+	    e->counted_active != l->active ||
 	    now_ms >= e->received_ms + LOAD_EXPIRY_MS;
+	uint32_t steps[LD_COUNT_KINDS] = {0};
 
 	replace_active(e, s, kind, l->active);
 	update_last_byte(s, kind, l, now_ms);
-	e->tokens = l->sent_tokens;
-	e->received_ms = now_ms;
 	if (changed)
 		s->load_changed_ms = now_ms;
-	/* Prompts sent during a gap may have been processed long ago. */
-	if (new_tokens > TOKEN_STEP_MAX || has_gap)
-		return 0;
-	if (kind == MESH_REPORT)
-		s->source_tokens += new_tokens;
-	else if (kind == MESH_PARTIAL)
-		s->partial_tokens += new_tokens;
-	else
-		new_tokens -= take_own_tokens(s, new_tokens, now_ms);
-	return new_tokens;
+	for (int c = 0; c < LD_COUNT_KINDS; c++) {
+		uint32_t step = l->counts[c] - e->counts[c];
+
+		/* The other counts are reported with a rate only. */
+		if (c != LD_COUNT_TOKENS && !l->has_rate)
+			continue;
+		e->counts[c] = l->counts[c];
+		if (c != LD_COUNT_TOKENS && !e->has_rate)
+			continue;
+		/* Prompts sent during a gap may have been processed long ago. */
+		if (step > step_max[c] || has_gap)
+			continue;
+		steps[c] = update_count(&s->counts[c], kind, step, now_ms);
+		ld_server_note_others(s, (enum ld_count)c, steps[c], now_ms);
+	}
+	e->has_rate = l->has_rate;
+	e->received_ms = now_ms;
+	return steps[LD_COUNT_TOKENS];
 }
 
 void
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -104,6 +104,7 @@
 	assign_server(q, s);
 	response_reset(&q->response);
 	events_reset(&q->events);
+	q->resume_retried = false;
 	q->last_byte_ms = 0;
 	q->send_first_event_ms = 0;
 	q->sent_ms = now;
@@ -139,7 +140,7 @@
 		request_fail(q, "no-server-to-resume", 0);
 		return;
 	}
-	q->resume_pending = true;
+	q->resume_pending = q->resume_retried = true;
 	ld_timer_after(
 	    ld_loop_timers(q->relay->loop), &q->timer, RESUME_INTERVAL_MS);
 }
@@ -158,6 +159,7 @@
 	    .remaining_ms = objective_at > now ? objective_at - now : 0,
 	    .bias_ms =
 		ld_dispatch_bias_ms(&r->prediction_bias, ld_str_c(q->model)),
+	    .repeated = q->resume_retried,
 	    .tried_count = q->tried_count,
 	};
 	struct ld_dispatch_choice c = {0};
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -94,6 +94,7 @@
 	uint64_t max_gap_ms;
 	struct ld_timer timer;
 	bool resume_pending; /* the timer is set to try to resume */
+	bool resume_retried; /* no server was found for it yet */
 };
 
 /* ---- request.c ---- */
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -55,6 +55,30 @@
 
 void ld_server_entry_fini(struct ld_server_entry *e);
 
+/** enum ld_count - what nodes count for each server and tell each other */
+enum ld_count {
+	LD_COUNT_TOKENS, /* prompt tokens sent to it */
+	LD_COUNT_SENT, /* requests sent to it */
+	LD_COUNT_DENIED, /* requests that its limit kept away */
+	LD_COUNT_KINDS
+};
+
+/**
+ * struct ld_shared_count - a count that only grows, of this and other processes
+ * @own: of this process
+ * @sources: of processes that report to this one
+ * @partials: of other processes, from partial sums
+ * @uncounted, @uncounted_ms: part of @own that the totals received may not
+ *	include yet, and when @own last grew
+ */
+struct ld_shared_count {
+	uint64_t own;
+	uint64_t sources;
+	uint64_t partials;
+	uint64_t uncounted;
+	uint64_t uncounted_ms;
+};
+
 /**
  * struct ld_server - a server that was listed since this process started
  * @id_hash: hash of the id, which nodes send each other instead of the id
@@ -70,7 +94,6 @@
  * @active: requests of this process in progress at the server
  * @prefill_done_ms: predicted time at which all prompts sent to it, by any
  *	process, are prefilled
- * @sent_tokens: total of the prompt tokens that this process has sent to it
  * @suspect_until_ms: gets no new requests until then, after a failure
  * @refuses_until_ms: end of its last Retry-After; applies whatever its entry
  *	says
@@ -84,12 +107,9 @@
  *	the control lease
  * @peer_active, @peer_last_byte_ms: as @active and @last_byte_ms, of other
  *	processes, from their last reports
- * @source_active, @source_last_byte_ms, @source_tokens: the part of these of
- *	processes that report to this one, and the prompt tokens that they have
- *	sent
- * @partial_tokens: prompt tokens of other processes, from partial sums
- * @uncounted_tokens, @uncounted_ms: prompt tokens of this process that the
- *	totals received may not include yet, and when the last of them were sent
+ * @source_active, @source_last_byte_ms: the part of these of processes that
+ *	report to this one
+ * @counts: by enum ld_count
  * @load_changed_ms: last change of one of the loads above
  * @allowance: the rate of requests that it grants, NULL until it named one
  */
@@ -107,7 +127,6 @@
 	unsigned int refs;
 	unsigned int active;
 	double prefill_done_ms;
-	uint64_t sent_tokens;
 	uint64_t suspect_until_ms;
 	uint64_t refuses_until_ms;
 	bool reported_leaving;
@@ -120,10 +139,7 @@
 	uint64_t peer_last_byte_ms;
 	unsigned int source_active;
 	uint64_t source_last_byte_ms;
-	uint64_t source_tokens;
-	uint64_t partial_tokens;
-	uint64_t uncounted_tokens;
-	uint64_t uncounted_ms;
+	struct ld_shared_count counts[LD_COUNT_KINDS];
 	uint64_t load_changed_ms;
 	struct ld_allowance *allowance;
 };
@@ -167,6 +183,11 @@
 /** ld_server_note_sent() - this process sends a request with @prompt_tokens */
 void ld_server_note_sent(
     struct ld_server *s, uint64_t prompt_tokens, uint64_t now_ms);
+/** ld_server_note_denied() - its limit kept a request of this process away */
+void ld_server_note_denied(struct ld_server *s, uint64_t now_ms);
+/** ld_server_note_others() - other processes have counted @n more */
+void ld_server_note_others(
+    struct ld_server *s, enum ld_count count, uint32_t n, uint64_t now_ms);
 /**
  * ld_server_observe_rate() - an answer named the rate of requests that @s takes
  * @rate_milli, @at_ms: as in ld_allowance_observe()
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -202,15 +202,45 @@
 	s->entry.leaving = true;
 }
 
+static void
+add_own(struct ld_server *s, enum ld_count count, uint64_t n, uint64_t now_ms)
+{
+	s->counts[count].own += n;
+	s->counts[count].uncounted += n;
+	s->counts[count].uncounted_ms = now_ms;
+}
+
 void
 ld_server_note_sent(
     struct ld_server *s, uint64_t prompt_tokens, uint64_t now_ms)
 {
-	s->sent_tokens += prompt_tokens;
-	s->uncounted_tokens += prompt_tokens;
-	s->uncounted_ms = s->load_changed_ms = now_ms;
+	add_own(s, LD_COUNT_TOKENS, prompt_tokens, now_ms);
+	add_own(s, LD_COUNT_SENT, 1, now_ms);
+	s->load_changed_ms = now_ms;
+	if (s->allowance != NULL)
+		ld_allowance_count_sent(
+		    s->allowance, &s->allowance->own, 1, now_ms);
+}
+
+void
+ld_server_note_denied(struct ld_server *s, uint64_t now_ms)
+{
+	add_own(s, LD_COUNT_DENIED, 1, now_ms);
 	if (s->allowance != NULL)
-		ld_window_add(&s->allowance->sent, 1, now_ms);
+		ld_window_add(&s->allowance->own.denied, 1, now_ms);
+}
+
+void
+ld_server_note_others(
+    struct ld_server *s, enum ld_count count, uint32_t n, uint64_t now_ms)
+{
+	if (s->allowance == NULL || n == 0)
+		return;
+	if (count == LD_COUNT_SENT)
+		ld_allowance_count_sent(
+		    s->allowance, &s->allowance->others, n, now_ms);
+	else if (count == LD_COUNT_DENIED)
+		ld_window_add(&s->allowance->others.denied, n, now_ms);
 }
 
 bool
--- a/tests/aggregation_fleet.h
+++ b/tests/aggregation_fleet.h
@@ -97,6 +97,11 @@
 	((struct node *)a)->reported[head_of(s)] += tokens;
 }
 
+static inline void
+on_rate_changed(struct load_aggregation *a, struct ld_server *s)
+{
+}
+
 static inline void
 on_alarm(struct load_aggregation *a, const struct mesh_alarm *alarm)
 {
@@ -163,6 +168,7 @@
 	static const struct agg_ops ops = {
 	    .send = send_datagram,
 	    .prompt_sent = on_prompt_sent,
+	    .rate_changed = on_rate_changed,
 	    .alarm = on_alarm,
 	    .finding = on_finding,
 	};
--- a/tests/faults/ld_relay_server.c
+++ b/tests/faults/ld_relay_server.c
@@ -170,6 +170,10 @@
 		answer_with(x, 503, RELAY_REQUEST_ID, false, "Retry-After",
 		    RELAY_PAUSE_S);
 		break;
+	case NAMES_LIMIT:
+		answer_with(x, 200, RELAY_REQUEST_ID, true, "Server-Limit",
+		    RELAY_LIMIT);
+		break;
 	case LEAVES:
 		answer_with(
 		    x, 200, RELAY_REQUEST_ID, true, "Server-Leaving", "1");
--- a/tests/faults/ld_relay_server.h
+++ b/tests/faults/ld_relay_server.h
@@ -16,6 +16,9 @@
 #define RELAY_PAUSE_MS 1500
 #define RELAY_PAUSE_S "1.5"
 
+/** Requests a second that a server takes from all nodes together. */
+#define RELAY_LIMIT "2"
+
 /** Part of a prompt on which servers crash. */
 #define RELAY_CRASHING_PART "deadbeef"
 
@@ -25,6 +28,7 @@
 	FAILS, /* 500 of its own */
 	REFUSES, /* has not run it */
 	ASKS_FOR_A_PAUSE, /* the same, with a pause of RELAY_PAUSE_MS */
+	NAMES_LIMIT, /* serves, and names RELAY_LIMIT */
 	LEAVES, /* serves, and reports that it is leaving */
 	BREAKS_OFF, /* closes the connection without an answer */
 	ANSWERS_ANOTHER, /* the answer names another request */
--- a/tests/unit/test_relay_parts.c
+++ b/tests/unit/test_relay_parts.c
@@ -134,6 +134,26 @@
 	response_reset(&a);
 }
 
+static void
+test_rates(void)
+{
+	static const struct {
+		const char *value;
+		bool named;
+		uint32_t milli;
+	} rows[] = {{"6.5", true, 6500}, {"0", true, 0}, {"20", true, 20000},
+	    {"1e12", true, LD_RATE_UNLIMITED - 1}, {"-1", false, 0},
+	    {"many", false, 0}, {"nan", false, 0}, {"", false, 0}};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct response a = answer_of("server-limit", rows[i].value);
+
+		CU_ASSERT_EQUAL(a.names_rate, rows[i].named);
+		CU_ASSERT_EQUAL(a.rate_milli, rows[i].milli);
+		response_reset(&a);
+	}
+}
+
 static void
 test_answers(void)
 {
@@ -193,8 +213,10 @@
 
 	d.load_count = MESH_LOADS_MAX;
 	for (uint32_t i = 0; i < MESH_LOADS_MAX; i++)
-		d.loads[i] = (struct mesh_load){UINT32_MAX - i, UINT16_MAX,
-		    UINT32_MAX, MESH_HEARD_AGO_MAX_MS};
+		d.loads[i] = (struct mesh_load){.server = UINT32_MAX - i,
+		    .active = UINT16_MAX,
+		    .heard_ago_ms = MESH_HEARD_AGO_MAX_MS,
+		    .counts = {[LD_COUNT_TOKENS] = UINT32_MAX}};
 	d.alarm_count = MESH_ALARMS_MAX;
 	for (int i = 0; i < MESH_ALARMS_MAX; i++) {
 		memset(d.alarms[i].group, 'g', MESH_GROUP_NAME_MAX - 1);
@@ -225,6 +247,36 @@
 	ld_buf_free(&b);
 }
 
+static void
+test_datagrams_with_rates(void)
+{
+	struct mesh_datagram d = {.number = 7, .covered = 195}, back = {0};
+	struct ld_buf b = {0};
+
+	d.load_count = MESH_LOADS_MAX / MESH_RATE_LOADS;
+	for (uint32_t i = 0; i < d.load_count; i++)
+		d.loads[i] = (struct mesh_load){.server = UINT32_MAX - i,
+		    .active = UINT16_MAX,
+		    .heard_ago_ms = MESH_HEARD_AGO_MAX_MS,
+		    .counts = {UINT32_MAX, UINT32_MAX - 1, UINT32_MAX - 2},
+		    .has_rate = true,
+		    .rate_milli = LD_RATE_UNLIMITED,
+		    .rate_ago_ms = UINT32_MAX};
+	d.alarm_count = MESH_ALARMS_MAX;
+	for (int i = 0; i < MESH_ALARMS_MAX; i++)
+		memset(d.alarms[i].group, 'g', MESH_GROUP_NAME_MAX - 1);
+	mesh_encode(&d, &b);
+	CU_ASSERT(b.len <= 2048);
+	CU_ASSERT_FATAL(mesh_decode(ld_buf_str(&b), &back));
+	CU_ASSERT_EQUAL(back.covered, 195);
+	CU_ASSERT_EQUAL(back.load_count, d.load_count);
+	CU_ASSERT_EQUAL(memcmp(back.loads, d.loads, sizeof(d.loads)), 0);
+	for (size_t cut = 1; cut < b.len; cut++)
+		CU_ASSERT(
+		    !mesh_decode((struct ld_str){b.p, b.len - cut}, &back));
+	ld_buf_free(&b);
+}
+
 static struct mesh_datagram
 full_findings(void)
 {
@@ -319,7 +371,9 @@
 	    {"what servers say of themselves",
 		test_what_servers_say_of_themselves},
 	    {"answers", test_answers},
+	    {"rates", test_rates},
 	    {"datagrams", test_datagrams},
+	    {"datagrams with rates", test_datagrams_with_rates},
 	    {"findings in datagrams", test_findings},
 	    {"mutated datagrams", test_mutated_datagrams},
 	    {"fields of one connection", test_connection_fields_stay_here},
