--- a/lib/relay/finish.c
+++ b/lib/relay/finish.c
@@ -110,14 +110,20 @@
 request_record_failed_send(struct request *q, const char *why, const char *next)
 {
 	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
+	const struct ld_server *s = q->server;
+	uint64_t now = relay_now(q->relay);
 
 	counts_send_ended(q, why);
 	ld_event("send.failed",
 	    "id=%s server=%s why=%s code=%ld ms=%llu next=%s last_event=%lld "
-	    "parts=%s",
+	    "parts=%s fresh=%d peers_heard_ago_ms=%lld",
 	    ld_event_token(ld_str_c(q->attempt_id), id),
 	    q->tried_count > 0 ? q->tried[q->tried_count - 1] : "-", why,
 	    q->response.code,
 	    (unsigned long long)(relay_now(q->relay) - q->sent_ms), next,
-	    (long long)q->last_event_id, ld_prompt_text(&q->prompt, parts));
+	    (long long)q->last_event_id, ld_prompt_text(&q->prompt, parts),
+	    !q->retryable,
+	    s != NULL && s->peer_last_byte_ms > 0
+		? (long long)(now - s->peer_last_byte_ms)
+		: -1LL);
 }
