--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "ld_relay_session.h"
@@ -23,7 +24,9 @@
 static struct ld_loop *loop;
 static struct ld_http *http;
 static char settings_path[] = "/tmp/ld_relay_test_XXXXXX";
+static char second_path[] = "/tmp/ld_relay_test_XXXXXX";
 static const char *program;
+static uint16_t first_peers;
 
 /* ---- The loop ---- */
 
@@ -250,38 +253,92 @@
 /* ---- Start and end ---- */
 
 static void
-write_settings(uint16_t entry, uint16_t metrics, uint16_t kv)
+write_settings(char *path, const char *name, uint16_t entry, uint16_t metrics,
+    uint16_t peers, uint16_t kv)
 {
 	char text[1024];
-	int fd = mkstemp(settings_path);
+	int fd = mkstemp(path);
 
 	snprintf(text, sizeof(text),
-	    "{\"node\":{\"name\":\"n1\",\"failure_domain\":\"z1\"},"
+	    "{\"node\":{\"name\":\"%s\",\"failure_domain\":\"z1\"},"
 	    "\"entry\":{\"listen\":\"127.0.0.1:%u\"},"
 	    "\"readiness\":{\"listen\":\"127.0.0.1:%u\"},"
 	    "\"peers\":{\"port\":%u},\"metrics\":{\"port\":%u},"
 	    "\"store\":{\"address\":\"127.0.0.1:%u\"}}",
-	    entry, ld_free_port(), ld_free_port(), metrics, kv);
+	    name, entry, ld_free_port(), peers, metrics, kv);
 	CU_ASSERT_FATAL(
 	    fd >= 0 && write(fd, text, strlen(text)) == (ssize_t)strlen(text));
 	close(fd);
 }
 
-void
-start_relay(void)
+static pid_t
+start_with(const char *path)
 {
 	/* The log of the relay, for a failure that is to be traced. */
 	const char *log = getenv("LD_RELAY_LOG");
+	pid_t pid = fork();
 
-	relay = fork();
-	if (relay != 0)
-		return;
+	if (pid != 0)
+		return pid;
 	if (freopen(log != NULL ? log : "/dev/null", "a", stdout) == NULL)
 		_exit(1);
-	execl(program, program, "relay", "-c", settings_path, (char *)NULL);
+	execl(program, program, "relay", "-c", path, (char *)NULL);
 	_exit(1);
 }
 
+void
+start_relay(void)
+{
+	relay = start_with(settings_path);
+}
+
+static void
+list_node(struct ld_kv_store *in, const char *name, uint16_t peers)
+{
+	char key[64], value[64];
+
+	snprintf(key, sizeof(key), "lavenderdrift/nodes/%s", name);
+	snprintf(value, sizeof(value), "127.0.0.1:%u 250 z1", peers);
+	ld_kv_store_put(in, key, value);
+}
+
+struct second_relay
+start_second_relay(void)
+{
+	struct second_relay b = {0};
+	uint16_t entry = ld_free_port(), metrics = ld_free_port(),
+		 peers = ld_free_port(), kv = ld_free_port();
+	struct ld_kv_store *first = store;
+
+	b.store = ld_kv_store_new(loop, kv);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(b.store);
+	snprintf(b.address, sizeof(b.address), "127.0.0.1:%u", entry);
+	snprintf(b.metrics, sizeof(b.metrics), "127.0.0.1:%u", metrics);
+	write_settings(second_path, "n2", entry, metrics, peers, kv);
+	store = b.store;
+	put_config(1, "\"k1\",\"k2\"", "null");
+	store = first;
+	list_node(store, "n2", peers);
+	list_node(b.store, "n1", first_peers);
+	b.pid = start_with(second_path);
+	return b;
+}
+
+void
+close_second_relay(struct second_relay *b)
+{
+	kill(b->pid, SIGKILL);
+	waitpid(b->pid, NULL, 0);
+	ld_kv_store_free(b->store);
+	unlink(second_path);
+}
+
+struct ld_loop *
+session_loop(void)
+{
+	return loop;
+}
+
 void
 start_relay_unread(void)
 {
@@ -326,7 +383,8 @@
 	snprintf(relay_address, sizeof(relay_address), "127.0.0.1:%u", entry);
 	snprintf(
 	    metrics_address, sizeof(metrics_address), "127.0.0.1:%u", metrics);
-	write_settings(entry, metrics, kv);
+	first_peers = ld_free_port();
+	write_settings(settings_path, "n1", entry, metrics, first_peers, kv);
 	put_config(1, "\"k1\",\"k2\"", "null");
 	for (int i = 0; i < SERVERS; i++)
 		server_open(&servers[i], i);
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -50,6 +50,24 @@
 void start_relay(void);
 /** start_relay_unread() - the same, its log goes into a pipe that fills up */
 void start_relay_unread(void);
+
+/**
+ * struct second_relay - another relay of the same fleet
+ *
+ * It reads a store of its own, in which the test writes the entries of servers:
+ * so servers can be at other addresses for each relay.
+ */
+struct second_relay {
+	pid_t pid;
+	struct ld_kv_store *store;
+	char address[32];
+	char metrics[32];
+};
+
+struct second_relay start_second_relay(void);
+/** close_second_relay() - kill it, and close its store */
+void close_second_relay(struct second_relay *b);
+struct ld_loop *session_loop(void);
 void run_for(uint64_t ms);
 void wait_until_serving(void);
 
--- /dev/null
+++ b/tests/faults/test_nodes_without_servers.c
@@ -0,0 +1,193 @@
+/*
+ * Two relays, one of which loses its links to all servers while clients, its
+ * store and the other relay still reach it.
+ */
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "ld_ports.h"
+#include "ld_relay_session.h"
+
+#define MORE_SERVERS 3
+/* As in the users' rule: from STABLE_MS after the cut on, first tries at a cut
+ * node are served at least two thirds as often as at the others. */
+#define STABLE_MS 4000
+#define JUDGED_MS 4000
+#define EVERY_MS 40
+#define CLIENTS_MAX 600
+
+/** enum door - how the first relay finds the servers */
+enum door {
+	DOOR_OPEN,
+	DOOR_REFUSES, /* new connections are refused */
+	DOOR_HANGS /* they are accepted, and nothing answers */
+};
+
+static struct server more[MORE_SERVERS];
+static struct second_relay b;
+static struct client clients[2][CLIENTS_MAX];
+static int silent;
+static char silent_address[32], closed_address[32];
+
+static int
+bind_any(char address[32], bool listening)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET};
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_FATAL(fd >= 0 && bind(fd, (struct sockaddr *)&a, len) == 0);
+	CU_ASSERT_FATAL(getsockname(fd, (struct sockaddr *)&a, &len) == 0 &&
+	    (!listening || listen(fd, 512) == 0));
+	snprintf(address, 32, "127.0.0.1:%u", ntohs(a.sin_port));
+	return fd;
+}
+
+static void
+put_servers(struct ld_kv_store *in, enum door door, int sequence)
+{
+	struct ld_kv_store *first = store;
+
+	store = in;
+	for (int i = 0; i < SERVERS + MORE_SERVERS; i++) {
+		struct server s = i < SERVERS ? servers[i] : more[i - SERVERS];
+
+		if (door == DOOR_REFUSES)
+			memcpy(s.address, closed_address, sizeof(s.address));
+		else if (door == DOOR_HANGS)
+			memcpy(s.address, silent_address, sizeof(s.address));
+		put_entry(&s, sequence);
+	}
+	store = first;
+}
+
+static void
+open_two(void)
+{
+	open_all(relay_program);
+	for (int i = 0; i < MORE_SERVERS; i++) {
+		CU_ASSERT_EQUAL_FATAL(
+		    relay_server_open(&more[i], session_loop(), ld_free_port()),
+		    LD_OK);
+		snprintf(more[i].id, sizeof(more[i].id), "m-%d", i);
+	}
+	silent = bind_any(silent_address, true);
+	(void)bind_any(closed_address, false);
+	b = start_second_relay();
+	put_servers(store, DOOR_OPEN, 1);
+	put_servers(b.store, DOOR_OPEN, 1);
+	wait_until_serving();
+	run_for(2000);
+}
+
+/* Requests of each kind at both relays. Returns how many are served of each,
+ * in percent. */
+static void
+press(uint64_t ms, unsigned int percent[2])
+{
+	static const char *const paths[] = {"/look/a", "/book/a", "/events/a"};
+	static const char *const methods[] = {"GET", "POST", "POST"};
+	const char *addresses[] = {relay_address, b.address};
+	int n = (int)(ms / EVERY_MS);
+
+	CU_ASSERT_FATAL(n <= CLIENTS_MAX);
+	for (int i = 0; i < n; i++) {
+		for (int r = 0; r < 2; r++)
+			start_at(&clients[r][i], addresses[r], methods[i % 3],
+			    paths[i % 3], "k1");
+		run_for(EVERY_MS);
+	}
+	for (int r = 0; r < 2; r++) {
+		unsigned int served = 0;
+
+		for (int i = 0; i < n; i++) {
+			wait_for(&clients[r][i]);
+			served += clients[r][i].code == 200 &&
+			    clients[r][i].is_signed &&
+			    clients[r][i].status == LD_OK;
+			ld_buf_free(&clients[r][i].body);
+		}
+		percent[r] = served * 100 / (unsigned int)n;
+	}
+}
+
+static void
+check_cut(enum door door, int sequence)
+{
+	unsigned int percent[2];
+
+	press(2000, percent);
+	CU_ASSERT_EQUAL(percent[0], 100);
+	put_servers(store, door, sequence);
+	press(STABLE_MS, percent);
+	press(JUDGED_MS, percent);
+	printf("served at the cut relay %u%%, at the other %u%%\n", percent[0],
+	    percent[1]);
+	CU_ASSERT(percent[1] >= 95);
+	CU_ASSERT(3 * percent[0] >= 2 * percent[1]);
+	put_servers(store, DOOR_OPEN, sequence + 1);
+	press(STABLE_MS, percent);
+	press(2000, percent);
+	CU_ASSERT_EQUAL(percent[0], 100);
+}
+
+static void
+test_clients_are_served_while_connections_are_refused(void)
+{
+	open_two();
+	check_cut(DOOR_REFUSES, 2);
+}
+
+static void
+test_clients_are_served_while_connections_hang(void)
+{
+	check_cut(DOOR_HANGS, 4);
+}
+
+static void
+test_refused_at_once_if_no_node_reaches_servers(void)
+{
+	unsigned int percent[2];
+
+	put_servers(store, DOOR_REFUSES, 6);
+	put_servers(b.store, DOOR_REFUSES, 6);
+	press(STABLE_MS, percent);
+	press(2000, percent);
+	CU_ASSERT_EQUAL(percent[0] + percent[1], 0);
+	put_servers(store, DOOR_OPEN, 7);
+	put_servers(b.store, DOOR_OPEN, 7);
+	press(STABLE_MS, percent);
+	press(2000, percent);
+	CU_ASSERT_EQUAL(percent[0], 100);
+	CU_ASSERT_EQUAL(percent[1], 100);
+	close_second_relay(&b);
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, NULL, WNOHANG), relay);
+	for (int i = 0; i < MORE_SERVERS; i++)
+		ld_listener_free(more[i].listener);
+	close(silent);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct ld_test_case cases[] = {
+	    {"clients are served while connections are refused",
+		test_clients_are_served_while_connections_are_refused},
+	    {"clients are served while connections hang",
+		test_clients_are_served_while_connections_hang},
+	    {"refused at once if no node reaches servers",
+		test_refused_at_once_if_no_node_reaches_servers},
+	    {NULL, NULL},
+	};
+
+	return relay_test_main(argv, "nodes_without_servers", cases);
+}
