relay: forward requests through other nodes while this one reaches no server

Cause: a node that fails at every server takes that for the servers' fault. The class: one observer's fault taken for the fault of all that it observes; so the node also raised alarms, suspected prompts and held control. Evidence: 744 of 774 failed sends of cut nodes were of servers that other nodes had heard within 600 ms. Ruled out: servers that are avoided for too long (no send succeeded), and the requests in flight at the cut (the share of failures does not fall).

--- a/lib/dispatch/ld_dispatch.h
+++ b/lib/dispatch/ld_dispatch.h
@@ -147,6 +147,60 @@
  */
 bool ld_dispatch_on_alarm(struct ld_server *s, uint64_t now_ms);
 
+/* ---- Whether this node reaches servers at all ---- */
+
+#define LD_REACH_FAILURES_MAX 16
+
+/** struct ld_reach_failure - the last failed send to one server */
+struct ld_reach_failure {
+	uint32_t server; /* id_hash */
+	uint64_t since_ms; /* of the send, or of its last byte */
+	uint64_t at_ms;
+};
+
+/**
+ * struct ld_reachability - tells a node without servers from servers that failed
+ * @isolated: this node reaches no server, while other nodes do
+ * @since_ms: time of the last change of @isolated
+ * @probes_ok: successful probes in a row since then
+ */
+struct ld_reachability {
+	struct ld_reach_failure failures[LD_REACH_FAILURES_MAX];
+	size_t n;
+	bool isolated;
+	uint64_t since_ms;
+	unsigned int probes_ok;
+};
+
+/** ld_reach_failed() - a send of @since_ms to @server got no byte for too long */
+void ld_reach_failed(struct ld_reachability *r, uint32_t server,
+    uint64_t since_ms, uint64_t now_ms);
+/**
+ * ld_reach_answered() - the answer to a send of @sent_ms began
+ *
+ * To be called for new connections only: a partition may spare the open ones.
+ */
+void ld_reach_answered(struct ld_reachability *r, uint64_t sent_ms);
+/**
+ * ld_reach_evaluate() - whether this node is isolated
+ *
+ * It is when its sends to several servers failed, none over a new connection was
+ * answered since, and other nodes have received bytes from some of these servers.
+ * Servers that crashed are silent for all nodes.
+ *
+ * Return: true if it became isolated now.
+ */
+bool ld_reach_evaluate(
+    struct ld_reachability *r, struct ld_servers *servers, uint64_t now_ms);
+/** ld_reach_is_suspected() - its sends to more than one server have failed */
+bool ld_reach_is_suspected(const struct ld_reachability *r, uint64_t now_ms);
+/**
+ * ld_reach_probed() - a probe over a new connection ended while isolated
+ *
+ * Return: true if the node is no longer isolated.
+ */
+bool ld_reach_probed(struct ld_reachability *r, bool answered, uint64_t now_ms);
+
 /* ---- Repeats: one budget for each service ---- */
 
 /**
--- a/lib/entry/exchange.c
+++ b/lib/entry/exchange.c
@@ -211,6 +211,18 @@
 	return x->path;
 }
 
+struct in_addr
+ld_exchange_sender(const struct ld_exchange *x)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(x->mhd, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	struct in_addr none = {0};
+
+	if (info == NULL || info->client_addr->sa_family != AF_INET)
+		return none;
+	return ((const struct sockaddr_in *)info->client_addr)->sin_addr;
+}
+
 const char *
 ld_exchange_target(const struct ld_exchange *x)
 {
--- a/lib/entry/ld_entry.h
+++ b/lib/entry/ld_entry.h
@@ -5,6 +5,8 @@
 #ifndef LD_ENTRY_H
 #define LD_ENTRY_H
 
+#include <netinet/in.h>
+
 #include "ld_loop.h"
 
 struct ld_listener;
@@ -90,6 +92,8 @@
 /** ld_exchange_start_ms() - time at which the request's head began to arrive */
 uint64_t ld_exchange_start_ms(const struct ld_exchange *x);
 struct ld_str ld_exchange_body(const struct ld_exchange *x);
+/** ld_exchange_sender() - IPv4 address of the connection's other end */
+struct in_addr ld_exchange_sender(const struct ld_exchange *x);
 /** ld_exchange_bearer() - key of "Authorization: Bearer KEY"; may be empty */
 struct ld_str ld_exchange_bearer(struct ld_exchange *x);
 /** ld_exchange_set_user_data() - attach a pointer of the handler */
--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -208,6 +208,15 @@
 	return request_bytes > 0;
 }
 
+bool
+ld_http_is_new_connection(struct ld_http_call *c)
+{
+	long connects = 0;
+
+	curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return connects > 0;
+}
+
 static void
 finish_call(struct ld_http_call *c, enum ld_status status)
 {
--- a/lib/http/ld_http.h
+++ b/lib/http/ld_http.h
@@ -102,5 +102,7 @@
 void ld_http_resume(struct ld_http_call *c);
 /** ld_http_maybe_sent() - whether a byte of the request may have been sent */
 bool ld_http_maybe_sent(struct ld_http_call *c);
+/** ld_http_is_new_connection() - whether the call set up its connection */
+bool ld_http_is_new_connection(struct ld_http_call *c);
 
 #endif
--- a/lib/relay/changes_server.c
+++ b/lib/relay/changes_server.c
@@ -1,5 +1,6 @@
 /*
- * Serves the store changes that this node received to peers. A peer requests
+ * Serves the store changes that this node received to peers, and accepts the
+ * requests that they forward. A peer requests
  * the changes after its own revision; the answer is delayed until there are
  * some (long poll), or reports after a time limit that there were none.
  */
@@ -142,6 +143,10 @@
 	struct changes_request *a;
 	int64_t after;
 
+	if (listen_is_forwarded(x)) {
+		listen_forwarded(s->relay, x);
+		return;
+	}
 	if (!read_target(ld_exchange_target(x), &after)) {
 		refuse(s, x, 400, "expected /changes?after=REVISION\n");
 		return;
@@ -164,7 +169,12 @@
 on_gone(struct ld_handler *h, struct ld_exchange *x)
 {
 	struct changes_server *s = (struct changes_server *)h;
+	struct request *forwarded = ld_exchange_user_data(x);
 
+	if (forwarded != NULL) {
+		request_client_disconnected(forwarded);
+		return;
+	}
 	for (struct changes_request **at = &s->waiting; *at != NULL;
 	     at = &(*at)->next) {
 		struct changes_request *a = *at;
@@ -177,6 +187,15 @@
 	}
 }
 
+static void
+on_drained(struct ld_handler *h, struct ld_exchange *x)
+{
+	struct request *forwarded = ld_exchange_user_data(x);
+
+	if (forwarded != NULL)
+		request_client_drained(forwarded);
+}
+
 /* ---- Changes from the store ---- */
 
 void
@@ -198,6 +217,26 @@
 	answer_waiting(r->changes_server);
 }
 
+void
+changes_server_set_bounds(struct relay *r, size_t max_body_bytes,
+    uint64_t idle_timeout_ms, uint64_t head_timeout_ms)
+{
+	ld_listener_set_bounds(r->changes_server->listener, max_body_bytes,
+	    idle_timeout_ms, head_timeout_ms);
+}
+
+void
+changes_server_set_closing(struct relay *r)
+{
+	ld_listener_set_closing(r->changes_server->listener);
+}
+
+size_t
+changes_server_open_exchanges(const struct relay *r)
+{
+	return ld_listener_open_exchanges(r->changes_server->listener);
+}
+
 bool
 changes_server_in_use(const struct relay *r)
 {
@@ -212,8 +251,9 @@
 enum ld_status
 changes_server_open(struct relay *r)
 {
-	static const struct ld_handler_ops ops = {
-	    .request = on_request, .client_disconnected = on_gone};
+	static const struct ld_handler_ops ops = {.request = on_request,
+	    .client_disconnected = on_gone,
+	    .client_drained = on_drained};
 	struct changes_server *s = ld_alloc(sizeof(*s));
 	struct ld_listener_config c = {
 	    .host = r->settings->entry_listen.host,
--- a/lib/relay/crashing_prompts.c
+++ b/lib/relay/crashing_prompts.c
@@ -45,7 +45,8 @@
 	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
 	bool begun = q->response.code == 200 && q->send_first_event_ms == 0;
 
-	if (q->server == NULL || q->prompt.own == 0 || q->answer_went_on)
+	if (q->server == NULL || q->prompt.own == 0 || q->answer_went_on ||
+	    isolation_is_suspected(r))
 		return;
 	relay_count(r, LD_M_RELAY_CRASH_SUSPECTS);
 	ld_event("prompt.suspected", "id=%s server=%s begun=%d parts=%s",
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -100,9 +100,12 @@
 	const struct ld_client_bounds *b = &r->routes->bounds;
 
 	if (b->max_body_bytes > 0 && b->idle_timeout_ms > 0 &&
-	    b->head_timeout_ms > 0)
+	    b->head_timeout_ms > 0) {
 		ld_listener_set_bounds(r->entry, b->max_body_bytes,
 		    b->idle_timeout_ms, b->head_timeout_ms);
+		changes_server_set_bounds(r, b->max_body_bytes,
+		    b->idle_timeout_ms, b->head_timeout_ms);
+	}
 }
 
 static void
--- /dev/null
+++ b/lib/relay/forward.c
@@ -0,0 +1,84 @@
+/*
+ * Sends requests through another node while this one reaches no server. The
+ * other node handles them as if the client had connected to it; it forwards no
+ * request that was forwarded.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "request_internal.h"
+
+/* Nodes that one request is sent to at most. */
+#define FORWARDS_MAX 4
+/* A node that refused because it is isolated or stopping, or that could not be
+ * reached, gets no further requests for this time, ms. */
+#define EXCLUDE_MS 2000
+/* Retry-After of a request that no node can send to a server, ms. */
+#define RETRY_AFTER_MS 400
+#define CODE_OTHER_NODE 421
+
+bool
+request_can_forward(const struct request *q)
+{
+	return !q->forwarded && !q->helper_in_doubt &&
+	    q->forwards < FORWARDS_MAX && q->possible_runs < q->max_runs &&
+	    (!q->maybe_ran || q->retryable);
+}
+
+bool
+request_forward(struct request *q)
+{
+	struct relay *r = q->relay;
+	struct mesh_delegate helper;
+	char id[LD_EVENT_TOKEN_BYTES];
+
+	if (!mesh_find_helper(r, &helper))
+		return false;
+	q->forwards++;
+	snprintf(q->group, sizeof(q->group), "-");
+	snprintf(q->helper, sizeof(q->helper), "%s", helper.name);
+	relay_count(r, LD_M_RELAY_FORWARDED);
+	ld_event("request.forward", "id=%s node=%s forwards=%u",
+	    ld_event_token(ld_str_c(q->attempt_id), id), helper.name,
+	    q->forwards);
+	request_start_call(q, helper.address);
+	if (q->call == NULL)
+		request_forward_failed(q, "bad-address", false);
+	return true;
+}
+
+static void
+try_next(struct request *q, const char *why)
+{
+	mesh_exclude_helper(
+	    q->relay, q->helper, relay_now(q->relay) + EXCLUDE_MS);
+	request_record_failed_send(q, why, "next-node");
+	request_cancel_send(q);
+	request_send(q);
+}
+
+void
+request_forward_refused(struct request *q)
+{
+	uint64_t retry_after_ms = q->response.retry_after_ms;
+
+	if (q->response.code == CODE_OTHER_NODE) {
+		try_next(q, "node-refused");
+		return;
+	}
+	request_record_failed_send(q, "node-refused", "give-up");
+	request_fail(q, "node-refused",
+	    retry_after_ms > 0 ? retry_after_ms : RETRY_AFTER_MS);
+}
+
+void
+request_forward_failed(struct request *q, const char *why, bool sent)
+{
+	if (!sent && relay_now(q->relay) < q->deadline_ms) {
+		try_next(q, why);
+		return;
+	}
+	q->helper_in_doubt = sent;
+	request_record_failed_send(q, why, "give-up");
+	request_fail(q, why, RETRY_AFTER_MS);
+}
--- a/lib/relay/headers.c
+++ b/lib/relay/headers.c
@@ -45,13 +45,19 @@
 	static const enum ld_field replaced[] = {LD_FIELD_DEADLINE_MS,
 	    LD_FIELD_ACCOUNT, LD_FIELD_EXPECT_SERVER, LD_FIELD_AUTHORIZATION,
 	    LD_FIELD_PRIORITY};
+	/* Another node authenticates the client's request itself. */
+	size_t count = h->request->server != NULL
+	    ? sizeof(replaced) / sizeof(replaced[0])
+	    : 1;
 	const struct ld_dialect *d = h->request->relay->dialect;
 
 	for (size_t i = 0; i < sizeof(not_forwarded) / sizeof(not_forwarded[0]);
 	     i++)
 		if (strcasecmp(not_forwarded[i], name) == 0)
 			return true;
-	for (size_t i = 0; i < sizeof(replaced) / sizeof(replaced[0]); i++)
+	if (strcasecmp(RELAY_FORWARDED_FIELD, name) == 0)
+		return true;
+	for (size_t i = 0; i < count; i++)
 		if (strcasecmp(d->fields[replaced[i]], name) == 0)
 			return true;
 	if (h->request->response_started &&
@@ -69,6 +75,20 @@
 		add_header(h, name, value);
 }
 
+static void
+add_server_fields(struct headers *h)
+{
+	const struct request *q = h->request;
+	const struct ld_dialect *d = q->relay->dialect;
+	char text[VALUE_BYTES];
+
+	add_header(h, d->fields[LD_FIELD_EXPECT_SERVER], q->server->entry.id);
+	snprintf(text, sizeof(text), "%u", q->priority);
+	add_header(h, d->fields[LD_FIELD_PRIORITY], text);
+	if (q->account[0] != '\0')
+		add_header(h, d->fields[LD_FIELD_ACCOUNT], q->account);
+}
+
 void
 headers_build(struct request *q, struct headers *h, uint64_t remaining_ms)
 {
@@ -80,11 +100,13 @@
 	ld_exchange_fields(q->x, copy_client_header, h);
 	snprintf(text, sizeof(text), "%llu", (unsigned long long)remaining_ms);
 	add_header(h, d->fields[LD_FIELD_DEADLINE_MS], text);
-	add_header(h, d->fields[LD_FIELD_EXPECT_SERVER], q->server->entry.id);
-	snprintf(text, sizeof(text), "%u", q->priority);
-	add_header(h, d->fields[LD_FIELD_PRIORITY], text);
-	if (q->account[0] != '\0')
-		add_header(h, d->fields[LD_FIELD_ACCOUNT], q->account);
+	if (q->server != NULL) {
+		add_server_fields(h);
+	} else {
+		snprintf(text, sizeof(text), "%s %u", q->relay->settings->name,
+		    q->max_runs - q->possible_runs);
+		add_header(h, RELAY_FORWARDED_FIELD, text);
+	}
 	if (q->response_started && q->last_event_id != UINT64_MAX) {
 		snprintf(text, sizeof(text), "%llu",
 		    (unsigned long long)q->last_event_id);
--- a/lib/relay/leader.c
+++ b/lib/relay/leader.c
@@ -155,8 +155,8 @@
 	struct relay *r = l->relay;
 	uint64_t now = relay_now(r);
 
-	if (r->stopping || !feed_control_is_absent(r) ||
-	    feed_engine_service(r) == NULL ||
+	if (r->stopping || isolation_is_active(r) ||
+	    !feed_control_is_absent(r) || feed_engine_service(r) == NULL ||
 	    (!r->settings->initial && now < l->started_ms + START_WAIT_MS)) {
 		l->next_call_ms = 0;
 		return;
--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -28,13 +28,22 @@
 	const char *attempt =
 	    ld_exchange_header(x, r->dialect->fields[LD_FIELD_ATTEMPT_ID]);
 	char id[LD_EVENT_TOKEN_BYTES], seconds[32];
+	const char *not_run = r->dialect->fields[LD_FIELD_NOT_EXECUTED];
 	const char *headers[] = {
-	    "Content-Type", "text/plain", "Retry-After", seconds, NULL};
+	    "Content-Type", "text/plain", NULL, NULL, NULL, NULL, NULL};
+	size_t n = 2;
 
 	snprintf(seconds, sizeof(seconds), "%.3f",
 	    (double)retry_after_ms / MS_PER_S);
-	if (retry_after_ms == 0)
-		headers[2] = NULL;
+	if (retry_after_ms > 0) {
+		headers[n++] = "Retry-After";
+		headers[n++] = seconds;
+	}
+	/* Tells the node that forwards the request that no server ran it. */
+	if (listen_is_forwarded(x) && (code < 500 || code == 503)) {
+		headers[n++] = not_run;
+		headers[n++] = "1";
+	}
 	relay_count(r, LD_M_REFUSED);
 	ld_event("request.refused",
 	    "id=%s code=%u reason=%s retry_after_ms=%llu config=%lld "
@@ -110,12 +119,9 @@
 }
 
 static void
-on_request(struct ld_handler *h, struct ld_exchange *x)
+accept_request(
+    struct relay *r, struct ld_exchange *x, struct request_routing facts)
 {
-	struct relay *r =
-	    (struct relay *)((char *)h - offsetof(struct relay, entry_handler));
-	struct request_routing facts = {0};
-
 	relay_count(r, LD_M_REQUESTS);
 	if (!has_valid_framing(x)) {
 		listen_refuse(r, x, 400, "bad-framing", 0);
@@ -153,6 +159,40 @@
 	request_start(r, x, &facts);
 }
 
+static void
+on_request(struct ld_handler *h, struct ld_exchange *x)
+{
+	struct relay *r =
+	    (struct relay *)((char *)h - offsetof(struct relay, entry_handler));
+
+	accept_request(r, x, (struct request_routing){0});
+}
+
+bool
+listen_is_forwarded(struct ld_exchange *x)
+{
+	return ld_exchange_header(x, RELAY_FORWARDED_FIELD) != NULL;
+}
+
+/* 421: another node may take the request. */
+void
+listen_forwarded(struct relay *r, struct ld_exchange *x)
+{
+	struct request_routing facts = {.forwarded = true};
+	const char *runs =
+	    strrchr(ld_exchange_header(x, RELAY_FORWARDED_FIELD), ' ');
+
+	facts.runs_left = runs != NULL ? (uint32_t)strtoul(runs, NULL, 10) : 1;
+	if (!mesh_is_node_address(r, ld_exchange_sender(x)))
+		listen_refuse(r, x, 421, "unknown-node", 0);
+	else if (r->refusing)
+		listen_refuse(r, x, 421, "stopping", 0);
+	else if (isolation_is_active(r))
+		listen_refuse(r, x, 421, "isolated", 0);
+	else
+		accept_request(r, x, facts);
+}
+
 static void
 on_disconnect(struct ld_handler *h, struct ld_exchange *x)
 {
--- a/lib/relay/load_aggregation.h
+++ b/lib/relay/load_aggregation.h
@@ -45,6 +45,8 @@
 	bool listed; /* had an entry in the store at the last read */
 	uint64_t listed_ms; /* its entry was last read */
 	uint64_t excluded_until_ms; /* not used as delegate until then */
+	uint64_t
+	    no_help_until_ms; /* no request is forwarded to it until then */
 	uint64_t last_datagram_ms; /* any datagram, 0: none yet */
 	uint64_t alive_since_ms; /* without a gap */
 	uint32_t covered; /* as in its last datagram with a rate */
--- a/lib/relay/mesh_peers.c
+++ b/lib/relay/mesh_peers.c
@@ -10,6 +10,10 @@
  * it first waits for a configuration and for its own list of peers. */
 #define FIRST_DATAGRAM_MS 5000
 
+/* How much more often nodes of the own failure domain are chosen to help, as
+ * bytes between domains have a price. */
+#define SAME_DOMAIN_WEIGHT 3
+
 /* Removes the part before the next space from @text, and returns it. */
 static struct ld_str
 next_word(struct ld_str *text)
@@ -190,6 +194,70 @@
 		p->excluded_until_ms = until_ms;
 }
 
+/* ---- Choice of a node that forwarded requests go to ---- */
+
+/* With aggregators a node doesn't hear most others, so any may be tried. */
+static bool
+may_help(const struct load_aggregation *a, const struct peer *p, uint64_t now)
+{
+	return p->listed && now >= p->no_help_until_ms &&
+	    (a->peer_count + 1 >= a->from_nodes || agg_is_alive(a, p, now));
+}
+
+/* Larger nodes and those of this failure domain help more. */
+static uint64_t
+help_weight(const struct load_aggregation *a, const struct peer *p)
+{
+	return (p->processor_permille + 1) *
+	    (p->domain == a->domain ? SAME_DOMAIN_WEIGHT : 1);
+}
+
+bool
+mesh_find_helper(struct relay *r, struct mesh_delegate *out)
+{
+	const struct load_aggregation *a = &r->mesh->aggregation;
+	uint64_t now = relay_now(r), sum = 0;
+	const struct peer *p = NULL;
+	char host[INET_ADDRSTRLEN];
+
+	for (size_t i = 0; i < a->peer_count; i++) {
+		uint64_t weight = help_weight(a, &a->peers[i]);
+
+		if (!may_help(a, &a->peers[i], now))
+			continue;
+		sum += weight;
+		if (ld_rand_below(&r->rand, sum) < weight)
+			p = &a->peers[i];
+	}
+	if (p == NULL)
+		return false;
+	inet_ntop(AF_INET, &p->address.sin_addr, host, sizeof(host));
+	snprintf(out->name, sizeof(out->name), "%s", p->name);
+	snprintf(out->address, sizeof(out->address), "%s:%u", host,
+	    ntohs(p->address.sin_port));
+	return true;
+}
+
+void
+mesh_exclude_helper(struct relay *r, const char *name, uint64_t until_ms)
+{
+	struct peer *p = agg_peer_find(&r->mesh->aggregation, ld_str_c(name));
+
+	if (p != NULL)
+		p->no_help_until_ms = until_ms;
+}
+
+bool
+mesh_is_node_address(const struct relay *r, struct in_addr address)
+{
+	const struct load_aggregation *a = &r->mesh->aggregation;
+
+	for (size_t i = 0; i < a->peer_count; i++)
+		if (a->peers[i].address.sin_addr.s_addr == address.s_addr)
+			return true;
+	return false;
+}
+
 size_t
 mesh_node_count(const struct relay *r)
 {
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -7,6 +7,30 @@
 	return (struct request *)s;
 }
 
+static void
+note_server_failed(struct request *q)
+{
+	if (q->server != NULL)
+		ld_dispatch_failed(q->server, relay_now(q->relay));
+}
+
+static void
+note_server_answered(struct request *q)
+{
+	if (q->server != NULL)
+		ld_dispatch_answered(q->server, relay_now(q->relay));
+}
+
+/* The send was answered, but not in a way that can be relayed. */
+static void
+retry_or_fail(struct request *q, const char *why)
+{
+	if (q->helper[0] != '\0')
+		request_forward_failed(q, why, true);
+	else
+		request_retry_or_fail(q, why);
+}
+
 static void
 on_field(struct ld_http_sink *s, struct ld_str name, struct ld_str value)
 {
@@ -76,12 +100,14 @@
 	struct request *q = request_of(s);
 
 	q->response.code = code;
+	if (q->server != NULL && ld_http_is_new_connection(q->call))
+		isolation_note_answered(q->relay, q->sent_ms);
 	record_server_state(q);
 	if (q->kind == LD_KIND_STREAM && code == 200 &&
 	    response_verdict(&q->response) == RESPONSE_INVALID) {
 		request_mark_maybe_ran(q);
-		ld_dispatch_failed(q->server, relay_now(q->relay));
-		request_retry_or_fail(q, "foreign-answer");
+		note_server_failed(q);
+		retry_or_fail(q, "foreign-answer");
 	}
 }
 
@@ -101,7 +127,7 @@
 		q->first_event_ms = now;
 		ld_metrics_observe(q->relay->metrics, LD_L_RELAY_FIRST,
 		    (double)(now - q->start_ms));
-		if (q->model[0] != '\0' && q->sends == 1)
+		if (q->model[0] != '\0' && q->sends == 1 && q->server != NULL)
 			ld_dispatch_add_sample(&q->relay->prediction_bias,
 			    ld_str_c(q->model), q->predicted_uncorrected_ms,
 			    now - q->sent_ms);
@@ -153,7 +179,7 @@
 	events_append(&q->events, bytes);
 	if (!relay_events(q)) {
 		request_mark_maybe_ran(q);
-		request_retry_or_fail(q, "event-missing");
+		retry_or_fail(q, "event-missing");
 		return;
 	}
 	if (ld_exchange_backlog(q->x) > LD_ENTRY_BACKLOG_BYTES)
@@ -161,25 +187,34 @@
 }
 
 static void
-handle_complete_response(struct request *q)
+handle_not_run(struct request *q)
 {
-	struct ld_server *s = q->server;
 	uint64_t now = relay_now(q->relay);
 
+	if (q->helper[0] != '\0') {
+		request_forward_refused(q);
+		return;
+	}
+	/* A late or wrong server, or one without room. */
+	if (q->response.code == 421)
+		ld_dispatch_failed(q->server, now);
+	else
+		ld_dispatch_full(q->server, now);
+	request_retry_or_fail(
+	    q, q->response.code == 421 ? "wrong-server" : "full");
+}
+
+static void
+handle_complete_response(struct request *q)
+{
 	switch (response_verdict(&q->response)) {
 	case RESPONSE_NOT_RUN:
-		/* A late or wrong server, or one without room. */
-		if (q->response.code == 421)
-			ld_dispatch_failed(s, now);
-		else
-			ld_dispatch_full(s, now);
-		request_retry_or_fail(
-		    q, q->response.code == 421 ? "wrong-server" : "full");
+		handle_not_run(q);
 		return;
 	case RESPONSE_INVALID:
-		ld_dispatch_failed(s, now);
+		note_server_failed(q);
 		request_mark_ran(q);
-		request_retry_or_fail(q, "foreign-answer");
+		retry_or_fail(q, "foreign-answer");
 		return;
 	case RESPONSE_VALID:
 		break;
@@ -188,14 +223,14 @@
 	/* The client has the head of a stream, so that another response
 	 * can't be relayed. */
 	if (q->response_started) {
-		ld_dispatch_failed(s, now);
-		request_retry_or_fail(q, "server-error");
+		note_server_failed(q);
+		retry_or_fail(q, "server-error");
 		return;
 	}
-	if (q->response.code >= 500 && q->retryable &&
+	if (q->response.code >= 500 && q->retryable && q->server != NULL &&
 	    q->response.code != 504 && request_retry(q, "server-error"))
 		return;
-	ld_dispatch_answered(s, now);
+	note_server_answered(q);
 	if (q->response.code < 300)
 		request_note_answer(q);
 	request_relay_response(q);
@@ -216,12 +251,12 @@
 	request_mark_ran(q);
 	if (stream_is_cut(q)) {
 		request_note_crash(q);
-		ld_dispatch_failed(q->server, relay_now(q->relay));
-		request_retry_or_fail(q, "event-cut");
+		note_server_failed(q);
+		retry_or_fail(q, "event-cut");
 		return;
 	}
 	request_note_answer(q);
-	ld_dispatch_answered(q->server, relay_now(q->relay));
+	note_server_answered(q);
 	if (q->response_started)
 		request_end_stream(q);
 	else
@@ -258,6 +293,13 @@
 	}
 	if (result->sent)
 		request_mark_maybe_ran(q);
+	if (q->helper[0] != '\0') {
+		request_forward_failed(
+		    q, failure_name(result->status), result->sent);
+		return;
+	}
+	if (q->last_byte_ms == 0 && q->response.code == 0)
+		isolation_note_failed(q->relay, q->server, q->sent_ms);
 	if (result->sent && result->status == LD_E_CLOSED)
 		request_note_crash(q);
 	ld_dispatch_failed(q->server, relay_now(q->relay));
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -23,10 +23,14 @@
 /* Parts of prompts in quarantine, written by the leader. */
 #define RELAY_QUARANTINE_PREFIX "lavenderdrift/quarantine/"
 
+/* Names the node that forwards a request, and how many runs are left to it. */
+#define RELAY_FORWARDED_FIELD "Relay-Forwarded"
+
 struct control;
 struct counts;
 struct feed;
 struct follow;
+struct isolation;
 struct leader;
 struct mesh;
 struct ready;
@@ -63,6 +67,7 @@
 	struct follow *follow;
 	struct leader_records *group_records;
 	struct crashing_prompts *crashing_prompts;
+	struct isolation *isolation;
 	struct ld_routes *routes; /* NULL before the first read */
 	struct ld_servers *servers;
 	struct request *requests;
@@ -95,6 +100,10 @@
 /* ---- listen.c ---- */
 
 enum ld_status listen_open(struct relay *r);
+/** listen_forwarded() - accept a request that another node forwards */
+void listen_forwarded(struct relay *r, struct ld_exchange *x);
+/** listen_is_forwarded() - the request was marked by the node that forwards it */
+bool listen_is_forwarded(struct ld_exchange *x);
 /** listen_refuse() - answer locally: status, reason, when to retry */
 void listen_refuse(struct relay *r, struct ld_exchange *x, unsigned int code,
     const char *reason, uint64_t retry_after_ms);
@@ -106,6 +115,8 @@
 	const struct ld_route_rule *rule;
 	const struct ld_account *account; /* NULL on an anonymous route */
 	struct ld_str service;
+	bool forwarded; /* by another node */
+	uint32_t runs_left; /* if so: of the bound on its runs */
 };
 
 /** request_start() - take ownership of an exchange */
@@ -125,6 +136,21 @@
 void silent_groups_on_alarm(
     struct relay *r, struct ld_str group, int64_t epoch);
 
+/* ---- isolation.c: this node reaches no server, while other nodes do ---- */
+
+void isolation_open(struct relay *r);
+void isolation_close(struct relay *r);
+void isolation_tick(struct relay *r);
+/** isolation_is_active() - requests are forwarded to other nodes */
+bool isolation_is_active(const struct relay *r);
+/** isolation_is_suspected() - failed sends may be this node's fault */
+bool isolation_is_suspected(const struct relay *r);
+/** isolation_note_failed() - a send to @server got no byte since @since_ms */
+void isolation_note_failed(
+    struct relay *r, const struct ld_server *server, uint64_t since_ms);
+/** isolation_note_answered() - a new connection, used at @sent_ms, answers */
+void isolation_note_answered(struct relay *r, uint64_t sent_ms);
+
 /* ---- server_limits.c: rates that servers grant to all nodes together ---- */
 
 /**
@@ -191,6 +217,13 @@
 void changes_server_reset(struct relay *r, int64_t revision);
 void changes_server_add(
     struct relay *r, const struct ld_store_changes *changes);
+/** changes_server_set_bounds() - of the requests that peers forward */
+void changes_server_set_bounds(struct relay *r, size_t max_body_bytes,
+    uint64_t idle_timeout_ms, uint64_t head_timeout_ms);
+/** changes_server_set_closing() - see ld_listener_set_closing() */
+void changes_server_set_closing(struct relay *r);
+/** changes_server_open_exchanges() - see ld_listener_open_exchanges() */
+size_t changes_server_open_exchanges(const struct relay *r);
 /** changes_server_in_use() - a peer sent a request recently */
 bool changes_server_in_use(const struct relay *r);
 
@@ -259,6 +292,16 @@
 	bool holds_control; /* as last read from the store */
 };
 
+/**
+ * mesh_find_helper() - a node to forward a request to, drawn at random
+ *
+ * Return: false when there is none.
+ */
+bool mesh_find_helper(struct relay *r, struct mesh_delegate *out);
+/** mesh_exclude_helper() - forward no request to that node until then */
+void mesh_exclude_helper(struct relay *r, const char *name, uint64_t until_ms);
+/** mesh_is_node_address() - a listed node has that address */
+bool mesh_is_node_address(const struct relay *r, struct in_addr address);
 /**
  * mesh_find_delegate() - the node through which this one follows the store
  *
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -38,6 +38,7 @@
 	if (q->call != NULL)
 		ld_http_cancel(q->call);
 	q->call = NULL;
+	q->helper[0] = '\0';
 	release_server(q);
 }
 
@@ -81,8 +82,8 @@
 		q->tried[q->tried_count++] = ld_strdup(s->entry.id);
 }
 
-static void
-start_send(struct request *q, struct ld_server *s)
+void
+request_start_call(struct request *q, const char *address)
 {
 	struct relay *r = q->relay;
 	uint64_t now = relay_now(r);
@@ -101,7 +102,6 @@
 	    .max_body = RESPONSE_MAX_BYTES,
 	};
 
-	assign_server(q, s);
 	response_reset(&q->response);
 	events_reset(&q->events);
 	q->resume_retried = false;
@@ -109,10 +109,9 @@
 	q->send_first_event_ms = 0;
 	q->sent_ms = now;
 	q->sends++;
-	relay_count(r, LD_M_RELAY_SENDS);
 	headers_build(q, &h, remaining_ms);
 	h.line[h.count] = NULL;
-	ld_buf_printf(&url, "http://%s/", s->entry.address);
+	ld_buf_printf(&url, "http://%s/", address);
 	rq.url = ld_buf_cstr(&url);
 	rq.headers = (const char *const *)h.line;
 	/* Methods with a body send Content-Length also when it is empty. */
@@ -125,6 +124,14 @@
 	q->call = ld_http_start(r->http, &rq, &q->sink);
 	headers_free(&h);
 	ld_buf_free(&url);
+}
+
+static void
+start_send(struct request *q, struct ld_server *s)
+{
+	assign_server(q, s);
+	relay_count(q->relay, LD_M_RELAY_SENDS);
+	request_start_call(q, s->entry.address);
 	if (q->call == NULL)
 		request_retry_or_fail(q, "bad-address");
 }
@@ -174,6 +181,9 @@
 		request_fail(q, "quarantined", c.retry_after_ms);
 		return;
 	}
+	if (isolation_is_active(r) && request_can_forward(q) &&
+	    request_forward(q))
+		return;
 	if (q->response_started || q->sends > 0)
 		d.remaining_ms = q->deadline_ms - now;
 	memcpy(d.tried, q->tried, sizeof(d.tried));
@@ -301,7 +311,13 @@
 	r->requests = q;
 	r->request_count++;
 	ld_exchange_set_user_data(x, q);
-	ld_retry_count_request(retry_budget(r, q->service), relay_now(r));
+	/* The node that forwards a request has counted it. */
+	q->forwarded = facts->forwarded;
+	if (!q->forwarded)
+		ld_retry_count_request(
+		    retry_budget(r, q->service), relay_now(r));
+	else if (facts->runs_left < q->max_runs)
+		q->max_runs = facts->runs_left;
 	ld_timer_start(ld_loop_timers(r->loop), &q->timer, q->deadline_ms);
 	request_send(q);
 }
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -70,7 +70,8 @@
 	struct ld_prompt prompt;
 	/* The send in progress. */
 	struct ld_http_call *call;
-	struct ld_server *server;
+	struct ld_server *server; /* NULL if sent to another node */
+	char helper[LD_GROUP_NAME_MAX]; /* that node, empty for none */
 	char group[LD_GROUP_NAME_MAX]; /* of the last send, "-" for none */
 	uint64_t sent_ms;
 	uint64_t send_first_event_ms; /* first event of this send, 0: none */
@@ -83,6 +84,9 @@
 	unsigned int possible_runs; /* sends that may have run */
 	bool maybe_ran;
 	bool answer_went_on; /* see request_note_answer() */
+	bool forwarded; /* by another node: not forwarded again */
+	unsigned int forwards; /* sends to other nodes */
+	bool helper_in_doubt; /* one of them may have sent it to a server */
 	char *tried[LD_DISPATCH_TRIED_MAX];
 	size_t tried_count;
 	/* Event streams only. */
@@ -101,6 +105,8 @@
 
 /** request_send() - choose a server and send to it, or end the request */
 void request_send(struct request *q);
+/** request_start_call() - send to @address, with headers_build() */
+void request_start_call(struct request *q, const char *address);
 /** request_cancel_send() - cancel the send in progress, if any */
 void request_cancel_send(struct request *q);
 void request_free(struct request *q);
@@ -109,6 +115,20 @@
 
 extern const struct ld_http_sink_ops request_sink_ops;
 
+/* ---- forward.c: sends through other nodes ---- */
+
+/** request_forward() - send to another node; false if there is none */
+bool request_forward(struct request *q);
+/** request_can_forward() - whether it may be sent to another node now */
+bool request_can_forward(const struct request *q);
+/**
+ * request_forward_refused() - the other node says that no server ran it; tries
+ * the next node, or ends the request
+ */
+void request_forward_refused(struct request *q);
+/** request_forward_failed() - the send to the other node gave no answer */
+void request_forward_failed(struct request *q, const char *why, bool sent);
+
 /* ---- retry.c ---- */
 
 struct ld_retry_budget *retry_budget(struct relay *r, const char *service);
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -61,6 +61,13 @@
 
 	if (q->maybe_ran && !q->retryable)
 		return false;
+	if (q->helper_in_doubt)
+		return false;
+	/* No server has received it: the other node's send is the first. */
+	if (!q->maybe_ran && isolation_is_active(q->relay) &&
+	    request_can_forward(q))
+		return relay_now(q->relay) + RETRY_MIN_REMAINING_MS <
+		    q->deadline_ms;
 	if (q->sends >= SENDS_MAX || q->possible_runs >= q->max_runs)
 		return false;
 	if (relay_now(q->relay) + RETRY_MIN_REMAINING_MS >= q->deadline_ms)
@@ -121,12 +128,15 @@
 {
 	uint64_t since = q->last_byte_ms > 0 ? q->last_byte_ms : q->sent_ms;
 
-	if (q->server == NULL || !q->server->silent || !q->retryable ||
-	    now < since + SILENT_MOVE_MS || q->possible_runs + 1 >= q->max_runs)
+	bool isolated = isolation_is_active(q->relay);
+
+	if (q->server == NULL || !(q->server->silent || isolated) ||
+	    !q->retryable || now < since + SILENT_MOVE_MS ||
+	    q->possible_runs + 1 >= q->max_runs)
 		return;
 	request_mark_maybe_ran(q);
 	request_note_crash(q);
-	request_retry_or_fail(q, "group-silent");
+	request_retry_or_fail(q, isolated ? "node-isolated" : "group-silent");
 }
 
 void
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -114,6 +114,7 @@
 	    r->request_count, ld_listener_connections(r->entry),
 	    (unsigned long long)p->grace_ms);
 	ld_listener_set_closing(r->entry);
+	changes_server_set_closing(r);
 	leader_resign(r);
 }
 
@@ -139,7 +140,9 @@
 	r->refusing = since >= STOP_ACCEPT_MS;
 	if (since < STOP_ACCEPT_MS && since + STOP_MARGIN_MS < p->grace_ms)
 		return;
-	if (ld_listener_open_exchanges(r->entry) > 0 &&
+	if (ld_listener_open_exchanges(r->entry) +
+		    changes_server_open_exchanges(r) >
+		0 &&
 	    since + STOP_MARGIN_MS < p->grace_ms)
 		return;
 	ld_event("stop.done", "ms=%llu cut=%zu", (unsigned long long)since,
@@ -165,6 +168,7 @@
 	leader_records_tick(r->group_records);
 	crashing_prompts_tick(r);
 	silent_groups_check(r);
+	isolation_tick(r);
 	usage_tick(r);
 	server_limits_tick(r);
 	check_stop(p);
@@ -249,6 +253,7 @@
 	log_adjusted_settings(settings);
 	control_open(r);
 	leader_open(r);
+	isolation_open(r);
 	st = listen_open(r);
 	if (st != LD_OK)
 		goto out;
@@ -279,6 +284,7 @@
 	changes_server_close(r);
 	mesh_close(r);
 	ld_listener_free(r->entry);
+	isolation_close(r);
 	leader_close(r);
 	control_close(r);
 	ld_http_free(r->http);
--- a/lib/relay/silent_groups.c
+++ b/lib/relay/silent_groups.c
@@ -14,6 +14,16 @@
  * scheduled only every 100 ms. */
 #define LATE_CHECK_MS 120
 
+/* A server that other nodes hear is not heard here after this time beyond the
+ * time at which a byte was due, ms. */
+#define DEAF_MS 450
+
+static uint64_t
+max_ms(uint64_t x, uint64_t y)
+{
+	return x > y ? x : y;
+}
+
 /* The latest time at which the next byte of a request is due. */
 static uint64_t
 next_byte_due_ms(const struct request *q)
@@ -40,7 +50,15 @@
 static void
 check_group(struct relay *r, struct ld_server *s, uint64_t now)
 {
-	if (!ld_dispatch_silent(s, r->on_time_since_ms, now)) {
+	/* Other nodes receive bytes that are due here. */
+	if (s->byte_due_ms > 0 && s->peer_last_byte_ms > s->last_byte_ms &&
+	    now > max_ms(max_ms(s->byte_due_ms, s->last_byte_ms),
+		      r->on_time_since_ms) +
+		    DEAF_MS)
+		isolation_note_failed(
+		    r, s, max_ms(s->byte_due_ms, s->last_byte_ms));
+	if (isolation_is_active(r) ||
+	    !ld_dispatch_silent(s, r->on_time_since_ms, now)) {
 		s->silent = false;
 		return;
 	}
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -177,7 +177,8 @@
 	    "Authorization: Bearer %s", key);
 	if (prompt != NULL)
 		snprintf(parts, sizeof(parts), "X-Prefix-Hash: %s", prompt);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(ld_http_start(http, &rq, &c->sink));
+	c->call = ld_http_start(http, &rq, &c->sink);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c->call);
 }
 
 void
@@ -327,8 +328,10 @@
 void
 close_second_relay(struct second_relay *b)
 {
-	kill(b->pid, SIGKILL);
-	waitpid(b->pid, NULL, 0);
+	if (b->pid > 0) {
+		kill(b->pid, SIGKILL);
+		waitpid(b->pid, NULL, 0);
+	}
 	ld_kv_store_free(b->store);
 	unlink(second_path);
 }
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -18,6 +18,7 @@
 /** struct client - one request and its answer */
 struct client {
 	struct ld_http_sink sink; /* first member */
+	struct ld_http_call *call;
 	struct ld_buf body;
 	long code;
 	bool done;
@@ -65,7 +66,7 @@
 };
 
 struct second_relay start_second_relay(void);
-/** close_second_relay() - kill it, and close its store */
+/** close_second_relay() - kill it unless @pid is 0, and close its store */
 void close_second_relay(struct second_relay *b);
 struct ld_loop *session_loop(void);
 void run_for(uint64_t ms);
--- a/tests/faults/test_nodes_without_servers.c
+++ b/tests/faults/test_nodes_without_servers.c
@@ -167,6 +167,64 @@
 	press(2000, percent);
 	CU_ASSERT_EQUAL(percent[0], 100);
 	CU_ASSERT_EQUAL(percent[1], 100);
+}
+
+static void
+set_all(enum behaviour behaviour)
+{
+	servers[0].behaviour = servers[1].behaviour = behaviour;
+	for (int i = 0; i < MORE_SERVERS; i++)
+		more[i].behaviour = behaviour;
+}
+
+static unsigned int
+streams_open(void)
+{
+	unsigned int n = servers[0].slow != NULL;
+
+	n += servers[1].slow != NULL;
+	for (int i = 0; i < MORE_SERVERS; i++)
+		n += more[i].slow != NULL;
+	return n;
+}
+
+/* Through both relays, while the first is cut. */
+static void
+test_close_of_a_client_reaches_the_server(void)
+{
+	unsigned int percent[2];
+	struct client *c = &clients[0][0];
+
+	put_servers(store, DOOR_REFUSES, 8);
+	press(STABLE_MS, percent);
+	set_all(STREAMS_SLOWLY);
+	start_at(c, relay_address, "POST", "/events/a", "k1");
+	run_for(150);
+	CU_ASSERT_EQUAL(streams_open(), 1);
+	ld_http_cancel(c->call);
+	/* The stream would last for 600 ms; the users' bound is 500 ms. */
+	run_for(200);
+	CU_ASSERT_EQUAL(streams_open(), 0);
+	ld_buf_free(&c->body);
+}
+
+static void
+test_a_helper_that_stops_ends_its_streams(void)
+{
+	struct client *c = &clients[0][0];
+	int status;
+
+	start_at(c, relay_address, "POST", "/events/a", "k1");
+	run_for(150);
+	CU_ASSERT_EQUAL(kill(b.pid, SIGTERM), 0);
+	wait_for(c);
+	CU_ASSERT(c->code == 200 && c->status == LD_OK && c->is_signed);
+	CU_ASSERT_PTR_NOT_NULL(strstr(ld_buf_cstr(&c->body), "data: e6"));
+	ld_buf_free(&c->body);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(b.pid, &status, WNOHANG), b.pid);
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	b.pid = 0;
 	close_second_relay(&b);
 	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
 	run_for(5000);
@@ -186,6 +244,10 @@
 		test_clients_are_served_while_connections_hang},
 	    {"refused at once if no node reaches servers",
 		test_refused_at_once_if_no_node_reaches_servers},
+	    {"close of a client reaches the server",
+		test_close_of_a_client_reaches_the_server},
+	    {"a helper that stops ends its streams",
+		test_a_helper_that_stops_ends_its_streams},
 	    {NULL, NULL},
 	};
 
