tests, load_aggregation: clean for the linter

make lint on the two fixes named three places: padding of struct candidates, memcmp() of struct mesh_load, which has padding now (each member is compared instead), and an index in test_reachability. No behaviour changes; test_relay_parts 11, test_aggregate 10, test_reachability 5 passed.

--- a/lib/relay/load_aggregation.c
+++ b/lib/relay/load_aggregation.c
@@ -360,9 +360,9 @@
 
 /** struct candidates - nodes of one failure domain, preferred ones first */
 struct candidates {
-	uint32_t domain;
-	struct peer *v[CANDIDATES_MAX];
 	size_t n;
+	struct peer *v[CANDIDATES_MAX];
+	uint32_t domain;
 	bool has_aggregator; /* one of its nodes sends partial sums */
 };
 
--- a/tests/unit/test_reachability.c
+++ b/tests/unit/test_reachability.c
@@ -27,15 +27,14 @@
 	}
 }
 
-/* Sends to the first @n servers fail; the next @heard are heard by others. */
+/* Sends to the first @n servers fail; others hear the first @heard. */
 static bool
-fail(int n, int heard, uint64_t at_ms)
+fail(size_t n, size_t heard, uint64_t at_ms)
 {
-	for (int i = 0; i < n; i++) {
-		if (i < heard)
-			s[i]->peer_last_byte_ms = at_ms + 100;
+	for (size_t i = 0; i < heard; i++)
+		s[i]->peer_last_byte_ms = at_ms + 100;
+	for (size_t i = 0; i < n; i++)
 		ld_reach_failed(&reach, s[i]->id_hash, at_ms, at_ms + 200);
-	}
 	return ld_reach_evaluate(&reach, servers, at_ms + 300);
 }
 
--- a/tests/unit/test_relay_parts.c
+++ b/tests/unit/test_relay_parts.c
@@ -225,6 +225,23 @@
 	return d;
 }
 
+static void
+check_same_loads(const struct mesh_datagram *x, const struct mesh_datagram *y)
+{
+	for (size_t i = 0; i < MESH_LOADS_MAX; i++) {
+		const struct mesh_load *a = &x->loads[i], *b = &y->loads[i];
+
+		CU_ASSERT_EQUAL(a->server, b->server);
+		CU_ASSERT_EQUAL(a->active, b->active);
+		CU_ASSERT_EQUAL(a->heard_ago_ms, b->heard_ago_ms);
+		CU_ASSERT_EQUAL(
+		    memcmp(a->counts, b->counts, sizeof(a->counts)), 0);
+		CU_ASSERT_EQUAL(a->has_rate, b->has_rate);
+		CU_ASSERT_EQUAL(a->rate_milli, b->rate_milli);
+		CU_ASSERT_EQUAL(a->rate_ago_ms, b->rate_ago_ms);
+	}
+}
+
 static void
 test_datagrams(void)
 {
@@ -238,7 +255,7 @@
 	CU_ASSERT_EQUAL(back.number, d.number);
 	CU_ASSERT_EQUAL(back.can_delegate, d.can_delegate);
 	CU_ASSERT_EQUAL(back.load_count, d.load_count);
-	CU_ASSERT_EQUAL(memcmp(back.loads, d.loads, sizeof(d.loads)), 0);
+	check_same_loads(&back, &d);
 	CU_ASSERT_EQUAL(back.alarm_count, d.alarm_count);
 	CU_ASSERT_EQUAL(memcmp(back.alarms, d.alarms, sizeof(d.alarms)), 0);
 	CU_ASSERT(!mesh_decode((struct ld_str){b.p, b.len - 1}, &back));
@@ -270,7 +287,7 @@
 	CU_ASSERT_FATAL(mesh_decode(ld_buf_str(&b), &back));
 	CU_ASSERT_EQUAL(back.covered, 195);
 	CU_ASSERT_EQUAL(back.load_count, d.load_count);
-	CU_ASSERT_EQUAL(memcmp(back.loads, d.loads, sizeof(d.loads)), 0);
+	check_same_loads(&back, &d);
 	for (size_t cut = 1; cut < b.len; cut++)
 		CU_ASSERT(
 		    !mesh_decode((struct ld_str){b.p, b.len - cut}, &back));
