isolation: busy or silent servers are no sign of a lost path

Cause: a request that waits in a server's queue counted as a failed send after 450 ms, while other nodes' streams of the server went on; answers over kept connections did not count against it; and when all servers paused for a moment, the last bytes of other nodes were some ms newer.

Change: failures over an open connection are forgiven by any byte of any server, those of connections that can't be set up by a new connection's answer only; a request without an answer counts after 1 s, a stream that stops after 450 ms; other nodes must have heard the servers within the last 350 ms, and 150 ms after this node. Random numbers for limits are drawn only where a limit is in force.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -218,13 +218,13 @@
 
 /* Whether the server's limit has room; if not, the server is remembered. */
 static bool
-is_within_limit(struct draw *d, struct ld_server *s, double cost, double random,
-    uint64_t now_ms)
+is_within_limit(struct draw *d, struct ld_server *s, double cost,
+    struct ld_rand *rand, uint64_t now_ms)
 {
 	struct denied *x = &d->denied;
 
 	if (!ld_server_is_limited(s, now_ms) ||
-	    ld_allowance_admits(s->allowance, random, now_ms))
+	    ld_allowance_admits(s->allowance, ld_rand_unit(rand), now_ms))
 		return true;
 	if (x->n < DENIED_MAX) {
 		x->servers[x->n] = s;
@@ -283,8 +283,7 @@
 	} else {
 		cost = plain_cost(rq, s, random);
 	}
-	if (!last_resort &&
-	    !is_within_limit(d, s, cost, ld_rand_unit(rand), now_ms))
+	if (!last_resort && !is_within_limit(d, s, cost, rand, now_ms))
 		return;
 	if (!last_resort &&
 	    (d->soonest == NULL || predicted_ms < d->soonest_ms)) {
--- a/lib/dispatch/ld_dispatch.h
+++ b/lib/dispatch/ld_dispatch.h
@@ -151,10 +151,17 @@
 
 #define LD_REACH_FAILURES_MAX 16
 
-/** struct ld_reach_failure - the last failed send to one server */
+/**
+ * struct ld_reach_failure - failed sends to one server
+ * @server: id_hash
+ * @connected: the connection was there, and no byte came over it
+ * @since_ms: time of the first such send, or of its last byte
+ * @at_ms: when the last one failed
+ */
 struct ld_reach_failure {
-	uint32_t server; /* id_hash */
-	uint64_t since_ms; /* of the send, or of its last byte */
+	uint32_t server;
+	bool connected;
+	uint64_t since_ms;
 	uint64_t at_ms;
 };
 
@@ -173,19 +180,24 @@
 };
 
 /** ld_reach_failed() - a send of @since_ms to @server got no byte for too long */
-void ld_reach_failed(struct ld_reachability *r, uint32_t server,
+void ld_reach_failed(struct ld_reachability *r, uint32_t server, bool connected,
     uint64_t since_ms, uint64_t now_ms);
 /**
- * ld_reach_answered() - the answer to a send of @sent_ms began
- *
- * To be called for new connections only: a partition may spare the open ones.
+ * ld_reach_answered() - the answer to a send of @sent_ms began over a new
+ * connection
  */
 void ld_reach_answered(struct ld_reachability *r, uint64_t sent_ms);
+/**
+ * ld_reach_heard() - a byte came from a server, over any connection
+ *
+ * So open connections work; a partition may refuse new ones only.
+ */
+void ld_reach_heard(struct ld_reachability *r);
 /**
  * ld_reach_evaluate() - whether this node is isolated
  *
- * It is when its sends to several servers failed, none over a new connection was
- * answered since, and other nodes have received bytes from some of these servers.
+ * It is when its sends to several servers failed, none was answered since, and
+ * other nodes have received bytes from some of these servers.
  * Servers that crashed are silent for all nodes.
  *
  * Return: true if it became isolated now.
--- a/lib/dispatch/reachability.c
+++ b/lib/dispatch/reachability.c
@@ -6,8 +6,11 @@
 /* Servers that must have failed, and of these that other nodes must hear. */
 #define FAILED_MIN 3
 #define HEARD_MIN 2
-/* Other nodes hear a server if they received a byte within this time, ms. */
-#define HEARD_MS 1500
+/* Other nodes hear a server if they received a byte within HEARD_MS, the longest
+ * delay of reports, and HEARD_AFTER_MS after this node's last one: all servers
+ * may be silent for a moment, which ends differently by some bytes. */
+#define HEARD_MS 350
+#define HEARD_AFTER_MS 150
 /* Successful probes in a row after which the node uses servers again, and the
  * time that it stays isolated at least, ms. */
 #define PROBES_MIN 3
@@ -25,19 +28,21 @@
 }
 
 void
-ld_reach_failed(struct ld_reachability *r, uint32_t server, uint64_t since_ms,
-    uint64_t now_ms)
+ld_reach_failed(struct ld_reachability *r, uint32_t server, bool connected,
+    uint64_t since_ms, uint64_t now_ms)
 {
 	size_t i = 0;
 
 	drop_old(r, now_ms);
-	while (i < r->n && r->failures[i].server != server)
+	while (i < r->n &&
+	    (r->failures[i].server != server ||
+		r->failures[i].connected != connected))
 		i++;
 	if (i == LD_REACH_FAILURES_MAX)
 		return;
 	if (i == r->n)
-		r->failures[r->n++] =
-		    (struct ld_reach_failure){server, since_ms, now_ms};
+		r->failures[r->n++] = (struct ld_reach_failure){
+		    server, connected, since_ms, now_ms};
 	else
 		r->failures[i].at_ms = now_ms;
 }
@@ -52,13 +57,35 @@
 		}
 }
 
+void
+ld_reach_heard(struct ld_reachability *r)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < r->n; i++)
+		if (!r->failures[i].connected)
+			r->failures[kept++] = r->failures[i];
+	r->n = kept;
+}
+
+/* Whether an earlier row names the same server, by the other kind of failure. */
+static bool
+is_repeated(const struct ld_reachability *r, size_t row)
+{
+	for (size_t i = 0; i < row; i++)
+		if (r->failures[i].server == r->failures[row].server)
+			return true;
+	return false;
+}
+
 bool
 ld_reach_is_suspected(const struct ld_reachability *r, uint64_t now_ms)
 {
 	size_t n = 0;
 
 	for (size_t i = 0; i < r->n; i++)
-		n += now_ms < r->failures[i].at_ms + FAILURE_MS;
+		n += now_ms < r->failures[i].at_ms + FAILURE_MS &&
+		    !is_repeated(r, i);
 	return r->isolated || n > 1;
 }
 
@@ -66,7 +93,7 @@
 ld_reach_evaluate(
     struct ld_reachability *r, struct ld_servers *servers, uint64_t now_ms)
 {
-	size_t heard = 0;
+	size_t failed = 0, heard = 0;
 
 	if (r->isolated || r->n < FAILED_MIN)
 		return false;
@@ -75,11 +102,15 @@
 		const struct ld_server *s =
 		    ld_servers_find_hash(servers, r->failures[i].server);
 
+		if (is_repeated(r, i))
+			continue;
+		failed++;
 		heard += s != NULL &&
-		    s->peer_last_byte_ms > r->failures[i].since_ms &&
+		    s->peer_last_byte_ms >
+			r->failures[i].since_ms + HEARD_AFTER_MS &&
 		    now_ms < s->peer_last_byte_ms + HEARD_MS;
 	}
-	if (r->n < FAILED_MIN || heard < HEARD_MIN)
+	if (failed < FAILED_MIN || heard < HEARD_MIN)
 		return false;
 	r->isolated = true;
 	r->since_ms = now_ms;
--- a/lib/relay/isolation.c
+++ b/lib/relay/isolation.c
@@ -34,14 +34,14 @@
 }
 
 void
-isolation_note_failed(
-    struct relay *r, const struct ld_server *server, uint64_t since_ms)
+isolation_note_failed(struct relay *r, const struct ld_server *server,
+    bool connected, uint64_t since_ms)
 {
 	/* This process was delayed: the answer may have arrived. */
 	if (since_ms < r->on_time_since_ms)
 		return;
-	ld_reach_failed(
-	    &r->isolation->reach, server->id_hash, since_ms, relay_now(r));
+	ld_reach_failed(&r->isolation->reach, server->id_hash, connected,
+	    since_ms, relay_now(r));
 }
 
 void
@@ -50,6 +50,12 @@
 	ld_reach_answered(&r->isolation->reach, sent_ms);
 }
 
+void
+isolation_note_heard(struct relay *r)
+{
+	ld_reach_heard(&r->isolation->reach);
+}
+
 /* Servers that seemed to fail are as sound as before. */
 static void
 clear_suspicions(struct relay *r)
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -46,8 +46,10 @@
 	uint64_t now = ld_timers_now(ld_loop_timers(q->relay->loop));
 
 	q->last_byte_ms = now;
-	if (q->server != NULL)
-		q->server->last_byte_ms = now;
+	if (q->server == NULL)
+		return;
+	q->server->last_byte_ms = now;
+	isolation_note_heard(q->relay);
 }
 
 /* The rate that the answer names; a valid one without a rate ends an earlier
@@ -100,8 +102,11 @@
 	struct request *q = request_of(s);
 
 	q->response.code = code;
-	if (q->server != NULL && ld_http_is_new_connection(q->call))
-		isolation_note_answered(q->relay, q->sent_ms);
+	if (q->server != NULL) {
+		isolation_note_heard(q->relay);
+		if (ld_http_is_new_connection(q->call))
+			isolation_note_answered(q->relay, q->sent_ms);
+	}
 	record_server_state(q);
 	if (q->kind == LD_KIND_STREAM && code == 200 &&
 	    response_verdict(&q->response) == RESPONSE_INVALID) {
@@ -299,7 +304,8 @@
 		return;
 	}
 	if (q->last_byte_ms == 0 && q->response.code == 0)
-		isolation_note_failed(q->relay, q->server, q->sent_ms);
+		isolation_note_failed(
+		    q->relay, q->server, result->sent, q->sent_ms);
 	if (result->sent && result->status == LD_E_CLOSED)
 		request_note_crash(q);
 	ld_dispatch_failed(q->server, relay_now(q->relay));
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -145,11 +145,13 @@
 bool isolation_is_active(const struct relay *r);
 /** isolation_is_suspected() - failed sends may be this node's fault */
 bool isolation_is_suspected(const struct relay *r);
-/** isolation_note_failed() - a send to @server got no byte since @since_ms */
-void isolation_note_failed(
-    struct relay *r, const struct ld_server *server, uint64_t since_ms);
-/** isolation_note_answered() - a new connection, used at @sent_ms, answers */
+/**
+ * isolation_note_failed() - see ld_reach_failed(); the other functions likewise
+ */
+void isolation_note_failed(struct relay *r, const struct ld_server *server,
+    bool connected, uint64_t since_ms);
 void isolation_note_answered(struct relay *r, uint64_t sent_ms);
+void isolation_note_heard(struct relay *r);
 
 /* ---- server_limits.c: rates that servers grant to all nodes together ---- */
 
--- a/lib/relay/silent_groups.c
+++ b/lib/relay/silent_groups.c
@@ -14,9 +14,11 @@
  * scheduled only every 100 ms. */
 #define LATE_CHECK_MS 120
 
-/* A server that other nodes hear is not heard here after this time beyond the
- * time at which a byte was due, ms. */
-#define DEAF_MS 450
+/* A stream has stopped after this time without a byte of its server, ms. */
+#define STOPPED_MS 450
+/* The same of a request without an answer, which may wait in the server's
+ * queue, ms. */
+#define UNANSWERED_MS 1000
 
 static uint64_t
 max_ms(uint64_t x, uint64_t y)
@@ -50,13 +52,6 @@
 static void
 check_group(struct relay *r, struct ld_server *s, uint64_t now)
 {
-	/* Other nodes receive bytes that are due here. */
-	if (s->byte_due_ms > 0 && s->peer_last_byte_ms > s->last_byte_ms &&
-	    now > max_ms(max_ms(s->byte_due_ms, s->last_byte_ms),
-		      r->on_time_since_ms) +
-		    DEAF_MS)
-		isolation_note_failed(
-		    r, s, max_ms(s->byte_due_ms, s->last_byte_ms));
 	if (isolation_is_active(r) ||
 	    !ld_dispatch_silent(s, r->on_time_since_ms, now)) {
 		s->silent = false;
@@ -85,14 +80,34 @@
 		s->suspect_until_ms = now + SILENT_SUSPECT_MS;
 }
 
+/* A stream has stopped here, or a request gets no answer, while other nodes
+ * receive bytes of the server. */
+static void
+check_send(struct relay *r, const struct request *q, uint64_t now)
+{
+	const struct ld_server *s = q->server;
+	uint64_t since, limit_ms;
+
+	if (s == NULL || q->call == NULL ||
+	    s->peer_last_byte_ms <= s->last_byte_ms)
+		return;
+	since = q->last_byte_ms > 0 ? s->last_byte_ms
+				    : max_ms(q->sent_ms, s->last_byte_ms);
+	limit_ms = q->last_byte_ms > 0 ? STOPPED_MS : UNANSWERED_MS;
+	if (now > max_ms(since, r->on_time_since_ms) + limit_ms)
+		isolation_note_failed(r, s, ld_http_maybe_sent(q->call), since);
+}
+
 /* A server with several requests is checked once for each, which has no further
  * effect. */
 static void
 check_groups(struct relay *r, uint64_t now)
 {
-	for (struct request *q = r->requests; q != NULL; q = q->next)
+	for (struct request *q = r->requests; q != NULL; q = q->next) {
+		check_send(r, q, now);
 		if (q->server != NULL)
 			check_group(r, q->server, now);
+	}
 }
 
 void
