--- a/lib/relay/mesh_peers.c
+++ b/lib/relay/mesh_peers.c
@@ -138,6 +138,17 @@
 	return false;
 }
 
+static void
+set_address(const struct peer *p, struct mesh_delegate *out)
+{
+	char host[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &p->address.sin_addr, host, sizeof(host));
+	snprintf(out->name, sizeof(out->name), "%s", p->name);
+	snprintf(out->address, sizeof(out->address), "%s:%u", host,
+	    ntohs(p->address.sin_port));
+}
+
 /* ---- Choice of the delegate ---- */
 
 /* A node that does not aggregate follows its aggregator. An aggregator follows
@@ -172,16 +183,12 @@
 {
 	uint64_t now = relay_now(r);
 	struct peer *p = find_delegate(r, &out->holds_control);
-	char host[INET_ADDRSTRLEN];
 
 	/* The next best node follows the excluded one, so it can't be used
 	 * either. */
 	if (p == NULL || now < p->excluded_until_ms)
 		return false;
-	inet_ntop(AF_INET, &p->address.sin_addr, host, sizeof(host));
-	snprintf(out->name, sizeof(out->name), "%s", p->name);
-	snprintf(out->address, sizeof(out->address), "%s:%u", host,
-	    ntohs(p->address.sin_port));
+	set_address(p, out);
 	return true;
 }
 
@@ -218,7 +225,6 @@
 	const struct load_aggregation *a = &r->mesh->aggregation;
 	uint64_t now = relay_now(r), sum = 0;
 	const struct peer *p = NULL;
-	char host[INET_ADDRSTRLEN];
 
 	for (size_t i = 0; i < a->peer_count; i++) {
 		uint64_t weight = help_weight(a, &a->peers[i]);
@@ -231,10 +237,7 @@
 	}
 	if (p == NULL)
 		return false;
-	inet_ntop(AF_INET, &p->address.sin_addr, host, sizeof(host));
-	snprintf(out->name, sizeof(out->name), "%s", p->name);
-	snprintf(out->address, sizeof(out->address), "%s:%u", host,
-	    ntohs(p->address.sin_port));
+	set_address(p, out);
 	return true;
 }
 
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -287,7 +287,7 @@
 void mesh_finding(struct relay *r, const struct ld_finding *f);
 /** mesh_has_larger_node() - a listed node has a larger share of a core */
 bool mesh_has_larger_node(const struct relay *r);
-/** struct mesh_delegate - a peer through which the store can be followed */
+/** struct mesh_delegate - a peer to follow the store through, or to forward to */
 struct mesh_delegate {
 	char name[LD_GROUP_NAME_MAX];
 	char address[32]; /* "IP:PORT" */
