tests: the end of a limit by the next answer and the time of reports

Traced: limit named no longer at 21,400 ms; next request at 22,005, its answer at 22,205, last refusal at 22,430. The test's one second for both was mine, not a stated bound. It is replaced by two checks: the next answer within 1 s, and no refusal later than the 300 ms of load reports after it. Both hold with 805 and 225 ms; a node that learns of the end by its own next answer only fails the second one. test_server_limits: 9 passed.

--- a/tests/limits_world.h
+++ b/tests/limits_world.h
@@ -24,6 +24,8 @@
 #define SLACK 5
 /* The part of a limit that is used when the demand is there. */
 #define USED 0.9
+/* Target of placement: a load report reaches every node within this time. */
+#define REPORTED_WITHIN_MS 300
 #define ALL_NODES SIZE_MAX
 
 /** struct answer - a request in progress at a server */
@@ -48,6 +50,8 @@
 	size_t answer_count;
 	size_t begin; /* step at which the fleet was opened */
 	unsigned int refused;
+	uint64_t last_refused_ms;
+	uint64_t unlimited_ms; /* first answer without a limit */
 	uint64_t retry_after_ms; /* of the last refusal */
 } w;
 
@@ -109,6 +113,7 @@
 	if (ld_dispatch_pick(n->a.servers, &rq, &fleet.rand, fleet.now, &c) !=
 	    LD_DISPATCH_SEND) {
 		w.refused++;
+		w.last_refused_ms = fleet.now;
 		w.retry_after_ms = c.retry_after_ms;
 		return;
 	}
@@ -131,6 +136,9 @@
 		struct ld_server *s = head_at(&fleet.nodes[a->node], a->server);
 		double limit = w.limit[a->server];
 
+		if (fleet.now == a->head_ms && limit == 0 &&
+		    w.unlimited_ms == 0)
+			w.unlimited_ms = fleet.now;
 		if (fleet.now == a->head_ms)
 			(void)ld_server_observe_rate(s,
 			    limit > 0 ? (uint32_t)(limit * 1000)
--- a/tests/unit/test_server_limits.c
+++ b/tests/unit/test_server_limits.c
@@ -108,7 +108,7 @@
 static void
 test_limit_that_falls_and_ends(void)
 {
-	unsigned int refused;
+	uint64_t ended_ms;
 
 	limits_open(66, 0.0015, 1);
 	w.limit[0] = 20;
@@ -119,11 +119,11 @@
 	check_kept(0, 8000);
 	check_used(0, 8000);
 	w.limit[0] = 0;
-	/* A second for the next answer, and to tell the others. */
-	run(1000, (struct load){40, ALL_NODES});
-	refused = w.refused;
-	run(4000, (struct load){40, ALL_NODES});
-	CU_ASSERT_EQUAL(w.refused, refused);
+	ended_ms = fleet.now;
+	run(5000, (struct load){40, ALL_NODES});
+	/* The next answer says so; a report reaches every node in time. */
+	CU_ASSERT(w.unlimited_ms <= ended_ms + 1000);
+	CU_ASSERT(w.last_refused_ms <= w.unlimited_ms + REPORTED_WITHIN_MS);
 	fleet_close();
 }
 
