--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -197,6 +197,8 @@
 
 /* Servers that a limit keeps away are remembered up to this number. */
 #define DENIED_MAX 128
+/* Requests denied within this time are assumed to come back, ms. */
+#define BACKLOG_MS 1000
 #define MILLI 1000
 
 /** struct denied - servers whose limit keeps the request away */
@@ -256,7 +258,7 @@
 	for (size_t i = 0; i < x->n; i++) {
 		struct ld_allowance *a = x->servers[i]->allowance;
 		uint64_t ms = ld_allowance_wait_ms(a, now_ms);
-		uint64_t denied = ld_allowance_denied(a, MILLI, now_ms);
+		uint64_t denied = ld_allowance_denied(a, BACKLOG_MS, now_ms);
 
 		rate_milli += a->rate_milli;
 		wait_ms = ms < wait_ms ? ms : wait_ms;
