tests: post() of the stand-in waits for its own answer

Cause, by the stack and the code: post() keeps its sink on the stack and runs the loop once; any other callback of the test, here one of the watch, stops the loop too, and post() returned before its call had ended.

--- a/tests/standin_process.h
+++ b/tests/standin_process.h
@@ -91,6 +91,12 @@
 	return !timed_out;
 }
 
+/** struct post_call - a call in progress; first member is its sink */
+struct post_call {
+	struct ld_http_sink sink;
+	bool done;
+};
+
 static inline void
 on_post_body(struct ld_http_sink *sink, struct ld_str bytes)
 {
@@ -100,6 +106,7 @@
 on_post_done(struct ld_http_sink *sink, const struct ld_http_result *result)
 {
 	CU_ASSERT_EQUAL(result->code, 200);
+	((struct post_call *)sink)->done = true;
 	ld_loop_stop(loop);
 }
 
@@ -108,7 +115,7 @@
 {
 	static const struct ld_http_sink_ops ops = {
 	    .body = on_post_body, .done = on_post_done};
-	struct ld_http_sink sink = {&ops};
+	struct post_call call = {.sink = {&ops}};
 	char url[128];
 	struct ld_http_request rq = {
 	    .method = "POST",
@@ -118,8 +125,10 @@
 	};
 
 	snprintf(url, sizeof(url), "http://%s%s", s->address, path);
-	ld_http_start(http, &rq, &sink);
-	CU_ASSERT_TRUE(run(STEP_LIMIT_MS));
+	ld_http_start(http, &rq, &call.sink);
+	/* Other callbacks of the test may stop the loop as well. */
+	while (!call.done)
+		CU_ASSERT_TRUE_FATAL(run(STEP_LIMIT_MS));
 }
 
 /* ---- All tests of a program ---- */
