servers, relay, groups: evacuations of failure domains are followed

Ruled out: an edit known late at some nodes, and a path (retry, resumed stream) that misses a known edit: the log of all nodes has no line about it, and the sends are of all nodes and kinds.

Change: the adapter names the prefix; the feed applies these keys like all others; a server of an evacuated domain is not eligible, gets no probe and no order, and groups there rest until the end.

--- a/lib/dialect/ld_dialect.h
+++ b/lib/dialect/ld_dialect.h
@@ -39,6 +39,8 @@
  * @ready_path: path of the load balancer's readiness check
  * @config_key: store key of the operators' configuration
  * @servers_prefix: prefix of the store keys of server entries
+ * @evacuations_prefix: prefix of the store keys that name the failure domains
+ *	which operators evacuate; such a key exists while its domain is evacuated
  * @codec: wire format of the store
  * @report_target: request target for the report of an engine
  * @order_target: request target for orders to an engine
@@ -58,6 +60,7 @@
 	const char *ready_path;
 	const char *config_key;
 	const char *servers_prefix;
+	const char *evacuations_prefix;
 	const struct ld_store_codec *codec;
 	const char *report_target;
 	const char *order_target;
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -138,7 +138,7 @@
 	const struct ld_engine_spec *e = &rq->service->engine;
 	const struct ld_model_spec *m;
 
-	if (!s->listed || s->entry.leaving ||
+	if (!s->listed || s->entry.leaving || s->evacuated ||
 	    !ld_str_eq(ld_str_c(s->entry.service), ld_str_c(rq->service->name)))
 		return false;
 	if (e->model_count == 0)
--- a/lib/groups/lifecycle.c
+++ b/lib/groups/lifecycle.c
@@ -502,12 +502,27 @@
 	}
 }
 
+/* A group of an evacuated failure domain stays as it is, as its servers get no
+ * orders. */
+static bool
+is_evacuated(const struct tick *s, const struct group *gr)
+{
+	for (size_t i = 0; i < gr->member_count; i++) {
+		const struct ld_server *v = member_server(s, gr, i);
+
+		if (v != NULL && v->evacuated)
+			return true;
+	}
+	return false;
+}
+
 void
 lifecycle_step(const struct tick *s)
 {
 	adopt_groups(s);
 	placing_mark_grouped(s);
 	for (struct group *gr = s->g->groups; gr != NULL; gr = gr->next)
-		step_group(s, gr);
+		if (!is_evacuated(s, gr))
+			step_group(s, gr);
 	free_retired(s);
 }
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -73,7 +73,8 @@
 {
 	struct server_info *info;
 
-	if (!v->listed || v->entry.leaving || v->entry.domain == NULL ||
+	if (!v->listed || v->entry.leaving || v->evacuated ||
+	    v->entry.domain == NULL ||
 	    !ld_str_eq(ld_str_c(v->entry.service), s->service))
 		return false;
 	info = server_info_get(s->g, v);
@@ -264,6 +265,7 @@
 	size_t servers; /* number of servers that may be in a group */
 	uint64_t newest_ms; /* when the newest of them was first seen */
 	bool registering; /* more servers may be about to register */
+	bool evacuated; /* its servers get no orders */
 	struct free_servers free;
 	struct plan plan;
 	struct group **end; /* tail of plan.groups, while the list is built */
@@ -288,6 +290,7 @@
 	d = &g->domains[(*n)++];
 	d->name = name;
 	d->servers = d->free.n = 0;
+	d->evacuated = false;
 	d->newest_ms = 0;
 	return d;
 }
@@ -308,6 +311,7 @@
 		if (!v->listed || v->entry.leaving ||
 		    !ld_str_eq(ld_str_c(v->entry.service), s->service))
 			continue;
+		d->evacuated |= v->evacuated;
 		d->servers++;
 		if (v->first_seen_ms > d->newest_ms)
 			d->newest_ms = v->first_seen_ms;
@@ -377,6 +381,13 @@
 	}
 }
 
+/* Whether groups of the domain are formed now. */
+static bool
+is_managed(const struct domain *d)
+{
+	return !d->registering && !d->evacuated;
+}
+
 void
 placing_step(const struct tick *s)
 {
@@ -392,14 +403,14 @@
 	n = collect_domains(s);
 	build_plans(s, n, &all);
 	for (size_t i = 0; i < n; i++)
-		if (!s->g->domains[i].registering)
+		if (is_managed(&s->g->domains[i]))
 			form_groups(s, &s->g->domains[i].plan);
 	/* Loads are limited: groups of all domains come before spares. */
 	for (size_t i = 0; i < n; i++)
-		if (!s->g->domains[i].registering)
+		if (is_managed(&s->g->domains[i]))
 			spares_step(s, &s->g->domains[i].plan);
 	for (size_t hosts = 1; hosts <= STANDBY_HOSTS; hosts++)
 		for (size_t i = 0; i < n; i++)
-			if (!s->g->domains[i].registering)
+			if (is_managed(&s->g->domains[i]))
 				standby_step(s, &s->g->domains[i].plan, hosts);
 }
--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -233,7 +233,7 @@
 	    .fresh = true,
 	};
 
-	if (s == NULL)
+	if (s == NULL || s->evacuated)
 		return;
 	e = call_new(c);
 	e->probe = *p;
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -263,6 +263,8 @@
 			note_server_gone(f, name, "entry-removed");
 		else
 			apply_server(r, name, kv);
+	} else if (is_below(kv, r->dialect->evacuations_prefix, &name)) {
+		evacuation_apply(r, name, !deleted, kv->mod_revision);
 	} else if (is_below(kv, RELAY_NODES_PREFIX, &name)) {
 		if (deleted)
 			mesh_peer_deleted(r, name);
@@ -395,6 +397,8 @@
 		if (s->listed && !in_snapshot(f->relay, s->entry.id, kvs, n))
 			note_server_gone(
 			    f, ld_str_c(s->entry.id), "not-listed");
+	if (!is_in_era_doubt(f))
+		evacuations_end_others(f->relay, kvs, n, revision);
 	ld_event(
 	    "store.read", "revision=%lld keys=%zu", (long long)revision, n);
 	control_servers_changed(f->relay);
--- a/lib/relay/isolation.c
+++ b/lib/relay/isolation.c
@@ -111,7 +111,7 @@
 
 	for (struct ld_server *s = ld_servers_first(r->servers); s != NULL;
 	     s = s->next)
-		if (s->listed && !s->entry.leaving &&
+		if (s->listed && !s->entry.leaving && !s->evacuated &&
 		    ld_rand_below(&r->rand, ++n) == 0)
 			out = s;
 	return out;
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -229,6 +229,21 @@
 /** changes_server_in_use() - a peer sent a request recently */
 bool changes_server_in_use(const struct relay *r);
 
+/* ---- evacuations.c: failure domains that the operators evacuate ---- */
+
+/**
+ * evacuation_apply() - begin or end the evacuation of a failure domain
+ * @revision: of the store, for the log
+ */
+void evacuation_apply(
+    struct relay *r, struct ld_str zone, bool evacuated, int64_t revision);
+/**
+ * evacuations_end_others() - end those that are not among the keys of a full
+ * read
+ */
+void evacuations_end_others(
+    struct relay *r, const struct ld_store_kv *kvs, size_t n, int64_t revision);
+
 /* ---- follow.c: follows the store through a peer ---- */
 
 void relay_follow_open(struct relay *r);
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -86,6 +86,8 @@
  * @ready_ranks: of a head: bit set of the ranks whose members are ready, see
  *	ld_servers_group_complete()
  * @listed: the server has an entry
+ * @evacuated: the operators evacuate its failure domain: it gets no requests,
+ *	orders or probes
  * @unlisted_ms: when its entry was removed
  * @remove_at_ms: the entry disappeared around an outage of the store; unless
  *	it reappears, it counts as removed from then on; 0 otherwise
@@ -121,6 +123,7 @@
 	uint64_t group_hash;
 	uint64_t ready_ranks;
 	bool listed;
+	bool evacuated;
 	uint64_t unlisted_ms;
 	uint64_t remove_at_ms;
 	uint64_t first_seen_ms;
@@ -178,6 +181,17 @@
 void ld_servers_add_unlisted(struct ld_servers *t, const char *id,
     const char *address, const char *service, const struct ld_membership *m,
     uint64_t now_ms);
+/**
+ * ld_servers_set_evacuated() - begin or end the evacuation of a failure domain
+ *
+ * Applies to all its servers, also to those that are added later.
+ *
+ * Return: true if that is a change.
+ */
+bool ld_servers_set_evacuated(
+    struct ld_servers *t, struct ld_str zone, bool evacuated);
+/** ld_servers_evacuated_zone() - by number, NULL when there are fewer */
+const char *ld_servers_evacuated_zone(const struct ld_servers *t, size_t i);
 /** ld_servers_note_leaving() - the server reported that it is leaving */
 void ld_servers_note_leaving(struct ld_server *s);
 /** ld_server_note_sent() - this process sends a request with @prompt_tokens */
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -21,6 +21,8 @@
 	struct ld_server **heads;
 	size_t head_capacity; /* a power of two, or 0 */
 	bool ranks_outdated;
+	char **evacuated_zones;
+	size_t evacuated_count;
 };
 
 const char *
@@ -73,6 +75,9 @@
 		next = s->next;
 		server_free(s);
 	}
+	for (size_t i = 0; i < t->evacuated_count; i++)
+		free(t->evacuated_zones[i]);
+	free(t->evacuated_zones);
 	free(t->heads);
 	free(t);
 }
@@ -147,6 +152,51 @@
 	return h != 0 ? h : 1;
 }
 
+/* ---- Failure domains that are evacuated ---- */
+
+/* The position of the zone in the list, or the length of the list. */
+static size_t
+find_evacuated(const struct ld_servers *t, struct ld_str zone)
+{
+	size_t i = 0;
+
+	while (i < t->evacuated_count &&
+	    !ld_str_eq(ld_str_c(t->evacuated_zones[i]), zone))
+		i++;
+	return i;
+}
+
+bool
+ld_servers_set_evacuated(
+    struct ld_servers *t, struct ld_str zone, bool evacuated)
+{
+	size_t i = find_evacuated(t, zone);
+
+	if ((i < t->evacuated_count) == evacuated)
+		return false;
+	for (struct ld_server *s = t->first; s != NULL; s = s->next)
+		if (ld_str_eq(ld_str_c(s->entry.zone), zone))
+			s->evacuated = evacuated;
+	if (!evacuated) {
+		free(t->evacuated_zones[i]);
+		t->evacuated_zones[i] =
+		    t->evacuated_zones[--t->evacuated_count];
+		return true;
+	}
+	t->evacuated_zones = ld_realloc(t->evacuated_zones,
+	    (t->evacuated_count + 1) * sizeof(*t->evacuated_zones));
+	t->evacuated_zones[t->evacuated_count++] = ld_str_dup(zone);
+	return true;
+}
+
+const char *
+ld_servers_evacuated_zone(const struct ld_servers *t, size_t i)
+{
+	return i < t->evacuated_count ? t->evacuated_zones[i] : NULL;
+}
+
+/* ---- Entries ---- */
+
 struct ld_server *
 ld_servers_put(struct ld_servers *t, struct ld_server_entry *e, uint64_t now_ms)
 {
@@ -166,6 +216,8 @@
 	ld_server_entry_fini(&s->entry);
 	s->entry = *e;
 	s->group_hash = group_hash(&s->entry.member);
+	s->evacuated =
+	    find_evacuated(t, ld_str_c(s->entry.zone)) < t->evacuated_count;
 	t->ranks_outdated = true;
 	/* The entry may have been written before the server began to leave. */
 	s->entry.leaving |= s->reported_leaving;
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -48,19 +48,25 @@
 }
 
 void
-put_entry(const struct server *s, int sequence)
+put_entry_in_zone(const struct server *s, const char *zone, int sequence)
 {
 	char key[32], value[256];
 
 	snprintf(key, sizeof(key), "servers/%s", s->id);
 	snprintf(value, sizeof(value),
-	    "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":\"z1\","
+	    "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":\"%s\","
 	    "\"slots\":6,\"state\":\"ready\",\"version\":\"v1\","
 	    "\"warmup_left_ms\":0,\"sequence\":%d}",
-	    s->address, sequence);
+	    s->address, zone, sequence);
 	ld_kv_store_put(store, key, value);
 }
 
+void
+put_entry(const struct server *s, int sequence)
+{
+	put_entry_in_zone(s, "z1", sequence);
+}
+
 void
 set_servers(enum behaviour first, enum behaviour second)
 {
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -76,6 +76,8 @@
 void set_servers(enum behaviour first, enum behaviour second);
 /** put_entry() - write the server's own entry, marked as ready */
 void put_entry(const struct server *s, int sequence);
+/** put_entry_in_zone() - the same, in the failure domain @zone */
+void put_entry_in_zone(const struct server *s, const char *zone, int sequence);
 /** arrivals() - requests that both servers received since set_servers() */
 unsigned int arrivals(void);
 
--- a/tests/unit/test_groups_holder.c
+++ b/tests/unit/test_groups_holder.c
@@ -133,6 +133,47 @@
 	world_close(&w);
 }
 
+/* No server of an evacuated failure domain gets an order or a probe, and its
+ * groups are formed again only afterwards. */
+static void
+test_evacuated_domain_gets_no_orders(void)
+{
+	struct world w;
+	unsigned int joins;
+	struct ld_probe p;
+
+	world_open(&w);
+	ld_groups_lead(w.g, 3, w.now);
+	run(&w, true, 6000);
+	CU_ASSERT_EQUAL(count_open(&w, LARGE), 1);
+	joins = w.joins;
+	CU_ASSERT(ld_servers_set_evacuated(w.t, LD_STR("z1"), true));
+	CU_ASSERT(!ld_servers_set_evacuated(w.t, LD_STR("z1"), true));
+	for (int i = 0; i < SERVERS; i++) {
+		w.dead[i] = true;
+		unlist(&w, i);
+	}
+	for (uint64_t ms = 0; ms < 4000; ms += STEP_MS) {
+		struct ld_order o;
+
+		w.now += STEP_MS;
+		ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, w.now);
+		CU_ASSERT(!ld_groups_next_order(w.g, &o));
+		CU_ASSERT(!ld_groups_next_probe(w.g, &p));
+	}
+	for (int i = 0; i < SERVERS; i++) {
+		w.dead[i] = false;
+		put(&w, i, LD_MEMBER_NONE, NULL, 0, 0, NULL);
+	}
+	CU_ASSERT(server(&w, 0)->evacuated);
+	CU_ASSERT(ld_servers_set_evacuated(w.t, LD_STR("z1"), false));
+	run(&w, true, 30000);
+	CU_ASSERT(w.joins > joins);
+	CU_ASSERT_EQUAL(count_open(&w, LARGE), 1);
+	CU_ASSERT_EQUAL(w.unsafe_joins, 0);
+	world_close(&w);
+}
+
 /* An order refused for its fence makes this node release the lease. */
 static void
 test_fenced(void)
@@ -206,6 +247,8 @@
 		test_successor_leaves_an_opening_group_alone},
 	    {"a successor learns of a cut off member",
 		test_successor_learns_of_a_cut_off_member},
+	    {"an evacuated domain gets no orders",
+		test_evacuated_domain_gets_no_orders},
 	    {"fenced", test_fenced},
 	    {"epochs of a fence", test_epochs_of_a_fence},
 	    {NULL, NULL},
