tests/faults: planned stops of real relays beside silent servers, failing

Several relay processes, six model servers that are groups by themselves, a store, and clients on plain sockets: bodies with a length, in chunks and in pieces, a pipelined request, slow readers, small receive buffers, requests in the moment of a close. The relays get SIGTERM in turn, with a second SIGTERM, SIGINT, SIGHUP or a configuration beside it, and start again. Each request is judged by the rule for planned stops (sent whole; passed on to a server, or 200 ms old; not excused by its deadline or by a server at work in the last sixth of the grace period); cuts at other times count as well.

LD_RELAY_LOG now also keeps the output of processes that sessions start.

--- a/tests/faults/ld_session.c
+++ b/tests/faults/ld_session.c
@@ -215,6 +215,10 @@
 	const char *full[ARGV_MAX] = {path};
 	int log = open(p->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	int null = open("/dev/null", O_RDWR);
+	/* Standard output of each process, for a failure that is to be
+	 * traced. */
+	const char *events = getenv("LD_RELAY_LOG");
+	char events_path[256];
 	int n = 1;
 
 	for (; *argv != NULL && n < ARGV_MAX - 1; argv++)
@@ -223,6 +227,12 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	dup2(null, STDIN_FILENO);
 	dup2(null, STDOUT_FILENO);
+	if (events != NULL) {
+		snprintf(
+		    events_path, sizeof(events_path), "%s.%s", events, p->name);
+		dup2(open(events_path, O_WRONLY | O_CREAT | O_APPEND, 0600),
+		    STDOUT_FILENO);
+	}
 	dup2(log, STDERR_FILENO);
 	execv(path, (char *const *)(uintptr_t)full);
 	_exit(127);
--- /dev/null
+++ b/tests/faults/test_planned_stops.c
@@ -0,0 +1,124 @@
+/*
+ * No request is lost around planned stops of relays.
+ *
+ * Usage: test_planned_stops [FIRST_SEED LAST_SEED [RELAYS [USERS [BURNERS]]]]
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ld_stops.h"
+#include "ld_test.h"
+
+#define GRACE_MS 8000
+#define WARM_UP_MS 3000
+#define RESTART_MS 300
+/* Until the last deadline has passed. */
+#define DRAIN_MS 10500
+
+static struct stops_options options = {
+    .relays = 3, .users = 12, .burners = 0, .grace_ms = GRACE_MS};
+
+static void
+restart_ended(struct stops *s)
+{
+	for (int i = 0; i < s->options.relays; i++)
+		if (s->relays[i].ended_ms > 0 &&
+		    stops_now(s) >= s->relays[i].ended_ms + RESTART_MS)
+			stops_start_relay(s, i);
+}
+
+static void
+run_and_restart(struct stops *s, uint64_t ms)
+{
+	uint64_t until = stops_now(s) + ms;
+
+	while (stops_now(s) < until) {
+		stops_run_for(s, 20);
+		restart_ended(s);
+	}
+}
+
+/* One relay after the other, with more signals and configurations beside. */
+static void
+stop_in_turn(struct stops *s)
+{
+	for (int i = 0; i < s->options.relays; i++) {
+		struct stops_relay *r = &s->relays[i];
+		uint64_t kind = ld_rand_below(&s->rand, 5);
+
+		if (kind == 1)
+			stops_put_config(s);
+		if (kind == 2)
+			kill(r->proc->pid, SIGHUP);
+		stops_term(s, i);
+		run_and_restart(s, ld_rand_below(&s->rand, 1000));
+		if (kind == 3 && r->ended_ms == 0)
+			kill(r->proc->pid, SIGTERM);
+		if (kind == 4 && r->ended_ms == 0)
+			kill(r->proc->pid, SIGINT);
+		if (kind == 2 && r->ended_ms == 0)
+			kill(r->proc->pid, SIGHUP);
+		run_and_restart(s, ld_rand_below(&s->rand, 4000));
+	}
+}
+
+static void
+play(uint64_t seed)
+{
+	static struct stops s;
+
+	options.seed = seed;
+	stops_open(&s, &options);
+	for (int i = 0; i < s.options.relays; i++)
+		for (int k = 0; k < s.options.users; k++)
+			stops_user_open(&s, i);
+	stops_run_for(&s, WARM_UP_MS);
+	stop_in_turn(&s);
+	run_and_restart(&s, GRACE_MS + STOPS_AFTER_GRACE_MS);
+	s.calm = true;
+	run_and_restart(&s, DRAIN_MS);
+	printf("seed %llu: %u requests, %u answered, %u refused, %u cut, %u "
+	       "excused, %u lost\n",
+	    (unsigned long long)seed, s.request_count, s.answered, s.refused,
+	    s.cut, s.excused, s.lost);
+	CU_ASSERT_EQUAL(s.lost, 0);
+	/* Without answers the run would check nothing. */
+	CU_ASSERT(s.answered * 2 >= s.request_count);
+	stops_close(&s);
+}
+
+static uint64_t first_seed = 1, last_seed = 1;
+
+static void
+test_no_request_is_lost(void)
+{
+	for (uint64_t seed = first_seed; seed <= last_seed; seed++)
+		play(seed);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct ld_test_case cases[] = {
+	    {"no request is lost around planned stops",
+		test_no_request_is_lost},
+	    {NULL, NULL},
+	};
+
+	if (argc > 2) {
+		first_seed = strtoull(argv[1], NULL, 10);
+		last_seed = strtoull(argv[2], NULL, 10);
+	}
+	if (argc > 3)
+		options.relays = (int)strtol(argv[3], NULL, 10);
+	if (argc > 4)
+		options.users = (int)strtol(argv[4], NULL, 10);
+	if (argc > 5)
+		options.burners = (int)strtol(argv[5], NULL, 10);
+	if (ld_common_init() != LD_OK)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	return ld_test_main("planned stops", cases);
+}
