retry: a silent server ends no answer; requests move only where one takes them

What callers saw: streams (POST) that a node had taken and passed on were closed in the middle, around the SIGTERM of that node and at other times. On processes whose servers pause, as real ones do.

Cause: a group that sent no byte for 450 ms counts as silent, and a request that waited 500 ms was taken away from it before it was known whether it could go elsewhere. Without a retry in the budget the request failed: a begun stream was closed, although its server went on a moment later. After a stop of several nodes the others, and new processes, have small budgets, so this came most there. With a retry but without a server that takes it, the stream waited for one, while its own server worked on. The same for nodes that are isolated.

Change: the request moves only if another server (or node, if isolated) takes it now and the budget has a retry; otherwise it stays and is looked at again after 100 ms.

New case "a silent server without retries ends no stream", before: ended by a close 760 ms after it was sent, 6 events of 20, its server at work; now whole.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -152,27 +152,51 @@
 	    ld_loop_timers(q->relay->loop), &q->timer, RESUME_INTERVAL_MS);
 }
 
-void
-request_send(struct request *q)
+static enum ld_dispatch_verdict
+pick_server(struct request *q, bool repeated, struct ld_dispatch_choice *c)
 {
 	struct relay *r = q->relay;
 	uint64_t now = relay_now(r);
-	uint64_t objective_at = q->start_ms + q->objective_ms;
+	uint64_t until =
+	    q->sends > 0 ? q->deadline_ms : q->start_ms + q->objective_ms;
 	struct ld_dispatch_request d = {
 	    .service = ld_routes_service(r->routes, ld_str_c(q->service)),
 	    .model = ld_str_c(q->model),
 	    .prompt_tokens = q->prompt_tokens,
 	    .zone = ld_str_c(r->settings->failure_domain),
-	    .remaining_ms = objective_at > now ? objective_at - now : 0,
+	    .remaining_ms = until > now ? until - now : 0,
 	    .bias_ms =
 		ld_dispatch_bias_ms(&r->prediction_bias, ld_str_c(q->model)),
-	    .repeated = q->resume_retried,
+	    .repeated = repeated,
 	    .tried_count = q->tried_count,
 	};
+
+	memcpy(d.tried, q->tried, sizeof(d.tried));
+	if (d.service == NULL)
+		return LD_DISPATCH_NO_SERVER;
+	return ld_dispatch_pick(r->servers, &d, &r->rand, now, c);
+}
+
+bool
+request_can_move(struct request *q)
+{
+	struct ld_dispatch_choice c = {0};
+	struct mesh_delegate helper;
+
+	if (isolation_is_active(q->relay))
+		return request_can_forward(q) &&
+		    mesh_find_helper(q->relay, &helper);
+	return pick_server(q, true, &c) == LD_DISPATCH_SEND;
+}
+
+void
+request_send(struct request *q)
+{
+	struct relay *r = q->relay;
 	struct ld_dispatch_choice c = {0};
-	enum ld_dispatch_verdict v = LD_DISPATCH_NO_SERVER;
+	enum ld_dispatch_verdict v;
 
-	if (now >= q->deadline_ms) {
+	if (relay_now(r) >= q->deadline_ms) {
 		request_fail(q, "deadline", 0);
 		return;
 	}
@@ -184,11 +208,7 @@
 	if (isolation_is_active(r) && request_can_forward(q) &&
 	    request_forward(q))
 		return;
-	if (q->response_started || q->sends > 0)
-		d.remaining_ms = q->deadline_ms - now;
-	memcpy(d.tried, q->tried, sizeof(d.tried));
-	if (d.service != NULL)
-		v = ld_dispatch_pick(r->servers, &d, &r->rand, now, &c);
+	v = pick_server(q, q->resume_retried, &c);
 	q->predicted_ms = c.predicted_ms;
 	q->predicted_uncorrected_ms = c.predicted_uncorrected_ms;
 	if (v == LD_DISPATCH_SEND)
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -96,6 +96,7 @@
 	uint64_t first_event_ms;
 	uint64_t last_event_ms;
 	uint64_t max_gap_ms;
+	uint64_t next_move_ms; /* see request_leave_silent_group() */
 	struct ld_timer timer;
 	bool resume_pending; /* the timer is set to try to resume */
 	bool resume_retried; /* no server was found for it yet */
@@ -105,6 +106,8 @@
 
 /** request_send() - choose a server and send to it, or end the request */
 void request_send(struct request *q);
+/** request_can_move() - another server, or node if isolated, can take it now */
+bool request_can_move(struct request *q);
 /** request_start_call() - send to @address, with headers_build() */
 void request_start_call(struct request *q, const char *address);
 /** request_cancel_send() - cancel the send in progress, if any */
@@ -142,8 +145,8 @@
 /** request_retry_or_fail() - retry or end it; @q may be freed afterwards */
 void request_retry_or_fail(struct request *q, const char *why);
 /**
- * request_leave_silent_group() - retry elsewhere if the group is silent; @q may
- * be freed afterwards
+ * request_leave_silent_group() - retry elsewhere if the group is silent and that
+ * is possible now; @q may be freed afterwards
  */
 void request_leave_silent_group(struct request *q, uint64_t now_ms);
 
--- a/tests/faults/ld_stops.h
+++ b/tests/faults/ld_stops.h
@@ -38,6 +38,7 @@
 	bool has_pipelined; /* another request follows at once */
 	bool reads_slowly;
 	unsigned int refusals; /* servers that answer 503 not-run first */
+	bool refuses_resumed; /* 503 not-run to the first that goes on */
 	uint64_t first_ms; /* until the first event, once it is worked on */
 	unsigned int events;
 	uint64_t every_ms;
@@ -55,6 +56,7 @@
 	uint64_t sent_ms; /* its last byte was written, 0: not yet */
 	uint64_t acked_ms; /* the kernel at the other end had it all, 0: not */
 	unsigned int arrivals;
+	unsigned int resumed; /* arrivals that go on after an event */
 	unsigned int at_work; /* servers that work on it now */
 	uint64_t worked_ms; /* when the last server worked on it, 0: none */
 	unsigned int next_event; /* of the last run */
@@ -119,6 +121,7 @@
 	int users; /* for each relay */
 	int burners; /* processes that only use processor time */
 	uint64_t grace_ms;
+	bool no_retries; /* the budget of retries is empty */
 };
 
 struct stops {
