relay: a begun stream waits for a retry or a server until its client leaves

What callers saw: after a silent server a begun stream went to a second one that refused it (503, not run), and was closed at once if the budget had no retry; or 2.0 s after its last event if no other server was there, a moment before clients give up by themselves, also while one of its former servers went on.

Cause: request_retry_or_fail() knew only "now or never"; schedule_resume() guessed how long clients wait; servers that had refused or been silent once were never used again for that request; and moves away from silent servers, which are optional, took the last retry that a refusal then needed.

Change: a begun stream that may be resumed waits for the budget and for a server until its deadline or until its client leaves. If no other server is there, it goes back to one that refused it or was silent, not to one that failed. Moves leave half of the budget. The bound of sends holds until the answer begins; then the budget bounds them.

--- a/lib/dispatch/ld_dispatch.h
+++ b/lib/dispatch/ld_dispatch.h
@@ -234,6 +234,8 @@
 void ld_retry_init(struct ld_retry_budget *b, uint64_t window_ms,
     uint64_t permille, uint64_t extra);
 void ld_retry_count_request(struct ld_retry_budget *b, uint64_t now_ms);
+/** ld_retry_is_half_left() - whether one more retry leaves half of the budget */
+bool ld_retry_is_half_left(struct ld_retry_budget *b, uint64_t now_ms);
 /** ld_retry_try_acquire() - whether a retry may be sent; if so, counts it */
 bool ld_retry_try_acquire(struct ld_retry_budget *b, uint64_t now_ms);
 
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -10,8 +10,10 @@
 static void
 note_server_failed(struct request *q)
 {
-	if (q->server != NULL)
-		ld_dispatch_failed(q->server, relay_now(q->relay));
+	if (q->server == NULL)
+		return;
+	ld_dispatch_failed(q->server, relay_now(q->relay));
+	q->tried_failed |= 1U << (q->tried_count - 1);
 }
 
 static void
@@ -194,17 +196,15 @@
 static void
 handle_not_run(struct request *q)
 {
-	uint64_t now = relay_now(q->relay);
-
 	if (q->helper[0] != '\0') {
 		request_forward_refused(q);
 		return;
 	}
 	/* A late or wrong server, or one without room. */
 	if (q->response.code == 421)
-		ld_dispatch_failed(q->server, now);
+		note_server_failed(q);
 	else
-		ld_dispatch_full(q->server, now);
+		ld_dispatch_full(q->server, relay_now(q->relay));
 	request_retry_or_fail(
 	    q, q->response.code == 421 ? "wrong-server" : "full");
 }
@@ -308,7 +308,7 @@
 		    q->relay, q->server, result->sent, q->sent_ms);
 	if (result->sent && result->status == LD_E_CLOSED)
 		request_note_crash(q);
-	ld_dispatch_failed(q->server, relay_now(q->relay));
+	note_server_failed(q);
 	request_retry_or_fail(q, failure_name(result->status));
 }
 
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -12,11 +12,8 @@
 /* Allows a few round trips between failure domains. A lost SYN is retransmitted
  * only after 1 s. */
 #define CONNECT_TIMEOUT_MS 400
-/* Interval of the attempts to find a server for a stream to resume on. */
+/* Interval of the attempts to resume a stream. */
 #define RESUME_INTERVAL_MS 40
-/* Clients abandon a stream that pauses for this long, so it is not resumed
- * later. */
-#define RESUME_TIMEOUT_MS 2000
 #define RESPONSE_MAX_BYTES ((size_t)16 * 1024 * 1024)
 
 static void
@@ -136,20 +133,51 @@
 		request_retry_or_fail(q, "bad-address");
 }
 
-/* No server can take the stream now: tries again until the client is assumed to
- * have abandoned it. */
+/* Tries again to resume the stream, until its deadline or until the client
+ * leaves: how long a pause it allows is the client's decision. */
 static void
 schedule_resume(struct request *q)
 {
-	uint64_t now = relay_now(q->relay);
+	uint64_t due = relay_now(q->relay) + RESUME_INTERVAL_MS;
 
-	if (now > q->last_event_ms + RESUME_TIMEOUT_MS) {
-		request_fail(q, "no-server-to-resume", 0);
+	q->resume_pending = true;
+	ld_timer_start(ld_loop_timers(q->relay->loop), &q->timer,
+	    due < q->deadline_ms ? due : q->deadline_ms);
+}
+
+void
+request_wait_for_retry(struct request *q)
+{
+	q->retry_due = true;
+	schedule_resume(q);
+}
+
+static void
+resume(struct request *q)
+{
+	q->resume_pending = false;
+	if (relay_now(q->relay) >= q->deadline_ms) {
+		request_fail(q, "deadline", 0);
 		return;
 	}
-	q->resume_pending = q->resume_retried = true;
-	ld_timer_after(
-	    ld_loop_timers(q->relay->loop), &q->timer, RESUME_INTERVAL_MS);
+	if (q->retry_due && !request_take_retry(q)) {
+		schedule_resume(q);
+		return;
+	}
+	q->retry_due = false;
+	ld_timer_start(
+	    ld_loop_timers(q->relay->loop), &q->timer, q->deadline_ms);
+	request_send(q);
+}
+
+/* A stream that finds no other server goes back to one that refused it or was
+ * silent, but to none that failed. */
+static void
+set_tried(const struct request *q, struct ld_dispatch_request *d)
+{
+	for (size_t i = 0; i < q->tried_count; i++)
+		if (!q->resume_retried || (q->tried_failed & 1U << i) != 0)
+			d->tried[d->tried_count++] = q->tried[i];
 }
 
 static enum ld_dispatch_verdict
@@ -168,10 +196,9 @@
 	    .bias_ms =
 		ld_dispatch_bias_ms(&r->prediction_bias, ld_str_c(q->model)),
 	    .repeated = repeated,
-	    .tried_count = q->tried_count,
 	};
 
-	memcpy(d.tried, q->tried, sizeof(d.tried));
+	set_tried(q, &d);
 	if (d.service == NULL)
 		return LD_DISPATCH_NO_SERVER;
 	return ld_dispatch_pick(r->servers, &d, &r->rand, now, c);
@@ -213,10 +240,12 @@
 	q->predicted_uncorrected_ms = c.predicted_uncorrected_ms;
 	if (v == LD_DISPATCH_SEND)
 		start_send(q, c.server);
-	else if (q->response_started)
-		schedule_resume(q);
-	else
+	else if (!q->response_started)
 		request_fail(q, ld_dispatch_verdict_name(v), c.retry_after_ms);
+	else {
+		q->resume_retried = true;
+		schedule_resume(q);
+	}
 }
 
 /* ---- Start, deadline, disconnection ---- */
@@ -228,10 +257,7 @@
 	    (struct request *)((char *)t - offsetof(struct request, timer));
 
 	if (q->resume_pending) {
-		q->resume_pending = false;
-		ld_timer_start(
-		    ld_loop_timers(q->relay->loop), &q->timer, q->deadline_ms);
-		request_send(q);
+		resume(q);
 		return;
 	}
 	if (q->call != NULL && ld_http_maybe_sent(q->call))
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -89,6 +89,7 @@
 	bool helper_in_doubt; /* one of them may have sent it to a server */
 	char *tried[LD_DISPATCH_TRIED_MAX];
 	size_t tried_count;
+	uint32_t tried_failed; /* bit I: the send to tried[I] failed */
 	/* Event streams only. */
 	struct events events;
 	bool response_started; /* its head was sent to the client */
@@ -99,6 +100,7 @@
 	uint64_t next_move_ms; /* see request_leave_silent_group() */
 	struct ld_timer timer;
 	bool resume_pending; /* the timer is set to try to resume */
+	bool retry_due; /* the next attempt takes a retry from the budget */
 	bool resume_retried; /* no server was found for it yet */
 };
 
@@ -108,6 +110,8 @@
 void request_send(struct request *q);
 /** request_can_move() - another server, or node if isolated, can take it now */
 bool request_can_move(struct request *q);
+/** request_wait_for_retry() - resume the stream once the budget has a retry */
+void request_wait_for_retry(struct request *q);
 /** request_start_call() - send to @address, with headers_build() */
 void request_start_call(struct request *q, const char *address);
 /** request_cancel_send() - cancel the send in progress, if any */
@@ -140,6 +144,8 @@
 void request_mark_maybe_ran(struct request *q);
 /** request_mark_ran() - the server responded: counts as a run */
 void request_mark_ran(struct request *q);
+/** request_take_retry() - whether a retry is allowed; takes it from the budget */
+bool request_take_retry(struct request *q);
 /** request_retry() - send again if that is allowed; false if it isn't */
 bool request_retry(struct request *q, const char *why);
 /** request_retry_or_fail() - retry or end it; @q may be freed afterwards */
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -12,7 +12,8 @@
 #define LOCAL_SHARE_PERCENT 75
 /* The shortest time from a send to the first token of any group. */
 #define FIRST_TOKEN_MIN_MS 60
-/* Bound of the sends of one request, whatever their outcome. */
+/* Bound of the sends of one request before its answer begins, whatever their
+ * outcome. */
 #define SENDS_MAX 4
 /* A request is moved from a silent group after this time without a byte. */
 #define SILENT_MOVE_MS 500
@@ -60,7 +61,9 @@
 {
 	uint64_t retry_after_ms;
 
-	return !q->helper_in_doubt && q->sends < SENDS_MAX &&
+	/* The budget bounds the sends of a begun stream. */
+	return !q->helper_in_doubt &&
+	    (q->response_started || q->sends < SENDS_MAX) &&
 	    q->possible_runs < q->max_runs &&
 	    relay_now(q->relay) + RETRY_MIN_REMAINING_MS < q->deadline_ms &&
 	    !request_is_quarantined(q, &retry_after_ms);
@@ -75,9 +78,21 @@
 	return ld_retry_try_acquire(b, relay_now(q->relay));
 }
 
-/* Whether a retry is allowed; if so, takes it from the budget. */
+/* A move may end at a server that refuses, and then needs a retry: moves use
+ * half of the budget at most. */
 static bool
-take_retry(struct request *q)
+take_move_from_budget(struct request *q)
+{
+	struct ld_retry_budget *b = retry_budget(q->relay, q->service);
+
+	b->extra = extra_retries(q->relay);
+	return ld_retry_is_half_left(b, relay_now(q->relay)) &&
+	    ld_retry_try_acquire(b, relay_now(q->relay));
+}
+
+/* Whether a retry is allowed; if so, takes it from the budget. */
+bool
+request_take_retry(struct request *q)
 {
 	if (q->maybe_ran && !q->retryable)
 		return false;
@@ -126,7 +141,7 @@
 bool
 request_retry(struct request *q, const char *why)
 {
-	if (!take_retry(q))
+	if (!request_take_retry(q))
 		return false;
 	send_again(q, why);
 	return true;
@@ -137,6 +152,13 @@
 {
 	if (request_retry(q, why))
 		return;
+	/* The budget may have a retry before the client leaves. */
+	if (q->response_started && q->retryable && may_send_again(q)) {
+		request_record_failed_send(q, why, "wait");
+		request_cancel_send(q);
+		request_wait_for_retry(q);
+		return;
+	}
 	request_record_failed_send(q, why, "give-up");
 	request_fail(q, why, RETRY_AFTER_MS);
 }
@@ -154,7 +176,8 @@
 	    now < q->next_move_ms || q->possible_runs + 1 >= q->max_runs)
 		return;
 	q->next_move_ms = now + MOVE_INTERVAL_MS;
-	if (!may_send_again(q) || !request_can_move(q) || !take_from_budget(q))
+	if (!may_send_again(q) || !request_can_move(q) ||
+	    !take_move_from_budget(q))
 		return;
 	request_mark_maybe_ran(q);
 	request_note_crash(q);
--- a/tests/faults/ld_stops.h
+++ b/tests/faults/ld_stops.h
@@ -38,7 +38,7 @@
 	bool has_pipelined; /* another request follows at once */
 	bool reads_slowly;
 	unsigned int refusals; /* servers that answer 503 not-run first */
-	bool refuses_resumed; /* 503 not-run to the first that goes on */
+	unsigned int resume_refusals; /* the same to those that go on */
 	uint64_t first_ms; /* until the first event, once it is worked on */
 	unsigned int events;
 	uint64_t every_ms;
--- a/tests/faults/ld_stops_client.c
+++ b/tests/faults/ld_stops_client.c
@@ -42,6 +42,7 @@
 	p.has_pipelined = chance(s, 5);
 	p.reads_slowly = chance(s, 15);
 	p.refusals = chance(s, 15);
+	p.resume_refusals = (unsigned int)ld_rand_below(&s->rand, 3);
 	p.events = 4 + (unsigned int)ld_rand_below(&s->rand, 30);
 	whole_ms = chance(s, 70) ? 300 + ld_rand_below(&s->rand, 1700)
 				 : 2000 + ld_rand_below(&s->rand, 5000);
--- a/tests/faults/ld_stops_server.c
+++ b/tests/faults/ld_stops_server.c
@@ -53,6 +53,7 @@
 {
 	struct stops_server *v = (struct stops_server *)h;
 	struct stops_request *q = request_of(v->world, x);
+	bool goes_on;
 
 	if (strcmp(ld_exchange_path(x), "/lavenderdrift/report") == 0) {
 		ld_exchange_answer(x, 200, "application/json", NULL,
@@ -64,10 +65,10 @@
 		return;
 	}
 	q->arrivals++;
-	q->resumed += ld_exchange_header(x, "Last-Event-Id") != NULL;
+	goes_on = ld_exchange_header(x, "Last-Event-Id") != NULL;
+	q->resumed += goes_on;
 	if (q->arrivals <= q->plan.refusals ||
-	    (q->plan.refuses_resumed && q->resumed == 1 &&
-		ld_exchange_header(x, "Last-Event-Id") != NULL))
+	    (goes_on && q->resumed <= q->plan.resume_refusals))
 		refuse(x);
 	else
 		start_work(v, q, x);
--- a/tests/faults/test_planned_stops.c
+++ b/tests/faults/test_planned_stops.c
@@ -155,6 +155,39 @@
 	close_one(1, 0);
 }
 
+/* Leaves only the first @n servers. */
+static void
+delete_servers(int n)
+{
+	char key[32];
+
+	for (int i = n; i < STOPS_SERVERS; i++) {
+		snprintf(key, sizeof(key), "servers/%s", one.servers[i].id);
+		ld_kv_store_delete(one.store, key);
+	}
+	stops_run_for(&one, 500);
+}
+
+static void
+test_stream_waits_for_a_server_to_go_on_at(void)
+{
+	struct stops_user *u = open_one(1, false, GRACE_MS);
+	struct stops_plan p = steady;
+	struct stops_request *q;
+
+	p.resume_refusals = 2;
+	delete_servers(2);
+	q = send_one(u, &p);
+	stops_run_for(&one, 300);
+	stops_term(&one, 0);
+	for (int i = 0; i < 2; i++)
+		if (one.servers[i].running > 0)
+			one.servers[i].silent_until_ms = stops_now(&one) + 3000;
+	run_until_ended(q);
+	CU_ASSERT(q->arrivals > 2);
+	close_one(1, 0);
+}
+
 /* ---- Seeds ---- */
 
 static uint64_t first_seed = 1, last_seed = 1;
@@ -179,6 +212,8 @@
 		test_no_request_is_lost},
 	    {"a silent server without retries ends no stream",
 		test_silent_server_without_retries_ends_no_stream},
+	    {"a stream waits for a server to go on at",
+		test_stream_waits_for_a_server_to_go_on_at},
 	    {NULL, NULL},
 	};
 
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -570,6 +570,26 @@
 	CU_ASSERT_EQUAL(taken, 5);
 }
 
+static void
+test_half_of_the_retry_budget_is_kept(void)
+{
+	struct ld_retry_budget b;
+	unsigned int taken = 0;
+
+	ld_retry_init(&b, 10000, 200, 6);
+	for (int i = 0; i < 20; i++)
+		ld_retry_count_request(&b, 1000);
+	/* 20 x 0.2 + 6 */
+	while (
+	    ld_retry_is_half_left(&b, 1000) && ld_retry_try_acquire(&b, 1000))
+		taken++;
+	CU_ASSERT_EQUAL(taken, 5);
+	while (ld_retry_try_acquire(&b, 1000))
+		taken++;
+	CU_ASSERT_EQUAL(taken, 10);
+	CU_ASSERT_TRUE(ld_retry_is_half_left(&b, 30000));
+}
+
 int
 main(void)
 {
@@ -590,6 +610,8 @@
 	    {"a delayed process reports no silence",
 		test_a_delayed_process_reports_no_silence},
 	    {"the budget of retries", test_retry_budget},
+	    {"half of the budget of retries is kept",
+		test_half_of_the_retry_budget_is_kept},
 	    {NULL, NULL},
 	};
 
