relay: the end of the grace period answers requests whose answer hasn't begun

What callers saw: a request that waited in a server's queue, or for its first event, when the grace period of a stopped node ended, got a closed connection without a byte. Its server wasn't at work on it, so nothing excuses that.

Cause: the listener was freed with its connections; ld_listener_free() can only close them.

Change: 700 ms before the end of the grace period, as before, requests whose answer hasn't begun are answered: 503 if no server can have run them, otherwise 502 (504 past the deadline). The loop then runs on until all is written, 100 ms at most. Begun streams end as before, these 100 ms later.

--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -124,6 +124,8 @@
     const struct request_routing *facts);
 void request_client_disconnected(struct request *q);
 void request_client_drained(struct request *q);
+/** requests_fail_unbegun() - end all requests whose answer hasn't begun */
+void requests_fail_unbegun(struct relay *r, const char *why);
 void requests_close(struct relay *r);
 /**
  * silent_groups_check() - detect groups that make no progress (silent_groups.c)
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -384,6 +384,21 @@
 		ld_http_resume(q->call);
 }
 
+void
+requests_fail_unbegun(struct relay *r, const char *why)
+{
+	struct request *next;
+
+	for (struct request *q = r->requests; q != NULL; q = next) {
+		next = q->next;
+		if (q->response_started)
+			continue;
+		if (q->call != NULL && ld_http_maybe_sent(q->call))
+			q->maybe_ran = true;
+		request_fail(q, why, 0);
+	}
+}
+
 void
 requests_close(struct relay *r)
 {
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -14,9 +14,12 @@
  * requests are refused, so that those in progress can complete before the
  * process ends. */
 #define STOP_ACCEPT_MS 2500
-/* Requests still in progress are aborted this long before the end of the grace
- * period, at which the process is killed. */
+/* Requests still in progress are ended this long before the end of the grace
+ * period, at which the process is killed: with an answer, unless theirs has
+ * begun. */
 #define STOP_MARGIN_MS 700
+/* Time for these answers to be sent. */
+#define STOP_FLUSH_MS 100
 
 /** struct process - state that the relay's other modules don't use */
 struct process {
@@ -133,17 +136,21 @@
 	struct relay *r = &p->relay;
 	uint64_t now = relay_now(r);
 	uint64_t since;
+	bool at_end;
 
 	if (!r->stopping)
 		return;
 	since = now - p->stop_requested_ms;
-	r->refusing = since >= STOP_ACCEPT_MS;
-	if (since < STOP_ACCEPT_MS && since + STOP_MARGIN_MS < p->grace_ms)
+	at_end = since + STOP_MARGIN_MS >= p->grace_ms;
+	r->refusing = since >= STOP_ACCEPT_MS || at_end;
+	if (at_end)
+		requests_fail_unbegun(r, "stopping");
+	if (since < STOP_ACCEPT_MS && !at_end)
 		return;
 	if (ld_listener_open_exchanges(r->entry) +
 		    changes_server_open_exchanges(r) >
 		0 &&
-	    since + STOP_MARGIN_MS < p->grace_ms)
+	    since + STOP_MARGIN_MS < p->grace_ms + STOP_FLUSH_MS)
 		return;
 	ld_event("stop.done", "ms=%llu cut=%zu", (unsigned long long)since,
 	    r->request_count);
--- a/tests/faults/test_planned_stops.c
+++ b/tests/faults/test_planned_stops.c
@@ -12,6 +12,7 @@
 #include "ld_test.h"
 
 #define GRACE_MS 8000
+#define SHORT_GRACE_MS 4000
 #define WARM_UP_MS 3000
 #define RESTART_MS 300
 /* Until the last deadline has passed. */
@@ -155,6 +156,22 @@
 	close_one(1, 0);
 }
 
+static void
+test_end_of_grace_answers_what_waits_at_a_server(void)
+{
+	struct stops_user *u = open_one(1, false, SHORT_GRACE_MS);
+	struct stops_request *q;
+
+	silence_servers(2 * SHORT_GRACE_MS);
+	q = send_one(u, &steady);
+	stops_run_for(&one, 300);
+	stops_term(&one, 0);
+	run_until_ended(q);
+	CU_ASSERT(q->arrivals > 0);
+	CU_ASSERT(stops_now(&one) <= one.relays[0].term_ms + SHORT_GRACE_MS);
+	close_one(0, 1);
+}
+
 /* Leaves only the first @n servers. */
 static void
 delete_servers(int n)
@@ -214,6 +231,8 @@
 		test_silent_server_without_retries_ends_no_stream},
 	    {"a stream waits for a server to go on at",
 		test_stream_waits_for_a_server_to_go_on_at},
+	    {"end of grace answers what waits at a server",
+		test_end_of_grace_answers_what_waits_at_a_server},
 	    {NULL, NULL},
 	};
 
