--- a/tests/faults/ld_stops.h
+++ b/tests/faults/ld_stops.h
@@ -176,5 +176,7 @@
 void stops_users_close(struct stops *s);
 /** stops_user_send() - send a request now, on a new connection if need be */
 bool stops_user_send(struct stops_user *u, const struct stops_plan *plan);
+/** stops_user_pause() - read nothing for this time */
+void stops_user_pause(struct stops_user *u, uint64_t ms);
 
 #endif
--- a/tests/faults/ld_stops_client.c
+++ b/tests/faults/ld_stops_client.c
@@ -374,6 +374,13 @@
 		u->next_ms = now + RETRY_MS;
 }
 
+void
+stops_user_pause(struct stops_user *u, uint64_t ms)
+{
+	watch(u, 0);
+	u->next_ms = stops_now(u->world) + ms;
+}
+
 void
 stops_users_tick(struct stops *s)
 {
