relay: log the copy's revision at each decision on groups

lease.taken and group.change name the revision up to which the copy of the store was read (lease.taken its age too). Compared with the fence they tell whether a new holder of the control lease decided on servers as they were before its predecessor's last orders.

--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -251,9 +251,10 @@
 	while (ld_groups_next_change(c->groups, &ch))
 		ld_event("group.change",
 		    "what=%s group=%s epoch=%lld model=%s server=%s "
-		    "why=\"%s\" age_ms=%lld",
+		    "why=\"%s\" revision=%lld age_ms=%lld",
 		    ch.what, ch.group, (long long)ch.epoch, ch.model,
 		    ch.server[0] != '\0' ? ch.server : "-", ch.why,
+		    (long long)feed_revision(c->relay),
 		    (long long)feed_age_ms(c->relay));
 }
 
--- a/lib/relay/leader.c
+++ b/lib/relay/leader.c
@@ -125,9 +125,11 @@
 	l->role = ROLE_HOLDER;
 	l->fence = a->revision;
 	l->next_call_ms = relay_now(r) + RENEW_MS;
-	ld_event("lease.taken", "fence=%lld lease=%lld valid_for_ms=%lld",
+	ld_event("lease.taken",
+	    "fence=%lld lease=%lld valid_for_ms=%lld revision=%lld age_ms=%lld",
 	    (long long)l->fence, (long long)l->lease,
-	    (long long)l->valid_until_ms - (long long)relay_now(r));
+	    (long long)l->valid_until_ms - (long long)relay_now(r),
+	    (long long)feed_revision(r), (long long)feed_age_ms(r));
 	ld_groups_lead(control_groups(r), l->fence, relay_now(r));
 }
 
