groups: members leave a head that gives no answer before they join

A head that had no entry any more, didn't answer the order to leave and failed two probes was taken for gone, 3.6 s after it was cut off. A head that is cut off still runs: it is open, or stands still and isn't broken before stall_ms (5 s), while its members joined other groups. A group whose head was unknown to a new holder was retired at once, with the same effect.

Evidence: test_groups_exclusive, "servers cut off from all nodes" (66 servers, one cut off for 2 to 8 s every second). "10220 closing m0/4390913 s065 (the member did not answer probes)", "13160 retired (the head is gone)", "13200 s058 joins m0/4390937, head s065 of m0/4390913 is open".

The fix: if the head doesn't answer the order to leave, and probes neither, each other member is ordered to leave and is free once it has answered that; it is then in no group. From the first such answer the group stands still, so after stall_ms (new setting bounds.stall_ms, from the platform) its head is broken and the rest is free too. A group that no entry names any more is forgotten and adopted again if it returns, instead of being ignored for two minutes. A head that refuses connections may be finishing its requests: nothing changes there.

Cost: one order per member of a group whose head is dark.

--- a/lib/groups/groups.c
+++ b/lib/groups/groups.c
@@ -57,12 +57,13 @@
 }
 
 struct ld_groups *
-ld_groups_new(uint64_t now_ms, bool initial)
+ld_groups_new(uint64_t now_ms, bool initial, uint64_t stall_ms)
 {
 	struct ld_groups *g = ld_alloc(sizeof(*g));
 
 	g->started_ms = now_ms;
 	g->initial = initial;
+	g->stall_ms = stall_ms;
 	return g;
 }
 
@@ -283,16 +284,6 @@
 	m->accepted = r == LD_ORDER_DONE || r == LD_ORDER_BEGUN;
 }
 
-/* A missing answer doesn't show that the head has stopped: a head that is
- * leaving no longer listens, but continues with its requests. */
-static void
-on_leave_result(struct group *gr, enum ld_order_result r)
-{
-	gr->head_silent = r == LD_ORDER_SILENT;
-	gr->head_unreachable = r == LD_ORDER_UNREACHABLE;
-	gr->head_left = !gr->head_silent && !gr->head_unreachable;
-}
-
 bool
 ld_groups_on_order_result(struct ld_groups *g, const struct ld_order *o,
     enum ld_order_result r, uint64_t now_ms)
@@ -317,7 +308,7 @@
 	if (o->type == LD_ORDER_JOIN)
 		on_join_result(gr, o, r);
 	if (o->type == LD_ORDER_LEAVE)
-		on_leave_result(gr, r);
+		closing_on_left(gr, o->server, r, now_ms);
 	return true;
 }
 
--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -7,6 +7,17 @@
 /* The epochs of one lease start at its fence times this value. A fence holds
  * the store's era and revision in 47 bits, so that epochs fit into 63 bits. */
 #define EPOCHS_PER_FENCE 65536
+/* Interval at which an order without visible effect is resent, ms: some round
+ * trips and the delay of the store's watch. */
+#define ORDER_RETRY_MS 700
+/* Consecutive unanswered probes after which a server counts as lost. */
+#define FAILED_PROBES_MAX 2
+/* A probe that is unanswered for this long is repeated on a new connection, ms:
+ * several round trips. Short, since a group with a lost member stands still
+ * until the loss is confirmed. */
+#define PROBE_RETRY_MS 70
+/* Interval between probes of a server that may be lost, ms. */
+#define PROBE_INTERVAL_MS 210
 
 /** enum phase - life cycle of a group */
 enum phase {
@@ -23,6 +34,8 @@
 	bool accepted; /* the last order to join was accepted */
 	uint64_t ordered_ms; /* time of the last order to join, 0 for none */
 	unsigned int tries; /* orders to join that were sent */
+	uint64_t dismissed_ms; /* last order to leave, 0 for none */
+	bool left; /* it answered that order */
 };
 
 /** struct group - one group */
@@ -42,6 +55,8 @@
 	bool head_left;
 	bool head_silent; /* no answer to the order to leave */
 	bool head_unreachable; /* nothing listened at the head's address */
+	uint64_t still_since_ms; /* a member has left by then, 0: none */
+	bool forgotten; /* retired, to be adopted again if it returns */
 	size_t member_count;
 	struct member members[LD_GROUP_SIZE_MAX];
 };
@@ -86,6 +101,7 @@
 	int64_t fence;
 	uint64_t lead_ms;
 	uint64_t started_ms;
+	uint64_t stall_ms;
 	int64_t last_epoch;
 	struct group *groups;
 	struct server_info *infos;
@@ -141,9 +157,25 @@
 /** lifecycle_step() - adopt groups, and advance each group by one step */
 void lifecycle_step(const struct tick *s);
 
+/** names_group() - the server's entry names the group */
+bool names_group(const struct ld_server *s, const struct group *gr);
+/** member_server() - the member's entry; NULL if none was ever read */
+struct ld_server *member_server(
+    const struct tick *s, const struct group *gr, size_t i);
+/** collect_members() - add the members whose entries name the group */
+void collect_members(const struct tick *s, struct group *gr);
+
 /** lifecycle_close() - close a group in service, with time to drain */
 void lifecycle_close(const struct tick *s, struct group *gr, const char *why);
 
+/* ---- closing.c ---- */
+
+/** closing_step() - retires the group once its head certainly doesn't serve */
+void closing_step(const struct tick *s, struct group *gr);
+/** closing_on_left() - process the result of an order to leave */
+void closing_on_left(struct group *gr, const char *server,
+    enum ld_order_result r, uint64_t now_ms);
+
 /* ---- placing.c ---- */
 
 /**
--- a/lib/groups/ld_groups.h
+++ b/lib/groups/ld_groups.h
@@ -76,8 +76,13 @@
 
 struct ld_groups;
 
-/** ld_groups_new() - @initial: this is the first start of the whole system */
-struct ld_groups *ld_groups_new(uint64_t now_ms, bool initial);
+/**
+ * ld_groups_new() - create a node's group control; it doesn't lead
+ * @initial: this is the first start of the whole system
+ * @stall_ms: a head whose group has stood still for this long is broken
+ */
+struct ld_groups *ld_groups_new(
+    uint64_t now_ms, bool initial, uint64_t stall_ms);
 void ld_groups_free(struct ld_groups *g);
 
 /**
--- a/lib/groups/lifecycle.c
+++ b/lib/groups/lifecycle.c
@@ -1,6 +1,7 @@
 /*
  * Life cycle of a group: formed or adopted from the previous leader, opened
- * once every member is ready, monitored in service, closed after a loss.
+ * once every member is ready, monitored in service, closed after a loss (see
+ * closing.c).
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,9 +9,6 @@
 
 #include "groups_internal.h"
 
-/* Interval at which an order without visible effect is resent, ms: some round
- * trips and the delay of the store's watch. */
-#define ORDER_RETRY_MS 700
 /* Orders to join without visible effect before the group is closed. */
 #define JOIN_TRIES_MAX 3
 /* A server's entry shows within this time that it accepted an order to join,
@@ -29,22 +27,12 @@
 /* A group keeps a leaving member for at most this, ms: less than the ten
  * seconds for which the member stays while its head has requests. */
 #define LEAVING_SERVES_MS 8000
-/* Longest time for which a leaving head continues with its requests, ms. */
-#define HEAD_DRAIN_MAX_MS 10000
-/* Consecutive unanswered probes after which a server counts as lost. */
-#define FAILED_PROBES_MAX 2
-/* A probe that is unanswered for this long is repeated on a new connection, ms:
- * several round trips. Short, since a group with a lost member stands still
- * until the loss is confirmed. */
-#define PROBE_RETRY_MS 70
-/* Interval between probes of a server that may be lost, ms. */
-#define PROBE_INTERVAL_MS 210
 /* Interval between probes of a member that answers but has no entry, since it
  * is cut off from the store, ms. */
 #define PROBE_CUT_OFF_INTERVAL_MS 1500
 #define RETIRED_RETENTION_MS 120000
 
-static bool
+bool
 names_group(const struct ld_server *s, const struct group *gr)
 {
 	const struct ld_membership *m = &s->entry.member;
@@ -53,7 +41,7 @@
 	    strcmp(m->group, gr->name) == 0;
 }
 
-static struct ld_server *
+struct ld_server *
 member_server(const struct tick *s, const struct group *gr, size_t i)
 {
 	return ld_servers_find(s->servers, ld_str_c(gr->members[i].id));
@@ -70,7 +58,7 @@
 	return false;
 }
 
-static void
+void
 collect_members(const struct tick *s, struct group *gr)
 {
 	for (struct ld_server *v = ld_servers_first(s->servers); v != NULL;
@@ -168,6 +156,7 @@
 	gr->head_left = false;
 	gr->head_silent = false;
 	gr->head_unreachable = false;
+	gr->still_since_ms = 0;
 	group_set_phase(gr, PHASE_CLOSING, s->now_ms);
 	change_add(s->g, "closing", gr, server, why);
 }
@@ -371,98 +360,6 @@
 	}
 }
 
-/* ---- Closing ---- */
-
-static void
-retire(const struct tick *s, struct group *gr, const char *why)
-{
-	group_set_phase(gr, PHASE_RETIRED, s->now_ms);
-	change_add(s->g, "retired", gr, "", why);
-}
-
-/*
- * Whether the head's own entry shows that it has left the group. The state
- * "ready" isn't enough: an order to open may still be executed.
- */
-static bool
-head_stopped(const struct ld_server *head, const struct group *gr)
-{
-	return head->listed && !names_group(head, gr);
-}
-
-/* Whether the server is down, by its probes. An unanswered order doesn't show
- * it: an order that is executed late isn't answered either, but probes are. */
-static bool
-gives_no_answer(const struct tick *s, const struct ld_server *v)
-{
-	struct server_info *info = server_info_get(s->g, v);
-
-	if (info->failed_probes >= FAILED_PROBES_MAX)
-		return true;
-	request_probe(s, info,
-	    info->failed_probes > 0 ? PROBE_RETRY_MS : PROBE_INTERVAL_MS);
-	return false;
-}
-
-/*
- * Whether a head without an entry has stopped serving. A head that left without
- * notice has no entry either and no longer listens, but continues until its
- * requests have ended.
- */
-static bool
-head_gone(
-    const struct tick *s, const struct group *gr, const struct ld_server *head)
-{
-	if (head->listed || !s->settled)
-		return false;
-	if (gr->head_silent)
-		return gives_no_answer(s, head);
-	return gr->head_unreachable &&
-	    (head->active + head->peer_active == 0 ||
-		s->now_ms > head->unlisted_ms + HEAD_DRAIN_MAX_MS);
-}
-
-static void
-order_head(const struct tick *s, struct group *gr, struct ld_server *head)
-{
-	bool drain = head->listed &&
-	    s->now_ms < gr->phase_since_ms + gr->drain_ms &&
-	    head->entry.member.state != LD_MEMBER_READY;
-
-	if (drain == gr->drain_ordered && gr->ordered_ms != 0 &&
-	    s->now_ms <
-		gr->ordered_ms + (drain ? gr->drain_ms : ORDER_RETRY_MS))
-		return;
-	gr->drain_ordered = drain;
-	order_add(s->g, drain ? LD_ORDER_CLOSE : LD_ORDER_LEAVE, head, gr);
-	gr->ordered_ms = s->now_ms;
-}
-
-static void
-step_closing(const struct tick *s, struct group *gr)
-{
-	struct ld_server *head =
-	    gr->members[0].id[0] != '\0' ? member_server(s, gr, 0) : NULL;
-
-	if (head == NULL) {
-		retire(s, gr, "the head is unknown");
-		return;
-	}
-	if (gr->head_left) {
-		retire(s, gr, "the head left");
-		return;
-	}
-	if (head_stopped(head, gr)) {
-		retire(s, gr, "the head has stopped");
-		return;
-	}
-	if (head_gone(s, gr, head)) {
-		retire(s, gr, "the head is gone");
-		return;
-	}
-	order_head(s, gr, head);
-}
-
 static void
 step_group(const struct tick *s, struct group *gr)
 {
@@ -477,7 +374,7 @@
 		step_serving(s, gr);
 		break;
 	case PHASE_CLOSING:
-		step_closing(s, gr);
+		closing_step(s, gr);
 		break;
 	case PHASE_RETIRED:
 		break;
@@ -493,7 +390,9 @@
 		struct group *gr = *p;
 
 		if (gr->phase != PHASE_RETIRED ||
-		    s->now_ms < gr->phase_since_ms + RETIRED_RETENTION_MS) {
+		    (!gr->forgotten &&
+			s->now_ms <
+			    gr->phase_since_ms + RETIRED_RETENTION_MS)) {
 			p = &gr->next;
 			continue;
 		}
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -49,10 +49,9 @@
 		if (gr->phase == PHASE_RETIRED)
 			continue;
 		for (size_t i = 0; i < gr->member_count; i++) {
-			const struct ld_server *v = ld_servers_find(
-			    s->servers, ld_str_c(gr->members[i].id));
+			const struct ld_server *v = member_server(s, gr, i);
 
-			if (v != NULL)
+			if (v != NULL && !gr->members[i].left)
 				server_info_get(s->g, v)->grouped_pass = pass;
 		}
 	}
@@ -186,7 +185,7 @@
 	int fits = busiest_model(s, p->all, p->free->n);
 	int want = busiest_model(s, p->all, p->servers);
 
-	if (fits < 0 || has_closing_group(p))
+	if (fits < 0 || has_closing_group(s, p))
 		return false;
 	if (work_per_group(s, (size_t)fits, p->all->n[fits] + 1) <
 	    LEFTOVER_MIN_WORK *
@@ -229,7 +228,7 @@
 	form_loaded(s, p, model, target);
 	if (p->have.n[model] >= target)
 		return true;
-	if (has_closing_group(p) || preempt_excess(s, p) ||
+	if (has_closing_group(s, p) || preempt_excess(s, p) ||
 	    preempt_for_target(s, p, model))
 		return false;
 	while (p->have.n[model] < target && try_form_group(s, p, model))
--- a/lib/groups/placing_internal.h
+++ b/lib/groups/placing_internal.h
@@ -126,7 +126,7 @@
 /* ---- preempt.c ---- */
 
 /** has_closing_group() - a group of the domain closes, freeing servers soon */
-bool has_closing_group(const struct plan *p);
+bool has_closing_group(const struct tick *s, const struct plan *p);
 /**
  * preempt_for_target() - close a small group whose hosts complete one of @want
  *
--- a/lib/groups/preempt.c
+++ b/lib/groups/preempt.c
@@ -9,12 +9,21 @@
  * gain has to outweigh the cost of the change. */
 #define PREEMPT_MIN_GAIN 1.2
 
+static bool
+has_usable_member(const struct tick *s, const struct group *gr)
+{
+	for (size_t i = 0; i < gr->member_count; i++)
+		if (!gr->members[i].left && usable_member(s, gr, i) != NULL)
+			return true;
+	return false;
+}
+
 bool
-has_closing_group(const struct plan *p)
+has_closing_group(const struct tick *s, const struct plan *p)
 {
 	for (const struct group *gr = p->groups; gr != NULL;
 	     gr = gr->next_in_domain)
-		if (gr->phase == PHASE_CLOSING)
+		if (gr->phase == PHASE_CLOSING && has_usable_member(s, gr))
 			return true;
 	return false;
 }
@@ -123,7 +132,7 @@
 bool
 preempt_for_standby(const struct tick *s, struct plan *p)
 {
-	if (has_closing_group(p))
+	if (has_closing_group(s, p))
 		return false;
 	for (size_t m = 0; m < s->spec->model_count; m++) {
 		struct waiting_groups w = regroup_count_waiting(s, p, m);
--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -317,7 +317,8 @@
 	struct control *c = ld_alloc(sizeof(*c));
 
 	c->relay = r;
-	c->groups = ld_groups_new(relay_now(r), r->settings->initial);
+	c->groups = ld_groups_new(
+	    relay_now(r), r->settings->initial, r->settings->stall_ms);
 	r->control = c;
 }
 
--- a/tests/engine_entry.h
+++ b/tests/engine_entry.h
@@ -4,6 +4,9 @@
 
 #include "ld_servers.h"
 
+/* A head whose group stands still is broken after this, ms. */
+#define STALL_MS 5000
+
 /** engine_entry() - an entry in no group; ld_servers_put() takes ownership of
  * its strings */
 static inline struct ld_server_entry
--- a/tests/unit/test_groups_exclusive.c
+++ b/tests/unit/test_groups_exclusive.c
@@ -75,12 +75,27 @@
 	run_seeds("small", 6, 11, small_sizes, &f, 5);
 }
 
+static void
+test_servers_cut_off(void)
+{
+	static const struct faults f = {.kill_ms = 20000,
+	    .crash_ms = 3000,
+	    .cut_ms = 1000,
+	    .late_percent = 2,
+	    .follower_age_ms = 1500,
+	    .catch_up_ms = 300,
+	    .holder_age_ms = 200};
+
+	run_seeds("cut", 6, 11, small_sizes, &f, 5);
+}
+
 int
 main(void)
 {
 	static const struct ld_test_case cases[] = {
 	    {"holders in turn, 875 servers", test_holders_large},
 	    {"holders in turn, 66 servers", test_holders_small},
+	    {"servers cut off from all nodes", test_servers_cut_off},
 	    {NULL, NULL},
 	};
 
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -201,6 +201,7 @@
 	    BOUND("drain_ms", drain_ms, 1, 39),
 	    BOUND("grace_s", grace_ms, 1000, 39000),
 	    BOUND("config_apply_ms", config_apply_ms, 1, 39),
+	    BOUND("stall_ms", stall_ms, 1, 40),
 	    BOUND("repeat_ratio", repeat_permille, 1000, 39000),
 	    BOUND("repeat_extra", repeat_extra, 1, 39),
 	    BOUND("repeat_window_s", repeat_window_ms, 1000, 39001),
