control: a status that is none of an order's says nothing

Each status other than 200, 202, 412 and 421 was taken for "does not fit the server's state". To an order to leave that meant that the head had left: a head that refused the order for load (429, 503) or failed (500) stayed open, while its members joined other groups.

The protocol defines 200, 202, 400, 409, 412 and 421 for orders. Any other status is now treated like no answer: the order is repeated.

--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -70,8 +70,8 @@
 	ld_buf_adds(&((struct server_call *)s)->answer, bytes);
 }
 
-static enum ld_order_result
-order_result(const struct ld_http_result *r)
+enum ld_order_result
+control_order_result(const struct ld_http_result *r)
 {
 	if (r->status == LD_E_UNAVAILABLE && !r->sent)
 		return LD_ORDER_UNREACHABLE;
@@ -86,8 +86,11 @@
 		return LD_ORDER_FENCED;
 	case 421:
 		return LD_ORDER_OTHER_SERVER;
-	default:
+	case 400:
+	case 409:
 		return LD_ORDER_MISFIT;
+	default:
+		return LD_ORDER_SILENT;
 	}
 }
 
@@ -96,7 +99,7 @@
 {
 	struct control *c = e->control;
 	struct relay *r = c->relay;
-	enum ld_order_result outcome = order_result(result);
+	enum ld_order_result outcome = control_order_result(result);
 	bool keep_lease;
 
 	ld_event("order.end",
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -259,6 +259,13 @@
 /** control_end_turn() - call at the end of each turn of the loop */
 void control_end_turn(struct relay *r);
 struct ld_groups *control_groups(struct relay *r);
+/**
+ * control_order_result() - what an answer says about an order
+ *
+ * A status that the protocol doesn't define for orders (429, 5xx) says nothing
+ * about the server's state, like no answer.
+ */
+enum ld_order_result control_order_result(const struct ld_http_result *r);
 /** control_servers_changed() - evaluate the groups in this turn */
 void control_servers_changed(struct relay *r);
 /** control_alarm() - a group is silent */
--- a/tests/unit/test_relay_parts.c
+++ b/tests/unit/test_relay_parts.c
@@ -378,6 +378,33 @@
 	check_mutated(&findings);
 }
 
+/* A head that is too busy to take an order to leave has not left. */
+static void
+test_order_refused_for_load(void)
+{
+	static const struct {
+		long code;
+		enum ld_order_result result;
+	} answers[] = {
+	    {200, LD_ORDER_DONE},
+	    {202, LD_ORDER_BEGUN},
+	    {400, LD_ORDER_MISFIT},
+	    {409, LD_ORDER_MISFIT},
+	    {412, LD_ORDER_FENCED},
+	    {421, LD_ORDER_OTHER_SERVER},
+	    {429, LD_ORDER_SILENT},
+	    {500, LD_ORDER_SILENT},
+	    {503, LD_ORDER_SILENT},
+	};
+
+	for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+		struct ld_http_result r = {
+		    .status = LD_OK, .code = answers[i].code, .sent = true};
+
+		CU_ASSERT_EQUAL(control_order_result(&r), answers[i].result);
+	}
+}
+
 int
 main(void)
 {
@@ -389,6 +416,7 @@
 		test_what_servers_say_of_themselves},
 	    {"answers", test_answers},
 	    {"rates", test_rates},
+	    {"an order refused for load", test_order_refused_for_load},
 	    {"datagrams", test_datagrams},
 	    {"datagrams with rates", test_datagrams_with_rates},
 	    {"findings in datagrams", test_findings},
