groups: an order's fencing token is the revision it was decided on

All orders of a lease had the same fencing token and a group has one epoch, so a server that had left a group took a late copy of an earlier order to join it, and then a late order to open it: the head of a retired group was open again, and its former members, or the head itself, joined other groups.

Evidence: test_groups_exclusive, "orders carried out late" (30% of the orders unanswered and carried out up to 6 s later, 30% carried out a second time).

Why it works: the token grows with the holder's copy of the store. An order to open needs the members' entries, so it has a higher token than the orders to join, and the order to leave has at least that: once a server has seen it, the earlier orders are refused. A refusal of an order that a later one to the same server has overtaken doesn't end the lease; a refused order to leave no longer counts as left.

Only where servers compare tokens; epochs alone protect the others, as before.

--- a/lib/groups/closing.c
+++ b/lib/groups/closing.c
@@ -143,14 +143,15 @@
 closing_on_left(struct group *gr, const char *server, enum ld_order_result r,
     uint64_t now_ms)
 {
-	bool answered = r != LD_ORDER_SILENT && r != LD_ORDER_UNREACHABLE;
+	bool answered = r != LD_ORDER_SILENT && r != LD_ORDER_UNREACHABLE &&
+	    r != LD_ORDER_FENCED;
 
 	if (strcmp(server, gr->members[0].id) != 0) {
 		if (answered)
 			on_member_left(gr, server, now_ms);
 		return;
 	}
-	gr->head_silent = r == LD_ORDER_SILENT;
+	gr->head_silent = r == LD_ORDER_SILENT || r == LD_ORDER_FENCED;
 	gr->head_unreachable = r == LD_ORDER_UNREACHABLE;
 	gr->head_left = answered;
 }
--- a/lib/groups/groups.c
+++ b/lib/groups/groups.c
@@ -160,6 +160,8 @@
 	memset(o, 0, sizeof(*o));
 	o->type = type;
 	o->fence = g->fence;
+	o->token = g->revision;
+	server_info_get(g, to)->token = o->token;
 	snprintf(o->server, sizeof(o->server), "%s", to->entry.id);
 	snprintf(o->address, sizeof(o->address), "%s", to->entry.address);
 	if (about == NULL)
@@ -301,7 +303,8 @@
 		info->avoid_until_ms = now_ms + AVOID_AFTER_SILENCE_MS;
 	else if (info != NULL && r != LD_ORDER_DONE && r != LD_ORDER_BEGUN)
 		info->avoid_until_ms = now_ms + AVOID_AFTER_REFUSAL_MS;
-	if (r == LD_ORDER_FENCED)
+	/* A later order of this lease may have overtaken it. */
+	if (r == LD_ORDER_FENCED && (info == NULL || o->token >= info->token))
 		return false;
 	if (gr == NULL)
 		return true;
@@ -363,6 +366,7 @@
 
 	if (!g->leading || revision < g->fence)
 		return;
+	g->revision = revision;
 	lifecycle_step(&s);
 	if (!settled)
 		return;
--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -78,6 +78,7 @@
 	uint64_t avoid_until_ms; /* not used for a group until then */
 	char reported_group[LD_GROUP_NAME_MAX];
 	int64_t reported_epoch;
+	int64_t token; /* of the last order to it */
 };
 
 /** struct tick - inputs of one ld_groups_tick() */
@@ -99,6 +100,7 @@
 	bool initial;
 	bool has_traffic; /* some node has received a client's request */
 	int64_t fence;
+	int64_t revision; /* of the copy of the store in this tick */
 	uint64_t lead_ms;
 	uint64_t started_ms;
 	uint64_t stall_ms;
--- a/lib/groups/ld_groups.h
+++ b/lib/groups/ld_groups.h
@@ -25,8 +25,11 @@
 
 /**
  * struct ld_order - an order to one server
- * @fence: of the control lease; a server refuses orders with a fence lower than
- *	the highest that it has seen
+ * @fence: of the control lease
+ * @token: revision of the copy of the store on which the order was decided. A
+ *	server refuses orders with a lower token than the highest that it has
+ *	seen: those of earlier leases, and earlier ones of this lease that
+ *	arrive late. The next lease has a higher revision.
  * @shed: LD_ORDER_CLOSE drops queued requests instead of finishing them
  */
 struct ld_order {
@@ -37,6 +40,7 @@
 	int64_t epoch;
 	char model[LD_GROUP_NAME_MAX];
 	int64_t fence;
+	int64_t token;
 	bool shed;
 	size_t member_count;
 	char members[LD_GROUP_SIZE_MAX][LD_GROUP_NAME_MAX];
@@ -47,7 +51,7 @@
 	LD_ORDER_DONE, /* the server is in the state ordered */
 	LD_ORDER_BEGUN, /* accepted, not yet completed */
 	LD_ORDER_MISFIT, /* not valid in the server's current state */
-	LD_ORDER_FENCED, /* the server has seen a higher fence or epoch */
+	LD_ORDER_FENCED, /* the server has seen a higher token or epoch */
 	LD_ORDER_OTHER_SERVER, /* a different server listens at the address */
 	LD_ORDER_SILENT, /* no answer: the order may still be executed */
 	LD_ORDER_UNREACHABLE, /* nothing listens at the address */
--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -103,12 +103,12 @@
 	bool keep_lease;
 
 	ld_event("order.end",
-	    "order=%s server=%s group=%s epoch=%lld fence=%lld result=%s "
-	    "code=%ld ms=%llu",
+	    "order=%s server=%s group=%s epoch=%lld fence=%lld token=%lld "
+	    "result=%s code=%ld ms=%llu",
 	    ld_order_name(e->order.type), e->order.server, e->order.group,
 	    (long long)e->order.epoch, (long long)e->order.fence,
-	    ld_order_result_name(outcome), result->code,
-	    (unsigned long long)result->ms);
+	    (long long)e->order.token, ld_order_result_name(outcome),
+	    result->code, (unsigned long long)result->ms);
 	keep_lease = ld_groups_on_order_result(
 	    c->groups, &e->order, outcome, relay_now(r));
 	call_free(e);
--- a/tests/holders_servers.h
+++ b/tests/holders_servers.h
@@ -40,7 +40,7 @@
 	uint64_t restart_ms;
 	uint64_t store_cut_until_ms;
 	uint64_t cut_until_ms; /* from nodes, store and members */
-	int64_t fence_seen;
+	int64_t token_seen;
 	int64_t epoch_seen;
 	struct join join;
 	enum ld_member_state state;
@@ -180,9 +180,9 @@
 	struct sim_server *v = &s->v[i];
 	struct join j = join_of(o);
 
-	if (o->fence < v->fence_seen)
+	if (o->token < v->token_seen)
 		return LD_ORDER_FENCED;
-	v->fence_seen = o->fence;
+	v->token_seen = o->token;
 	if (o->type == LD_ORDER_STAGE) {
 		v->staged = j.model;
 		v->changed = true;
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -253,7 +253,7 @@
 	    .group = "m0/5",
 	    .epoch = 5,
 	    .model = "m0",
-	    .fence = 3,
+	    .token = 3,
 	    .member_count = 2,
 	    .members = {"i-1", "i-2"}};
 	struct ld_buf b = {0};
--- a/tests/unit/test_groups_exclusive.c
+++ b/tests/unit/test_groups_exclusive.c
@@ -89,6 +89,25 @@
 	run_seeds("cut", 6, 11, small_sizes, &f, 5);
 }
 
+static void
+test_orders_carried_out_late(void)
+{
+	static const struct faults f = {.kill_ms = 10000,
+	    .freeze_ms = 10000,
+	    .resign_ms = 10000,
+	    .crash_ms = 400,
+	    .store_cut_ms = 1000,
+	    .cut_ms = 4000,
+	    .late_percent = 30,
+	    .lost_percent = 10,
+	    .repeated_percent = 30,
+	    .follower_age_ms = 2000,
+	    .catch_up_ms = 500,
+	    .holder_age_ms = 300};
+
+	run_seeds("late", 6, 11, small_sizes, &f, 10);
+}
+
 int
 main(void)
 {
@@ -96,6 +115,7 @@
 	    {"holders in turn, 875 servers", test_holders_large},
 	    {"holders in turn, 66 servers", test_holders_small},
 	    {"servers cut off from all nodes", test_servers_cut_off},
+	    {"orders carried out late", test_orders_carried_out_late},
 	    {NULL, NULL},
 	};
 
--- a/tests/unit/test_groups_holder.c
+++ b/tests/unit/test_groups_holder.c
@@ -182,6 +182,38 @@
 	world_close(&w);
 }
 
+/* An order that a later one of the same lease has overtaken is refused by its
+ * token: no other node holds the lease. */
+static void
+test_overtaken_order_keeps_the_lease(void)
+{
+	struct ld_order first, second = {0};
+	struct world w;
+
+	world_open(&w);
+	w.now += 6000;
+	ld_groups_lead(w.g, 3, w.now);
+	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, 3, w.now + 700);
+	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, 3, w.now + 750);
+	do {
+		CU_ASSERT_FATAL(ld_groups_next_order(w.g, &first));
+	} while (first.type != LD_ORDER_JOIN);
+	CU_ASSERT_EQUAL(first.token, 3);
+	while (ld_groups_next_order(w.g, &second))
+		;
+	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, 8, w.now + 1500);
+	CU_ASSERT_FATAL(ld_groups_next_order(w.g, &second));
+	while (strcmp(second.server, first.server) != 0) {
+		CU_ASSERT_FATAL(ld_groups_next_order(w.g, &second));
+	}
+	CU_ASSERT_EQUAL(second.token, 8);
+	CU_ASSERT(ld_groups_on_order_result(
+	    w.g, &first, LD_ORDER_FENCED, w.now + 1500));
+	CU_ASSERT(!ld_groups_on_order_result(
+	    w.g, &second, LD_ORDER_FENCED, w.now + 1500));
+	world_close(&w);
+}
+
 /* The epochs of the highest possible fence stay below those of the next fence,
  * and none is issued once they are used up. */
 static void
@@ -236,6 +268,8 @@
 	    {"a successor learns of a cut off member",
 		test_successor_learns_of_a_cut_off_member},
 	    {"fenced", test_fenced},
+	    {"an overtaken order keeps the lease",
+		test_overtaken_order_keeps_the_lease},
 	    {"epochs of a fence", test_epochs_of_a_fence},
 	    {NULL, NULL},
 	};
