--- a/lib/groups/groups.c
+++ b/lib/groups/groups.c
@@ -57,12 +57,13 @@
 }
 
 struct ld_groups *
-ld_groups_new(uint64_t now_ms, bool initial)
+ld_groups_new(uint64_t now_ms, bool initial, uint64_t stall_ms)
 {
 	struct ld_groups *g = ld_alloc(sizeof(*g));
 
 	g->started_ms = now_ms;
 	g->initial = initial;
+	g->stall_ms = stall_ms;
 	return g;
 }
 
@@ -96,6 +97,7 @@
 ld_groups_lead(struct ld_groups *g, int64_t fence, uint64_t now_ms)
 {
 	g->leading = true;
+	g->adopted = false;
 	g->fence = fence;
 	g->lead_ms = now_ms;
 	g->last_epoch = fence * EPOCHS_PER_FENCE;
@@ -158,6 +160,8 @@
 	memset(o, 0, sizeof(*o));
 	o->type = type;
 	o->fence = g->fence;
+	o->token = g->revision;
+	server_info_get(g, to)->token = o->token;
 	snprintf(o->server, sizeof(o->server), "%s", to->entry.id);
 	snprintf(o->address, sizeof(o->address), "%s", to->entry.address);
 	if (about == NULL)
@@ -282,16 +286,6 @@
 	m->accepted = r == LD_ORDER_DONE || r == LD_ORDER_BEGUN;
 }
 
-/* A missing answer doesn't show that the head has stopped: a head that is
- * leaving no longer listens, but continues with its requests. */
-static void
-on_leave_result(struct group *gr, enum ld_order_result r)
-{
-	gr->head_silent = r == LD_ORDER_SILENT;
-	gr->head_unreachable = r == LD_ORDER_UNREACHABLE;
-	gr->head_left = !gr->head_silent && !gr->head_unreachable;
-}
-
 bool
 ld_groups_on_order_result(struct ld_groups *g, const struct ld_order *o,
     enum ld_order_result r, uint64_t now_ms)
@@ -309,14 +303,15 @@
 		info->avoid_until_ms = now_ms + AVOID_AFTER_SILENCE_MS;
 	else if (info != NULL && r != LD_ORDER_DONE && r != LD_ORDER_BEGUN)
 		info->avoid_until_ms = now_ms + AVOID_AFTER_REFUSAL_MS;
-	if (r == LD_ORDER_FENCED)
+	/* A later order of this lease may have overtaken it. */
+	if (r == LD_ORDER_FENCED && (info == NULL || o->token >= info->token))
 		return false;
 	if (gr == NULL)
 		return true;
 	if (o->type == LD_ORDER_JOIN)
 		on_join_result(gr, o, r);
 	if (o->type == LD_ORDER_LEAVE)
-		on_leave_result(gr, r);
+		closing_on_left(gr, o->server, r, now_ms);
 	return true;
 }
 
@@ -365,13 +360,22 @@
 void
 ld_groups_tick(struct ld_groups *g, struct ld_servers *servers,
     struct ld_str service, const struct ld_engine_spec *spec, bool settled,
-    uint64_t now_ms)
+    int64_t revision, uint64_t now_ms)
 {
 	struct tick s = {g, servers, service, spec, settled, now_ms};
 
-	if (!g->leading)
+	if (!g->leading || revision < g->fence)
 		return;
+	g->revision = revision;
 	lifecycle_step(&s);
-	if (settled)
-		placing_step(&s);
+	if (!settled)
+		return;
+	g->adopted = true;
+	placing_step(&s);
+}
+
+bool
+ld_groups_adopted(const struct ld_groups *g)
+{
+	return g->leading && g->adopted;
 }
--- a/lib/groups/ld_groups.h
+++ b/lib/groups/ld_groups.h
@@ -25,8 +25,11 @@
 
 /**
  * struct ld_order - an order to one server
- * @fence: of the control lease; a server refuses orders with a fence lower than
- *	the highest that it has seen
+ * @fence: of the control lease
+ * @token: revision of the copy of the store on which the order was decided. A
+ *	server refuses orders with a lower token than the highest that it has
+ *	seen: those of earlier leases, and earlier ones of this lease that
+ *	arrive late. The next lease has a higher revision.
  * @shed: LD_ORDER_CLOSE drops queued requests instead of finishing them
  */
 struct ld_order {
@@ -37,6 +40,7 @@
 	int64_t epoch;
 	char model[LD_GROUP_NAME_MAX];
 	int64_t fence;
+	int64_t token;
 	bool shed;
 	size_t member_count;
 	char members[LD_GROUP_SIZE_MAX][LD_GROUP_NAME_MAX];
@@ -47,7 +51,7 @@
 	LD_ORDER_DONE, /* the server is in the state ordered */
 	LD_ORDER_BEGUN, /* accepted, not yet completed */
 	LD_ORDER_MISFIT, /* not valid in the server's current state */
-	LD_ORDER_FENCED, /* the server has seen a higher fence or epoch */
+	LD_ORDER_FENCED, /* the server has seen a higher token or epoch */
 	LD_ORDER_OTHER_SERVER, /* a different server listens at the address */
 	LD_ORDER_SILENT, /* no answer: the order may still be executed */
 	LD_ORDER_UNREACHABLE, /* nothing listens at the address */
@@ -76,8 +80,13 @@
 
 struct ld_groups;
 
-/** ld_groups_new() - @initial: this is the first start of the whole system */
-struct ld_groups *ld_groups_new(uint64_t now_ms, bool initial);
+/**
+ * ld_groups_new() - create a node's group control; it doesn't lead
+ * @initial: this is the first start of the whole system
+ * @stall_ms: a head whose group has stood still for this long is broken
+ */
+struct ld_groups *ld_groups_new(
+    uint64_t now_ms, bool initial, uint64_t stall_ms);
 void ld_groups_free(struct ld_groups *g);
 
 /**
@@ -114,10 +123,23 @@
  * @spec: engines of @service
  * @settled: every live server has had time to register its entry; until then
  *	incomplete groups are left unchanged and no group is formed
+ * @revision: of the store, up to which @servers was read
+ *
+ * A head opens only after the entries of all members showed them ready to the
+ * leader that orders it. A copy of the store that includes the acquisition of
+ * the lease therefore shows every group that a previous leader may have opened;
+ * an older copy shows servers as free that it may not, and decides nothing.
  */
 void ld_groups_tick(struct ld_groups *g, struct ld_servers *servers,
     struct ld_str service, const struct ld_engine_spec *spec, bool settled,
-    uint64_t now_ms);
+    int64_t revision, uint64_t now_ms);
+
+/**
+ * ld_groups_adopted() - the groups of previous leaders are known
+ *
+ * Before that ld_groups_each_serving() lacks groups that serve.
+ */
+bool ld_groups_adopted(const struct ld_groups *g);
 
 /**
  * ld_groups_alarm() - a node reports the group as silent; probes its members
--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -70,8 +70,8 @@
 	ld_buf_adds(&((struct server_call *)s)->answer, bytes);
 }
 
-static enum ld_order_result
-order_result(const struct ld_http_result *r)
+enum ld_order_result
+control_order_result(const struct ld_http_result *r)
 {
 	if (r->status == LD_E_UNAVAILABLE && !r->sent)
 		return LD_ORDER_UNREACHABLE;
@@ -86,8 +86,11 @@
 		return LD_ORDER_FENCED;
 	case 421:
 		return LD_ORDER_OTHER_SERVER;
-	default:
+	case 400:
+	case 409:
 		return LD_ORDER_MISFIT;
+	default:
+		return LD_ORDER_SILENT;
 	}
 }
 
@@ -96,16 +99,16 @@
 {
 	struct control *c = e->control;
 	struct relay *r = c->relay;
-	enum ld_order_result outcome = order_result(result);
+	enum ld_order_result outcome = control_order_result(result);
 	bool keep_lease;
 
 	ld_event("order.end",
-	    "order=%s server=%s group=%s epoch=%lld fence=%lld result=%s "
-	    "code=%ld ms=%llu",
+	    "order=%s server=%s group=%s epoch=%lld fence=%lld token=%lld "
+	    "result=%s code=%ld ms=%llu",
 	    ld_order_name(e->order.type), e->order.server, e->order.group,
 	    (long long)e->order.epoch, (long long)e->order.fence,
-	    ld_order_result_name(outcome), result->code,
-	    (unsigned long long)result->ms);
+	    (long long)e->order.token, ld_order_result_name(outcome),
+	    result->code, (unsigned long long)result->ms);
 	keep_lease = ld_groups_on_order_result(
 	    c->groups, &e->order, outcome, relay_now(r));
 	call_free(e);
@@ -251,9 +254,10 @@
 	while (ld_groups_next_change(c->groups, &ch))
 		ld_event("group.change",
 		    "what=%s group=%s epoch=%lld model=%s server=%s "
-		    "why=\"%s\" age_ms=%lld",
+		    "why=\"%s\" revision=%lld age_ms=%lld",
 		    ch.what, ch.group, (long long)ch.epoch, ch.model,
 		    ch.server[0] != '\0' ? ch.server : "-", ch.why,
+		    (long long)feed_revision(c->relay),
 		    (long long)feed_age_ms(c->relay));
 }
 
@@ -270,7 +274,7 @@
 	c->evaluated_ms = relay_now(r);
 	c->changed = false;
 	ld_groups_tick(c->groups, r->servers, ld_str_c(s->name), &s->engine,
-	    feed_is_settled(r), c->evaluated_ms);
+	    feed_is_settled(r), feed_revision(r), c->evaluated_ms);
 	log_changes(c);
 	while (ld_groups_next_order(c->groups, &o))
 		if (leader_holds(r))
@@ -316,7 +320,8 @@
 	struct control *c = ld_alloc(sizeof(*c));
 
 	c->relay = r;
-	c->groups = ld_groups_new(relay_now(r), r->settings->initial);
+	c->groups = ld_groups_new(
+	    relay_now(r), r->settings->initial, r->settings->stall_ms);
 	r->control = c;
 }
 
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -209,6 +209,8 @@
  * last read; empty: none
  */
 struct ld_str feed_control_holder(const struct relay *r);
+/** feed_poll_now() - end the pause between two polls of the watch */
+void feed_poll_now(struct relay *r);
 /** feed_resume_watch() - resume the own watch if it is paused */
 void feed_resume_watch(struct relay *r);
 
@@ -274,6 +276,13 @@
 /** control_end_turn() - call at the end of each turn of the loop */
 void control_end_turn(struct relay *r);
 struct ld_groups *control_groups(struct relay *r);
+/**
+ * control_order_result() - what an answer says about an order
+ *
+ * A status that the protocol doesn't define for orders (429, 5xx) says nothing
+ * about the server's state, like no answer.
+ */
+enum ld_order_result control_order_result(const struct ld_http_result *r);
 /** control_servers_changed() - evaluate the groups in this turn */
 void control_servers_changed(struct relay *r);
 /** control_alarm() - a group is silent */
--- a/tests/groups_world.h
+++ b/tests/groups_world.h
@@ -112,7 +112,7 @@
 	    .loads_per_s = 5.5,
 	    .models = w->models,
 	    .model_count = 2};
-	w->g = ld_groups_new(w->now, true);
+	w->g = ld_groups_new(w->now, true, STALL_MS);
 	w->t = ld_servers_new();
 	for (int i = 0; i < SERVERS; i++)
 		put(w, i, LD_MEMBER_NONE, NULL, 0, 0, NULL);
@@ -260,8 +260,8 @@
 	for (; w->now < end; w->now += STEP_MS) {
 		if (w->step != NULL)
 			w->step(w);
-		ld_groups_tick(
-		    w->g, w->t, LD_STR("llm"), &w->spec, settled, w->now);
+		ld_groups_tick(w->g, w->t, LD_STR("llm"), &w->spec, settled,
+		    INT64_MAX, w->now);
 		while (ld_groups_next_change(w->g, &c))
 			;
 		while (ld_groups_next_order(w->g, &o))
--- a/tests/unit/test_groups.c
+++ b/tests/unit/test_groups.c
@@ -171,7 +171,8 @@
 	lost = member_of(&w, LARGE, 2);
 	raise_alarm(&w, lost);
 	for (uint64_t end = w.now + 150; w.now < end; w.now += 10) {
-		ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, w.now);
+		ld_groups_tick(
+		    w.g, w.t, LD_STR("llm"), &w.spec, true, INT64_MAX, w.now);
 		while (ld_groups_next_change(w.g, &c))
 			;
 		while (ld_groups_next_order(w.g, &o))
@@ -320,7 +321,7 @@
 
 		world_open(&w);
 		ld_groups_free(w.g);
-		w.g = ld_groups_new(w.now, false);
+		w.g = ld_groups_new(w.now, false, STALL_MS);
 		w.spec.loads_at_once = limit;
 		w.slow_load = w.slow_stage = true;
 		/* Two servers hold weights and need one more to form a group;
@@ -350,7 +351,7 @@
 
 	world_open(&w);
 	ld_groups_free(w.g);
-	w.g = ld_groups_new(w.now, false);
+	w.g = ld_groups_new(w.now, false, STALL_MS);
 	w.spec.loads_at_once = 1;
 	w.slow_load = w.slow_stage = true;
 	for (int i = 0; i < 6; i++) {
--- a/tests/unit/test_groups_holder.c
+++ b/tests/unit/test_groups_holder.c
@@ -100,6 +100,31 @@
 	world_close(&w);
 }
 
+/* A former holder's groups are not in a copy of the store that is older than
+ * the lease: its servers look free. */
+static void
+test_successor_with_an_older_copy_waits(void)
+{
+	struct ld_order o;
+	struct world w;
+
+	world_open(&w);
+	w.now += 6000;
+	ld_groups_lead(w.g, 9, w.now);
+	for (int i = 0; i < 100; i++, w.now += STEP_MS) {
+		ld_groups_tick(
+		    w.g, w.t, LD_STR("llm"), &w.spec, true, 8, w.now);
+		CU_ASSERT(!ld_groups_next_order(w.g, &o));
+		CU_ASSERT(!ld_groups_adopted(w.g));
+	}
+	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, 9, w.now);
+	CU_ASSERT(ld_groups_adopted(w.g));
+	w.now += STEP_MS;
+	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, 9, w.now);
+	CU_ASSERT(ld_groups_next_order(w.g, &o));
+	world_close(&w);
+}
+
 /*
  * All nodes lose power while some of the servers are cut off from the store
  * (hs-quayplan-grown trouble-1: 57 of 216; the restarted nodes closed 30
@@ -184,8 +209,10 @@
 	world_open(&w);
 	ld_groups_lead(w.g, 3, w.now);
 	w.now += 5000;
-	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, w.now);
-	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, w.now + 50);
+	ld_groups_tick(
+	    w.g, w.t, LD_STR("llm"), &w.spec, true, INT64_MAX, w.now);
+	ld_groups_tick(
+	    w.g, w.t, LD_STR("llm"), &w.spec, true, INT64_MAX, w.now + 50);
 	CU_ASSERT_FATAL(ld_groups_next_order(w.g, &o));
 	CU_ASSERT(!ld_groups_on_order_result(w.g, &o, LD_ORDER_FENCED, w.now));
 	ld_groups_yield(w.g);
@@ -196,6 +223,38 @@
 	world_close(&w);
 }
 
+/* An order that a later one of the same lease has overtaken is refused by its
+ * token: no other node holds the lease. */
+static void
+test_overtaken_order_keeps_the_lease(void)
+{
+	struct ld_order first, second = {0};
+	struct world w;
+
+	world_open(&w);
+	w.now += 6000;
+	ld_groups_lead(w.g, 3, w.now);
+	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, 3, w.now + 700);
+	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, 3, w.now + 750);
+	do {
+		CU_ASSERT_FATAL(ld_groups_next_order(w.g, &first));
+	} while (first.type != LD_ORDER_JOIN);
+	CU_ASSERT_EQUAL(first.token, 3);
+	while (ld_groups_next_order(w.g, &second))
+		;
+	ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, 8, w.now + 1500);
+	CU_ASSERT_FATAL(ld_groups_next_order(w.g, &second));
+	while (strcmp(second.server, first.server) != 0) {
+		CU_ASSERT_FATAL(ld_groups_next_order(w.g, &second));
+	}
+	CU_ASSERT_EQUAL(second.token, 8);
+	CU_ASSERT(ld_groups_on_order_result(
+	    w.g, &first, LD_ORDER_FENCED, w.now + 1500));
+	CU_ASSERT(!ld_groups_on_order_result(
+	    w.g, &second, LD_ORDER_FENCED, w.now + 1500));
+	world_close(&w);
+}
+
 /* The epochs of the highest possible fence stay below those of the next fence,
  * and none is issued once they are used up. */
 static void
@@ -245,11 +304,15 @@
 		test_successor_adopts_a_loading_group},
 	    {"a successor leaves an opening group alone",
 		test_successor_leaves_an_opening_group_alone},
+	    {"a successor with an older copy waits",
+		test_successor_with_an_older_copy_waits},
 	    {"a successor learns of a cut off member",
 		test_successor_learns_of_a_cut_off_member},
 	    {"an evacuated domain gets no orders",
 		test_evacuated_domain_gets_no_orders},
 	    {"fenced", test_fenced},
+	    {"an overtaken order keeps the lease",
+		test_overtaken_order_keeps_the_lease},
 	    {"epochs of a fence", test_epochs_of_a_fence},
 	    {NULL, NULL},
 	};
--- a/tests/unit/test_groups_losses.c
+++ b/tests/unit/test_groups_losses.c
@@ -331,7 +331,8 @@
 	struct ld_order o;
 	struct ld_probe p;
 
-	ld_groups_tick(f->g, f->t, LD_STR("llm"), &f->spec, true, f->now);
+	ld_groups_tick(
+	    f->g, f->t, LD_STR("llm"), &f->spec, true, INT64_MAX, f->now);
 	while (ld_groups_next_change(f->g, &c))
 		;
 	while (ld_groups_next_order(f->g, &o)) {
@@ -408,7 +409,7 @@
 	    .loads_at_once = scenario->loads_at_once,
 	    .models = f->models,
 	    .model_count = 2};
-	f->g = ld_groups_new(f->now, true);
+	f->g = ld_groups_new(f->now, true, STALL_MS);
 	f->t = ld_servers_new();
 	for (int d = 0; d < scenario->domains; d++)
 		for (int i = 0; i < scenario->domain_servers; i++)
--- a/tests/unit/test_groups_size.c
+++ b/tests/unit/test_groups_size.c
@@ -56,7 +56,8 @@
 	struct ld_probe p;
 
 	f->now += 50;
-	ld_groups_tick(f->g, f->t, LD_STR("llm"), &f->spec, true, f->now);
+	ld_groups_tick(
+	    f->g, f->t, LD_STR("llm"), &f->spec, true, INT64_MAX, f->now);
 	while (ld_groups_next_change(f->g, &c))
 		;
 	while (ld_groups_next_probe(f->g, &p))
@@ -92,7 +93,7 @@
 	    .loads_per_s = 18,
 	    .models = f->models,
 	    .model_count = 2};
-	f->g = ld_groups_new(f->now, true);
+	f->g = ld_groups_new(f->now, true, STALL_MS);
 	f->t = ld_servers_new();
 	for (int i = 0; i < domains * DOMAIN_SERVERS; i++)
 		put(f, i, NULL, LD_MEMBER_NONE);
