--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -61,6 +61,19 @@
 	ld_kv_store_put(store, key, value);
 }
 
+void
+list_servers(const struct server *other, bool with_sound)
+{
+	ld_kv_store_delete(store, "servers/i-0");
+	if (with_sound)
+		put_entry(&servers[1], 0);
+	else
+		ld_kv_store_delete(store, "servers/i-1");
+	put_entry(other, 0);
+	/* For 2 s after its start the relay takes no server for gone. */
+	run_for(2600);
+}
+
 void
 set_servers(enum behaviour first, enum behaviour second)
 {
@@ -105,7 +118,11 @@
 	    "{\"name\":\"r4\",\"host\":\"h\",\"prefix\":\"/open/\",\"type\":"
 	    "\"idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":300,"
 	    "\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,"
-	    "\"anonymous\":true}],"
+	    "\"anonymous\":true},"
+	    "{\"name\":\"r5\",\"host\":\"h\",\"prefix\":\"/once/\",\"type\":"
+	    "\"streaming\",\"timeout_ms\":5000,\"target_latency_ms\":300,"
+	    "\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,"
+	    "\"anonymous\":false}],"
 	    "\"services\":[{\"name\":\"desk\",\"max_connections\":100}],"
 	    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,"
 	    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
@@ -146,23 +163,16 @@
 	c->done = true;
 }
 
-void
-start_at(struct client *c, const char *address, const char *method,
-    const char *path, const char *key)
-{
-	start_prompt_at(c, address, method, path, key, NULL);
-}
-
-void
-start_prompt_at(struct client *c, const char *address, const char *method,
-    const char *path, const char *key, const char *prompt)
+/* @more: one more header field, or NULL */
+static void
+start_request(struct client *c, const char *address, const char *method,
+    const char *path, const char *key, const char *attempt, const char *more)
 {
 	static const struct ld_http_sink_ops ops = {
 	    .field = on_field, .body = on_body, .done = on_done};
-	static const char attempt[] = "X-Attempt-Id: " RELAY_REQUEST_ID;
-	char url[128], authorization[64], parts[128];
-	const char *headers[] = {"Host: h", attempt, "X-Deadline-Ms: 4000",
-	    authorization, prompt != NULL ? parts : NULL, NULL};
+	char url[128], authorization[64], id[64];
+	const char *headers[] = {
+	    "Host: h", id, "X-Deadline-Ms: 4000", authorization, more, NULL};
 	struct ld_http_request rq = {.method = method,
 	    .url = url,
 	    .headers = headers,
@@ -173,14 +183,39 @@
 		rq.body = LD_STR("x=1");
 	*c = (struct client){.sink = {&ops}};
 	snprintf(url, sizeof(url), "http://%s%s", address, path);
+	snprintf(id, sizeof(id), "X-Attempt-Id: %s", attempt);
 	snprintf(authorization, sizeof(authorization),
 	    "Authorization: Bearer %s", key);
-	if (prompt != NULL)
-		snprintf(parts, sizeof(parts), "X-Prefix-Hash: %s", prompt);
 	c->call = ld_http_start(http, &rq, &c->sink);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(c->call);
 }
 
+void
+start_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *key)
+{
+	start_request(c, address, method, path, key, RELAY_REQUEST_ID, NULL);
+}
+
+void
+start_attempt_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *attempt)
+{
+	start_request(c, address, method, path, "k1", attempt, NULL);
+}
+
+void
+start_prompt_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *key, const char *prompt)
+{
+	char parts[128];
+
+	snprintf(parts, sizeof(parts), "X-Prefix-Hash: %s",
+	    prompt != NULL ? prompt : "");
+	start_request(c, address, method, path, key, RELAY_REQUEST_ID,
+	    prompt != NULL ? parts : NULL);
+}
+
 void
 wait_for(struct client *c)
 {
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -76,6 +76,12 @@
 void set_servers(enum behaviour first, enum behaviour second);
 /** put_entry() - write the server's own entry, marked as ready */
 void put_entry(const struct server *s, int sequence);
+/**
+ * list_servers() - only @other is listed, and if @with_sound the second server
+ *
+ * Returns once the relay knows.
+ */
+void list_servers(const struct server *other, bool with_sound);
 /** arrivals() - requests that both servers received since set_servers() */
 unsigned int arrivals(void);
 
@@ -89,6 +95,9 @@
 /** start_at() - send a request; @c must not move until it is done */
 void start_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key);
+/** start_attempt_at() - the same with key k1 and an attempt id of its own */
+void start_attempt_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *attempt);
 /** start_prompt_at() - the same with the parts of a prompt, NULL for none */
 void start_prompt_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key, const char *prompt);
