http: bytes that wait on an idle connection close it

What callers saw: a server wrote an earlier answer once more on a kept connection, while no request was on it. The next request on the connection, sent 600 ms later, was told the copy: 503 and "not run" where the copy had no attempt id, although the server ran it; a 502 for a copy with another id.

Cause: libcurl 7.88.1 polls an idle connection before it uses it again, but takes one that is readable for alive, and reads what waits there as the next answer. Only bytes that come in the same read as the end of an answer make it close the connection; test_http_endless covered these alone.

Evidence, on the code of before (test_repeated_answers, "a copy on an idle connection answers nothing", three kinds of copies): t= event=request.end id=a2 outcome=failed code=503 why=no-server ms=1 sends=1 maybe_ran=0 test_repeated_answers.c:37 - CU_ASSERT_EQUAL(c.code,code), three times 2 passed, 1 failed

Fix: before a request is written on a reused connection, its socket is looked at. If bytes wait, or it was closed, the call starts again on a new one; nothing was sent by then. libcurl names only the addresses of a connection at that moment (CURLINFO_ACTIVESOCKET is set at the end of a call), so that the sockets are kept by their addresses. This holds for requests, orders and calls of the store alike. Ruled out: requests that run at most once, which take a connection of their own ("requests that run once use connections of their own" passed before as well).

After: 3 passed, 0 failed; test_http_endless 4 passed, 0 failed. Quiet connections are still reused: three requests on one, by the server's count.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -253,6 +253,16 @@
 	}
 }
 
+/* Starts the call again on a new connection; nothing has been sent. */
+static void
+restart_call(struct ld_http_call *c)
+{
+	c->connection_stale = false;
+	curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_multi_remove_handle(c->http->multi, c->easy);
+	add_call(c);
+}
+
 static void
 finish_completed(struct ld_http *h)
 {
@@ -268,7 +278,10 @@
 			continue;
 		code = m->data.result;
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &c);
-		finish_call(c, status_from_curl(c, code));
+		if (c->connection_stale && !c->ended)
+			restart_call(c);
+		else
+			finish_call(c, status_from_curl(c, code));
 	}
 	add_pending(h);
 	free_ended(h);
@@ -397,6 +410,7 @@
 		curl_easy_cleanup(h->spare[--h->spare_count]);
 	curl_multi_cleanup(h->multi);
 	ld_timer_stop(ld_loop_timers(h->loop), &h->timer);
+	free(h->by_fd);
 	free(h);
 	curl_global_cleanup();
 }
--- a/lib/http/request.c
+++ b/lib/http/request.c
@@ -1,6 +1,7 @@
 /* The libcurl options of a request and of its connection. */
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "http_internal.h"
@@ -12,8 +13,10 @@
 static int
 on_sockopt(void *user, curl_socket_t fd, curlsocktype purpose)
 {
+	struct ld_http_call *c = user;
 	unsigned int ms = TCP_USER_TIMEOUT_MS;
 
+	c->opened_fd = fd;
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 	return CURL_SOCKOPT_OK;
 }
@@ -57,12 +60,41 @@
 	}
 }
 
+/*
+ * Called before the request is written. Bytes that wait on an idle connection
+ * belong to an earlier request, and libcurl would read them as the answer.
+ */
+static int
+on_connected(void *user, char *remote_ip, char *local_ip, int remote_port,
+    int local_port)
+{
+	struct ld_http_call *c = user;
+	struct http_path path = {
+	    .local_port = local_port, .remote_port = remote_port};
+
+	snprintf(path.local_ip, sizeof(path.local_ip), "%s", local_ip);
+	snprintf(path.remote_ip, sizeof(path.remote_ip), "%s", remote_ip);
+	if (ld_http_is_new_connection(c)) {
+		http_connection_opened(c->http, c->opened_fd, &path);
+		return CURL_PREREQFUNC_OK;
+	}
+	if (http_connection_is_quiet(c->http, &path))
+		return CURL_PREREQFUNC_OK;
+	c->connection_stale = true;
+	return CURL_PREREQFUNC_ABORT;
+}
+
 static void
 set_connection_options(struct ld_http_call *c)
 {
 	CURL *e = c->easy;
 
 	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
+	curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, c);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, http_connection_close);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, c->http);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_connected);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(e, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http,https");
