relay: an answer on a kept connection must name its request

What callers saw: a faulty server wrote an earlier refusal once more while it ran the next request of the same connection. Without an attempt id the copy was believed: the client was told 503, "not run", for a request that was running (which then could run at a second server as well); a copied 404 was passed on as the answer. With the id of another request the answer became a 502, but the connection was kept, so that the answer that followed was read as that of the next request, which failed as well, and so on.

Cause: response_verdict() asked for the attempt id of successes alone, and an answer of another request ended its send only once it was complete, which left its connection for reuse.

Fix: on a connection that has answered before, any answer without the id of its request is that of another; servers echo the id. A request without an id, which no server can name, is excepted, and so are other nodes, whose refusals have no id. An answer of another request ends its send at its head, for every kind of request, which closes the connection. Ruled out: requests that may run once only, which share no connection.

--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -103,13 +103,18 @@
 
 	q->response.code = code;
 	if (q->server != NULL) {
+		bool new_connection = ld_http_is_new_connection(q->call);
+
 		isolation_note_heard(q->relay);
-		if (ld_http_is_new_connection(q->call))
+		if (new_connection)
 			isolation_note_answered(q->relay, q->sent_ms);
+		/* Servers can't echo the id of a request without one. */
+		q->response.needs_attempt_id =
+		    !new_connection && q->attempt_id[0] != '\0';
 	}
 	record_server_state(q);
-	if (q->kind == LD_KIND_STREAM && code == 200 &&
-	    response_verdict(&q->response) == RESPONSE_INVALID) {
+	/* The connection is closed: what follows on it can't be trusted. */
+	if (response_verdict(&q->response) == RESPONSE_INVALID) {
 		request_mark_maybe_ran(q);
 		note_server_failed(q);
 		retry_or_fail(q, "foreign-answer");
@@ -212,17 +217,10 @@
 static void
 handle_complete_response(struct request *q)
 {
-	switch (response_verdict(&q->response)) {
-	case RESPONSE_NOT_RUN:
+	/* on_head() ends the send of an invalid response. */
+	if (response_verdict(&q->response) == RESPONSE_NOT_RUN) {
 		handle_not_run(q);
 		return;
-	case RESPONSE_INVALID:
-		note_server_failed(q);
-		request_mark_ran(q);
-		retry_or_fail(q, "foreign-answer");
-		return;
-	case RESPONSE_VALID:
-		break;
 	}
 	request_mark_ran(q);
 	/* The client has the head of a stream, so that another response
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -15,6 +15,7 @@
 	struct ld_buf body;
 	bool has_attempt_id;
 	bool attempt_id_matches;
+	bool needs_attempt_id; /* it may answer an earlier request */
 	bool is_signed;
 	bool not_run; /* the server states that it did not run the request */
 	bool leaving; /* the server states that it is shutting down */
--- a/lib/relay/response.c
+++ b/lib/relay/response.c
@@ -116,8 +116,9 @@
 response_verdict(const struct response *rsp)
 {
 	bool success = rsp->code >= 200 && rsp->code < 300;
+	bool needs_id = success || rsp->needs_attempt_id;
 
-	if (rsp->has_attempt_id ? !rsp->attempt_id_matches : success)
+	if (rsp->has_attempt_id ? !rsp->attempt_id_matches : needs_id)
 		return RESPONSE_INVALID;
 	if (rsp->not_run || rsp->code == 421)
 		return RESPONSE_NOT_RUN;
--- a/tests/faults/test_repeated_answers.c
+++ b/tests/faults/test_repeated_answers.c
@@ -12,8 +12,13 @@
 #define ANSWER(id, body)                       \
 	"HTTP/1.1 200 OK\r\nX-Attempt-Id: " id \
 	"\r\nX-Server-Signature: s\r\nContent-Length: 4\r\n\r\n" body
+#define FAILURE                                           \
+	"HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n" \
+	"X-Server-Signature: s\r\n\r\nnone"
 /* The relay's doubts about a server expire, ms. */
 #define DOUBT_MS 600
+/* How long the server runs a request: longer than it is doubted, ms. */
+#define RUNS_MS 900
 
 static struct raw_server faulty;
 
@@ -69,6 +74,47 @@
 	}
 }
 
+/* The server is running the request when the relay reads the copy. */
+static void
+check_copy_after_the_request(const char *copy, const char *path)
+{
+	const struct raw_step script[] = {
+	    {0, 0, ANSWER("a1", "body"), RAW_KEEP},
+	    {1, 0, copy, RAW_KEEP},
+	    {1, RUNS_MS, ANSWER("a2", "ran!"), RAW_KEEP},
+	    {2, RUNS_MS, ANSWER("a3", "next"), RAW_KEEP},
+	    {0},
+	};
+
+	raw_server_play(&faulty, script);
+	check_attempt("/look/a", "a1", 200, "body");
+	check_attempt(path, "a2", 502, NULL);
+	run_for(DOUBT_MS);
+	check_attempt(path, "a3", 200, "next");
+	CU_ASSERT_EQUAL(faulty.requests, 3);
+	run_for(DOUBT_MS);
+}
+
+static void
+test_a_copied_refusal_is_not_the_running_requests(void)
+{
+	check_copy_after_the_request(REFUSAL(""), "/look/a");
+	check_copy_after_the_request(
+	    REFUSAL("X-Attempt-Id: a1\r\n"), "/look/a");
+}
+
+static void
+test_a_copied_failure_is_not_the_running_requests(void)
+{
+	check_copy_after_the_request(FAILURE, "/look/a");
+}
+
+static void
+test_an_answer_after_a_copy_is_not_the_next_requests(void)
+{
+	check_copy_after_the_request(ANSWER("a1", "copy"), "/look/a");
+}
+
 static void
 test_requests_that_run_once_use_connections_of_their_own(void)
 {
@@ -113,6 +159,12 @@
 	static const struct ld_test_case cases[] = {
 	    {"a copy on an idle connection answers nothing",
 		test_a_copy_on_an_idle_connection_answers_nothing},
+	    {"a copied refusal is not the running request's",
+		test_a_copied_refusal_is_not_the_running_requests},
+	    {"a copied failure is not the running request's",
+		test_a_copied_failure_is_not_the_running_requests},
+	    {"an answer after a copy is not the next request's",
+		test_an_answer_after_a_copy_is_not_the_next_requests},
 	    {"requests that run once use connections of their own",
 		test_requests_that_run_once_use_connections_of_their_own},
 	    {"the relay stops", test_end},
