relay: a broken stream goes on with an event stream only

What callers saw: a stream broke off after event 3, and the next server answered 200, signed and with the attempt id, but with a text ("sorry") of type text/plain or without a type. The text came in the middle of the client's stream, whose end then looked complete: id: 3\ndata: e3\n\nsorry\n\n, code 200, ok

Cause: whether an answer is an event stream was told by the kind of the route and the status 200 alone. An empty line in the text ended an event without an id, and such an event is relayed wherever it comes.

Fix: once the client has the head, an answer 200 goes on with the stream only if its type is text/event-stream; otherwise the send ends at the answer's head and counts as failed. The stream goes on elsewhere or is aborted.

--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -1,6 +1,11 @@
 /* Receives a server's response: relays it, or retries or fails the request. */
+#include <string.h>
+#include <strings.h>
+
 #include "request_internal.h"
 
+#define EVENT_STREAM_TYPE "text/event-stream"
+
 static struct request *
 request_of(struct ld_http_sink *s)
 {
@@ -96,10 +101,34 @@
 	}
 }
 
+static bool
+is_event_stream_type(struct ld_str type)
+{
+	size_t n = strlen(EVENT_STREAM_TYPE);
+
+	return type.len >= n &&
+	    strncasecmp(type.p, EVENT_STREAM_TYPE, n) == 0 &&
+	    (type.len == n || strchr("; \t", type.p[n]) != NULL);
+}
+
+/* Why the response can't be used, NULL if it can. */
+static const char *
+response_fault(const struct request *q, struct ld_str type)
+{
+	if (response_verdict(&q->response) == RESPONSE_INVALID)
+		return "foreign-answer";
+	/* Any other body can't go on where the stream broke off. */
+	if (q->response_started && q->response.code == 200 &&
+	    !is_event_stream_type(type))
+		return "no-event-stream";
+	return NULL;
+}
+
 static void
 on_head(struct ld_http_sink *s, long code, struct ld_str type)
 {
 	struct request *q = request_of(s);
+	const char *fault;
 
 	q->response.code = code;
 	if (q->server != NULL) {
@@ -114,10 +143,11 @@
 	}
 	record_server_state(q);
 	/* The connection is closed: what follows on it can't be trusted. */
-	if (response_verdict(&q->response) == RESPONSE_INVALID) {
+	fault = response_fault(q, type);
+	if (fault != NULL) {
 		request_mark_maybe_ran(q);
 		note_server_failed(q);
-		retry_or_fail(q, "foreign-answer");
+		retry_or_fail(q, fault);
 	}
 }
 
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -204,6 +204,13 @@
 	start_request(c, address, method, path, "k1", attempt, NULL);
 }
 
+void
+start_field_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *field)
+{
+	start_request(c, address, method, path, "k1", RELAY_REQUEST_ID, field);
+}
+
 void
 start_prompt_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key, const char *prompt)
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -21,10 +21,10 @@
 	struct ld_http_call *call;
 	struct ld_buf body;
 	long code;
-	bool done;
+	double retry_after_s; /* 0 if absent */
 	enum ld_status status;
+	bool done;
 	bool is_signed;
-	double retry_after_s; /* 0 if absent */
 };
 
 extern struct server servers[SERVERS];
@@ -98,6 +98,9 @@
 /** start_attempt_at() - the same with key k1 and an attempt id of its own */
 void start_attempt_at(struct client *c, const char *address, const char *method,
     const char *path, const char *attempt);
+/** start_field_at() - with key k1 and one more header field, "Name: value" */
+void start_field_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *field);
 /** start_prompt_at() - the same with the parts of a prompt, NULL for none */
 void start_prompt_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key, const char *prompt);
