relay: a stream with an event without an id is not resumed

What callers saw: events without ids came twice in a stream that broke off and went on at another server: "a b a b c" instead of "a b"; where the last event before the break had no id, that one came twice. Its end looked complete.

Cause: a stream is resumed after its last numbered event. The data that was relayed since then has no number, so the new run sends it once more; without any id the new run starts at the first event.

Fix: data without an id is remembered until the next id. While it is the last of the stream, the request may not run again (no retry, no move from a silent group, no other node), and a break aborts the stream; the client may go on by itself. Comments hold no data, so that a stream with comments is resumed.

--- a/lib/relay/events.c
+++ b/lib/relay/events.c
@@ -4,6 +4,7 @@
 #include "events.h"
 
 #define ID_FIELD "id:"
+#define DATA_FIELD "data"
 #define ID_DIGITS_MAX 18
 
 /* Offset after the empty line that ends the first event, 0 for none. */
@@ -20,14 +21,14 @@
 	return 0;
 }
 
-/* The value of the first id field from @p on, NULL for none. */
+/* What follows the first line that begins with @field, NULL for none. */
 static const char *
-id_line(const char *p, const char *end)
+find_field(const char *p, const char *end, const char *field)
 {
-	size_t n = sizeof(ID_FIELD) - 1;
+	size_t n = strlen(field);
 
 	while ((size_t)(end - p) > n) {
-		if (memcmp(p, ID_FIELD, n) == 0)
+		if (memcmp(p, field, n) == 0)
 			return p + n;
 		p = memchr(p, '\n', (size_t)(end - p));
 		if (p == NULL)
@@ -44,7 +45,7 @@
 	uint64_t id = 0;
 	int digits = 0;
 
-	p = id_line(p, end);
+	p = find_field(p, end, ID_FIELD);
 	if (p == NULL)
 		return UINT64_MAX;
 	while (p < end && *p == ' ')
@@ -69,6 +70,12 @@
 	return true;
 }
 
+bool
+event_has_data(struct ld_str event)
+{
+	return find_field(event.p, event.p + event.len, DATA_FIELD) != NULL;
+}
+
 void
 events_consume(struct events *e, struct ld_str event)
 {
--- a/lib/relay/events.h
+++ b/lib/relay/events.h
@@ -18,6 +18,8 @@
  */
 bool events_peek(const struct events *e, struct ld_str *event, uint64_t *id);
 void events_consume(struct events *e, struct ld_str event);
+/** event_has_data() - false for comments and other fields alone */
+bool event_has_data(struct ld_str event);
 void events_append(struct events *e, struct ld_str bytes);
 /** events_pending_bytes() - bytes that have not been consumed */
 size_t events_pending_bytes(const struct events *e);
--- a/lib/relay/forward.c
+++ b/lib/relay/forward.c
@@ -22,7 +22,7 @@
 {
 	return !q->forwarded && !q->helper_in_doubt &&
 	    q->forwards < FORWARDS_MAX && q->possible_runs < q->max_runs &&
-	    (!q->maybe_ran || q->retryable);
+	    (!q->maybe_ran || request_may_run_again(q));
 }
 
 bool
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -177,8 +177,12 @@
 		q->max_gap_ms = now - q->last_event_ms;
 	}
 	q->last_event_ms = now;
-	if (id != UINT64_MAX)
+	if (id != UINT64_MAX) {
 		q->last_event_id = id;
+		q->data_without_id = false;
+	} else if (event_has_data(event)) {
+		q->data_without_id = true;
+	}
 	ld_exchange_write(q->x, event);
 }
 
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -94,6 +94,7 @@
 	struct events events;
 	bool response_started; /* its head was sent to the client */
 	uint64_t last_event_id; /* last one relayed, UINT64_MAX: none */
+	bool data_without_id; /* relayed since then: a new run repeats it */
 	uint64_t first_event_ms;
 	uint64_t last_event_ms;
 	uint64_t max_gap_ms;
@@ -134,6 +135,8 @@
 
 struct ld_retry_budget *retry_budget(struct relay *r, const char *service);
 void retry_budgets_free(struct relay *r);
+/** request_may_run_again() - no part of it would come twice */
+bool request_may_run_again(const struct request *q);
 /** request_mark_maybe_ran() - no response; the server may have run it */
 void request_mark_maybe_ran(struct request *q);
 /** request_mark_ran() - the server responded: counts as a run */
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -52,6 +52,12 @@
 	return r->settings->repeat_extra / nodes;
 }
 
+bool
+request_may_run_again(const struct request *q)
+{
+	return q->retryable && !q->data_without_id;
+}
+
 /* Whether a retry is allowed; if so, takes it from the budget. */
 static bool
 take_retry(struct request *q)
@@ -59,7 +65,7 @@
 	struct ld_retry_budget *b;
 	uint64_t retry_after_ms;
 
-	if (q->maybe_ran && !q->retryable)
+	if (q->maybe_ran && !request_may_run_again(q))
 		return false;
 	if (q->helper_in_doubt)
 		return false;
@@ -131,7 +137,7 @@
 	bool isolated = isolation_is_active(q->relay);
 
 	if (q->server == NULL || !(q->server->silent || isolated) ||
-	    !q->retryable || now < since + SILENT_MOVE_MS ||
+	    !request_may_run_again(q) || now < since + SILENT_MOVE_MS ||
 	    q->possible_runs + 1 >= q->max_runs)
 		return;
 	request_mark_maybe_ran(q);
--- a/tests/faults/test_broken_streams.c
+++ b/tests/faults/test_broken_streams.c
@@ -197,6 +197,23 @@
 	    EVENT("1"), false);
 }
 
+static void
+test_events_without_ids_come_once(void)
+{
+	check("no ids",
+	    play("/events/a", UNFRAMED "data: a\n\ndata: b\n\n", RAW_RESET,
+		UNFRAMED "data: a\n\ndata: b\n\ndata: c\n\n", NULL),
+	    "data: a\n\ndata: b\n\n", false);
+	check("one without an id",
+	    play("/events/a", UNFRAMED EVENTS_3 "data: b\n\n", RAW_RESET,
+		UNFRAMED "data: b\n\n" EVENT("4"), NULL),
+	    EVENTS_3 "data: b\n\n", false);
+	check("only a comment",
+	    play("/events/a", UNFRAMED EVENTS_3 ": b\n\n", RAW_RESET,
+		UNFRAMED EVENT("4"), NULL),
+	    EVENTS_3 ": b\n\n" EVENT("4"), true);
+}
+
 static void
 test_end(void)
 {
@@ -218,6 +235,7 @@
 		test_streams_go_on_at_the_right_event},
 	    {"streams that run once end where they broke",
 		test_streams_that_run_once_end_where_they_broke},
+	    {"events without ids come once", test_events_without_ids_come_once},
 	    {"the relay stops", test_end},
 	    {NULL, NULL},
 	};
