relay: a client's Last-Event-Id holds until an event with an id

What callers saw: a client that resumed a stream with Last-Event-Id 3 got a comment, the server broke off, and the next server was sent no Last-Event-Id: its run began at the first event, which the client had already.

Cause: once the client has the head, the client's own field is replaced by the last event relayed. With only a comment relayed there is none, and the field was left out.

Fix: the client's field is replaced only when an event with an id was relayed.

--- a/lib/relay/headers.c
+++ b/lib/relay/headers.c
@@ -36,6 +36,13 @@
 	return false;
 }
 
+/* Until an event with an id was relayed, that of the client still holds. */
+static bool
+has_own_last_event(const struct request *q)
+{
+	return q->response_started && q->last_event_id != UINT64_MAX;
+}
+
 static bool
 is_replaced(struct headers *h, const char *name)
 {
@@ -60,7 +67,7 @@
 	for (size_t i = 0; i < count; i++)
 		if (strcasecmp(d->fields[replaced[i]], name) == 0)
 			return true;
-	if (h->request->response_started &&
+	if (has_own_last_event(h->request) &&
 	    strcasecmp(d->fields[LD_FIELD_LAST_EVENT], name) == 0)
 		return true;
 	return list_contains(h->connection, name);
@@ -107,7 +114,7 @@
 		    q->max_runs - q->possible_runs);
 		add_header(h, RELAY_FORWARDED_FIELD, text);
 	}
-	if (q->response_started && q->last_event_id != UINT64_MAX) {
+	if (has_own_last_event(q)) {
 		snprintf(text, sizeof(text), "%llu",
 		    (unsigned long long)q->last_event_id);
 		add_header(h, d->fields[LD_FIELD_LAST_EVENT], text);
--- a/tests/faults/test_broken_streams.c
+++ b/tests/faults/test_broken_streams.c
@@ -214,6 +214,17 @@
 	    EVENTS_3 ": b\n\n" EVENT("4"), true);
 }
 
+static void
+test_the_clients_last_event_is_kept_until_the_first(void)
+{
+	check("last event",
+	    play("/events/a", UNFRAMED ": b\n\n", RAW_RESET,
+		UNFRAMED EVENT("4"), "Last-Event-Id: 3"),
+	    ": b\n\n" EVENT("4"), true);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(raw.last_request, "\r\nLast-Event-Id: 3\r\n"));
+}
+
 static void
 test_end(void)
 {
@@ -236,6 +247,8 @@
 	    {"streams that run once end where they broke",
 		test_streams_that_run_once_end_where_they_broke},
 	    {"events without ids come once", test_events_without_ids_come_once},
+	    {"the client's last event is kept until the first",
+		test_the_clients_last_event_is_kept_until_the_first},
 	    {"the relay stops", test_end},
 	    {NULL, NULL},
 	};
