--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -1,6 +1,11 @@
 /* Receives a server's response: relays it, or retries or fails the request. */
+#include <string.h>
+#include <strings.h>
+
 #include "request_internal.h"
 
+#define EVENT_STREAM_TYPE "text/event-stream"
+
 static struct request *
 request_of(struct ld_http_sink *s)
 {
@@ -98,23 +103,53 @@
 	}
 }
 
+static bool
+is_event_stream_type(struct ld_str type)
+{
+	size_t n = strlen(EVENT_STREAM_TYPE);
+
+	return type.len >= n &&
+	    strncasecmp(type.p, EVENT_STREAM_TYPE, n) == 0 &&
+	    (type.len == n || strchr("; \t", type.p[n]) != NULL);
+}
+
+/* Why the response can't be used, NULL if it can. */
+static const char *
+response_fault(const struct request *q, struct ld_str type)
+{
+	if (response_verdict(&q->response) == RESPONSE_INVALID)
+		return "foreign-answer";
+	/* Any other body can't go on where the stream broke off. */
+	if (q->response_started && q->response.code == 200 &&
+	    !is_event_stream_type(type))
+		return "no-event-stream";
+	return NULL;
+}
+
 static void
 on_head(struct ld_http_sink *s, long code, struct ld_str type)
 {
 	struct request *q = request_of(s);
+	const char *fault;
 
 	q->response.code = code;
 	if (q->server != NULL) {
+		bool new_connection = ld_http_is_new_connection(q->call);
+
 		isolation_note_heard(q->relay);
-		if (ld_http_is_new_connection(q->call))
+		if (new_connection)
 			isolation_note_answered(q->relay, q->sent_ms);
+		/* Servers can't echo the id of a request without one. */
+		q->response.needs_attempt_id =
+		    !new_connection && q->attempt_id[0] != '\0';
 	}
 	record_server_state(q);
-	if (q->kind == LD_KIND_STREAM && code == 200 &&
-	    response_verdict(&q->response) == RESPONSE_INVALID) {
+	/* The connection is closed: what follows on it can't be trusted. */
+	fault = response_fault(q, type);
+	if (fault != NULL) {
 		request_mark_maybe_ran(q);
 		note_server_failed(q);
-		retry_or_fail(q, "foreign-answer");
+		retry_or_fail(q, fault);
 	}
 }
 
@@ -144,8 +179,12 @@
 		q->max_gap_ms = now - q->last_event_ms;
 	}
 	q->last_event_ms = now;
-	if (id != UINT64_MAX)
+	if (id != UINT64_MAX) {
 		q->last_event_id = id;
+		q->data_without_id = false;
+	} else if (event_has_data(event)) {
+		q->data_without_id = true;
+	}
 	ld_exchange_write(q->x, event);
 }
 
@@ -212,17 +251,10 @@
 static void
 handle_complete_response(struct request *q)
 {
-	switch (response_verdict(&q->response)) {
-	case RESPONSE_NOT_RUN:
+	/* on_head() ends the send of an invalid response. */
+	if (response_verdict(&q->response) == RESPONSE_NOT_RUN) {
 		handle_not_run(q);
 		return;
-	case RESPONSE_INVALID:
-		note_server_failed(q);
-		request_mark_ran(q);
-		retry_or_fail(q, "foreign-answer");
-		return;
-	case RESPONSE_VALID:
-		break;
 	}
 	request_mark_ran(q);
 	/* The client has the head of a stream, so that another response
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -55,6 +55,12 @@
 	return r->settings->repeat_extra / nodes;
 }
 
+bool
+request_may_run_again(const struct request *q)
+{
+	return q->retryable && !q->data_without_id;
+}
+
 /* The bounds of a retry other than the budget. */
 static bool
 may_send_again(struct request *q)
@@ -94,7 +100,7 @@
 bool
 request_take_retry(struct request *q)
 {
-	if (q->maybe_ran && !q->retryable)
+	if (q->maybe_ran && !request_may_run_again(q))
 		return false;
 	if (q->helper_in_doubt)
 		return false;
@@ -153,7 +159,8 @@
 	if (request_retry(q, why))
 		return;
 	/* The budget may have a retry before the client leaves. */
-	if (q->response_started && q->retryable && may_send_again(q)) {
+	if (q->response_started && request_may_run_again(q) &&
+	    may_send_again(q)) {
 		request_record_failed_send(q, why, "wait");
 		request_cancel_send(q);
 		request_wait_for_retry(q);
@@ -172,7 +179,7 @@
 	bool isolated = isolation_is_active(q->relay);
 
 	if (q->server == NULL || !(q->server->silent || isolated) ||
-	    !q->retryable || now < since + SILENT_MOVE_MS ||
+	    !request_may_run_again(q) || now < since + SILENT_MOVE_MS ||
 	    now < q->next_move_ms || q->possible_runs + 1 >= q->max_runs)
 		return;
 	q->next_move_ms = now + MOVE_INTERVAL_MS;
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -21,10 +21,10 @@
 	struct ld_http_call *call;
 	struct ld_buf body;
 	long code;
-	bool done;
+	double retry_after_s; /* 0 if absent */
 	enum ld_status status;
+	bool done;
 	bool is_signed;
-	double retry_after_s; /* 0 if absent */
 };
 
 extern struct server servers[SERVERS];
@@ -78,6 +78,12 @@
 void put_entry(const struct server *s, int sequence);
 /** put_entry_in_zone() - the same, in the failure domain @zone */
 void put_entry_in_zone(const struct server *s, const char *zone, int sequence);
+/**
+ * list_servers() - only @other is listed, and if @with_sound the second server
+ *
+ * Returns once the relay knows.
+ */
+void list_servers(const struct server *other, bool with_sound);
 /** arrivals() - requests that both servers received since set_servers() */
 unsigned int arrivals(void);
 
@@ -91,6 +97,12 @@
 /** start_at() - send a request; @c must not move until it is done */
 void start_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key);
+/** start_attempt_at() - the same with key k1 and an attempt id of its own */
+void start_attempt_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *attempt);
+/** start_field_at() - with key k1 and one more header field, "Name: value" */
+void start_field_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *field);
 /** start_prompt_at() - the same with the parts of a prompt, NULL for none */
 void start_prompt_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key, const char *prompt);
