platform: refuse server entries with an address out of range

What callers saw: an entry of another writer with a port of 99999 (or 0, none, a name, a user, a path) counted as a server. Requests were placed there, and each cost a send and a retry of the service's budget, again whenever the suspicion of the server ended.

Cause: the decoder of entries took any text as the address; libcurl refused the URL, or read something else out of it ("a@127.0.0.1:9", "127.0.0.1:9/path" reach the server at 127.0.0.1:9), at each request, order and probe. ld_address_parse(), where it was used, took a sign, spaces and numbers that wrap around 2^64 ("127.0.0.1:" is port 9).

Addresses of the platform are IPv4 numbers with a port, without name look-ups.

--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -14,6 +14,7 @@
 #define VALUE_TEXT_MAX_BYTES 60
 #define SUGGESTION_CANDIDATES_MAX 64
 #define THOUSANDTHS 1000.0
+#define PORT_DIGITS_MAX 5
 
 /* ---- Faults ---- */
 
@@ -34,26 +35,38 @@
 
 /* ---- Addresses ---- */
 
+/* Unlike strtoul(): no sign, no spaces, and no more digits than a port has. */
+static bool
+parse_port(const char *text, uint16_t *out)
+{
+	size_t n = strspn(text, "0123456789");
+	unsigned long port = strtoul(text, NULL, 10);
+
+	if (n == 0 || n > PORT_DIGITS_MAX || text[n] != '\0' || port < 1 ||
+	    port > UINT16_MAX)
+		return false;
+	*out = (uint16_t)port;
+	return true;
+}
+
 enum ld_status
 ld_address_parse(struct ld_str text, struct ld_address *out)
 {
 	char *copy = ld_str_dup(text);
 	char *colon = strrchr(copy, ':');
-	char *end = NULL;
 	struct in_addr ignored;
-	unsigned long port = 0;
+	uint16_t port;
 
-	if (colon != NULL) {
+	if (colon != NULL)
 		*colon = '\0';
-		port = strtoul(colon + 1, &end, 10);
-	}
-	if (colon == NULL || colon[1] == '\0' || *end != '\0' || port < 1 ||
-	    port > 65535 || inet_pton(AF_INET, copy, &ignored) != 1) {
+	if (colon == NULL || memchr(text.p, '\0', text.len) != NULL ||
+	    !parse_port(colon + 1, &port) ||
+	    inet_pton(AF_INET, copy, &ignored) != 1) {
 		free(copy);
 		return ld_fail(LD_E_INVALID, "not an IPv4 number and port");
 	}
 	out->host = copy;
-	out->port = (uint16_t)port;
+	out->port = port;
 	out->text = ld_str_dup(text);
 	return LD_OK;
 }
--- /dev/null
+++ b/tests/faults/test_odd_entries.c
@@ -0,0 +1,213 @@
+/* Server entries of another writer in the store of a relay process. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "ld_relay_session.h"
+
+/* A change of the store is in force after this time, as in test_relay, ms. */
+#define APPLIED_MS 600
+#define REQUESTS 10
+#define NESTING 20000
+#define ODD_KEY "servers/odd"
+
+static uint64_t
+counter(const char *name)
+{
+	struct client c = call_at(metrics_address, "GET", "/metrics", "");
+	char line[96];
+	const char *at;
+	uint64_t n = 0;
+
+	snprintf(line, sizeof(line), "\n%s ", name);
+	at = strstr(ld_buf_cstr(&c.body), line);
+	CU_ASSERT_PTR_NOT_NULL(at);
+	if (at != NULL)
+		n = strtoull(at + strlen(line), NULL, 10);
+	ld_buf_free(&c.body);
+	return n;
+}
+
+static void
+put_entry_at(const char *key, const char *address)
+{
+	char value[512];
+
+	snprintf(value, sizeof(value),
+	    "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":\"z1\","
+	    "\"slots\":6,\"state\":\"ready\",\"version\":\"v1\","
+	    "\"warmup_left_ms\":0,\"sequence\":1}",
+	    address);
+	ld_kv_store_put(store, key, value);
+}
+
+/* Every request is served by its first send. */
+static void
+expect_no_request_suffers(const char *why)
+{
+	uint64_t sends = counter("ld_relay_sends_total");
+	unsigned int served = 0;
+
+	for (int i = 0; i < REQUESTS; i++) {
+		served += code_of("POST", "/book/a", "k1") == 200;
+		served += code_of("GET", "/look/a", "k1") == 200;
+	}
+	sends = counter("ld_relay_sends_total") - sends;
+	if (served != 2 * REQUESTS || sends != 2 * REQUESTS)
+		printf("%s: %u served, %llu sends of %d requests\n", why,
+		    served, (unsigned long long)sends, 2 * REQUESTS);
+	CU_ASSERT_EQUAL(served, 2 * REQUESTS);
+	CU_ASSERT_EQUAL(sends, 2 * REQUESTS);
+}
+
+static char *
+repeated(const char *piece, int times)
+{
+	struct ld_buf b = {0};
+
+	for (int i = 0; i < times; i++)
+		ld_buf_adds(&b, ld_str_c(piece));
+	(void)ld_buf_cstr(&b);
+	return b.p;
+}
+
+/* Entries that can't be read, beside those of the servers. */
+static void
+put_unreadable(void)
+{
+	static const char *const values[] = {
+	    "{\"service\":\"desk\",\"address\":\"127.0.0.1:9\",\"zone\":\"z1\","
+	    "\"slots\":99999999999999999999999999,\"state\":\"ready\","
+	    "\"version\":\"v1\",\"warmup_left_ms\":0,\"sequence\":1}",
+	    "{\"service\":\"desk\",\"address\":\"127.0.0.1:9\",\"zone\":\"z1\","
+	    "\"slots\":6,\"state\":\"ready\",\"version\":\"v1\","
+	    "\"warmup_left_ms\":1e999,\"sequence\":1}",
+	    "{\"service\":\"desk\",\"address\":\"127.0.0.1:9\",\"zone\":\"z1\","
+	    "\"slots\":6,\"state\":\"ready\",\"version\":\"v1\","
+	    "\"warmup_left_ms\":0,\"sequence\":1,\"born\":-1}",
+	    "\x01\xff\xfe",
+	    "",
+	    "null",
+	    "{\"service\":\"\\u0000\"}",
+	    "{\"service\":\"desk\",\"service\":\"desk\"}",
+	};
+	char *arrays = repeated("[", NESTING), *objects;
+
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		char key[32];
+
+		snprintf(key, sizeof(key), "servers/u%zu", i);
+		ld_kv_store_put(store, key, values[i]);
+	}
+	objects = repeated("{\"a\":", NESTING / 5);
+	ld_kv_store_put(store, "servers/deep", arrays);
+	ld_kv_store_put(store, "servers/deep/er", objects);
+	ld_kv_store_put(store, "servers/", "{}");
+	ld_kv_store_put(store, "servers/a\r\nb: c", "{}");
+	free(arrays);
+	free(objects);
+}
+
+static void
+expect_changes_apply(int version)
+{
+	put_config(
+	    version, version % 2 == 0 ? "\"k1\"" : "\"k1\",\"k2\"", "null");
+	run_for(APPLIED_MS);
+	CU_ASSERT_EQUAL(
+	    code_of("GET", "/look/a", "k2"), version % 2 == 0 ? 401 : 200);
+	CU_ASSERT_EQUAL(waitpid(relay, NULL, WNOHANG), 0);
+}
+
+/* ---- Tests, in this order, on one relay ---- */
+
+static void
+test_unreadable_entries_while_watching(void)
+{
+	open_all(relay_program);
+	wait_until_serving();
+	set_servers(SERVES, SERVES);
+	put_unreadable();
+	expect_changes_apply(2);
+	expect_no_request_suffers("unreadable entries");
+}
+
+static void
+test_unreadable_entries_in_a_new_read(void)
+{
+	put_unreadable();
+	ld_kv_store_forget(store);
+	run_for(APPLIED_MS);
+	expect_changes_apply(3);
+	expect_no_request_suffers("a new read");
+}
+
+static void
+test_unreadable_entries_at_start(void)
+{
+	CU_ASSERT_EQUAL(kill(relay, SIGKILL), 0);
+	CU_ASSERT_EQUAL(waitpid(relay, NULL, 0), relay);
+	start_relay();
+	wait_until_serving();
+	expect_changes_apply(4);
+	expect_no_request_suffers("a new process");
+}
+
+static void
+test_requests_sent_to_an_address_out_of_range(void)
+{
+	static const char *const suffixes[] = {":0", ":65536", ":99999", ":-1",
+	    "", ":", ":http", ":80 ", ": 80", ":+9", ":9 b", ":9\\r\\nA: b",
+	    ":18446744073709551625"};
+	static const char *const whole[] = {"", ":80", "localhost:9", "[::1]:9",
+	    "127.0.0.256:9", "0127.0.0.1:9"};
+	char address[96];
+
+	for (size_t i = 0; i < sizeof(suffixes) / sizeof(suffixes[0]); i++) {
+		snprintf(address, sizeof(address), "127.0.0.1%s", suffixes[i]);
+		put_entry_at(ODD_KEY, address);
+		run_for(APPLIED_MS);
+		expect_no_request_suffers(address);
+	}
+	for (size_t i = 0; i < sizeof(whole) / sizeof(whole[0]); i++) {
+		put_entry_at(ODD_KEY, whole[i]);
+		run_for(APPLIED_MS);
+		expect_no_request_suffers(whole[i]);
+	}
+	snprintf(address, sizeof(address), "a@%s", servers[0].address);
+	put_entry_at(ODD_KEY, address);
+	snprintf(address, sizeof(address), "%s/a", servers[0].address);
+	put_entry_at(ODD_KEY "2", address);
+	run_for(APPLIED_MS);
+	expect_no_request_suffers("user or path in the address");
+	ld_kv_store_delete(store, ODD_KEY);
+	ld_kv_store_delete(store, ODD_KEY "2");
+}
+
+static void
+test_the_relay_stops_when_told_to(void)
+{
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, NULL, WNOHANG), relay);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct ld_test_case cases[] = {
+	    {"unreadable entries while watching",
+		test_unreadable_entries_while_watching},
+	    {"unreadable entries in a new read",
+		test_unreadable_entries_in_a_new_read},
+	    {"unreadable entries at start", test_unreadable_entries_at_start},
+	    {"requests sent to an address out of range",
+		test_requests_sent_to_an_address_out_of_range},
+	    {"the relay stops when told to", test_the_relay_stops_when_told_to},
+	    {NULL, NULL},
+	};
+
+	return relay_test_main(argv, "odd_entries", cases);
+}
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -224,6 +224,31 @@
 	}
 }
 
+static void
+test_entries_with_an_address_out_of_range(void)
+{
+	static const char *const addresses[] = {"", ":80", "127.0.0.1",
+	    "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999",
+	    "127.0.0.1:-1", "127.0.0.1:+9", "127.0.0.1: 9", "127.0.0.1:9 ",
+	    "127.0.0.1:http", "127.0.0.1:9/a", "127.0.0.1:9\r\nA: b",
+	    "127.0.0.1:18446744073709551625", "a@127.0.0.1:9", "localhost:9",
+	    "[::1]:9", "127.0.0.256:9", "127.1:9", " 127.0.0.1:9"};
+	struct ld_server_entry e;
+
+	for (size_t i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
+		json_t *o = json_loads(server_text, 0, NULL);
+		char *text;
+
+		json_object_set_new(o, "address", json_string(addresses[i]));
+		text = json_dumps(o, JSON_COMPACT);
+		CU_ASSERT_EQUAL(
+		    dialect()->read_server(LD_STR("i-1"), ld_str_c(text), &e),
+		    LD_E_PROTOCOL);
+		free(text);
+		json_decref(o);
+	}
+}
+
 static void
 test_report(void)
 {
@@ -494,6 +519,8 @@
 	    {"a server's entry", test_server},
 	    {"foreign entries", test_foreign_entries},
 	    {"entries that lack a member", test_entries_lack_a_member},
+	    {"entries with an address out of range",
+		test_entries_with_an_address_out_of_range},
 	    {"a report", test_report},
 	    {"orders", test_orders},
 	    {"calls of the store", test_store_calls},
