--- a/tests/groups_world.h
+++ b/tests/groups_world.h
@@ -12,6 +12,8 @@
 #include "ld_test.h"
 
 #define SERVERS 11
+/* Ids of servers that tests add are below this. */
+#define IDS_MAX 100
 #define STEP_MS 50
 #define LARGE "m0"
 #define SMALL "m1"
@@ -23,9 +25,9 @@
 	struct ld_engine_spec spec;
 	struct ld_model_spec models[2];
 	uint64_t now;
-	bool dead[SERVERS + 4];
-	bool refuses[SERVERS + 4]; /* refuses connections, but still runs */
-	bool unlisted[SERVERS + 4];
+	bool dead[IDS_MAX];
+	bool refuses[IDS_MAX]; /* refuses connections, but still runs */
+	bool unlisted[IDS_MAX];
 	int64_t fence_seen;
 	unsigned int joins;
 	unsigned int opens;
@@ -38,7 +40,7 @@
 	char opening[LD_GROUP_NAME_MAX];
 	unsigned int unsafe_joins; /* joins of a server whose head may serve */
 	unsigned int early_opens; /* opens before all members were ready */
-	char staged[SERVERS + 4][16];
+	char staged[IDS_MAX][16];
 	/* Optional: replaces carry_out(); called at the start of each step. */
 	void (*take_order)(struct world *w, const struct ld_order *o);
 	void (*step)(struct world *w);
@@ -307,7 +309,7 @@
 	return n;
 }
 
-static int
+static inline int
 member_of(struct world *w, const char *model, uint32_t rank)
 {
 	for (struct ld_server *s = ld_servers_first(w->t); s != NULL;
@@ -327,7 +329,7 @@
 	ld_groups_alarm(w->g, ld_str_c(m->group), m->epoch, w->now);
 }
 
-static void
+static inline void
 unlist(struct world *w, int i)
 {
 	char id[16];
