mesh_peers: refuse node entries with an odd name or core share

What callers would have seen: a relay that forwards requests because it reaches no server ends at an assertion (ld_rand_below(.., 0)) if the only node to forward to has a core share of "-1": its weight wraps to 0. An entry whose name has 64 bytes or more counted as one more node each time it was written, until the table of 1,024 nodes was full and sound nodes were refused.

Cause: the share was read by strtoull() without a look at its end or sign; the name was cut to the table's 63 bytes and looked up in full.

Evidence, on the code before (build/san/faults/test_odd_entries, "odd entries of nodes count as nodes"): "peer.listed" for entries with shares of "-1", "+1", "1x" and 2^64 - 1 and, five times, for a name of 68 bytes; the test failed. Now it passes. The assertion follows from the code; no run hit it.

--- a/lib/relay/mesh_peers.c
+++ b/lib/relay/mesh_peers.c
@@ -14,6 +14,9 @@
  * bytes between domains have a price. */
 #define SAME_DOMAIN_WEIGHT 3
 
+/* Digits of a share of some thousand cores. */
+#define PERMILLE_DIGITS_MAX 7
+
 /* Removes the part before the next space from @text, and returns it. */
 static struct ld_str
 next_word(struct ld_str *text)
@@ -28,18 +31,38 @@
 	return word;
 }
 
+static bool
+parse_permille(struct ld_str text, uint64_t *out)
+{
+	if (text.len == 0 || text.len > PERMILLE_DIGITS_MAX)
+		return false;
+	*out = 0;
+	for (size_t i = 0; i < text.len; i++) {
+		if (text.p[i] < '0' || text.p[i] > '9')
+			return false;
+		*out = *out * 10 + (uint64_t)(text.p[i] - '0');
+	}
+	return true;
+}
+
+/* A name cut short may be that of another node. */
+static bool
+is_valid_name(struct ld_str name)
+{
+	return name.len > 0 && name.len < sizeof(((struct peer *)0)->name) &&
+	    memchr(name.p, '\0', name.len) == NULL;
+}
+
 /* "ADDRESS PERMILLE DOMAIN" */
 static bool
 parse_entry(const struct relay *r, struct ld_str text, struct peer *out)
 {
 	struct ld_str address = next_word(&text), permille = next_word(&text);
 	struct ld_address a;
-	char number[8];
 
-	if (permille.len == 0 || ld_address_parse(address, &a) != LD_OK)
+	if (!parse_permille(permille, &out->processor_permille) ||
+	    ld_address_parse(address, &a) != LD_OK)
 		return false;
-	snprintf(number, sizeof(number), "%.*s", LD_FMT(permille));
-	out->processor_permille = strtoull(number, NULL, 10);
 	out->domain = agg_domain(text);
 	out->address = (struct sockaddr_in){.sin_family = AF_INET};
 	out->address.sin_port = htons(a.port);
@@ -58,9 +81,9 @@
 
 	if (ld_str_eq(name, ld_str_c(r->settings->name)))
 		return;
-	if (!parse_entry(r, value, &entry)) {
+	if (!is_valid_name(name) || !parse_entry(r, value, &entry)) {
 		ld_event("peer.refused",
-		    "peer=%s why=\"invalid address or core share\"",
+		    "peer=%s why=\"invalid name, address or core share\"",
 		    ld_event_token(name, text));
 		return;
 	}
--- a/tests/faults/test_odd_entries.c
+++ b/tests/faults/test_odd_entries.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include "ld_relay_session.h"
 
@@ -31,6 +32,21 @@
 	return n;
 }
 
+/* Lines of the relay's log that have both texts. */
+static unsigned int
+count_lines(const char *event, const char *what)
+{
+	FILE *f = fopen(getenv("LD_RELAY_LOG"), "r");
+	char line[1024];
+	unsigned int n = 0;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+	while (fgets(line, sizeof(line), f) != NULL)
+		n += strstr(line, event) != NULL && strstr(line, what) != NULL;
+	fclose(f);
+	return n;
+}
+
 static void
 put_entry_at(const char *key, const char *address)
 {
@@ -217,6 +233,33 @@
 	CU_ASSERT(servers[0].arrivals > 0);
 }
 
+#define LONG_NAME \
+	"0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+static void
+test_odd_entries_of_nodes_count_as_nodes(void)
+{
+	static const char *const values[] = {"", "7", "127.0.0.1:9",
+	    "127.0.0.1:9 -1 z1", "127.0.0.1:9 +1 z1", "127.0.0.1:9 1x z1",
+	    "127.0.0.1:9 18446744073709551615 z1", "127.0.0.1:65536 250 z1",
+	    "127.0.0.1:-1 250 z1", "localhost:9 250 z1"};
+	char key[64];
+
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		snprintf(key, sizeof(key), "lavenderdrift/nodes/odd-%zu", i);
+		ld_kv_store_put(store, key, values[i]);
+	}
+	for (int i = 0; i < 5; i++) {
+		ld_kv_store_put(store, "lavenderdrift/nodes/odd-" LONG_NAME,
+		    "127.0.0.1:9 250 z1");
+		run_for(APPLIED_MS);
+	}
+	CU_ASSERT_EQUAL(count_lines("event=peer.refused", "peer=odd-"),
+	    sizeof(values) / sizeof(values[0]) + 5);
+	CU_ASSERT_EQUAL(count_lines("event=peer.listed", "peer=odd-"), 0);
+	expect_changes_apply(5);
+}
+
 static void
 test_the_relay_stops_when_told_to(void)
 {
@@ -238,9 +281,19 @@
 		test_requests_sent_to_an_address_out_of_range},
 	    {"server is used while its entry names none",
 		test_server_is_used_while_its_entry_names_none},
+	    {"odd entries of nodes count as nodes",
+		test_odd_entries_of_nodes_count_as_nodes},
 	    {"the relay stops when told to", test_the_relay_stops_when_told_to},
 	    {NULL, NULL},
 	};
 
-	return relay_test_main(argv, "odd_entries", cases);
+	char log[] = "/tmp/ld_odd_entries_XXXXXX";
+	int fd = mkstemp(log), rc;
+
+	if (fd < 0 || setenv("LD_RELAY_LOG", log, 0) != 0)
+		return 2;
+	rc = relay_test_main(argv, "odd_entries", cases);
+	close(fd);
+	unlink(log);
+	return rc;
 }
