leader_records: refuse odd records of groups and prompts

A quarantine record named " 1", "-1" or "1" quarantined a part that its own record, of 16 digits, doesn't name.

Cause: names and values were shortened to fit, addresses and numbers taken as they came, and members before a malformed one were added.

The format is as before: a record is applied as a whole or refused with one line.

--- a/lib/relay/crashing_prompts.c
+++ b/lib/relay/crashing_prompts.c
@@ -6,6 +6,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "leader_records.h"
 #include "request_internal.h"
@@ -16,6 +17,7 @@
 /* Interval at which expired quarantines are released, ms. */
 #define EXPIRE_MS 1000
 #define PART_TEXT_BYTES 24
+#define PART_DIGITS 16 /* hexadecimal */
 
 struct crashing_prompts {
 	struct ld_quarantine *quarantine;
@@ -165,10 +167,11 @@
 apply_part(struct leader_records *rs, const char *name, char *value)
 {
 	struct ld_quarantine *qn = rs->relay->crashing_prompts->quarantine;
-	char *end = NULL;
-	uint64_t part = strtoull(name, &end, 16);
+	uint64_t part = strtoull(name, NULL, 16);
 
-	if (part == 0 || *end != '\0')
+	/* One record per part: no other spelling of the number. */
+	if (part == 0 || strlen(name) != PART_DIGITS ||
+	    strspn(name, "0123456789abcdef") != PART_DIGITS)
 		return false;
 	if (value != NULL)
 		ld_quarantine_restore(qn, part, relay_now(rs->relay));
--- a/lib/relay/group_records.c
+++ b/lib/relay/group_records.c
@@ -4,11 +4,47 @@
  * the store has no entry while its group goes on serving. The records are
  * needed when all nodes lose power while a part of the servers is cut off.
  */
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "leader_records.h"
 
+/** struct members - the members that a record names, the head first */
+struct members {
+	const char *id[LD_GROUP_SIZE_MAX];
+	const char *address[LD_GROUP_SIZE_MAX];
+	uint32_t count;
+};
+
+/* "ID@ADDRESS"; splits @word. */
+static bool
+parse_member(char *word, struct members *out)
+{
+	char *at = strrchr(word, '@');
+	struct ld_address a = {0};
+
+	if (at == NULL || at == word || at - word >= LD_GROUP_NAME_MAX ||
+	    out->count >= LD_GROUP_SIZE_MAX ||
+	    ld_address_parse(ld_str_c(at + 1), &a) != LD_OK)
+		return false;
+	ld_address_fini(&a);
+	*at = '\0';
+	out->id[out->count] = word;
+	out->address[out->count++] = at + 1;
+	return true;
+}
+
+static bool
+parse_epoch(const char *word, int64_t *out)
+{
+	char *end;
+
+	errno = 0;
+	*out = strtoll(word, &end, 10);
+	return errno == 0 && end != word && *end == '\0' && *out >= 0;
+}
+
 /* Value: "EPOCH MODEL SERVICE ID@ADDRESS ID@ADDRESS ..", the head first. */
 static bool
 apply_members(struct leader_records *rs, const char *group, char *value)
@@ -16,6 +52,7 @@
 	struct relay *r = rs->relay;
 	struct ld_membership m = {
 	    .group = (char *)group, .state = LD_MEMBER_READY};
+	struct members members = {.count = 0};
 	char *at = NULL, *epoch;
 	const char *service;
 	char *word;
@@ -25,20 +62,16 @@
 	epoch = strtok_r(value, " ", &at);
 	m.model = strtok_r(NULL, " ", &at);
 	service = strtok_r(NULL, " ", &at);
-	if (service == NULL)
+	if (service == NULL || !parse_epoch(epoch, &m.epoch) ||
+	    strlen(m.model) >= LD_GROUP_NAME_MAX)
 		return false;
-	m.epoch = strtoll(epoch, NULL, 10);
-	while ((word = strtok_r(NULL, " ", &at)) != NULL) {
-		char *address = strchr(word, '@');
-
-		if (address == NULL || m.rank >= LD_GROUP_SIZE_MAX)
+	while ((word = strtok_r(NULL, " ", &at)) != NULL)
+		if (!parse_member(word, &members))
 			return false;
-		*address++ = '\0';
-		ld_servers_add_unlisted(
-		    r->servers, word, address, service, &m, relay_now(r));
-		m.rank++;
-	}
-	return m.rank > 0;
+	for (; m.rank < members.count; m.rank++)
+		ld_servers_add_unlisted(r->servers, members.id[m.rank],
+		    members.address[m.rank], service, &m, relay_now(r));
+	return members.count > 0;
 }
 
 static void
--- a/lib/relay/leader_records.c
+++ b/lib/relay/leader_records.c
@@ -57,6 +57,25 @@
 
 /* ---- Records read from the store ---- */
 
+/* A name or a value that is cut short may be that of another record. */
+static bool
+fits(struct ld_str text, size_t size)
+{
+	return text.len < size &&
+	    (text.len == 0 || memchr(text.p, '\0', text.len) == NULL);
+}
+
+static void
+log_refused(const struct leader_records *rs, struct ld_str name,
+    const struct ld_store_kv *kv)
+{
+	char text[LD_EVENT_TOKEN_BYTES];
+
+	if (kv != NULL)
+		ld_event("record.refused", "key=%s%s revision=%lld", rs->prefix,
+		    ld_event_token(name, text), (long long)kv->mod_revision);
+}
+
 void
 leader_records_apply(struct leader_records *rs, struct ld_str name_read,
     const struct ld_store_kv *kv)
@@ -64,6 +83,10 @@
 	char name[LEADER_RECORD_NAME_MAX], value[VALUE_MAX];
 	struct leader_record *rec;
 
+	if (!fits(name_read, sizeof(name))) {
+		log_refused(rs, name_read, kv);
+		return;
+	}
 	snprintf(name, sizeof(name), "%.*s", LD_FMT(name_read));
 	rec = find_or_add_record(rs, name);
 	if (kv == NULL) {
@@ -75,9 +98,8 @@
 	}
 	rec->revision = kv->mod_revision;
 	snprintf(value, sizeof(value), "%.*s", LD_FMT(kv->value));
-	if (!rs->ops->apply(rs, name, value))
-		ld_event("record.refused", "key=%s%s revision=%lld", rs->prefix,
-		    name, (long long)kv->mod_revision);
+	if (!fits(kv->value, sizeof(value)) || !rs->ops->apply(rs, name, value))
+		log_refused(rs, name_read, kv);
 }
 
 void
--- a/tests/faults/test_odd_entries.c
+++ b/tests/faults/test_odd_entries.c
@@ -260,6 +260,44 @@
 	expect_changes_apply(5);
 }
 
+static void
+test_odd_records_of_groups_and_prompts_are_applied(void)
+{
+	static const char long_id[] = "5 m0 desk " LONG_NAME "@127.0.0.1:9";
+	static const char long_model[] = "5 " LONG_NAME " desk i-8@127.0.0.1:9";
+	static const char *const values[] = {"", "5", "5 m0 desk", " ", "@",
+	    "5 m0 desk i-8", "5 m0 desk i-8@", "5 m0 desk @127.0.0.1:9",
+	    "5 m0 desk i-8@127.0.0.1:99999",
+	    "5 m0 desk i-8@127.0.0.1:9 i-9@127.0.0.1:0",
+	    "x m0 desk i-8@127.0.0.1:9", "-5 m0 desk i-8@127.0.0.1:9",
+	    "99999999999999999999 m0 desk i-8@127.0.0.1:9", long_id,
+	    long_model};
+	static const char *const parts[] = {"0", "1", "-1", " 1", "x",
+	    "00000000000000000001", "0x00000000000001", "FFFFFFFFFFFFFFFF",
+	    "ffffffffffffffffffffffff"};
+	char key[96];
+
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		snprintf(key, sizeof(key), "lavenderdrift/groups/odd/%zu", i);
+		ld_kv_store_put(store, key, values[i]);
+	}
+	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		snprintf(
+		    key, sizeof(key), "lavenderdrift/quarantine/%s", parts[i]);
+		ld_kv_store_put(store, key, "n1");
+	}
+	run_for(APPLIED_MS);
+	CU_ASSERT_EQUAL(
+	    count_lines("event=record.refused", "lavenderdrift/groups/odd/"),
+	    sizeof(values) / sizeof(values[0]));
+	CU_ASSERT_EQUAL(
+	    count_lines("event=record.refused", "lavenderdrift/quarantine/"),
+	    sizeof(parts) / sizeof(parts[0]));
+	CU_ASSERT_EQUAL(count_lines("event=prompt.quarantined", ""), 0);
+	expect_changes_apply(6);
+	expect_no_request_suffers("odd records");
+}
+
 static void
 test_the_relay_stops_when_told_to(void)
 {
@@ -283,6 +321,8 @@
 		test_server_is_used_while_its_entry_names_none},
 	    {"odd entries of nodes count as nodes",
 		test_odd_entries_of_nodes_count_as_nodes},
+	    {"odd records of groups and prompts are applied",
+		test_odd_records_of_groups_and_prompts_are_applied},
 	    {"the relay stops when told to", test_the_relay_stops_when_told_to},
 	    {NULL, NULL},
 	};
