server_entries: one log line per odd entry, and only of its own

What operators saw: an entry that can't be read and is written again with each heartbeat was logged each time, on each node; one whose service, domain, group or staged model has a line break wrote whole lines of its own into the log ("t=1 event=forged"), which is what `explain` reads.

Cause: each refusal was logged; texts of entries were logged as they are.

--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -542,6 +542,7 @@
 	f->opened_ms = relay_now(r);
 	f->watch.ops = &ops;
 	r->feed = f;
+	server_entries_open(r);
 	group_records_open(r);
 	crashing_prompts_open(r);
 	ld_store_watch_start(r->store, &f->watch, LD_STR(""), true);
@@ -551,6 +552,7 @@
 feed_close(struct relay *r)
 {
 	ld_store_watch_stop(&r->feed->watch);
+	server_entries_close(r);
 	group_records_close(r);
 	crashing_prompts_close(r);
 	ld_store_free(r->store);
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -37,6 +37,7 @@
 struct crashing_prompts;
 struct leader_records;
 struct request;
+struct server_entries;
 struct changes_server;
 struct usage;
 
@@ -60,6 +61,7 @@
 	struct ld_handler entry_handler;
 	struct ready *ready;
 	struct feed *feed;
+	struct server_entries *server_entries;
 	struct leader *leader;
 	struct control *control;
 	struct mesh *mesh;
@@ -166,6 +168,8 @@
 
 /* ---- server_entries.c ---- */
 
+void server_entries_open(struct relay *r);
+void server_entries_close(struct relay *r);
 /**
  * server_entries_put() - the entry of the server @id was written
  *
--- a/lib/relay/server_entries.c
+++ b/lib/relay/server_entries.c
@@ -1,6 +1,42 @@
 /* Entries of backend servers, as read from the store. */
+#include <stdlib.h>
+
 #include "relay_internal.h"
 
+/* Refusals that are remembered, in slots by id: more than one other writer
+ * leaves. Entries that share a slot are logged more often. */
+#define REFUSED_SLOTS 1024
+#define HASH_SEED 7
+
+/** struct server_entries - last refusal of each id */
+struct server_entries {
+	uint64_t refused[REFUSED_SLOTS]; /* hash of id and reason, 0: none */
+};
+
+static uint64_t *
+refused_slot(struct relay *r, struct ld_str id)
+{
+	return &r->server_entries
+		    ->refused[ld_hash64(id, HASH_SEED) % REFUSED_SLOTS];
+}
+
+/* An entry that is written again with each heartbeat is logged once, until it
+ * is refused for another reason. */
+static void
+log_refused(struct relay *r, struct ld_str id, int64_t revision)
+{
+	const char *why = ld_last_message();
+	uint64_t *slot = refused_slot(r, id);
+	uint64_t hash = ld_hash64(ld_str_c(why), ld_hash64(id, HASH_SEED));
+	char text[LD_EVENT_TOKEN_BYTES];
+
+	if (*slot == hash)
+		return;
+	*slot = hash;
+	ld_event("server.entry_refused", "server=%s revision=%lld why=\"%s\"",
+	    ld_event_token(id, text), (long long)revision, why);
+}
+
 static void
 log_entry(const struct ld_server *s, int64_t revision)
 {
@@ -23,19 +59,16 @@
 server_entries_put(struct relay *r, struct ld_str id,
     const struct ld_store_kv *kv, uint64_t doubt_until_ms)
 {
-	char text[LD_EVENT_TOKEN_BYTES];
 	struct ld_server_entry e;
 
 	if (r->dialect->read_server(id, kv->value, &e) != LD_OK) {
-		ld_event("server.entry_refused",
-		    "server=%s revision=%lld why=\"%s\"",
-		    ld_event_token(id, text), (long long)kv->mod_revision,
-		    ld_last_message());
+		log_refused(r, id, kv->mod_revision);
 		/* The server, if there is one, has no entry until it writes
 		 * the next one. */
 		server_entries_remove(r, id, "entry-refused", doubt_until_ms);
 		return;
 	}
+	*refused_slot(r, id) = 0;
 	log_entry(
 	    ld_servers_put(r->servers, &e, relay_now(r)), kv->mod_revision);
 }
@@ -62,3 +95,15 @@
 	ld_event(
 	    "server.gone", "server=%s why=%s", ld_event_token(id, text), why);
 }
+
+void
+server_entries_open(struct relay *r)
+{
+	r->server_entries = ld_alloc(sizeof(*r->server_entries));
+}
+
+void
+server_entries_close(struct relay *r)
+{
+	free(r->server_entries);
+}
--- a/tests/faults/test_odd_entries.c
+++ b/tests/faults/test_odd_entries.c
@@ -298,6 +298,42 @@
 	expect_no_request_suffers("odd records");
 }
 
+/* It is written at each heartbeat, with a higher count each time. */
+static void
+test_an_odd_entry_floods_the_log(void)
+{
+	char value[96];
+
+	for (int i = 0; i < 20; i++) {
+		snprintf(value, sizeof(value),
+		    "{\"service\":\"desk\",\"sequence\":%d}", i);
+		ld_kv_store_put(store, "servers/flood", value);
+		run_for(i % 10 == 0 ? APPLIED_MS : 200);
+	}
+	CU_ASSERT_EQUAL(count_lines("server.entry_refused", "server=flood"), 1);
+	ld_kv_store_put(store, "servers/flood", "[");
+	run_for(APPLIED_MS);
+	CU_ASSERT_EQUAL(count_lines("server.entry_refused", "server=flood"), 2);
+}
+
+static void
+test_an_entry_forges_log_lines(void)
+{
+	ld_kv_store_put(store, "servers/forger",
+	    "{\"service\":\"x\\nt=1 event=forged a=b\",\"address\":"
+	    "\"127.0.0.1:9\",\"zone\":\"z1\",\"slots\":6,\"state\":"
+	    "\"ready\",\"version\":\"v1\",\"warmup_left_ms\":0,"
+	    "\"sequence\":1,\"domain\":\"d\\nt=1 event=forged\","
+	    "\"staged\":[\"\\nt=1 event=forged\"],\"group\":{\"name\":"
+	    "\"\\nt=1 event=forged\",\"epoch\":1,\"rank\":0,\"state\":"
+	    "\"ready\"}}");
+	run_for(APPLIED_MS);
+	CU_ASSERT_EQUAL(count_lines("t=1 event=forged", ""), 0);
+	CU_ASSERT(count_lines("server=forger", "") > 0);
+	ld_kv_store_delete(store, "servers/forger");
+	run_for(APPLIED_MS);
+}
+
 static void
 test_the_relay_stops_when_told_to(void)
 {
@@ -323,6 +359,8 @@
 		test_odd_entries_of_nodes_count_as_nodes},
 	    {"odd records of groups and prompts are applied",
 		test_odd_records_of_groups_and_prompts_are_applied},
+	    {"an odd entry floods the log", test_an_odd_entry_floods_the_log},
+	    {"an entry forges log lines", test_an_entry_forges_log_lines},
 	    {"the relay stops when told to", test_the_relay_stops_when_told_to},
 	    {NULL, NULL},
 	};
