--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -37,6 +37,7 @@
 struct crashing_prompts;
 struct leader_records;
 struct request;
+struct server_entries;
 struct changes_server;
 struct usage;
 
@@ -60,6 +61,7 @@
 	struct ld_handler entry_handler;
 	struct ready *ready;
 	struct feed *feed;
+	struct server_entries *server_entries;
 	struct leader *leader;
 	struct control *control;
 	struct mesh *mesh;
@@ -166,6 +168,24 @@
 /** server_limits_tick() - periodically log the use of the limits in force */
 void server_limits_tick(struct relay *r);
 
+/* ---- server_entries.c ---- */
+
+void server_entries_open(struct relay *r);
+void server_entries_close(struct relay *r);
+/**
+ * server_entries_put() - the entry of the server @id was written
+ *
+ * An entry that can't be read names no server: one that @id named before counts
+ * as unlisted, on this node as on one that starts now.
+ * @doubt_until_ms: a server that is unlisted before then may be listed again,
+ *	and is used until then
+ */
+void server_entries_put(struct relay *r, struct ld_str id,
+    const struct ld_store_kv *kv, uint64_t doubt_until_ms);
+/** server_entries_remove() - no entry of the server @id exists */
+void server_entries_remove(struct relay *r, struct ld_str id, const char *why,
+    uint64_t doubt_until_ms);
+
 /* ---- feed.c ---- */
 
 void feed_open(struct relay *r);
