--- a/lib/relay/mesh_entry.c
+++ b/lib/relay/mesh_entry.c
@@ -13,6 +13,14 @@
  * all nodes are spread over this time, ms. */
 #define RENEW_SPREAD_MS 1000
 
+void
+mesh_entry_format(const struct ld_relay_settings *s, struct ld_buf *value)
+{
+	ld_buf_printf(value, "%s:%llu %llu %s", s->entry_listen.host,
+	    (unsigned long long)s->peers_port,
+	    (unsigned long long)s->processor_permille, s->failure_domain);
+}
+
 /* Starts over, with a new lease. */
 static void
 entry_failed(struct mesh_entry *e, const char *what, enum ld_status why)
@@ -53,7 +61,8 @@
 {
 	struct mesh_entry *e = (struct mesh_entry *)c;
 	struct relay *r = e->relay;
-	char key[160], value[160];
+	char key[160];
+	struct ld_buf value = {0};
 
 	if (a->status != LD_OK) {
 		entry_failed(e, "not-granted", a->status);
@@ -64,13 +73,10 @@
 	e->call.done = on_written;
 	snprintf(
 	    key, sizeof(key), "%s%s", RELAY_NODES_PREFIX, r->settings->name);
-	snprintf(value, sizeof(value), "%s:%llu %llu %s",
-	    r->settings->entry_listen.host,
-	    (unsigned long long)r->settings->peers_port,
-	    (unsigned long long)r->settings->processor_permille,
-	    r->settings->failure_domain);
+	mesh_entry_format(r->settings, &value);
 	ld_store_put(
-	    r->store, &e->call, ld_str_c(key), ld_str_c(value), e->lease);
+	    r->store, &e->call, ld_str_c(key), ld_buf_str(&value), e->lease);
+	ld_buf_free(&value);
 }
 
 void
--- a/lib/relay/mesh_internal.h
+++ b/lib/relay/mesh_internal.h
@@ -31,6 +31,8 @@
 
 /* ---- mesh_entry.c ---- */
 
+/** mesh_entry_format() - append the value of the entry */
+void mesh_entry_format(const struct ld_relay_settings *s, struct ld_buf *value);
 void mesh_entry_tick(struct mesh_entry *e, uint64_t now);
 
 #endif
