mesh_codec: skip fields that later versions add

In an upgrade the build after may add a field to a datagram. The decoder refused any datagram, load, alarm or finding with more elements than it knew, so a node of this build would have treated all nodes of the next one as silent: no loads, no alarms, no findings from them, and no aggregator among them, until the upgrade had ended.

Cause: mp_array() with a maximum or an exact count for arrays of fields, where a bound is needed for lists alone. The size is bounded all the same: a datagram has at most 2,048 bytes, and ld_wire_scan() checks what its headers claim.

--- a/lib/relay/mesh_codec.c
+++ b/lib/relay/mesh_codec.c
@@ -3,7 +3,9 @@
  * [[finding, part, server, request]..], covered] in msgpack. What earlier
  * versions don't know is omitted unless needed: the four fields of a load
  * without a rate, the covered nodes if no load has a rate, and the findings if
- * there are none and no covered nodes. */
+ * there are none and no covered nodes. What later versions add follows behind
+ * all of these and is skipped; what must not be skipped takes another kind,
+ * which earlier versions refuse. 49fd21d refuses any further field. */
 #include <msgpack.h>
 #include <string.h>
 
@@ -12,16 +14,18 @@
 
 #define DATAGRAM_FIELDS_MIN 5
 #define DATAGRAM_FIELDS_FINDINGS 6
-#define DATAGRAM_FIELDS_MAX 7
+#define DATAGRAM_FIELDS_COVERED 7
 #define LOAD_FIELDS_MIN 4
-#define LOAD_FIELDS_MAX 8
+#define LOAD_FIELDS_RATE 8
+#define ALARM_FIELDS 2
+#define FINDING_FIELDS 4
 
 static void
 pack_findings(const struct mesh_datagram *d, msgpack_packer *pk)
 {
 	msgpack_pack_array(pk, d->finding_count);
 	for (size_t i = 0; i < d->finding_count; i++) {
-		msgpack_pack_array(pk, 4);
+		msgpack_pack_array(pk, FINDING_FIELDS);
 		msgpack_pack_uint32(pk, (uint32_t)d->findings[i].kind);
 		msgpack_pack_uint64(pk, d->findings[i].part);
 		msgpack_pack_uint32(pk, d->findings[i].server);
@@ -32,7 +36,8 @@
 static void
 pack_load(const struct mesh_load *l, msgpack_packer *pk)
 {
-	msgpack_pack_array(pk, l->has_rate ? LOAD_FIELDS_MAX : LOAD_FIELDS_MIN);
+	msgpack_pack_array(
+	    pk, l->has_rate ? LOAD_FIELDS_RATE : LOAD_FIELDS_MIN);
 	msgpack_pack_uint32(pk, l->server);
 	msgpack_pack_uint32(pk, l->active);
 	msgpack_pack_uint32(pk, l->counts[LD_COUNT_TOKENS]);
@@ -49,7 +54,7 @@
 field_count(const struct mesh_datagram *d)
 {
 	if (d->covered > 0)
-		return DATAGRAM_FIELDS_MAX;
+		return DATAGRAM_FIELDS_COVERED;
 	return d->finding_count > 0 ? DATAGRAM_FIELDS_FINDINGS
 				    : DATAGRAM_FIELDS_MIN;
 }
@@ -74,14 +79,14 @@
 	for (size_t i = 0; i < d->alarm_count; i++) {
 		size_t n = strlen(d->alarms[i].group);
 
-		msgpack_pack_array(&pk, 2);
+		msgpack_pack_array(&pk, ALARM_FIELDS);
 		msgpack_pack_str(&pk, n);
 		msgpack_pack_str_body(&pk, d->alarms[i].group, n);
 		msgpack_pack_int64(&pk, d->alarms[i].epoch);
 	}
 	if (field_count(d) > DATAGRAM_FIELDS_MIN)
 		pack_findings(d, &pk);
-	if (field_count(d) == DATAGRAM_FIELDS_MAX)
+	if (field_count(d) == DATAGRAM_FIELDS_COVERED)
 		msgpack_pack_uint32(&pk, d->covered);
 }
 
@@ -108,9 +113,9 @@
 {
 	uint64_t server, active, tokens, heard_ago;
 	size_t n;
-	const msgpack_object *v = mp_array(o, LOAD_FIELDS_MAX, false, &n);
+	const msgpack_object *v = mp_fields(o, LOAD_FIELDS_MIN, &n);
 
-	if (v == NULL || (n != LOAD_FIELDS_MIN && n != LOAD_FIELDS_MAX) ||
+	if (v == NULL || (n > LOAD_FIELDS_MIN && n < LOAD_FIELDS_RATE) ||
 	    !mp_uint(&v[0], UINT32_MAX, &server) ||
 	    !mp_uint(&v[1], UINT16_MAX, &active) ||
 	    !mp_uint(&v[2], UINT32_MAX, &tokens) ||
@@ -128,7 +133,7 @@
 {
 	uint64_t epoch;
 	size_t n;
-	const msgpack_object *v = mp_array(o, 2, true, &n);
+	const msgpack_object *v = mp_fields(o, ALARM_FIELDS, &n);
 
 	if (v == NULL || v[0].type != MSGPACK_OBJECT_STR ||
 	    v[0].via.str.size >= MESH_GROUP_NAME_MAX ||
@@ -145,7 +150,7 @@
 {
 	uint64_t kind, part, server, request;
 	size_t n;
-	const msgpack_object *v = mp_array(o, 4, true, &n);
+	const msgpack_object *v = mp_fields(o, FINDING_FIELDS, &n);
 
 	if (v == NULL || !mp_uint(&v[0], LD_FINDING_KIND_COUNT - 1, &kind) ||
 	    !mp_uint(&v[1], UINT64_MAX, &part) || part == 0 ||
@@ -177,10 +182,9 @@
 	const msgpack_object *loads, *alarms;
 	uint64_t kind, covered = 0;
 	size_t n;
-	const msgpack_object *v = mp_array(o, DATAGRAM_FIELDS_MAX, false, &n);
+	const msgpack_object *v = mp_fields(o, DATAGRAM_FIELDS_MIN, &n);
 
-	if (v == NULL || n < DATAGRAM_FIELDS_MIN ||
-	    !mp_uint(&v[0], UINT64_MAX, &out->number) ||
+	if (v == NULL || !mp_uint(&v[0], UINT64_MAX, &out->number) ||
 	    !mp_uint(&v[1], MESH_KIND_COUNT - 1, &kind) ||
 	    v[2].type != MSGPACK_OBJECT_BOOLEAN)
 		return false;
@@ -197,7 +201,8 @@
 		if (!read_alarm(&alarms[i], &out->alarms[i]))
 			return false;
 	out->finding_count = 0;
-	if (n == DATAGRAM_FIELDS_MAX && !mp_uint(&v[6], UINT16_MAX, &covered))
+	if (n >= DATAGRAM_FIELDS_COVERED &&
+	    !mp_uint(&v[6], UINT16_MAX, &covered))
 		return false;
 	out->covered = (uint32_t)covered;
 	return n == DATAGRAM_FIELDS_MIN || read_findings(&v[5], out);
--- a/lib/relay/msgpack_bounded.c
+++ b/lib/relay/msgpack_bounded.c
@@ -18,6 +18,15 @@
 	return true;
 }
 
+const msgpack_object *
+mp_fields(const msgpack_object *o, size_t min, size_t *n)
+{
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < min)
+		return NULL;
+	*n = o->via.array.size;
+	return o->via.array.ptr;
+}
+
 const msgpack_object *
 mp_array(const msgpack_object *o, size_t max, bool exact, size_t *n)
 {
--- a/lib/relay/msgpack_bounded.h
+++ b/lib/relay/msgpack_bounded.h
@@ -12,6 +12,11 @@
 int mp_append(void *out, const char *bytes, size_t n);
 /** mp_uint() - read an unsigned integer up to @max */
 bool mp_uint(const msgpack_object *o, uint64_t max, uint64_t *out);
+/**
+ * mp_fields() - read an array of at least @min fields; what a later version
+ * adds behind them is skipped
+ */
+const msgpack_object *mp_fields(const msgpack_object *o, size_t min, size_t *n);
 /**
  * mp_array() - read an array of at most @max, with @exact of exactly @max items
  */
--- a/tests/unit/test_upgrade.c
+++ b/tests/unit/test_upgrade.c
@@ -10,6 +10,7 @@
 #include "../../lib/relay/leader_records.h"
 #include "../../lib/relay/mesh_codec.h"
 #include "../../lib/relay/mesh_internal.h"
+#include "../../lib/relay/msgpack_bounded.h"
 #include "../../lib/relay/request_internal.h"
 #include "ld_golden.h"
 #include "ld_platform.h"
@@ -440,6 +441,74 @@
 	close_relay();
 }
 
+/* ---- What a later build may send ---- */
+
+/* Frames are arrays of fields, lists of such arrays among them, in turn. */
+static void
+pack_with_more_fields(const msgpack_object *o, bool is_list, msgpack_packer *pk)
+{
+	static const char more[] = "later";
+	size_t n;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY) {
+		msgpack_pack_object(pk, *o);
+		return;
+	}
+	n = o->via.array.size;
+	msgpack_pack_array(pk, is_list ? n : n + 2);
+	for (size_t i = 0; i < n; i++)
+		pack_with_more_fields(&o->via.array.ptr[i], !is_list, pk);
+	if (is_list)
+		return;
+	msgpack_pack_array(pk, 1);
+	msgpack_pack_nil(pk);
+	msgpack_pack_str(pk, sizeof(more) - 1);
+	msgpack_pack_str_body(pk, more, sizeof(more) - 1);
+}
+
+static void
+add_fields(struct ld_buf *frame)
+{
+	struct ld_buf out = {0};
+	msgpack_unpacked msg;
+	msgpack_packer pk;
+
+	CU_ASSERT_FATAL(mp_unpack(ld_buf_str(frame), &msg));
+	msgpack_packer_init(&pk, &out, mp_append);
+	pack_with_more_fields(&msg.data, false, &pk);
+	msgpack_unpacked_destroy(&msg);
+	ld_buf_free(frame);
+	*frame = out;
+}
+
+/* With all fields that are known now: later ones come after them. */
+static struct mesh_datagram
+sample_of_all_fields(void)
+{
+	struct mesh_datagram d = sample_total_with_rates(),
+			     findings = sample_findings(),
+			     report = sample_report();
+
+	d.alarm_count = report.alarm_count;
+	d.alarms[0] = report.alarms[0];
+	d.finding_count = findings.finding_count;
+	memcpy(d.findings, findings.findings, sizeof(d.findings));
+	return d;
+}
+
+static void
+test_later_fields_of_datagrams_are_skipped(void)
+{
+	struct mesh_datagram d = sample_of_all_fields(), back = {0};
+	struct ld_buf b = {0};
+
+	mesh_encode(&d, &b);
+	add_fields(&b);
+	CU_ASSERT(mesh_decode(ld_buf_str(&b), &back));
+	check_same_datagram(&back, &d);
+	ld_buf_free(&b);
+}
+
 int
 main(void)
 {
@@ -450,6 +519,8 @@
 		test_datagrams_of_the_build_before},
 	    {"changes of the build before", test_changes_of_the_build_before},
 	    {"records of the build before", test_records_of_the_build_before},
+	    {"later fields of datagrams are skipped",
+		test_later_fields_of_datagrams_are_skipped},
 	    {NULL, NULL},
 	};
 
