changes_codec: skip fields that later versions add

As for datagrams: a message of changes, or a change in it, with a further field was refused as malformed. A node that follows a delegate of the next build would have gone back to its own watch of the store, and tried each delegate again every 400 ms with a log line, until the upgrade had ended: with hundreds of nodes that is the load of the store that following avoids.

Before: test_upgrade, 'later fields of changes are skipped', 'tests/unit/test_upgrade.c:520 - changes_decode(ld_buf_str(&b), &m)', 5 passed, 1 failed.

--- a/lib/relay/changes_codec.c
+++ b/lib/relay/changes_codec.c
@@ -1,7 +1,8 @@
 /*
  * Message of store changes: [after, revision, age_ms, [[key, value or nil,
  * mod_revision, create_revision, version, lease]..]]. Without a value the key
- * was deleted.
+ * was deleted. What later versions add behind these fields is skipped; a message
+ * that must not be read so gets a target of its own.
  */
 #include <msgpack.h>
 #include <string.h>
@@ -78,7 +79,7 @@
 read_change(const msgpack_object *o, struct ld_store_event *e)
 {
 	size_t n;
-	const msgpack_object *v = mp_array(o, CHANGE_FIELDS, true, &n);
+	const msgpack_object *v = mp_fields(o, CHANGE_FIELDS, &n);
 
 	if (v == NULL || !read_bytes(&v[0], &e->kv.key))
 		return false;
@@ -94,14 +95,14 @@
 read_message(const msgpack_object *o, struct changes_message *out)
 {
 	size_t n;
-	const msgpack_object *v = mp_array(o, HEAD_FIELDS, true, &n);
+	const msgpack_object *v = mp_fields(o, HEAD_FIELDS, &n);
 	const msgpack_object *changes;
 
 	if (v == NULL || !read_revision(&v[0], &out->after) ||
 	    !read_revision(&v[1], &out->revision) ||
 	    !mp_uint(&v[2], UINT32_MAX, &out->age_ms))
 		return false;
-	changes = mp_array(&v[3], CHANGES_MAX, false, &n);
+	changes = mp_array(&v[3], CHANGES_MAX, &n);
 	if (changes == NULL)
 		return false;
 	for (size_t i = 0; i < n; i++)
--- a/lib/relay/mesh_codec.c
+++ b/lib/relay/mesh_codec.c
@@ -166,7 +166,7 @@
 read_findings(const msgpack_object *o, struct mesh_datagram *out)
 {
 	const msgpack_object *v =
-	    mp_array(o, MESH_FINDINGS_MAX, false, &out->finding_count);
+	    mp_array(o, MESH_FINDINGS_MAX, &out->finding_count);
 
 	if (v == NULL)
 		return false;
@@ -190,8 +190,8 @@
 		return false;
 	out->kind = (enum mesh_kind)kind;
 	out->can_delegate = v[2].via.boolean;
-	loads = mp_array(&v[3], MESH_LOADS_MAX, false, &out->load_count);
-	alarms = mp_array(&v[4], MESH_ALARMS_MAX, false, &out->alarm_count);
+	loads = mp_array(&v[3], MESH_LOADS_MAX, &out->load_count);
+	alarms = mp_array(&v[4], MESH_ALARMS_MAX, &out->alarm_count);
 	if (loads == NULL || alarms == NULL)
 		return false;
 	for (size_t i = 0; i < out->load_count; i++)
--- a/lib/relay/msgpack_bounded.c
+++ b/lib/relay/msgpack_bounded.c
@@ -28,10 +28,9 @@
 }
 
 const msgpack_object *
-mp_array(const msgpack_object *o, size_t max, bool exact, size_t *n)
+mp_array(const msgpack_object *o, size_t max, size_t *n)
 {
-	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > max ||
-	    (exact && o->via.array.size != max))
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > max)
 		return NULL;
 	*n = o->via.array.size;
 	return o->via.array.ptr;
--- a/lib/relay/msgpack_bounded.h
+++ b/lib/relay/msgpack_bounded.h
@@ -17,11 +17,8 @@
  * adds behind them is skipped
  */
 const msgpack_object *mp_fields(const msgpack_object *o, size_t min, size_t *n);
-/**
- * mp_array() - read an array of at most @max, with @exact of exactly @max items
- */
-const msgpack_object *mp_array(
-    const msgpack_object *o, size_t max, bool exact, size_t *n);
+/** mp_array() - read a list of at most @max items */
+const msgpack_object *mp_array(const msgpack_object *o, size_t max, size_t *n);
 /**
  * mp_unpack() - unpack bytes that hold exactly one document
  *
--- a/tests/unit/test_upgrade.c
+++ b/tests/unit/test_upgrade.c
@@ -509,6 +509,20 @@
 	ld_buf_free(&b);
 }
 
+static void
+test_later_fields_of_changes_are_skipped(void)
+{
+	struct changes_message m;
+	struct ld_buf b = {0};
+
+	encode_changes(&b);
+	add_fields(&b);
+	CU_ASSERT(changes_decode(ld_buf_str(&b), &m));
+	check_changes(&m);
+	ld_store_decoded_free(&m.list);
+	ld_buf_free(&b);
+}
+
 int
 main(void)
 {
@@ -521,6 +535,8 @@
 	    {"records of the build before", test_records_of_the_build_before},
 	    {"later fields of datagrams are skipped",
 		test_later_fields_of_datagrams_are_skipped},
+	    {"later fields of changes are skipped",
+		test_later_fields_of_changes_are_skipped},
 	    {NULL, NULL},
 	};
 
