group_records: skip words of later versions, refuse unknown versions whole

The record of a group was read word by word, and each member entered at once. A word that is no member (a field that a later build adds) refused the record, after the members before it had been entered with what had been read so far; and a record that doesn't begin with an epoch ('v2 ..') counted as epoch 0 with its words shifted. Such a member is taken for one of a group in service, so a node that starts would send requests to servers that a record which it doesn't understand happens to name.

Now a record is parsed whole before any member is entered, words without '@' are skipped, and the epoch has to be a number. record.refused is logged as before.

Before: test_upgrade, 'later words of group records are skipped' and 'group records of unknown versions leave no member' (:541, :561 five times), 6 passed, 2 failed.

--- a/lib/relay/group_records.c
+++ b/lib/relay/group_records.c
@@ -9,36 +9,76 @@
 
 #include "leader_records.h"
 
-/* Value: "EPOCH MODEL SERVICE ID@ADDRESS ID@ADDRESS ..", the head first. */
+/** struct group_record - a parsed value: "EPOCH MODEL SERVICE ID@ADDRESS .." */
+struct group_record {
+	int64_t epoch;
+	char *model;
+	char *service;
+	size_t member_count;
+	struct {
+		char *id;
+		char *address;
+	} members[LD_GROUP_SIZE_MAX]; /* the head first */
+};
+
+/* A value of another version begins with something else than a number. */
 static bool
-apply_members(struct leader_records *rs, const char *group, char *value)
+parse_epoch(const char *word, int64_t *epoch)
 {
-	struct relay *r = rs->relay;
-	struct ld_membership m = {
-	    .group = (char *)group, .state = LD_MEMBER_READY};
-	char *at = NULL, *epoch;
-	const char *service;
-	char *word;
+	char *end;
 
-	if (value == NULL)
-		return true;
-	epoch = strtok_r(value, " ", &at);
-	m.model = strtok_r(NULL, " ", &at);
-	service = strtok_r(NULL, " ", &at);
-	if (service == NULL)
+	if (word == NULL || *word < '0' || *word > '9')
+		return false;
+	*epoch = strtoll(word, &end, 10);
+	return *end == '\0';
+}
+
+/* Words that a later version adds hold no '@'; they are skipped. */
+static bool
+parse_record(char *value, struct group_record *out)
+{
+	char *at = NULL, *word = strtok_r(value, " ", &at);
+
+	*out = (struct group_record){0};
+	if (!parse_epoch(word, &out->epoch))
+		return false;
+	out->model = strtok_r(NULL, " ", &at);
+	out->service = strtok_r(NULL, " ", &at);
+	if (out->service == NULL)
 		return false;
-	m.epoch = strtoll(epoch, NULL, 10);
 	while ((word = strtok_r(NULL, " ", &at)) != NULL) {
 		char *address = strchr(word, '@');
 
-		if (address == NULL || m.rank >= LD_GROUP_SIZE_MAX)
+		if (address == NULL)
+			continue;
+		if (out->member_count == LD_GROUP_SIZE_MAX)
 			return false;
 		*address++ = '\0';
-		ld_servers_add_unlisted(
-		    r->servers, word, address, service, &m, relay_now(r));
-		m.rank++;
+		out->members[out->member_count].id = word;
+		out->members[out->member_count++].address = address;
 	}
-	return m.rank > 0;
+	return out->member_count > 0;
+}
+
+static bool
+apply_members(struct leader_records *rs, const char *group, char *value)
+{
+	struct relay *r = rs->relay;
+	struct group_record record;
+	struct ld_membership m = {
+	    .group = (char *)group, .state = LD_MEMBER_READY};
+
+	if (value == NULL)
+		return true;
+	if (!parse_record(value, &record))
+		return false;
+	m.epoch = record.epoch;
+	m.model = record.model;
+	for (; m.rank < record.member_count; m.rank++)
+		ld_servers_add_unlisted(r->servers, record.members[m.rank].id,
+		    record.members[m.rank].address, record.service, &m,
+		    relay_now(r));
+	return true;
 }
 
 static void
--- a/tests/unit/test_upgrade.c
+++ b/tests/unit/test_upgrade.c
@@ -523,6 +523,46 @@
 	ld_buf_free(&b);
 }
 
+static bool
+knows_server(const char *id)
+{
+	return ld_servers_find(relay.servers, ld_str_c(id)) != NULL;
+}
+
+static void
+test_later_words_of_group_records_are_skipped(void)
+{
+	char value[] = "65536007 m0 desk i-1@127.0.0.1:9000 "
+		       "i-2@127.0.0.2:9000 later more=1";
+	struct leader_records *rs;
+
+	open_relay();
+	rs = relay.group_records;
+	CU_ASSERT(rs->ops->apply(rs, GROUP, value));
+	check_member("i-1", "127.0.0.1:9000", 0);
+	check_member("i-2", "127.0.0.2:9000", 1);
+	close_relay();
+}
+
+static void
+test_group_records_of_unknown_versions_leave_no_member(void)
+{
+	static const char *const values[] = {
+	    "v2 m0 desk i-1@127.0.0.1:9000",
+	    "v2 65536007 m0 desk i-1@127.0.0.1:9000",
+	    "65536007x m0 desk i-1@127.0.0.1:9000",
+	    "-1 m0 desk i-1@127.0.0.1:9000",
+	    "{\"epoch\": 65536007} i-1@127.0.0.1:9000 x i-1@127.0.0.1:9000",
+	};
+
+	open_relay();
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		apply_record(relay.group_records, GROUP, values[i]);
+		CU_ASSERT(!knows_server("i-1"));
+	}
+	close_relay();
+}
+
 int
 main(void)
 {
@@ -537,6 +577,10 @@
 		test_later_fields_of_datagrams_are_skipped},
 	    {"later fields of changes are skipped",
 		test_later_fields_of_changes_are_skipped},
+	    {"later words of group records are skipped",
+		test_later_words_of_group_records_are_skipped},
+	    {"group records of unknown versions leave no member",
+		test_group_records_of_unknown_versions_leave_no_member},
 	    {NULL, NULL},
 	};
 
