leader_records: leave records of later builds alone

A build after this one may put records of another form below a prefix that this one knows. A node deletes every record below the prefix of the parts in quarantine that it doesn't want, so it deleted those with names that it can't read, again and again while both builds run: nodes of the later build that start would lack them, and send to servers the prompts that crash them.

Cause: leader_records_apply() entered a record before it asked whether its name is one, and whatever is entered and not wanted is deleted. Now is_name() is asked first; other names are logged (record.refused) and left alone. Records of groups keep to what they did: each name there is a group's, and the leader knows whether it serves.

Before: faults/test_crashing_prompts, 'records of a later build are left alone', 'test_crashing_prompts.c:118 - ld_kv_store_has(store, keys[i])' twice, 5 passed, 1 failed. Ruled out: leaving every record alone whose value can't be read (tried first); the record of a group that has ended would stay, and hide that of the next one of the same name.

--- a/lib/relay/crashing_prompts.c
+++ b/lib/relay/crashing_prompts.c
@@ -6,6 +6,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "leader_records.h"
 #include "request_internal.h"
@@ -16,6 +17,7 @@
 /* Interval at which expired quarantines are released, ms. */
 #define EXPIRE_MS 1000
 #define PART_TEXT_BYTES 24
+#define PART_DIGITS 16
 
 struct crashing_prompts {
 	struct ld_quarantine *quarantine;
@@ -161,15 +163,20 @@
 	ld_buf_printf(value, "%s", rs->relay->settings->name);
 }
 
+static bool
+is_part_name(const char *name)
+{
+	return strlen(name) == PART_DIGITS &&
+	    strspn(name, "0123456789abcdef") == PART_DIGITS &&
+	    strtoull(name, NULL, 16) != 0;
+}
+
 static bool
 apply_part(struct leader_records *rs, const char *name, char *value)
 {
 	struct ld_quarantine *qn = rs->relay->crashing_prompts->quarantine;
-	char *end = NULL;
-	uint64_t part = strtoull(name, &end, 16);
+	uint64_t part = strtoull(name, NULL, 16);
 
-	if (part == 0 || *end != '\0')
-		return false;
 	if (value != NULL)
 		ld_quarantine_restore(qn, part, relay_now(rs->relay));
 	else
@@ -206,6 +213,7 @@
 	static const struct ld_quarantine_ops ops = {on_send, on_changed};
 	static const struct leader_records_ops record_ops = {
 	    .any_node = true,
+	    .is_name = is_part_name,
 	    .each_wanted = each_part,
 	    .format = format_part,
 	    .apply = apply_part,
--- a/lib/relay/leader_records.c
+++ b/lib/relay/leader_records.c
@@ -57,6 +57,14 @@
 
 /* ---- Records read from the store ---- */
 
+static void
+log_refused(const struct leader_records *rs, const char *name,
+    const struct ld_store_kv *kv)
+{
+	ld_event("record.refused", "key=%s%s revision=%lld", rs->prefix, name,
+	    (long long)kv->mod_revision);
+}
+
 void
 leader_records_apply(struct leader_records *rs, struct ld_str name_read,
     const struct ld_store_kv *kv)
@@ -65,6 +73,11 @@
 	struct leader_record *rec;
 
 	snprintf(name, sizeof(name), "%.*s", LD_FMT(name_read));
+	if (rs->ops->is_name != NULL && !rs->ops->is_name(name)) {
+		if (kv != NULL)
+			log_refused(rs, name, kv);
+		return;
+	}
 	rec = find_or_add_record(rs, name);
 	if (kv == NULL) {
 		rec->revision = 0;
@@ -76,8 +89,7 @@
 	rec->revision = kv->mod_revision;
 	snprintf(value, sizeof(value), "%.*s", LD_FMT(kv->value));
 	if (!rs->ops->apply(rs, name, value))
-		ld_event("record.refused", "key=%s%s revision=%lld", rs->prefix,
-		    name, (long long)kv->mod_revision);
+		log_refused(rs, name, kv);
 }
 
 void
--- a/lib/relay/leader_records.h
+++ b/lib/relay/leader_records.h
@@ -16,6 +16,8 @@
 /**
  * struct leader_records_ops - what the records hold
  * @any_node: without a leader, any node writes and deletes
+ * @is_name: whether a key is the name of such a record, NULL: every key is. Others
+ *	may be of a later build: they are left alone.
  * @each_wanted: call leader_records_want() for each wanted record; false if
  *	they are not known now
  * @format: append the value of the record of @item
@@ -24,6 +26,7 @@
  */
 struct leader_records_ops {
 	bool any_node;
+	bool (*is_name)(const char *name);
 	bool (*each_wanted)(struct leader_records *rs);
 	void (*format)(
 	    struct leader_records *rs, const void *item, struct ld_buf *value);
--- a/tests/faults/test_crashing_prompts.c
+++ b/tests/faults/test_crashing_prompts.c
@@ -13,6 +13,9 @@
 #define ROUNDS 10
 /* After a restart a server's entry reaches the relay within this time, ms. */
 #define ENTRY_MS 400
+/* A node without a leader compares the records within 2.5 s, and the store's
+ * entries settle 2.1 s after the start, ms. */
+#define RECORDS_MS 6000
 
 static unsigned int
 crashes(void)
@@ -101,6 +104,20 @@
 	CU_ASSERT_EQUAL(code_of_prompt("aa:40,cc:20"), 200);
 }
 
+static void
+test_records_of_a_later_build_are_left_alone(void)
+{
+	static const char *const keys[] = {
+	    "lavenderdrift/quarantine/v2-656b4d0c54ba635e",
+	    "lavenderdrift/quarantine/656b4d0c54ba635e656b4d0c54ba635e"};
+
+	for (int i = 0; i < 2; i++)
+		ld_kv_store_put(store, keys[i], "n9");
+	run_for(RECORDS_MS);
+	for (int i = 0; i < 2; i++)
+		CU_ASSERT(ld_kv_store_has(store, keys[i]));
+}
+
 /* Requests of one session that were at servers which crashed by chance. */
 static void
 test_a_session_that_met_crashes_is_served(void)
@@ -129,6 +146,8 @@
 		test_it_is_refused_with_a_time_to_come_back},
 	    {"a restarted relay still refuses it",
 		test_a_restarted_relay_still_refuses_it},
+	    {"records of a later build are left alone",
+		test_records_of_a_later_build_are_left_alone},
 	    {"a session that met crashes is served",
 		test_a_session_that_met_crashes_is_served},
 	    {NULL, NULL},
