mesh: log datagrams of peers that can't be read

A datagram of a listed node that this build can't read, such as of a kind that a later build adds, was only counted, together with those of nodes that aren't listed yet. In an upgrade an operator would have seen nodes that are silent to each other and no line that says why. Now datagram.refused names the peer, the size and how many were refused since the last line, at most once each 10 s: a node may send one each 30 ms.

--- a/lib/relay/mesh.c
+++ b/lib/relay/mesh.c
@@ -16,6 +16,9 @@
 /* Above the longest datagram: MESH_LOADS_MAX loads, MESH_ALARMS_MAX alarms. */
 #define DATAGRAM_BYTES 2048
 #define DATAGRAMS_PER_TURN 256
+/* A node of a later version may send one each 30 ms for as long as an upgrade
+ * takes: interval of the log lines on those that are refused, ms. */
+#define REFUSED_LOG_MS 10000
 
 static struct mesh *
 mesh_of(struct load_aggregation *a)
@@ -126,6 +129,23 @@
 	return NULL;
 }
 
+static void
+refuse_datagram(struct mesh *m, const struct peer *from, size_t bytes)
+{
+	uint64_t now = relay_now(m->relay);
+	char name[LD_EVENT_TOKEN_BYTES];
+
+	relay_count(m->relay, LD_M_RELAY_MESH_REFUSED);
+	m->refused++;
+	if (now < m->next_refused_log_ms)
+		return;
+	ld_event("datagram.refused", "peer=%s bytes=%zu refused=%llu",
+	    ld_event_token(ld_str_c(from->name), name), bytes,
+	    (unsigned long long)m->refused);
+	m->refused = 0;
+	m->next_refused_log_ms = now + REFUSED_LOG_MS;
+}
+
 static void
 receive(
     struct mesh *m, const char *bytes, size_t n, const struct sockaddr_in *from)
@@ -135,11 +155,15 @@
 
 	relay_count(m->relay, LD_M_RELAY_DATAGRAMS_IN);
 	ld_metrics_add(m->relay->metrics, LD_M_PEER_BYTES_IN, n);
-	/* The sender isn't listed, or not yet, or the datagram is malformed. */
-	if (p == NULL || !mesh_decode((struct ld_str){bytes, n}, &d)) {
+	/* The sender isn't listed, or not yet. */
+	if (p == NULL) {
 		relay_count(m->relay, LD_M_RELAY_MESH_REFUSED);
 		return;
 	}
+	if (!mesh_decode((struct ld_str){bytes, n}, &d)) {
+		refuse_datagram(m, p, n);
+		return;
+	}
 	agg_receive(&m->aggregation, p, &d, relay_now(m->relay));
 }
 
--- a/lib/relay/mesh_internal.h
+++ b/lib/relay/mesh_internal.h
@@ -27,6 +27,8 @@
 	struct mesh_entry entry;
 	int fd;
 	ev_io io;
+	uint64_t refused; /* datagrams of peers, not logged yet */
+	uint64_t next_refused_log_ms;
 };
 
 /* ---- mesh_entry.c ---- */
--- a/tests/unit/test_upgrade.c
+++ b/tests/unit/test_upgrade.c
@@ -14,6 +14,7 @@
 #include "../../lib/relay/request_internal.h"
 #include "ld_golden.h"
 #include "ld_platform.h"
+#include "ld_ports.h"
 
 #define GOLDEN "tests/golden/wire.txt"
 #define LINE_BYTES 4096
@@ -523,6 +524,95 @@
 	ld_buf_free(&b);
 }
 
+/* How many lines of an event were logged since the last call. */
+static unsigned int
+count_logged(const char *event)
+{
+	FILE *to = tmpfile();
+	int out = dup(STDOUT_FILENO);
+	unsigned int n = 0;
+	char line[LINE_BYTES];
+
+	CU_ASSERT_FATAL(to != NULL && out >= 0);
+	fflush(stdout);
+	dup2(fileno(to), STDOUT_FILENO);
+	ld_event_flush();
+	dup2(out, STDOUT_FILENO);
+	close(out);
+	rewind(to);
+	while (fgets(line, sizeof(line), to) != NULL)
+		n += strstr(line, event) != NULL;
+	fclose(to);
+	return n;
+}
+
+static void
+send_datagrams(int fd, const struct mesh_datagram *d, int n)
+{
+	struct sockaddr_in to = {.sin_family = AF_INET};
+	struct ld_buf b = {0};
+
+	to.sin_port = htons((uint16_t)relay.settings->peers_port);
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	mesh_encode(d, &b);
+	while (n-- > 0) {
+		CU_ASSERT_EQUAL(sendto(fd, b.p, b.len, 0,
+				    (struct sockaddr *)&to, sizeof(to)),
+		    (ssize_t)b.len);
+		ev_run(ld_loop_ev(relay.loop), EVRUN_NOWAIT);
+	}
+	ld_buf_free(&b);
+}
+
+static uint64_t
+refused(void)
+{
+	return ld_metrics_get(relay.metrics, LD_M_RELAY_MESH_REFUSED);
+}
+
+static void
+test_unknown_kinds_of_datagrams_are_logged_once_in_a_while(void)
+{
+	struct ld_relay_settings here = settings;
+	struct mesh_datagram known = sample_probe(), unknown = known;
+	struct sockaddr_in at = {.sin_family = AF_INET};
+	char entry[64];
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	open_relay();
+	here.entry_listen.host = "127.0.0.1";
+	here.peers_port = ld_free_port();
+	relay.settings = &here;
+	CU_ASSERT_EQUAL_FATAL(mesh_open(&relay), LD_OK);
+	at.sin_port = htons(ld_free_port());
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	unknown.kind = MESH_KIND_COUNT;
+	/* From a node that isn't listed: counted alone. */
+	send_datagrams(fd, &known, 1);
+	CU_ASSERT_EQUAL(refused(), 1);
+	snprintf(
+	    entry, sizeof(entry), "127.0.0.1:%u 1000 z1", ntohs(at.sin_port));
+	mesh_peer_put(&relay, LD_STR(NODE), ld_str_c(entry));
+	(void)count_logged("");
+	send_datagrams(fd, &known, 1);
+	CU_ASSERT_EQUAL(refused(), 1);
+	CU_ASSERT_EQUAL(count_logged("event=datagram.refused "), 0);
+	send_datagrams(fd, &unknown, 20);
+	CU_ASSERT_EQUAL(refused(), 21);
+	CU_ASSERT_EQUAL(count_logged("event=datagram.refused peer=" NODE), 1);
+	relay.mesh->next_refused_log_ms = 0;
+	send_datagrams(fd, &unknown, 1);
+	CU_ASSERT_EQUAL(count_logged("refused=20"), 1);
+	/* It goes on. */
+	known.number++;
+	send_datagrams(fd, &known, 1);
+	CU_ASSERT_EQUAL(refused(), 22);
+	close(fd);
+	mesh_close(&relay);
+	close_relay();
+}
+
 static bool
 knows_server(const char *id)
 {
@@ -581,6 +671,8 @@
 		test_later_words_of_group_records_are_skipped},
 	    {"group records of unknown versions leave no member",
 		test_group_records_of_unknown_versions_leave_no_member},
+	    {"unknown kinds of datagrams are logged once in a while",
+		test_unknown_kinds_of_datagrams_are_logged_once_in_a_while},
 	    {NULL, NULL},
 	};
 
