tests: LD_OTHER_RELAY runs every second relay from another build

test_relay_soak, test_follow and the fleet tests can play builds beside each other, as in an upgrade: LD_OTHER_RELAY=PATH names the program that every second relay process runs that is started, restarts included.

--- a/tests/faults/ld_fleet.c
+++ b/tests/faults/ld_fleet.c
@@ -274,14 +274,14 @@
 	snprintf(name, sizeof(name), "node-%d", i + 1);
 	snprintf(file, sizeof(file), "%s/%s.json", f->s.dir, name);
 	if (f->nodes[i] != NULL) {
-		ld_respawn(&f->s, f->nodes[i], "lavenderdrift", argv);
+		ld_respawn(&f->s, f->nodes[i], LD_RELAY_PROGRAM, argv);
 		return;
 	}
 	ld_address_new(&f->s, address);
 	settings = node_settings(f, i, address);
 	json_dump_file(settings, file, JSON_INDENT(1));
 	json_decref(settings);
-	f->nodes[i] = ld_spawn(&f->s, name, "lavenderdrift", address, argv);
+	f->nodes[i] = ld_spawn(&f->s, name, LD_RELAY_PROGRAM, address, argv);
 }
 
 void
--- a/tests/faults/ld_session.c
+++ b/tests/faults/ld_session.c
@@ -209,6 +209,19 @@
 	snprintf(out, max, "%s/%s", self, program);
 }
 
+/* With LD_OTHER_RELAY every second relay that is started is of another build. */
+static void
+relay_path(char *out, size_t max)
+{
+	const char *other = getenv("LD_OTHER_RELAY");
+	static unsigned int started;
+
+	if (other != NULL && started++ % 2 != 0)
+		snprintf(out, max, "%s", other);
+	else
+		program_path(LD_RELAY_PROGRAM, out, max);
+}
+
 static void
 run_child(struct ld_proc *p, const char *path, const char *const *argv)
 {
@@ -234,7 +247,10 @@
 {
 	char path[600];
 
-	program_path(program, path, sizeof(path));
+	if (strcmp(program, LD_RELAY_PROGRAM) == 0)
+		relay_path(path, sizeof(path));
+	else
+		program_path(program, path, sizeof(path));
 	fflush(stdout);
 	p->pid = fork();
 	if (p->pid == 0)
--- a/tests/faults/ld_session.h
+++ b/tests/faults/ld_session.h
@@ -15,6 +15,7 @@
 
 #define LD_PROCS_MAX 64
 #define LD_ALIASES_MAX 512
+#define LD_RELAY_PROGRAM "lavenderdrift"
 /* Long enough that only unmet conditions fail, not slow machines. */
 #define LD_WAIT_MS 20000
 
@@ -65,7 +66,8 @@
 /**
  * ld_spawn() - start build/PROGRAM with @argv
  * @name: in logs, and stands for its address in the transcript
- * @program: "lavenderdrift" or "ld_standin"
+ * @program: LD_RELAY_PROGRAM or "ld_standin"; with LD_OTHER_RELAY=PATH in the
+ *	environment every second relay process runs PATH instead
  * @argv: NULL-terminated, without the program
  */
 struct ld_proc *ld_spawn(struct ld_session *s, const char *name,
--- a/tests/faults/ld_soak_world.c
+++ b/tests/faults/ld_soak_world.c
@@ -141,9 +141,9 @@
 	snprintf(name, sizeof(name), "relay%d", i);
 	if (r->proc == NULL)
 		r->proc = ld_spawn(
-		    &s->session, name, "lavenderdrift", r->entry, argv);
+		    &s->session, name, LD_RELAY_PROGRAM, r->entry, argv);
 	else
-		ld_respawn(&s->session, r->proc, "lavenderdrift", argv);
+		ld_respawn(&s->session, r->proc, LD_RELAY_PROGRAM, argv);
 	r->term_ms = 0;
 	soak_harm(s, i);
 }
