mesh_peers: skip words that later versions add to a node's entry

Now the domain is the first word of the rest, and of the own setting, so that both agree for a name with spaces too.

Before: test_upgrade, 'later words of node entries are skipped', 'test_upgrade.c:423 - CU_ASSERT_EQUAL(p->domain,mesh.aggregation.domain)', 9 passed, 1 failed.

--- a/lib/relay/load_aggregation.c
+++ b/lib/relay/load_aggregation.c
@@ -28,6 +28,10 @@
 uint32_t
 agg_domain(struct ld_str failure_domain)
 {
+	const char *space = memchr(failure_domain.p, ' ', failure_domain.len);
+
+	if (space != NULL)
+		failure_domain.len = (size_t)(space - failure_domain.p);
 	return (uint32_t)ld_hash64(failure_domain, 0);
 }
 
--- a/lib/relay/load_aggregation.h
+++ b/lib/relay/load_aggregation.h
@@ -127,6 +127,11 @@
 	size_t notice_count;
 };
 
+/**
+ * agg_domain() - hash of a failure domain
+ * @failure_domain: its name is the first word; in an entry later versions may
+ *	add words
+ */
 uint32_t agg_domain(struct ld_str failure_domain);
 void agg_free(struct load_aggregation *a);
 
--- a/lib/relay/mesh_peers.c
+++ b/lib/relay/mesh_peers.c
@@ -28,7 +28,7 @@
 	return word;
 }
 
-/* "ADDRESS PERMILLE DOMAIN" */
+/* "ADDRESS PERMILLE DOMAIN", behind which later versions may add words. */
 static bool
 parse_entry(const struct relay *r, struct ld_str text, struct peer *out)
 {
--- a/tests/unit/test_upgrade.c
+++ b/tests/unit/test_upgrade.c
@@ -653,6 +653,14 @@
 	close_relay();
 }
 
+static void
+test_later_words_of_node_entries_are_skipped(void)
+{
+	open_relay();
+	check_node("127.98.244.19:7340 1000 z1 later more=1");
+	close_relay();
+}
+
 int
 main(void)
 {
@@ -673,6 +681,8 @@
 		test_group_records_of_unknown_versions_leave_no_member},
 	    {"unknown kinds of datagrams are logged once in a while",
 		test_unknown_kinds_of_datagrams_are_logged_once_in_a_while},
+	    {"later words of node entries are skipped",
+		test_later_words_of_node_entries_are_skipped},
 	    {NULL, NULL},
 	};
 
