tests: the soak shows requests that are not of its run

'a server got a request that none sent' said nothing of the request. Now target, sender, id and expected server are printed.

--- a/tests/faults/ld_soak_server.c
+++ b/tests/faults/ld_soak_server.c
@@ -1,4 +1,5 @@
 /* Backend servers of the soak: run requests and record which ones ran. */
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -141,6 +142,21 @@
 	ld_exchange_set_user_data(x, w);
 }
 
+/* A request of another test process has the seed of that in its id. */
+static void
+show_foreign(const struct soak_server *v, struct ld_exchange *x)
+{
+	const char *id = ld_exchange_header(x, "X-Attempt-Id");
+	const char *expected = ld_exchange_header(x, "X-Expect-Instance");
+	struct in_addr from = ld_exchange_sender(x);
+	char sender[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &from, sender, sizeof(sender));
+	printf("at %s from %s: %s id=%s for=%s\n", v->at, sender,
+	    ld_exchange_target(x), id != NULL ? id : "-",
+	    expected != NULL ? expected : "-");
+}
+
 static void
 on_request(struct ld_handler *h, struct ld_exchange *x)
 {
@@ -152,6 +168,7 @@
 	enum deed deed;
 
 	if (a == NULL) {
+		show_foreign(v, x);
 		soak_broken(s, NULL, "a server got a request that none sent");
 		ld_exchange_abort(x);
 		return;
