listen: read the runs left of a forwarded request from the second word

The number of runs that a forwarded request may still take was read from the last word of the mark 'NODE RUNS'. With a word more of a later build a request got 0 runs and was refused ('n1 2 later'), or as many as that word says ('n1 2 more=1 9': 9 runs for one that may run twice, so a server could run it more often than its route allows).

Now the second word is read, later words are skipped, and a mark whose second word is no number is of an unknown version: 421 with unknown-version, logged as request.refused, so the sender tries another node.

--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -174,17 +174,33 @@
 	return ld_exchange_header(x, RELAY_FORWARDED_FIELD) != NULL;
 }
 
+bool
+listen_read_forwarded(const char *value, uint32_t *runs_left)
+{
+	const char *runs = strchr(value, ' ');
+	char *end;
+
+	*runs_left = 1;
+	if (runs == NULL)
+		return *value != '\0';
+	if (*++runs < '0' || *runs > '9')
+		return false;
+	*runs_left = (uint32_t)strtoul(runs, &end, 10);
+	return *end == '\0' || *end == ' ';
+}
+
 /* 421: another node may take the request. */
 void
 listen_forwarded(struct relay *r, struct ld_exchange *x)
 {
 	struct request_routing facts = {.forwarded = true};
-	const char *runs =
-	    strrchr(ld_exchange_header(x, RELAY_FORWARDED_FIELD), ' ');
 
-	facts.runs_left = runs != NULL ? (uint32_t)strtoul(runs, NULL, 10) : 1;
 	if (!mesh_is_node_address(r, ld_exchange_sender(x)))
 		listen_refuse(r, x, 421, "unknown-node", 0);
+	else if (!listen_read_forwarded(
+		     ld_exchange_header(x, RELAY_FORWARDED_FIELD),
+		     &facts.runs_left))
+		listen_refuse(r, x, 421, "unknown-version", 0);
 	else if (r->refusing)
 		listen_refuse(r, x, 421, "stopping", 0);
 	else if (isolation_is_active(r))
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -104,6 +104,13 @@
 void listen_forwarded(struct relay *r, struct ld_exchange *x);
 /** listen_is_forwarded() - the request was marked by the node that forwards it */
 bool listen_is_forwarded(struct ld_exchange *x);
+/**
+ * listen_read_forwarded() - read the mark: "NODE RUNS", behind which later
+ * versions may add words
+ *
+ * Return: false if it is of an unknown version.
+ */
+bool listen_read_forwarded(const char *value, uint32_t *runs_left);
 /** listen_refuse() - answer locally: status, reason, when to retry */
 void listen_refuse(struct relay *r, struct ld_exchange *x, unsigned int code,
     const char *reason, uint64_t retry_after_ms);
--- a/tests/unit/test_upgrade.c
+++ b/tests/unit/test_upgrade.c
@@ -661,6 +661,36 @@
 	close_relay();
 }
 
+static void
+test_forwarded_requests_of_other_builds(void)
+{
+	static const struct {
+		const char *value;
+		bool known;
+		uint32_t runs;
+	} rows[] = {
+	    {"n1 2", true, 2}, /* 49fd21d */
+	    {"n1 0", true, 0},
+	    {"n1", true, 1},
+	    {"n1 2 later", true, 2},
+	    {"n1 2 more=1 9", true, 2},
+	    {"n1 v2 3", false, 0},
+	    {"n1 2x", false, 0},
+	    {"n1 -1", false, 0},
+	    {"n1 ", false, 0},
+	    {"", false, 0},
+	};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		uint32_t runs = 0;
+		bool known = listen_read_forwarded(rows[i].value, &runs);
+
+		CU_ASSERT_EQUAL(known, rows[i].known);
+		if (rows[i].known)
+			CU_ASSERT_EQUAL(runs, rows[i].runs);
+	}
+}
+
 int
 main(void)
 {
@@ -683,6 +713,8 @@
 		test_unknown_kinds_of_datagrams_are_logged_once_in_a_while},
 	    {"later words of node entries are skipped",
 		test_later_words_of_node_entries_are_skipped},
+	    {"forwarded requests of other builds",
+		test_forwarded_requests_of_other_builds},
 	    {NULL, NULL},
 	};
 
