changes_server: skip parameters that later versions add

A request for changes with a further parameter was refused with 400, so a node of the next build that adds one would have followed no node of this build. A message of another form gets a target of its own, which is refused as before.

Before: faults/test_follow, 'later parameters of requests for changes are skipped', 'test_follow.c:207 - changes_code(0, "/changes?after=1&later=2"), 410', 8 passed, 1 failed.

--- a/lib/relay/changes_server.c
+++ b/lib/relay/changes_server.c
@@ -117,7 +117,8 @@
 
 /* ---- Requests ---- */
 
-/* Parses the revision in "/changes?after=REVISION". */
+/* Parses the revision in "/changes?after=REVISION"; later versions may add
+ * parameters. */
 static bool
 read_target(const char *target, int64_t *after)
 {
@@ -129,8 +130,8 @@
 		return false;
 	errno = 0;
 	n = strtoll(target + sizeof(start) - 1, &end, 10);
-	if (errno != 0 || *end != '\0' || end == target + sizeof(start) - 1 ||
-	    n <= 0)
+	if (errno != 0 || (*end != '\0' && *end != '&') ||
+	    end == target + sizeof(start) - 1 || n <= 0)
 		return false;
 	*after = n;
 	return true;
--- a/tests/faults/test_follow.c
+++ b/tests/faults/test_follow.c
@@ -182,6 +182,33 @@
 	CU_ASSERT_EQUAL(code_of(2, s.key_count - 1), 200);
 }
 
+/* The code of a peer's request for changes. */
+static long
+changes_code(int relay, const char *target)
+{
+	char address[48];
+	struct ld_reply reply = {0};
+	long code;
+
+	snprintf(address, sizeof(address), "%.*s:7340",
+	    (int)strcspn(s.relays[relay].entry, ":"), s.relays[relay].entry);
+	ld_call(&s.session,
+	    &(struct ld_call){.address = address, .path = target}, &reply);
+	code = reply.ok ? reply.code : 0;
+	ld_reply_free(&reply);
+	return code;
+}
+
+static void
+test_later_parameters_of_requests_for_changes_are_skipped(void)
+{
+	/* Changes after that one are not kept. */
+	CU_ASSERT_EQUAL(changes_code(0, "/changes?after=1"), 410);
+	CU_ASSERT_EQUAL(changes_code(0, "/changes?after=1&later=2"), 410);
+	CU_ASSERT_EQUAL(changes_code(0, "/changes?after=1x"), 400);
+	CU_ASSERT_EQUAL(changes_code(0, "/changes2?after=1"), 400);
+}
+
 /*
  * Found by code review: a follower detects an outage later than the delegate,
  * and treated entries that had expired during it as servers that are gone.
@@ -231,6 +258,8 @@
 	    {"the delegate stands still", test_the_delegate_stands_still},
 	    {"the delegate is cut off", test_the_delegate_is_cut_off},
 	    {"a follower is cut off", test_a_follower_is_cut_off},
+	    {"later parameters of requests for changes are skipped",
+		test_later_parameters_of_requests_for_changes_are_skipped},
 	    {"an entry vanishes in an outage",
 		test_an_entry_vanishes_in_an_outage},
 	    {"entries lapse in an outage", test_entries_lapse_in_an_outage},
