--- a/lib/relay/crashing_prompts.c
+++ b/lib/relay/crashing_prompts.c
@@ -163,16 +163,20 @@
 	ld_buf_printf(value, "%s", rs->relay->settings->name);
 }
 
+static bool
+is_part_name(const char *name)
+{
+	return strlen(name) == PART_DIGITS &&
+	    strspn(name, "0123456789abcdef") == PART_DIGITS &&
+	    strtoull(name, NULL, 16) != 0;
+}
+
 static bool
 apply_part(struct leader_records *rs, const char *name, char *value)
 {
 	struct ld_quarantine *qn = rs->relay->crashing_prompts->quarantine;
 	uint64_t part = strtoull(name, NULL, 16);
 
-	/* One record per part: no other spelling of the number. */
-	if (part == 0 || strlen(name) != PART_DIGITS ||
-	    strspn(name, "0123456789abcdef") != PART_DIGITS)
-		return false;
 	if (value != NULL)
 		ld_quarantine_restore(qn, part, relay_now(rs->relay));
 	else
@@ -209,6 +213,7 @@
 	static const struct ld_quarantine_ops ops = {on_send, on_changed};
 	static const struct leader_records_ops record_ops = {
 	    .any_node = true,
+	    .is_name = is_part_name,
 	    .each_wanted = each_part,
 	    .format = format_part,
 	    .apply = apply_part,
--- a/lib/relay/group_records.c
+++ b/lib/relay/group_records.c
@@ -10,68 +10,89 @@
 
 #include "leader_records.h"
 
-/** struct members - the members that a record names, the head first */
-struct members {
-	const char *id[LD_GROUP_SIZE_MAX];
-	const char *address[LD_GROUP_SIZE_MAX];
-	uint32_t count;
+/** struct group_record - a parsed value: "EPOCH MODEL SERVICE ID@ADDRESS .." */
+struct group_record {
+	int64_t epoch;
+	const char *model;
+	const char *service;
+	size_t member_count;
+	struct {
+		const char *id;
+		const char *address;
+	} members[LD_GROUP_SIZE_MAX]; /* the head first */
 };
 
-/* "ID@ADDRESS"; splits @word. */
+/* A value of another version begins with something else than a number. */
+static bool
+parse_epoch(const char *word, int64_t *out)
+{
+	char *end;
+
+	if (word == NULL || *word < '0' || *word > '9')
+		return false;
+	errno = 0;
+	*out = strtoll(word, &end, 10);
+	return errno == 0 && *end == '\0';
+}
+
+/* "ID@ADDRESS"; splits @word at @at. */
 static bool
-parse_member(char *word, struct members *out)
+parse_member(char *word, char *at, struct group_record *out)
 {
-	char *at = strrchr(word, '@');
 	struct ld_address a = {0};
 
-	if (at == NULL || at == word || at - word >= LD_GROUP_NAME_MAX ||
-	    out->count >= LD_GROUP_SIZE_MAX ||
+	if (at == word || at - word >= LD_GROUP_NAME_MAX ||
+	    out->member_count >= LD_GROUP_SIZE_MAX ||
 	    ld_address_parse(ld_str_c(at + 1), &a) != LD_OK)
 		return false;
 	ld_address_fini(&a);
 	*at = '\0';
-	out->id[out->count] = word;
-	out->address[out->count++] = at + 1;
+	out->members[out->member_count].id = word;
+	out->members[out->member_count++].address = at + 1;
 	return true;
 }
 
+/* Words that a later version adds hold no '@'; they are skipped. */
 static bool
-parse_epoch(const char *word, int64_t *out)
+parse_record(char *value, struct group_record *out)
 {
-	char *end;
+	char *rest = NULL, *word = strtok_r(value, " ", &rest);
 
-	errno = 0;
-	*out = strtoll(word, &end, 10);
-	return errno == 0 && end != word && *end == '\0' && *out >= 0;
+	*out = (struct group_record){0};
+	if (!parse_epoch(word, &out->epoch))
+		return false;
+	out->model = strtok_r(NULL, " ", &rest);
+	out->service = strtok_r(NULL, " ", &rest);
+	if (out->service == NULL || strlen(out->model) >= LD_GROUP_NAME_MAX)
+		return false;
+	while ((word = strtok_r(NULL, " ", &rest)) != NULL) {
+		char *at = strrchr(word, '@');
+
+		if (at != NULL && !parse_member(word, at, out))
+			return false;
+	}
+	return out->member_count > 0;
 }
 
-/* Value: "EPOCH MODEL SERVICE ID@ADDRESS ID@ADDRESS ..", the head first. */
 static bool
 apply_members(struct leader_records *rs, const char *group, char *value)
 {
 	struct relay *r = rs->relay;
+	struct group_record record;
 	struct ld_membership m = {
 	    .group = (char *)group, .state = LD_MEMBER_READY};
-	struct members members = {.count = 0};
-	char *at = NULL, *epoch;
-	const char *service;
-	char *word;
 
 	if (value == NULL)
 		return true;
-	epoch = strtok_r(value, " ", &at);
-	m.model = strtok_r(NULL, " ", &at);
-	service = strtok_r(NULL, " ", &at);
-	if (service == NULL || !parse_epoch(epoch, &m.epoch) ||
-	    strlen(m.model) >= LD_GROUP_NAME_MAX)
+	if (!parse_record(value, &record))
 		return false;
-	while ((word = strtok_r(NULL, " ", &at)) != NULL)
-		if (!parse_member(word, &members))
-			return false;
-	for (; m.rank < members.count; m.rank++)
-		ld_servers_add_unlisted(r->servers, members.id[m.rank],
-		    members.address[m.rank], service, &m, relay_now(r));
-	return members.count > 0;
+	m.epoch = record.epoch;
+	m.model = (char *)record.model;
+	for (; m.rank < record.member_count; m.rank++)
+		ld_servers_add_unlisted(r->servers, record.members[m.rank].id,
+		    record.members[m.rank].address, record.service, &m,
+		    relay_now(r));
+	return true;
 }
 
 static void
--- a/lib/relay/leader_records.c
+++ b/lib/relay/leader_records.c
@@ -83,11 +83,12 @@
 	char name[LEADER_RECORD_NAME_MAX], value[VALUE_MAX];
 	struct leader_record *rec;
 
-	if (!fits(name_read, sizeof(name))) {
+	snprintf(name, sizeof(name), "%.*s", LD_FMT(name_read));
+	if (!fits(name_read, sizeof(name)) ||
+	    (rs->ops->is_name != NULL && !rs->ops->is_name(name))) {
 		log_refused(rs, name_read, kv);
 		return;
 	}
-	snprintf(name, sizeof(name), "%.*s", LD_FMT(name_read));
 	rec = find_or_add_record(rs, name);
 	if (kv == NULL) {
 		rec->revision = 0;
--- a/lib/relay/mesh_internal.h
+++ b/lib/relay/mesh_internal.h
@@ -27,10 +27,14 @@
 	struct mesh_entry entry;
 	int fd;
 	ev_io io;
+	uint64_t refused; /* datagrams of peers, not logged yet */
+	uint64_t next_refused_log_ms;
 };
 
 /* ---- mesh_entry.c ---- */
 
+/** mesh_entry_format() - append the value of the entry */
+void mesh_entry_format(const struct ld_relay_settings *s, struct ld_buf *value);
 void mesh_entry_tick(struct mesh_entry *e, uint64_t now);
 
 #endif
--- a/tests/unit/test_groups_holder.c
+++ b/tests/unit/test_groups_holder.c
@@ -182,7 +182,8 @@
 		struct ld_order o;
 
 		w.now += STEP_MS;
-		ld_groups_tick(w.g, w.t, LD_STR("llm"), &w.spec, true, w.now);
+		ld_groups_tick(
+		    w.g, w.t, LD_STR("llm"), &w.spec, true, INT64_MAX, w.now);
 		CU_ASSERT(!ld_groups_next_order(w.g, &o));
 		CU_ASSERT(!ld_groups_next_probe(w.g, &p));
 	}
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -42,8 +42,8 @@
 	size_t n = 0;
 
 	for (int i = 0; i < 100; i++, w->now += STEP_MS) {
-		ld_groups_tick(
-		    w->g, w->t, LD_STR("llm"), &w->spec, true, w->now);
+		ld_groups_tick(w->g, w->t, LD_STR("llm"), &w->spec, true,
+		    INT64_MAX, w->now);
 		while (ld_groups_next_change(w->g, &c))
 			n += c.epoch == 5;
 	}
