--- a/tests/faults/test_planned_stops.c
+++ b/tests/faults/test_planned_stops.c
@@ -13,6 +13,7 @@
 
 #define GRACE_MS 8000
 #define SHORT_GRACE_MS 4000
+#define LONG_MS 8000 /* beyond the short grace period */
 #define WARM_UP_MS 3000
 #define RESTART_MS 300
 #define START_MS 300
@@ -171,7 +172,7 @@
 	struct stops_user *u = open_one(1, false, SHORT_GRACE_MS);
 	struct stops_request *q;
 
-	silence_servers(2 * SHORT_GRACE_MS);
+	silence_servers(LONG_MS);
 	q = send_one(u, &steady);
 	stops_run_for(&one, 300);
 	stops_term(&one, 0);
@@ -192,7 +193,7 @@
 	p.events = 60;
 	p.every_ms = 2;
 	q = send_one(u, &p);
-	stops_user_pause(u, 2 * SHORT_GRACE_MS);
+	stops_user_pause(u, LONG_MS);
 	stops_run_for(&one, 500);
 	CU_ASSERT(q->served);
 	stops_term(&one, 0);
