soak: judge requests that end around a SIGTERM by the rule for planned stops

A request that ended with a close around the SIGTERM of its relay, with no unplanned disruption of relay, store or paths since 3 s before it, is reported as lost once a server worked on it, or when it is older than 200 ms (and the slack for busy machines). Excused: its server broke off or answered wrongly, the deadline, a server at work in the last sixth of the grace period. Before, only answers that a server had written whole were judged, and only while the relay's process ran.

--- a/tests/faults/ld_soak.h
+++ b/tests/faults/ld_soak.h
@@ -33,6 +33,13 @@
 #define SOAK_CONFIG_MS 2000
 #define SOAK_GRACE_MS 4000
 #define SOAK_RECOVERY_MS 12000
+/* Around a SIGTERM: the rule holds until this long after the grace period, ms. */
+#define SOAK_AFTER_GRACE_MS 1000
+/* How old a request may be that ends without an answer and that no server got,
+ * and how late after the SIGTERM one may come that its server works on at the
+ * end of the grace period, ms. */
+#define SOAK_LOSS_SLACK_MS 200
+#define SOAK_LATE_SEND_MS 3000
 /* Bounds apply to a relay once it had no fault for this time, ms. */
 #define SOAK_CALM_MS 3000
 /* Added to each bound, as a busy machine delays processes, ms. */
@@ -62,6 +69,8 @@
 	struct ld_buf body;
 	/* Recorded by the servers. */
 	unsigned int runs;
+	bool broken_off; /* a server broke off, or answered wrongly */
+	uint64_t worked_ms; /* when a server last worked on it, 0: none */
 	bool served; /* a server wrote its whole answer */
 	bool not_run; /* the answer said that it has not run */
 };
@@ -77,6 +86,7 @@
 	bool paused;
 	bool forward_harmed;
 	uint64_t term_ms; /* time of SIGTERM, 0: not sent */
+	uint64_t last_term_ms; /* the same, also of an earlier process */
 	uint64_t calm_since_ms; /* time of its last fault */
 };
 
@@ -146,6 +156,7 @@
 	uint64_t last_free_crash_ms; /* time of the SOAK_CRASHES-th, 0: none */
 	unsigned int arrivals_after;
 	unsigned int answered[SOAK_KINDS];
+	unsigned int ends_judged; /* around a SIGTERM, undisturbed */
 	unsigned int faults;
 };
 
--- a/tests/faults/ld_soak_client.c
+++ b/tests/faults/ld_soak_client.c
@@ -68,6 +68,41 @@
 	s->answered[a->kind]++;
 }
 
+/* No unplanned disruption from SOAK_CALM_MS before the request to its end. */
+static bool
+is_undisturbed(const struct soak *s, const struct soak_attempt *a)
+{
+	const struct soak_relay *r = &s->relays[a->relay];
+
+	return !r->paused && !r->forward_harmed && !s->store_harmed &&
+	    r->calm_since_ms + SOAK_CALM_MS < a->sent_ms &&
+	    s->store_calm_since_ms + SOAK_CALM_MS < a->sent_ms &&
+	    soak_paths_calm(s, a->sent_ms) && !a->broken_off;
+}
+
+/* A request that ended around a SIGTERM of its relay: with a whole answer, if a
+ * process has read it. */
+static void
+judge_end_around_stop(struct soak *s, const struct soak_attempt *a)
+{
+	uint64_t term_ms = s->relays[a->relay].last_term_ms;
+	uint64_t now = soak_now(s), end_ms = term_ms + SOAK_GRACE_MS;
+
+	if (term_ms == 0 || now > end_ms + SOAK_AFTER_GRACE_MS ||
+	    now >= a->sent_ms + DEADLINE_MS || !is_undisturbed(s, a))
+		return;
+	if (a->worked_ms >= end_ms - SOAK_GRACE_MS / 6 &&
+	    a->sent_ms <= term_ms + SOAK_LATE_SEND_MS)
+		return;
+	s->ends_judged++;
+	/* A busy machine may read a request late. */
+	if (a->status != LD_E_CLOSED)
+		return;
+	if (a->worked_ms > 0 ||
+	    now > a->sent_ms + SOAK_LOSS_SLACK_MS + SOAK_SLACK_MS)
+		soak_broken(s, a, "lost around a SIGTERM");
+}
+
 static void
 judge(struct soak *s, struct soak_attempt *a)
 {
@@ -88,6 +123,7 @@
 		s->keys[a->key].added_ms + SOAK_CONFIG_MS + SOAK_SLACK_MS &&
 	    soak_is_calm(s, a->relay, a->sent_ms))
 		soak_broken(s, a, "denied with a key that is in force");
+	judge_end_around_stop(s, a);
 	/* A server sent its whole answer, but the relay closed instead. */
 	if (a->status != LD_OK && a->served && r->proc->pid > 0 &&
 	    soak_is_calm(s, a->relay, a->sent_ms) &&
--- a/tests/faults/ld_soak_faults.c
+++ b/tests/faults/ld_soak_faults.c
@@ -103,7 +103,7 @@
 	if (r->proc->pid <= 0 || r->term_ms != 0)
 		return;
 	s->faults++;
-	r->term_ms = soak_now(s);
+	r->term_ms = r->last_term_ms = soak_now(s);
 	ld_terminate(r->proc);
 }
 
--- a/tests/faults/ld_soak_server.c
+++ b/tests/faults/ld_soak_server.c
@@ -158,6 +158,7 @@
 	}
 	snprintf(id, sizeof(id), "i-%d-%d", (int)(v - s->servers), v->lives);
 	if (v->crashed_ms != 0) {
+		a->broken_off = true;
 		ld_exchange_abort(x);
 		return;
 	}
@@ -166,6 +167,7 @@
 		return;
 	}
 	deed = choose_deed(s, v);
+	a->broken_off |= deed == DEED_BREAK_OFF || deed == DEED_ANOTHER;
 	if (deed == DEED_REFUSE) {
 		answer(x, 503, "X-Not-Executed", a->number, LD_STR("full"));
 		return;
@@ -222,6 +224,7 @@
 	for (struct soak_work *w = s->work; w != NULL; w = w->next) {
 		if (w->server != v || w->x == NULL)
 			continue;
+		w->attempt->broken_off = true;
 		ld_exchange_abort(w->x);
 		w->x = NULL;
 	}
@@ -264,6 +267,7 @@
 		return true;
 	}
 	if (w->event == w->cut_at) {
+		w->attempt->broken_off = true;
 		ld_exchange_write(w->x, LD_STR("id: 9\nda"));
 		ld_exchange_abort(w->x);
 		return false;
@@ -288,6 +292,7 @@
 
 	if (w->x == NULL)
 		return false;
+	w->attempt->worked_ms = soak_now(s);
 	if (soak_now(s) < w->due_ms)
 		return true;
 	if (w->attempt->kind == SOAK_STREAM)
