--- a/tests/faults/ld_kv_store.c
+++ b/tests/faults/ld_kv_store.c
@@ -11,7 +11,8 @@
 #define CONNECTIONS_MAX 256
 #define IDLE_MS 60000
 #define HEAD_MS 10000
-#define ITEMS_MAX 128
+#define ITEMS_MAX 1200
+#define LEASES_MAX 4096
 #define CALL "/lavenderdrift/kv-"
 
 /** struct item - one key; @deleted: kept for watches of past revisions */
@@ -24,6 +25,12 @@
 	bool deleted;
 };
 
+/** struct lease - a lease, by its id; @ttl_ms: 0 once it has ended */
+struct lease {
+	uint64_t ttl_ms;
+	uint64_t ends_ms;
+};
+
 /** struct watch - a call that is pending until a change */
 struct watch {
 	struct watch *next;
@@ -42,6 +49,8 @@
 	int64_t revision;
 	int64_t oldest; /* history starts after this revision */
 	int64_t last_lease;
+	struct lease leases[LEASES_MAX];
+	bool leases_expire;
 	int64_t era;
 	struct item older[ITEMS_MAX]; /* state saved by ld_kv_store_mark() */
 	size_t older_count;
@@ -142,12 +151,24 @@
 	}
 }
 
+static void end_lease(struct ld_kv_store *s, int64_t lease);
+
+static void
+expire_leases(struct ld_kv_store *s, uint64_t now_ms)
+{
+	for (int64_t i = 1; i <= s->last_lease; i++)
+		if (s->leases[i].ttl_ms != 0 && now_ms >= s->leases[i].ends_ms)
+			end_lease(s, i);
+}
+
 static void
 on_timer(struct ld_timer *t, uint64_t now_ms)
 {
 	struct ld_kv_store *s = (struct ld_kv_store *)((char *)t -
 	    offsetof(struct ld_kv_store, timer));
 
+	if (s->leases_expire)
+		expire_leases(s, now_ms);
 	look_at_watches(s);
 	ld_timer_after(ld_loop_timers(s->loop), t, 20);
 }
@@ -247,6 +268,8 @@
 static void
 end_lease(struct ld_kv_store *s, int64_t lease)
 {
+	if (lease > 0 && lease < LEASES_MAX)
+		s->leases[lease].ttl_ms = 0;
 	for (size_t i = 0; i < s->count; i++)
 		if (s->items[i].lease == lease && !s->items[i].deleted)
 			write_item(s, s->items[i].key, NULL, 0);
@@ -260,6 +283,41 @@
 	return ld_str_starts(ld_str_c(ld_exchange_path(x)), ld_str_c(name));
 }
 
+static void
+grant_lease(struct ld_kv_store *s, struct ld_exchange *x, uint64_t ttl_ms)
+{
+	if (s->last_lease + 1 == LEASES_MAX)
+		abort();
+	s->leases[++s->last_lease] = (struct lease){
+	    .ttl_ms = ttl_ms, .ends_ms = ld_loop_now(s->loop) + ttl_ms};
+	answer(s, x, 200,
+	    json_pack("{s:I, s:I}", "lease", (json_int_t)s->last_lease,
+		"ttl_ms", (json_int_t)ttl_ms));
+}
+
+static void
+renew_lease(struct ld_kv_store *s, struct ld_exchange *x)
+{
+	long long lease =
+	    strtoll(ld_exchange_path(x) + sizeof(CALL "keep/") - 1, NULL, 10);
+	struct lease *l;
+
+	if (!s->leases_expire) {
+		answer(s, x, 200, json_pack("{s:i}", "ttl_ms", 2000));
+		return;
+	}
+	if (lease <= 0 || lease > s->last_lease ||
+	    s->leases[lease].ttl_ms == 0) {
+		answer(s, x, 404, json_object());
+		return;
+	}
+	l = &s->leases[lease];
+	l->ends_ms = ld_loop_now(s->loop) + l->ttl_ms;
+	answer(s, x, 200,
+	    json_pack("{s:I, s:I}", "lease", (json_int_t)lease, "ttl_ms",
+		(json_int_t)l->ttl_ms));
+}
+
 static void
 handle_post(struct ld_kv_store *s, struct ld_exchange *x)
 {
@@ -270,12 +328,9 @@
 	if (is_call(x, CALL "txn"))
 		transact(s, x, body);
 	else if (is_call(x, CALL "lease"))
-		answer(s, x, 200,
-		    json_pack("{s:I, s:I}", "lease",
-			(json_int_t)++s->last_lease, "ttl_ms",
-			json_integer_value(ttl)));
+		grant_lease(s, x, (uint64_t)json_integer_value(ttl));
 	else
-		answer(s, x, 200, json_pack("{s:i}", "ttl_ms", 2000));
+		renew_lease(s, x);
 	json_decref(body);
 }
 
@@ -431,6 +486,20 @@
 	return it != NULL && !it->deleted;
 }
 
+void
+ld_kv_store_expire_leases(struct ld_kv_store *s)
+{
+	s->leases_expire = true;
+}
+
+const char *
+ld_kv_store_value(const struct ld_kv_store *s, const char *key)
+{
+	const struct item *it = find(s, key);
+
+	return it != NULL && !it->deleted ? it->value : NULL;
+}
+
 void
 ld_kv_store_mark(struct ld_kv_store *s)
 {
--- a/tests/holders_servers.h
+++ b/tests/holders_servers.h
@@ -95,8 +95,7 @@
 static void
 note_change(struct servers *s, struct sim_server *v)
 {
-	snprintf(
-	    v->reported_group, sizeof(v->reported_group), "%s", v->join.group);
+	memcpy(v->reported_group, v->join.group, sizeof(v->reported_group));
 	v->reported =
 	    (struct ld_membership){.epoch = v->join.epoch, .state = v->state};
 	v->changed_ms = s->now;
@@ -321,4 +320,29 @@
 	return e;
 }
 
+static inline char *
+copy_text(const char *s)
+{
+	return s != NULL ? ld_strdup(s) : NULL;
+}
+
+static inline struct ld_server_entry
+copy_entry(const struct ld_server_entry *from)
+{
+	struct ld_server_entry e = *from;
+
+	e.id = ld_strdup(from->id);
+	e.service = ld_strdup(from->service);
+	e.address = ld_strdup(from->address);
+	e.zone = ld_strdup(from->zone);
+	e.domain = ld_strdup(from->domain);
+	if (from->staged_count > 0) {
+		e.staged = ld_alloc(sizeof(*e.staged));
+		e.staged[0] = ld_strdup(from->staged[0]);
+	}
+	e.member.group = copy_text(from->member.group);
+	e.member.model = copy_text(from->member.model);
+	return e;
+}
+
 #endif
--- a/tests/holders_world.h
+++ b/tests/holders_world.h
@@ -149,31 +149,6 @@
 	}
 }
 
-static char *
-copy_text(const char *s)
-{
-	return s != NULL ? ld_strdup(s) : NULL;
-}
-
-static struct ld_server_entry
-copy_entry(const struct ld_server_entry *from)
-{
-	struct ld_server_entry e = *from;
-
-	e.id = ld_strdup(from->id);
-	e.service = ld_strdup(from->service);
-	e.address = ld_strdup(from->address);
-	e.zone = ld_strdup(from->zone);
-	e.domain = ld_strdup(from->domain);
-	if (from->staged_count > 0) {
-		e.staged = ld_alloc(sizeof(*e.staged));
-		e.staged[0] = ld_strdup(from->staged[0]);
-	}
-	e.member.group = copy_text(from->member.group);
-	e.member.model = copy_text(from->member.model);
-	return e;
-}
-
 /* ---- Nodes ---- */
 
 static void
