http: an answer without a final head is none

What callers saw: a server answered with status 101, which nobody had asked for. The client's connection was closed without an answer, for requests of every kind, and the log counted the request as answered.

Cause: libcurl takes 101 for the end of the head and ends the call in order. The head is only reported from status 200 on, so the relay answered with the status 0, which libmicrohttpd refuses to send.

Fix: a call that ends without a final head ends with LD_E_PROTOCOL. A request that may be repeated goes to another server; others get 502.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -238,7 +238,8 @@
 		return c->failure;
 	switch (code) {
 	case CURLE_OK:
-		return LD_OK;
+		/* libcurl takes 101 for the end of the head. */
+		return c->head_seen ? LD_OK : LD_E_PROTOCOL;
 	case CURLE_COULDNT_CONNECT:
 	case CURLE_COULDNT_RESOLVE_HOST:
 		return LD_E_UNAVAILABLE;
--- a/tests/faults/test_unframed_answers.c
+++ b/tests/faults/test_unframed_answers.c
@@ -14,6 +14,9 @@
 /* Time for the bytes to arrive before the connection ends, ms. */
 #define END_AFTER_MS 100
 
+/* The relay knows a new entry after this time, ms. */
+#define LISTED_MS 150
+
 static struct raw_server unframed;
 
 /* Returns the answer; its body is to be freed. */
@@ -84,6 +87,41 @@
 	check_answer("POST", "/events/a", HEAD, false, 502, LD_OK, NULL);
 }
 
+/* Lists the server under a new id, of which the relay has no doubts. */
+static void
+list_anew(void)
+{
+	static unsigned int number = 1;
+	char key[32];
+
+	snprintf(key, sizeof(key), "servers/%s", unframed.entry.id);
+	ld_kv_store_delete(store, key);
+	snprintf(
+	    unframed.entry.id, sizeof(unframed.entry.id), "u-%u", ++number);
+	put_entry(&unframed.entry, 0);
+	run_for(LISTED_MS);
+}
+
+/* The server goes on in a protocol that was not asked for. */
+static void
+test_another_protocol_is_no_answer(void)
+{
+	static const char other[] =
+	    "HTTP/1.1 101 Switching "
+	    "Protocols\r\nX-Attempt-Id: " RELAY_REQUEST_ID
+	    "\r\nX-Server-Signature: s\r\n\r\nbody";
+
+	static const char *const methods[] = {"GET", "POST", "POST"};
+	static const char *const paths[] = {"/look/a", "/book/a", "/events/a"};
+
+	for (int i = 0; i < 3; i++) {
+		list_anew();
+		check_answer(
+		    methods[i], paths[i], other, false, 502, LD_OK, NULL);
+		CU_ASSERT_EQUAL(unframed.requests, 1);
+	}
+}
+
 static void
 test_streams_go_on_elsewhere(void)
 {
@@ -116,6 +154,8 @@
 		test_an_end_inside_an_event_is_no_end},
 	    {"a stream without events is no answer",
 		test_a_stream_without_events_is_no_answer},
+	    {"another protocol is no answer",
+		test_another_protocol_is_no_answer},
 	    {"streams go on elsewhere", test_streams_go_on_elsewhere},
 	    {NULL, NULL},
 	};
