tests: broken streams and bookings through another node

While a node reaches no server, a stream that it forwards is cut, and all other servers fail, refuse or answer another request: the client gets the three events before the cut and no complete end. A booking through the node reaches one server at most when its outcome is open, and gets 502; a refused one gets 503.

--- a/tests/faults/test_nodes_without_servers.c
+++ b/tests/faults/test_nodes_without_servers.c
@@ -208,6 +208,89 @@
 	ld_buf_free(&c->body);
 }
 
+#define EVENTS_3 "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+
+/* Ends a relay's doubts about servers, and earns retries, ms. */
+#define SOUND_MS 2000
+
+static void
+end_doubts(void)
+{
+	unsigned int percent[2];
+
+	set_all(SERVES);
+	press(SOUND_MS, percent);
+}
+
+static unsigned int
+all_arrivals(void)
+{
+	unsigned int n = arrivals();
+
+	for (int i = 0; i < MORE_SERVERS; i++)
+		n += more[i].arrivals;
+	return n;
+}
+
+/* A stream is cut, and all other servers answer as in @next. */
+static void
+check_broken_stream(enum behaviour next)
+{
+	struct client *c = &clients[0][0];
+	unsigned int before;
+
+	end_doubts();
+	before = all_arrivals();
+	set_all(CUTS_STREAM);
+	start_at(c, relay_address, "POST", "/events/a", "k1");
+	run_for(50);
+	CU_ASSERT_EQUAL(streams_open(), 1);
+	for (int i = 0; i < SERVERS; i++)
+		if (servers[i].slow == NULL)
+			servers[i].behaviour = next;
+	for (int i = 0; i < MORE_SERVERS; i++)
+		if (more[i].slow == NULL)
+			more[i].behaviour = next;
+	wait_for(c);
+	CU_ASSERT_EQUAL(c->code, 200);
+	CU_ASSERT_NOT_EQUAL(c->status, LD_OK);
+	CU_ASSERT_STRING_EQUAL(ld_buf_cstr(&c->body), EVENTS_3);
+	CU_ASSERT(all_arrivals() >= before + 2);
+	ld_buf_free(&c->body);
+}
+
+/* Through both relays, while the first is cut. */
+static void
+test_errors_of_servers_are_no_part_of_a_stream(void)
+{
+	check_broken_stream(FAILS);
+	check_broken_stream(REFUSES);
+	check_broken_stream(ANSWERS_ANOTHER);
+	end_doubts();
+	set_all(STREAMS_SLOWLY);
+}
+
+static void
+test_bookings_through_a_node_run_at_most_once(void)
+{
+	static const enum behaviour deeds[] = {
+	    BREAKS_OFF, ANSWERS_ANOTHER, REFUSES};
+
+	for (size_t i = 0; i < sizeof(deeds) / sizeof(deeds[0]); i++) {
+		unsigned int before;
+		struct client c;
+
+		end_doubts();
+		before = all_arrivals();
+		set_all(deeds[i]);
+		c = call("POST", "/book/a", "k1");
+		CU_ASSERT_EQUAL(c.code, deeds[i] == REFUSES ? 503 : 502);
+		CU_ASSERT(!c.is_signed);
+		CU_ASSERT(deeds[i] == REFUSES || all_arrivals() == before + 1);
+		ld_buf_free(&c.body);
+	}
+}
+
 static void
 test_a_helper_that_stops_ends_its_streams(void)
 {
@@ -246,6 +329,10 @@
 		test_refused_at_once_if_no_node_reaches_servers},
 	    {"close of a client reaches the server",
 		test_close_of_a_client_reaches_the_server},
+	    {"bookings through a node run at most once",
+		test_bookings_through_a_node_run_at_most_once},
+	    {"errors of servers are no part of a stream",
+		test_errors_of_servers_are_no_part_of_a_stream},
 	    {"a helper that stops ends its streams",
 		test_a_helper_that_stops_ends_its_streams},
 	    {NULL, NULL},
