--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -98,7 +98,9 @@
 	    "\"type\":\"idempotent\",\"service\":\"s\",\"timeout_ms\":1500.75,"
 	    "\"target_latency_ms\":1e30,\"max_attempts\":2.0}],"
 	    "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":3.25,"
-	    "\"usual\":{\"answer\":152.5},\"models\":[]}}],"
+	    "\"usual\":{\"answer\":152.5},\"step_ms\":1e308,\"models\":[{"
+	    "\"name\":\"m\",\"size\":1,\"load_s\":1e300}]}}],"
+	    "\"tenants\":[{\"name\":\"t\",\"priority\":4294967297}],"
 	    "\"limits\":{\"max_body_bytes\":0.5}}";
 	struct ld_routes *r = NULL;
 
@@ -109,6 +111,9 @@
 	CU_ASSERT_EQUAL(r->services[0].engine.slots, 3);
 	CU_ASSERT_EQUAL(r->services[0].engine.usual_answer_tokens, 152);
 	CU_ASSERT_EQUAL(r->bounds.max_body_bytes, 0);
+	CU_ASSERT_EQUAL(r->services[0].engine.models[0].load_ms, 1000000000000);
+	CU_ASSERT(r->services[0].engine.step_us <= 1e12);
+	CU_ASSERT_EQUAL(r->accounts[0].priority, 1000000000);
 	ld_routes_free(r);
 }
 
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -132,6 +132,23 @@
 	world_close(&w);
 }
 
+/* Of the operators' configuration: a group of 40, where 32 is the most. */
+static void
+test_model_of_too_many_servers_overruns_a_group(void)
+{
+	struct world w;
+
+	world_open(&w);
+	for (int i = SERVERS; i < 60; i++)
+		put(&w, i, LD_MEMBER_NONE, NULL, 0, 0, NULL);
+	w.models[0].size = 40;
+	ld_groups_lead(w.g, 3, w.now);
+	run(&w, true, 6000);
+	CU_ASSERT_EQUAL(count_open(&w, LARGE), 0);
+	CU_ASSERT(count_open(&w, SMALL) > 0);
+	world_close(&w);
+}
+
 int
 main(void)
 {
@@ -142,6 +159,8 @@
 		test_long_group_name_is_adopted_again_and_again},
 	    {"an entry with a long id ends the leader",
 		test_entry_with_a_long_id_ends_the_leader},
+	    {"a model of too many servers overruns a group",
+		test_model_of_too_many_servers_overruns_a_group},
 	    {NULL, NULL},
 	};
 
