tests: odd entries reach nodes that follow a delegate

Seven odd entries and one of 60,000 levels, rewritten seven times, in the world of test_follow: the two followers apply a new key within the bound, no answer of the delegate fails, and they don't go back to the store.

--- a/tests/faults/test_follow.c
+++ b/tests/faults/test_follow.c
@@ -108,6 +108,41 @@
 		CU_ASSERT_EQUAL(code_of(i, s.key_count - 1), 200);
 }
 
+/* Changes that can't be read are passed on beside those that can. */
+static void
+test_odd_entries_stop_those_that_follow(void)
+{
+	static const char *const values[] = {"", "\x01\xff", "[[[[[", "null",
+	    "{\"service\":\"desk\",\"address\":\"127.0.0.1:99999\"}",
+	    "{\"slots\":99999999999999999999999999}", "{\"slots\":1e999}"};
+	char key[32], deep[60000];
+	uint64_t failed, calls;
+
+	memset(deep, '[', sizeof(deep) - 1);
+	deep[sizeof(deep) - 1] = '\0';
+	failed = counter(1, "ld_relay_follow_failed_total") +
+	    counter(2, "ld_relay_follow_failed_total");
+	calls = counter(1, "ld_store_calls_total") +
+	    counter(2, "ld_store_calls_total");
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		snprintf(key, sizeof(key), "servers/odd-%zu", i);
+		ld_kv_store_put(s.store, key, values[i]);
+		ld_kv_store_put(s.store, "servers/deep", deep);
+		run_for(300);
+	}
+	add_key();
+	run_for(SOAK_CONFIG_MS);
+	for (int i = 0; i < SOAK_RELAYS; i++)
+		CU_ASSERT_EQUAL(code_of(i, s.key_count - 1), 200);
+	CU_ASSERT_EQUAL(counter(1, "ld_relay_follow_failed_total") +
+		counter(2, "ld_relay_follow_failed_total"),
+	    failed);
+	/* At most the renewals of their entries. */
+	CU_ASSERT(counter(1, "ld_store_calls_total") +
+		counter(2, "ld_store_calls_total") <=
+	    calls + 4);
+}
+
 /* The others' data becomes stale, so they read the store themselves. */
 static void
 test_the_delegate_stands_still(void)
@@ -228,6 +263,8 @@
 	    {"one node asks the store", test_one_node_asks_the_store},
 	    {"changes reach those that follow",
 		test_changes_reach_those_that_follow},
+	    {"odd entries stop those that follow",
+		test_odd_entries_stop_those_that_follow},
 	    {"the delegate stands still", test_the_delegate_stands_still},
 	    {"the delegate is cut off", test_the_delegate_is_cut_off},
 	    {"a follower is cut off", test_a_follower_is_cut_off},
