mesh_codec: refuse alarms without a group's name

A datagram with an alarm whose group is empty passed a null pointer to memcpy() (lib/relay/ mesh_codec.c:138, undefined, without effect in the release build); a name with a zero byte was cut. No build sends either.

--- a/lib/relay/mesh_codec.c
+++ b/lib/relay/mesh_codec.c
@@ -131,7 +131,9 @@
 	const msgpack_object *v = mp_array(o, 2, true, &n);
 
 	if (v == NULL || v[0].type != MSGPACK_OBJECT_STR ||
+	    v[0].via.str.size == 0 ||
 	    v[0].via.str.size >= MESH_GROUP_NAME_MAX ||
+	    memchr(v[0].via.str.ptr, '\0', v[0].via.str.size) != NULL ||
 	    !mp_uint(&v[1], INT64_MAX, &epoch))
 		return false;
 	memset(out, 0, sizeof(*out));
