--- a/tests/unit/test_mutation_records.c
+++ b/tests/unit/test_mutation_records.c
@@ -128,7 +128,8 @@
 	struct ld_probe p;
 
 	now_ms += STEP_MS;
-	ld_groups_tick(groups, table, LD_STR("llm"), &spec, true, now_ms);
+	ld_groups_tick(
+	    groups, table, LD_STR("llm"), &spec, true, INT64_MAX, now_ms);
 	while (ld_groups_next_change(groups, &c))
 		;
 	while (ld_groups_next_order(groups, &o))
@@ -186,7 +187,7 @@
 
 	table = ld_servers_new();
 	now_ms = 1000;
-	groups = ld_groups_new(now_ms, true);
+	groups = ld_groups_new(now_ms, true, STALL_MS);
 	for (int i = 0; i < SERVERS; i++) {
 		struct ld_server_entry e;
 
