groups: probes of an earlier lease say nothing under the next

A node that counted two failed probes of a member, lost the control lease and took it again closed the sound group that it adopted, without a new probe, and could dismiss its members: callers lost a group.

Cause: the failed probes stand in the state of the server, which outlives a lease.

--- a/lib/groups/groups.c
+++ b/lib/groups/groups.c
@@ -101,6 +101,11 @@
 	g->fence = fence;
 	g->lead_ms = now_ms;
 	g->last_epoch = fence * EPOCHS_PER_FENCE;
+	/* Probes of an earlier lease say nothing about the servers of today. */
+	for (struct server_info *i = g->infos; i != NULL; i = i->next) {
+		i->failed_probes = 0;
+		i->probe_due = false;
+	}
 }
 
 void
--- a/tests/unit/test_groups_holder.c
+++ b/tests/unit/test_groups_holder.c
@@ -158,6 +158,26 @@
 	world_close(&w);
 }
 
+/* Probes that failed under an earlier lease close no group under the next. */
+static void
+test_failed_probes_of_an_earlier_lease(void)
+{
+	struct ld_probe p = {.server = "s00"};
+	struct world w;
+
+	world_open(&w);
+	ld_groups_lead(w.g, 3, w.now);
+	run(&w, true, 6000);
+	for (int i = 0; i < 2; i++)
+		ld_groups_on_probe_result(w.g, &p, NULL, w.now);
+	ld_groups_yield(w.g);
+	ld_groups_lead(w.g, 9, w.now);
+	run(&w, true, 3000);
+	CU_ASSERT_EQUAL(w.leaves, 0);
+	CU_ASSERT_EQUAL(count_open(&w, LARGE), 1);
+	world_close(&w);
+}
+
 /* No server of an evacuated failure domain gets an order or a probe, and its
  * groups are formed again only afterwards. */
 static void
@@ -311,6 +331,8 @@
 		test_successor_learns_of_a_cut_off_member},
 	    {"an evacuated domain gets no orders",
 		test_evacuated_domain_gets_no_orders},
+	    {"failed probes of an earlier lease",
+		test_failed_probes_of_an_earlier_lease},
 	    {"fenced", test_fenced},
 	    {"an overtaken order keeps the lease",
 		test_overtaken_order_keeps_the_lease},
