control: only a refused connection shows that nothing listens

Any connection that could not be set up, also for want of a route or of a descriptor, or a call that could not be started, was taken for "nothing listens at the head's address". A head that a node merely can't reach, and whose entry lapsed, was then gone at once, and its members joined other groups while it was open.

Change: the result of a call says whether the connection was refused; all else is no answer, after which members are dismissed one by one.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -1,5 +1,6 @@
 /* HTTP client: libcurl's multi interface driven by libev. */
 #include <assert.h>
+#include <errno.h>
 #include <ev.h>
 #include <stdlib.h>
 #include <string.h>
@@ -217,6 +218,15 @@
 	return connects > 0;
 }
 
+static bool
+is_refused(struct ld_http_call *c)
+{
+	long error = 0;
+
+	curl_easy_getinfo(c->easy, CURLINFO_OS_ERRNO, &error);
+	return error == ECONNREFUSED;
+}
+
 static void
 finish_call(struct ld_http_call *c, enum ld_status status)
 {
@@ -225,6 +235,7 @@
 
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &r.code);
 	r.sent = ld_http_maybe_sent(c);
+	r.refused = status == LD_E_UNAVAILABLE && is_refused(c);
 	r.ms = elapsed_ms(c);
 	end_call(c);
 	if (sink != NULL)
--- a/lib/http/ld_http.h
+++ b/lib/http/ld_http.h
@@ -16,12 +16,14 @@
  *	connection broke; LD_E_TOO_LARGE; LD_E_PROTOCOL
  * @code: HTTP status, 0 when no head was received
  * @sent: false only when it is certain that no byte of the request was sent
+ * @refused: the connection was refused: nothing listens at the address
  * @ms: duration
  */
 struct ld_http_result {
 	enum ld_status status;
 	long code;
 	bool sent;
+	bool refused;
 	uint64_t ms;
 };
 
--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -73,7 +73,7 @@
 enum ld_order_result
 control_order_result(const struct ld_http_result *r)
 {
-	if (r->status == LD_E_UNAVAILABLE && !r->sent)
+	if (r->refused && !r->sent)
 		return LD_ORDER_UNREACHABLE;
 	if (r->status != LD_OK)
 		return LD_ORDER_SILENT;
--- a/tests/unit/test_entry.c
+++ b/tests/unit/test_entry.c
@@ -233,6 +233,7 @@
 	ld_loop_run(bench->loop);
 	CU_ASSERT_EQUAL(bench->result.status, LD_E_UNAVAILABLE);
 	CU_ASSERT_FALSE(bench->result.sent);
+	CU_ASSERT(bench->result.refused);
 	bench_close();
 }
 
--- a/tests/unit/test_relay_parts.c
+++ b/tests/unit/test_relay_parts.c
@@ -405,6 +405,17 @@
 	}
 }
 
+/* Without a route to it the server may go on serving. */
+static void
+test_order_without_a_route_says_nothing(void)
+{
+	struct ld_http_result r = {.status = LD_E_UNAVAILABLE};
+
+	CU_ASSERT_EQUAL(control_order_result(&r), LD_ORDER_SILENT);
+	r.refused = true;
+	CU_ASSERT_EQUAL(control_order_result(&r), LD_ORDER_UNREACHABLE);
+}
+
 int
 main(void)
 {
@@ -417,6 +428,8 @@
 	    {"answers", test_answers},
 	    {"rates", test_rates},
 	    {"an order refused for load", test_order_refused_for_load},
+	    {"an order without a route says nothing",
+		test_order_without_a_route_says_nothing},
 	    {"datagrams", test_datagrams},
 	    {"datagrams with rates", test_datagrams_with_rates},
 	    {"findings in datagrams", test_findings},
