--- a/tests/unit/test_upgrade.c
+++ b/tests/unit/test_upgrade.c
@@ -31,7 +31,7 @@
 	    .group = GROUP,
 	    .epoch = 65536007,
 	    .model = "m0",
-	    .fence = 1000,
+	    .token = 1000,
 	    .shed = true,
 	    .member_count = 2,
 	    .members = {"i-1", "i-2"}};
