retry: a stream that all servers refuse doesn't use up the budget

What callers would have seen: after a begun stream whose servers all refused, other requests of the node got no retry for up to ten seconds, and failed or waited.

Change: from the fifth send on, a send waits for 400 ms after the one before, as clients are told to. The test bounds the sends of one stream by that.

--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -13,7 +13,7 @@
 /* The shortest time from a send to the first token of any group. */
 #define FIRST_TOKEN_MIN_MS 60
 /* Bound of the sends of one request before its answer begins, whatever their
- * outcome. */
+ * outcome. A begun stream is sent on, but slowly. */
 #define SENDS_MAX 4
 /* A request is moved from a silent group after this time without a byte. */
 #define SILENT_MOVE_MS 500
@@ -109,6 +109,10 @@
 	    request_can_forward(q))
 		return relay_now(q->relay) + RETRY_MIN_REMAINING_MS <
 		    q->deadline_ms;
+	/* One stream that all servers refuse must not use up the budget. */
+	if (q->sends >= SENDS_MAX &&
+	    relay_now(q->relay) < q->sent_ms + RETRY_AFTER_MS)
+		return false;
 	return may_send_again(q) && take_from_budget(q);
 }
 
--- a/tests/faults/test_nodes_without_servers.c
+++ b/tests/faults/test_nodes_without_servers.c
@@ -21,6 +21,8 @@
 #define JUDGED_MS 4000
 #define EVERY_MS 40
 #define CLIENTS_MAX 600
+/* Four sends at once, then one each 400 ms of the 4 s that the client allows. */
+#define STREAM_SENDS_MAX 14
 
 /** enum door - how the first relay finds the servers */
 enum door {
@@ -256,6 +258,7 @@
 	CU_ASSERT_NOT_EQUAL(c->status, LD_OK);
 	CU_ASSERT_STRING_EQUAL(ld_buf_cstr(&c->body), EVENTS_3);
 	CU_ASSERT(all_arrivals() >= before + 2);
+	CU_ASSERT(all_arrivals() <= before + STREAM_SENDS_MAX);
 	ld_buf_free(&c->body);
 }
 
