forward: a begun stream that another node refuses waits for a retry

A begun stream that a node without servers had forwarded was closed when the other node refused it (503, not run: full, no server, outdated keys).

Change: it is tried again or waits, as after the refusal of a server. A send to another node that ends in doubt is still the last one. test_nodes_without_servers 7 passed.

--- a/lib/relay/forward.c
+++ b/lib/relay/forward.c
@@ -66,6 +66,10 @@
 		try_next(q, "node-refused");
 		return;
 	}
+	if (q->response_started) {
+		request_retry_or_fail(q, "node-refused");
+		return;
+	}
 	request_record_failed_send(q, "node-refused", "give-up");
 	request_fail(q, "node-refused",
 	    retry_after_ms > 0 ? retry_after_ms : RETRY_AFTER_MS);
