relay: a waiting stream takes its retry when a server takes the stream

A begun stream took a retry from the budget as soon as there was one, and then waited for a server for up to seconds.

Change: a waiting stream looks for a server first and takes the retry with the send.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -133,10 +133,8 @@
 		request_retry_or_fail(q, "bad-address");
 }
 
-/* Tries again to resume the stream, until its deadline or until the client
- * leaves: how long a pause it allows is the client's decision. */
-static void
-schedule_resume(struct request *q)
+void
+request_wait_for_retry(struct request *q)
 {
 	uint64_t due = relay_now(q->relay) + RESUME_INTERVAL_MS;
 
@@ -145,13 +143,6 @@
 	    due < q->deadline_ms ? due : q->deadline_ms);
 }
 
-void
-request_wait_for_retry(struct request *q)
-{
-	q->retry_due = true;
-	schedule_resume(q);
-}
-
 static void
 resume(struct request *q)
 {
@@ -160,11 +151,16 @@
 		request_fail(q, "deadline", 0);
 		return;
 	}
-	if (q->retry_due && !request_take_retry(q)) {
-		schedule_resume(q);
+	/* A retry is taken when it can be sent: the budget holds for arrivals. */
+	if (!request_can_move(q)) {
+		q->resume_retried = true;
+		request_wait_for_retry(q);
+		return;
+	}
+	if (!request_take_retry(q)) {
+		request_wait_for_retry(q);
 		return;
 	}
-	q->retry_due = false;
 	ld_timer_start(
 	    ld_loop_timers(q->relay->loop), &q->timer, q->deadline_ms);
 	request_send(q);
@@ -244,7 +240,7 @@
 		request_fail(q, ld_dispatch_verdict_name(v), c.retry_after_ms);
 	else {
 		q->resume_retried = true;
-		schedule_resume(q);
+		request_wait_for_retry(q);
 	}
 }
 
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -102,7 +102,6 @@
 	uint64_t next_move_ms; /* see request_leave_silent_group() */
 	struct ld_timer timer;
 	bool resume_pending; /* the timer is set to try to resume */
-	bool retry_due; /* the next attempt takes a retry from the budget */
 	bool resume_retried; /* no server was found for it yet */
 };
 
@@ -112,7 +111,13 @@
 void request_send(struct request *q);
 /** request_can_move() - another server, or node if isolated, can take it now */
 bool request_can_move(struct request *q);
-/** request_wait_for_retry() - resume the stream once the budget has a retry */
+/**
+ * request_wait_for_retry() - resume the stream once a server takes it and the
+ * budget has a retry
+ *
+ * Tries until its deadline or until the client leaves: how long a pause it
+ * allows is the client's decision.
+ */
 void request_wait_for_retry(struct request *q);
 /** request_start_call() - send to @address, with headers_build() */
 void request_start_call(struct request *q, const char *address);
