--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -86,16 +86,16 @@
 	bool maybe_ran;
 	bool answer_went_on; /* see request_note_answer() */
 	bool forwarded; /* by another node: not forwarded again */
+	bool helper_in_doubt; /* another node may have sent it to a server */
 	unsigned int forwards; /* sends to other nodes */
-	bool helper_in_doubt; /* one of them may have sent it to a server */
+	uint32_t tried_failed; /* bit I: the send to tried[I] failed */
 	char *tried[LD_DISPATCH_TRIED_MAX];
 	size_t tried_count;
-	uint32_t tried_failed; /* bit I: the send to tried[I] failed */
 	/* Event streams only. */
 	struct events events;
 	bool response_started; /* its head was sent to the client */
+	bool data_without_id; /* after the last id: a new run repeats it */
 	uint64_t last_event_id; /* last one relayed, UINT64_MAX: none */
-	bool data_without_id; /* relayed since then: a new run repeats it */
 	uint64_t first_event_ms;
 	uint64_t last_event_ms;
 	uint64_t max_gap_ms;
