entry: a client that sends without end doesn't hold a closing connection

Seen when the diff was read: discard_unread() read until nothing was left, so a client that sends as fast as it is read held the event loop for as long as it liked. It reads at most 64 blocks now and goes on when the loop finds the socket readable.

--- a/lib/entry/linger.c
+++ b/lib/entry/linger.c
@@ -16,6 +16,8 @@
 #define LINGER_MS 2000
 #define LINGERING_MAX 1024
 #define DISCARD_BYTES 4096
+/* A client that sends without end must not hold the loop. */
+#define DISCARD_READS_MAX 64
 
 /** struct lingering - a connection that libmicrohttpd has closed */
 struct lingering {
@@ -31,12 +33,11 @@
 discard_unread(int fd)
 {
 	char bytes[DISCARD_BYTES];
-	ssize_t n;
+	ssize_t n = 1;
 
-	do
+	for (int i = 0; i < DISCARD_READS_MAX && n > 0; i++)
 		n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
-	while (n > 0);
-	return n < 0 && (errno == EAGAIN || errno == EINTR);
+	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
 }
 
 /* The FIN counts as one byte. */
