http: log and count what libcurl sends again by itself

Change: http.resent with the connection's other end, ld_http_resends_total, and reused=0|1 in send.failed. No logic is changed.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -236,6 +236,7 @@
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &r.code);
 	r.sent = ld_http_maybe_sent(c);
 	r.refused = status == LD_E_UNAVAILABLE && is_refused(c);
+	r.reused = c->reused;
 	r.ms = elapsed_ms(c);
 	end_call(c);
 	if (sink != NULL)
@@ -406,6 +407,12 @@
 	return h;
 }
 
+uint64_t
+ld_http_resends(const struct ld_http *h)
+{
+	return h->resends;
+}
+
 void
 ld_http_free(struct ld_http *h)
 {
--- a/lib/http/http_internal.h
+++ b/lib/http/http_internal.h
@@ -35,6 +35,7 @@
 	struct http_connection *connections[HTTP_CONNECTION_BUCKETS];
 	struct http_connection **by_fd; /* the same, indexed by descriptor */
 	size_t by_fd_count;
+	uint64_t resends;
 	unsigned int curl_depth; /* > 0 while libcurl is on the stack */
 };
 
@@ -60,6 +61,8 @@
 	enum ld_status failure; /* why the client aborted the call */
 	curl_socket_t opened_fd; /* of the connection that the call set up */
 	bool connection_stale; /* the reused one; nothing was sent on it */
+	bool written; /* the request may be on a connection */
+	bool reused; /* on one that an earlier call had set up */
 	bool head_seen;
 	bool paused;
 	bool ended; /* finished or cancelled, to be freed */
--- a/lib/http/ld_http.h
+++ b/lib/http/ld_http.h
@@ -17,6 +17,7 @@
  * @code: HTTP status, 0 when no head was received
  * @sent: false only when it is certain that no byte of the request was sent
  * @refused: the connection was refused: nothing listens at the address
+ * @reused: the request was sent on a connection that an earlier call had set up
  * @ms: duration
  */
 struct ld_http_result {
@@ -24,6 +25,7 @@
 	long code;
 	bool sent;
 	bool refused;
+	bool reused;
 	uint64_t ms;
 };
 
@@ -85,6 +87,8 @@
 
 /** ld_http_new() - create a client; calls curl_global_init() */
 struct ld_http *ld_http_new(struct ld_loop *loop);
+/** ld_http_resends() - requests that libcurl sent again by itself so far */
+uint64_t ld_http_resends(const struct ld_http *h);
 /** ld_http_free() - cancel every call and free the client */
 void ld_http_free(struct ld_http *h);
 
--- a/lib/http/request.c
+++ b/lib/http/request.c
@@ -60,6 +60,16 @@
 	}
 }
 
+/* libcurl sends a request again by itself when a reused connection ends before
+ * any byte of the response. */
+static void
+note_resend(struct ld_http_call *c, const char *ip, int port)
+{
+	c->http->resends++;
+	ld_event("http.resent", "remote=%s:%d ms=%llu", ip, port,
+	    (unsigned long long)(ld_loop_now(c->http->loop) - c->started_ms));
+}
+
 /*
  * Called before the request is written. Bytes that wait on an idle connection
  * belong to an earlier request, and libcurl would read them as the answer.
@@ -74,12 +84,18 @@
 
 	snprintf(path.local_ip, sizeof(path.local_ip), "%s", local_ip);
 	snprintf(path.remote_ip, sizeof(path.remote_ip), "%s", remote_ip);
+	if (c->written)
+		note_resend(c, remote_ip, remote_port);
 	if (ld_http_is_new_connection(c)) {
 		http_connection_opened(c->http, c->opened_fd, &path);
+		c->written = true;
 		return CURL_PREREQFUNC_OK;
 	}
-	if (http_connection_is_quiet(c->http, &path))
+	if (http_connection_is_quiet(c->http, &path)) {
+		c->reused = true;
+		c->written = true;
 		return CURL_PREREQFUNC_OK;
+	}
 	c->connection_stale = true;
 	return CURL_PREREQFUNC_ABORT;
 }
--- a/lib/relay/finish.c
+++ b/lib/relay/finish.c
@@ -116,13 +116,13 @@
 	counts_send_ended(q, why);
 	ld_event("send.failed",
 	    "id=%s server=%s why=%s code=%ld ms=%llu next=%s last_event=%lld "
-	    "parts=%s fresh=%d peers_heard_ago_ms=%lld",
+	    "parts=%s fresh=%d reused=%d peers_heard_ago_ms=%lld",
 	    ld_event_token(ld_str_c(q->attempt_id), id),
 	    q->tried_count > 0 ? q->tried[q->tried_count - 1] : "-", why,
 	    q->response.code,
 	    (unsigned long long)(relay_now(q->relay) - q->sent_ms), next,
 	    (long long)q->last_event_id, ld_prompt_text(&q->prompt, parts),
-	    !q->retryable,
+	    !q->retryable, q->send_reused,
 	    s != NULL && s->peer_last_byte_ms > 0
 		? (long long)(now - s->peer_last_byte_ms)
 		: -1LL);
--- a/lib/relay/ready.c
+++ b/lib/relay/ready.c
@@ -64,6 +64,7 @@
 	    m, LD_M_STORE_REVISION, (uint64_t)ld_store_revision(r->store));
 	ld_metrics_set(m, LD_M_OPEN_REQUESTS, r->request_count);
 	ld_metrics_set(m, LD_M_CONNECTIONS, ld_listener_connections(r->entry));
+	ld_metrics_set(m, LD_M_HTTP_RESENDS, ld_http_resends(r->http));
 	ld_metrics_set(m, LD_M_PAUSES, ld_loop_pauses(r->loop));
 	ld_metrics_set(m, LD_M_PEERS_ALIVE, mesh_node_count(r) - 1);
 	ld_metrics_set(m, LD_M_RELAY_CONFIG_VERSION,
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -321,6 +321,7 @@
 	struct request *q = request_of(s);
 
 	q->call = NULL;
+	q->send_reused = result->reused;
 	if (result->status == LD_OK) {
 		if (is_event_stream(q))
 			handle_stream_end(q);
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -102,6 +102,7 @@
 	response_reset(&q->response);
 	events_reset(&q->events);
 	q->resume_retried = false;
+	q->send_reused = false;
 	q->last_byte_ms = 0;
 	q->send_first_event_ms = 0;
 	q->sent_ms = now;
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -75,6 +75,7 @@
 	char helper[LD_GROUP_NAME_MAX]; /* that node, empty for none */
 	char group[LD_GROUP_NAME_MAX]; /* of the last send, "-" for none */
 	uint64_t sent_ms;
+	bool send_reused; /* it ended on a connection of an earlier send */
 	uint64_t send_first_event_ms; /* first event of this send, 0: none */
 	uint64_t last_byte_ms; /* last body bytes of this send, 0: none */
 	uint64_t predicted_ms; /* time to the first event */
