http: a call reaches a server once, also on a kept connection

Cause: libcurl sends a request again by itself, up to five times, when a reused connection ends without a byte of the response. Class: a retry below the layer that owns the retry policy.

Change: the first write of a call is noted in the callback that precedes it. After that, neither a new connection (on_sockopt) nor a kept one (on_connected) is given to the call; it ends as LD_E_CLOSED, sent, and its owner decides. CURLOPT_FRESH_CONNECT, set at the write, makes libcurl ask for a new connection, so that no other idle one is taken and closed. An idle connection that ended before the write is left as before: nothing was sent. It holds for all users of the client: requests, forwarded requests, orders, probes, reads of the store, engines and services of the product's own interface.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -198,15 +198,7 @@
 bool
 ld_http_maybe_sent(struct ld_http_call *c)
 {
-	curl_off_t connect_us = 0;
-
-	curl_easy_getinfo(c->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
-	if (connect_us > 0 || c->head_seen)
-		return true;
-	/* A reused connection has no connect time: check the bytes written. */
-	long request_bytes = 0;
-	curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-	return request_bytes > 0;
+	return c->written;
 }
 
 bool
--- a/lib/http/http_internal.h
+++ b/lib/http/http_internal.h
@@ -35,7 +35,7 @@
 	struct http_connection *connections[HTTP_CONNECTION_BUCKETS];
 	struct http_connection **by_fd; /* the same, indexed by descriptor */
 	size_t by_fd_count;
-	uint64_t resends;
+	uint64_t resends; /* refused */
 	unsigned int curl_depth; /* > 0 while libcurl is on the stack */
 };
 
--- a/lib/http/ld_http.h
+++ b/lib/http/ld_http.h
@@ -66,9 +66,9 @@
  * @connect_timeout_ms, @total_timeout_ms, @progress_timeout_ms: 0 for none;
  *	the progress timeout ends a call that receives no byte for this long,
  *	paused time not counted
- * @fresh: use a new connection and close it afterwards. Must be set for
- *	calls that are not idempotent: libcurl itself retries a request
- *	when a reused connection turns out to be closed.
+ * @fresh: use a new connection and close it afterwards. Set it for calls that
+ *	are not idempotent: a reused connection may end as the call is sent
+ *	on it, and it is then unknown whether the call was received.
  * @max_body: maximum length of the response body in bytes, 0 for no limit
  */
 struct ld_http_request {
@@ -87,7 +87,7 @@
 
 /** ld_http_new() - create a client; calls curl_global_init() */
 struct ld_http *ld_http_new(struct ld_loop *loop);
-/** ld_http_resends() - requests that libcurl sent again by itself so far */
+/** ld_http_resends() - resends by libcurl itself that were refused so far */
 uint64_t ld_http_resends(const struct ld_http *h);
 /** ld_http_free() - cancel every call and free the client */
 void ld_http_free(struct ld_http *h);
--- a/lib/http/request.c
+++ b/lib/http/request.c
@@ -10,12 +10,29 @@
 #define TCP_USER_TIMEOUT_MS 10000
 #define IDLE_CONNECTION_AGE_S 30L
 
+/*
+ * libcurl sends a request again by itself when a reused connection ends before any
+ * byte of the response. The caller decides on retries: the call ends instead.
+ */
+static void
+refuse_resend(struct ld_http_call *c)
+{
+	c->failure = LD_E_CLOSED;
+	c->http->resends++;
+	ld_event("http.resend_refused", "ms=%llu",
+	    (unsigned long long)(ld_loop_now(c->http->loop) - c->started_ms));
+}
+
 static int
 on_sockopt(void *user, curl_socket_t fd, curlsocktype purpose)
 {
 	struct ld_http_call *c = user;
 	unsigned int ms = TCP_USER_TIMEOUT_MS;
 
+	if (c->written) {
+		refuse_resend(c);
+		return CURL_SOCKOPT_ERROR;
+	}
 	c->opened_fd = fd;
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 	return CURL_SOCKOPT_OK;
@@ -60,16 +77,6 @@
 	}
 }
 
-/* libcurl sends a request again by itself when a reused connection ends before
- * any byte of the response. */
-static void
-note_resend(struct ld_http_call *c, const char *ip, int port)
-{
-	c->http->resends++;
-	ld_event("http.resent", "remote=%s:%d ms=%llu", ip, port,
-	    (unsigned long long)(ld_loop_now(c->http->loop) - c->started_ms));
-}
-
 /*
  * Called before the request is written. Bytes that wait on an idle connection
  * belong to an earlier request, and libcurl would read them as the answer.
@@ -84,20 +91,23 @@
 
 	snprintf(path.local_ip, sizeof(path.local_ip), "%s", local_ip);
 	snprintf(path.remote_ip, sizeof(path.remote_ip), "%s", remote_ip);
-	if (c->written)
-		note_resend(c, remote_ip, remote_port);
+	if (c->written) {
+		refuse_resend(c);
+		return CURL_PREREQFUNC_ABORT;
+	}
 	if (ld_http_is_new_connection(c)) {
 		http_connection_opened(c->http, c->opened_fd, &path);
-		c->written = true;
-		return CURL_PREREQFUNC_OK;
-	}
-	if (http_connection_is_quiet(c->http, &path)) {
+	} else if (http_connection_is_quiet(c->http, &path)) {
 		c->reused = true;
-		c->written = true;
-		return CURL_PREREQFUNC_OK;
+		/* A resend would need a new connection: on_sockopt() refuses
+		 * it before another idle one is taken. */
+		curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
+	} else {
+		c->connection_stale = true;
+		return CURL_PREREQFUNC_ABORT;
 	}
-	c->connection_stale = true;
-	return CURL_PREREQFUNC_ABORT;
+	c->written = true;
+	return CURL_PREREQFUNC_OK;
 }
 
 static void
--- a/lib/metrics/metrics.c
+++ b/lib/metrics/metrics.c
@@ -88,7 +88,8 @@
     COUNTER(LD_M_RELAY_REPEATS, "ld_relay_repeats_total", "sends",
 	"Requests sent once more before an answer began."),
     COUNTER(LD_M_HTTP_RESENDS, "ld_http_resends_total", "requests",
-	"Requests that the HTTP library would send again by itself."),
+	"Requests that the HTTP library was kept from sending again by "
+	"itself."),
     COUNTER(LD_M_RELAY_RESUMED, "ld_relay_resumed_total", "streams",
 	"Streams that went on at another server."),
     COUNTER(LD_M_RELAY_ORDERS, "ld_relay_orders_total", "orders",
--- a/lib/store/request.c
+++ b/lib/store/request.c
@@ -335,8 +335,8 @@
 }
 
 /*
- * Writes use a new connection: when a reused one turns out to be closed,
- * libcurl sends the request again, which would repeat the write.
+ * Writes use a new connection: when a reused one ends as the request is sent
+ * on it, it is unknown whether the write was applied.
  */
 static void
 start_attempt(struct store_request *r)
