retry: the nodes' shares of a retry budget add up to the whole

Callers see no error by it; a service in trouble got more retries than all nodes together may send, the more, the more nodes were restarted.

Cause: an allowance is divided among processes that come and go, and three of them were counted twice. A restarted process had a whole share of the fixed number again while that of its predecessor was used up in the same window. A node that is cut off keeps its share while the others divide the whole among fewer. Twenty slots cover 9.5 to 10 s, so retries of the slot before were forgotten while they lay within 10 s.

Change: the share grows from zero within the first window of a process; the divisor is the largest number of nodes seen; retries are kept one slot longer. Not changed: a restarted node that reads a list without nodes that are cut off; forwarded requests (counted at the first node, retried within the budget of the second).

--- a/lib/dispatch/ld_dispatch.h
+++ b/lib/dispatch/ld_dispatch.h
@@ -215,24 +215,49 @@
 
 /* ---- Repeats: one budget for each service ---- */
 
+/**
+ * A node uses this share of the retries that its own requests allow, because
+ * requests are counted at their arrival and the set of nodes changes, in percent.
+ */
+#define LD_RETRY_LOCAL_PERCENT 75
+
 /**
  * struct ld_retry_budget - this node's retries within a sliding window
- * @permille: limit of retries, relative to the requests
- * @extra: fixed number of retries allowed in addition
+ * @permille: limit of retries, relative to the requests of this node
+ * @extra: this node's share of the fixed number of retries allowed in addition
+ * @nodes_most: the most nodes that were ever listed
+ * @start_ms: when this process started to retry
  *
- * All nodes together must stay within @permille of their requests plus a fixed
- * number. Each node applies the limit to its own requests, and its share of the
- * fixed number is @extra.
+ * All nodes together must stay within a ratio of their requests plus a fixed
+ * number. Each node applies the ratio to its own requests, and has a share of the
+ * fixed number, which grows from zero within the first window: the process
+ * that ran before may have used the share of this window.
  */
 struct ld_retry_budget {
 	uint64_t permille;
 	uint64_t extra;
+	uint64_t nodes_most;
+	uint64_t start_ms;
+	uint64_t window_ms;
 	struct ld_window requests;
 	struct ld_window retries;
 };
 
+/**
+ * ld_retry_init() - start without requests and retries
+ * @permille: the limit relative to this node's requests
+ * @start_ms: start of the process
+ */
 void ld_retry_init(struct ld_retry_budget *b, uint64_t window_ms,
-    uint64_t permille, uint64_t extra);
+    uint64_t permille, uint64_t start_ms);
+/**
+ * ld_retry_set_share() - divide @extra retries among @nodes
+ *
+ * A node that is no longer listed may be cut off and still use its share: the
+ * divisor doesn't fall.
+ */
+void ld_retry_set_share(
+    struct ld_retry_budget *b, uint64_t extra, uint64_t nodes);
 void ld_retry_count_request(struct ld_retry_budget *b, uint64_t now_ms);
 /** ld_retry_is_half_left() - whether one more retry leaves half of the budget */
 bool ld_retry_is_half_left(struct ld_retry_budget *b, uint64_t now_ms);
--- a/lib/dispatch/retry_budget.c
+++ b/lib/dispatch/retry_budget.c
@@ -3,15 +3,33 @@
 
 #define PERMILLE 1000
 #define SLOTS 20
+/* The oldest of SLOTS slots is cut off by up to its whole length: retries of the
+ * slot before may still lie within the window. */
+#define RETRY_SLOTS (SLOTS + 1)
+/* The least divisor of the fixed number: a node that has just started has few
+ * nodes in its list. */
+#define NODES_MIN 10
 
 void
 ld_retry_init(struct ld_retry_budget *b, uint64_t window_ms, uint64_t permille,
-    uint64_t extra)
+    uint64_t start_ms)
 {
+	*b = (struct ld_retry_budget){
+	    .permille = permille,
+	    .nodes_most = NODES_MIN,
+	    .start_ms = start_ms,
+	    .window_ms = window_ms,
+	};
 	ld_window_init(&b->requests, window_ms / SLOTS, SLOTS);
-	ld_window_init(&b->retries, window_ms / SLOTS, SLOTS);
-	b->permille = permille;
-	b->extra = extra;
+	ld_window_init(&b->retries, window_ms / SLOTS, RETRY_SLOTS);
+}
+
+void
+ld_retry_set_share(struct ld_retry_budget *b, uint64_t extra, uint64_t nodes)
+{
+	if (nodes > b->nodes_most)
+		b->nodes_most = nodes;
+	b->extra = extra / b->nodes_most;
 }
 
 void
@@ -25,14 +43,24 @@
 allowed(struct ld_retry_budget *b, uint64_t now_ms)
 {
 	uint64_t requests = ld_window_sum(&b->requests, SLOTS, now_ms);
+	uint64_t ms = now_ms - b->start_ms;
 
-	return requests * b->permille + b->extra * PERMILLE;
+	if (ms > b->window_ms)
+		ms = b->window_ms;
+	return requests * b->permille +
+	    (b->window_ms > 0 ? b->extra * PERMILLE * ms / b->window_ms : 0);
+}
+
+static uint64_t
+retries_used(struct ld_retry_budget *b, uint64_t now_ms)
+{
+	return ld_window_sum(&b->retries, RETRY_SLOTS, now_ms);
 }
 
 bool
 ld_retry_is_half_left(struct ld_retry_budget *b, uint64_t now_ms)
 {
-	uint64_t retries = ld_window_sum(&b->retries, SLOTS, now_ms);
+	uint64_t retries = retries_used(b, now_ms);
 
 	return 2 * (retries + 1) * PERMILLE <= allowed(b, now_ms);
 }
@@ -40,7 +68,7 @@
 bool
 ld_retry_try_acquire(struct ld_retry_budget *b, uint64_t now_ms)
 {
-	uint64_t retries = ld_window_sum(&b->retries, SLOTS, now_ms);
+	uint64_t retries = retries_used(b, now_ms);
 
 	if ((retries + 1) * PERMILLE > allowed(b, now_ms))
 		return false;
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -78,6 +78,7 @@
 	struct ld_dispatch_bias prediction_bias;
 	struct ld_rand rand;
 	uint64_t silence_checked_ms; /* last check of the groups' streams */
+	uint64_t start_ms; /* of the process */
 	uint64_t on_time_since_ms; /* no late check since then */
 	uint64_t limits_logged_ms; /* see server_limits_tick() */
 	bool stopping;
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -4,12 +4,6 @@
 
 #include "request_internal.h"
 
-/* The fixed number of retries is divided among the listed nodes. This is the
- * least divisor, as a node that has just started has few nodes in its list. */
-#define BUDGET_NODES_MIN 10
-/* A node uses this share of the retries that its own requests allow, because
- * requests are counted at their arrival and the set of nodes changes. */
-#define LOCAL_SHARE_PERCENT 75
 /* The shortest time from a send to the first token of any group. */
 #define FIRST_TOKEN_MIN_MS 60
 /* Bound of the sends of one request before its answer begins, whatever their
@@ -40,21 +34,10 @@
 	b->next = r->budgets;
 	r->budgets = b;
 	ld_retry_init(&b->budget, s->repeat_window_ms,
-	    s->repeat_permille * LOCAL_SHARE_PERCENT / 100, 0);
+	    s->repeat_permille * LD_RETRY_LOCAL_PERCENT / 100, r->start_ms);
 	return &b->budget;
 }
 
-/* This node's share of the fixed number of retries. */
-static uint64_t
-extra_retries(const struct relay *r)
-{
-	uint64_t nodes = mesh_node_count(r);
-
-	if (nodes < BUDGET_NODES_MIN)
-		nodes = BUDGET_NODES_MIN;
-	return r->settings->repeat_extra / nodes;
-}
-
 bool
 request_may_run_again(const struct request *q)
 {
@@ -75,12 +58,18 @@
 	    !request_is_quarantined(q, &retry_after_ms);
 }
 
+static void
+set_share(const struct relay *r, struct ld_retry_budget *b)
+{
+	ld_retry_set_share(b, r->settings->repeat_extra, mesh_node_count(r));
+}
+
 static bool
 take_from_budget(struct request *q)
 {
 	struct ld_retry_budget *b = retry_budget(q->relay, q->service);
 
-	b->extra = extra_retries(q->relay);
+	set_share(q->relay, b);
 	return ld_retry_try_acquire(b, relay_now(q->relay));
 }
 
@@ -91,7 +80,7 @@
 {
 	struct ld_retry_budget *b = retry_budget(q->relay, q->service);
 
-	b->extra = extra_retries(q->relay);
+	set_share(q->relay, b);
 	return ld_retry_is_half_left(b, relay_now(q->relay)) &&
 	    ld_retry_try_acquire(b, relay_now(q->relay));
 }
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -250,6 +250,7 @@
 	r->dialect = dialect;
 	ld_rand_seed_os(&r->rand);
 	r->loop = ld_loop_new();
+	r->start_ms = relay_now(r);
 	r->http = ld_http_new(r->loop);
 	r->store_http = ld_http_new(r->loop);
 	r->servers = ld_servers_new();
