relay: log a fingerprint of requests without a prompt

Change: ld_prompt_from_request() hashes caller, method, host, target and body into the own part of a prompt; send.failed and request.end log it. The functions that report crashes and answers leave such requests out as before; no logic is changed. Cost: one XXH3 of the body for each request.

--- a/lib/quarantine/ld_quarantine.h
+++ b/lib/quarantine/ld_quarantine.h
@@ -19,13 +19,36 @@
  * @parts: those that other requests may share, in their order
  * @own: the last part, which belongs to the request or its session alone; 0 if
  *	the prompt is unknown
+ * @is_request: the request has no prompt: @own is its fingerprint
  */
 struct ld_prompt {
 	uint64_t parts[LD_PROMPT_PARTS_MAX];
 	size_t part_count;
 	uint64_t own;
+	bool is_request;
 };
 
+/**
+ * struct ld_request_identity - what makes two requests the same
+ * @caller: the client account, empty for anonymous ones
+ * @target: path and query
+ */
+struct ld_request_identity {
+	struct ld_str caller;
+	struct ld_str method;
+	struct ld_str host;
+	struct ld_str target;
+	struct ld_str body;
+};
+
+/**
+ * ld_prompt_from_request() - a request without a prompt: its own part alone
+ *
+ * Only a hash is kept.
+ */
+void ld_prompt_from_request(
+    struct ld_prompt *p, const struct ld_request_identity *id);
+
 /**
  * ld_prompt_text() - the prompt as one value of a log line
  *
--- a/lib/quarantine/prompt.c
+++ b/lib/quarantine/prompt.c
@@ -1,4 +1,4 @@
-/* The parts of a prompt as text. */
+/* The fingerprint of a request without a prompt; the parts of a prompt as text. */
 #include <inttypes.h>
 #include <stdio.h>
 
@@ -7,6 +7,21 @@
 /* Longest text of one part and its separator. */
 #define PART_BYTES ((size_t)18)
 
+void
+ld_prompt_from_request(
+    struct ld_prompt *p, const struct ld_request_identity *id)
+{
+	const struct ld_str fields[] = {
+	    id->caller, id->method, id->host, id->target, id->body};
+	uint64_t hash = 0;
+
+	/* Each hash is the seed of the next: the fields can't run together. */
+	for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++)
+		hash = ld_hash64(fields[i], hash);
+	*p =
+	    (struct ld_prompt){.own = hash != 0 ? hash : 1, .is_request = true};
+}
+
 const char *
 ld_prompt_text(const struct ld_prompt *p, char out[LD_PROMPT_TEXT_BYTES])
 {
--- a/lib/relay/crashing_prompts.c
+++ b/lib/relay/crashing_prompts.c
@@ -47,7 +47,7 @@
 	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
 	bool begun = q->response.code == 200 && q->send_first_event_ms == 0;
 
-	if (q->server == NULL || q->prompt.own == 0 || q->answer_went_on ||
+	if (q->server == NULL || q->prompt.is_request || q->answer_went_on ||
 	    isolation_is_suspected(r))
 		return;
 	relay_count(r, LD_M_RELAY_CRASH_SUSPECTS);
@@ -61,7 +61,7 @@
 void
 request_note_answer(struct request *q)
 {
-	if (q->answer_went_on || q->prompt.own == 0)
+	if (q->answer_went_on || q->prompt.is_request)
 		return;
 	q->answer_went_on = true;
 	ld_quarantine_answered(q->relay->crashing_prompts->quarantine,
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -295,6 +295,15 @@
 	d->read_prompt(
 	    ld_str_c(ld_exchange_header(q->x, d->fields[LD_FIELD_PROMPT])),
 	    &q->prompt);
+	if (q->prompt.own == 0)
+		ld_prompt_from_request(&q->prompt,
+		    &(struct ld_request_identity){
+			.caller = ld_str_c(q->account),
+			.method = ld_str_c(ld_exchange_method(q->x)),
+			.host = ld_str_c(ld_exchange_header(q->x, "Host")),
+			.target = ld_str_c(ld_exchange_target(q->x)),
+			.body = ld_exchange_body(q->x),
+		    });
 }
 
 static char *
