quarantine: a plain request that crashes servers stops

Cause: crashes were attributed to parts of prompts only, and a plain request has none. The class is the query of death, as in docs/incidents/crashing-prompts.md.

Change: one mechanism for both. A request without a prompt has one part, the fingerprint of caller, method, host, target and body; findings, records, refusal and trials are those of prompts. Different are the evidence for a crash (a probe: nothing listens, as a reset is no crash) and against it (an answer below 500 is remembered, and ten crashes are needed after one). A request on trial is sent once. A slot of evidence with crashes is no longer replaced by answers, which an attacker can cause in any number.

Ruled out: docs/incidents/crashing-requests.md, hypotheses 2 and 3. Weighed and left: docs/design/platform-machines.md.

--- a/lib/quarantine/evidence.c
+++ b/lib/quarantine/evidence.c
@@ -10,6 +10,9 @@
  * time in which a failing rack crashes several of its servers. */
 #define SOUND_VALID_MS 3000
 
+/* An answer to a request counts against crashes of it for this long. */
+#define ANSWERED_VALID_MS 600000
+
 static struct evidence *
 set_of(struct evidence_table *t, uint64_t part)
 {
@@ -27,6 +30,24 @@
 	return NULL;
 }
 
+static bool
+has_crashes(const struct evidence *e, uint64_t now_ms)
+{
+	return e->crash_count > 0 &&
+	    now_ms < e->crashes[e->crash_count - 1].at_ms + CRASH_VALID_MS;
+}
+
+/* Whether @a is to be replaced rather than @b. */
+static bool
+is_less_useful(
+    const struct evidence *a, const struct evidence *b, uint64_t now_ms)
+{
+	bool a_crashes = has_crashes(a, now_ms);
+	bool b_crashes = has_crashes(b, now_ms);
+
+	return a_crashes != b_crashes ? b_crashes : a->used_ms < b->used_ms;
+}
+
 struct evidence *
 evidence_use(struct evidence_table *t, uint64_t part, uint64_t now_ms)
 {
@@ -36,7 +57,7 @@
 	if (e == NULL) {
 		e = &set[0];
 		for (size_t i = 1; i < EVIDENCE_WAYS; i++)
-			if (set[i].used_ms < e->used_ms)
+			if (is_less_useful(&set[i], e, now_ms))
 				e = &set[i];
 		*e = (struct evidence){.part = part};
 	}
@@ -120,9 +141,26 @@
 	return e->crash_count > 0 && e->crashes[0].request == (uint32_t)e->part;
 }
 
+static bool
+was_answered(const struct evidence *e, uint64_t answer_ms, uint64_t now_ms)
+{
+	return e->is_request && answer_ms != 0 &&
+	    now_ms < answer_ms + ANSWERED_VALID_MS;
+}
+
+bool
+evidence_is_refuted(const struct evidence *e, uint64_t now_ms)
+{
+	return e != NULL && was_answered(e, e->own_sound_ms, now_ms) &&
+	    !evidence_suffices(e, now_ms);
+}
+
 bool
-evidence_suffices(const struct evidence *e)
+evidence_suffices(const struct evidence *e, uint64_t now_ms)
 {
+	unsigned int needed = was_answered(e, e->sound_ms, now_ms)
+	    ? WEIGHT_AFTER_ANSWER
+	    : WEIGHT_SUFFICES;
 	unsigned int requests = 0, weight = 0;
 
 	for (size_t i = 0; i < e->crash_count; i++) {
@@ -134,8 +172,7 @@
 		requests += (k == i) + c->has_others;
 		weight += c->begun ? WEIGHT_BEGUN : WEIGHT_OTHER;
 	}
-	return weight >= WEIGHT_SUFFICES &&
-	    (requests >= REQUESTS_MIN || is_own_part(e));
+	return weight >= needed && (requests >= REQUESTS_MIN || is_own_part(e));
 }
 
 static bool
--- a/lib/quarantine/ld_quarantine.h
+++ b/lib/quarantine/ld_quarantine.h
@@ -124,6 +124,12 @@
  */
 bool ld_quarantine_contains(const struct ld_quarantine *qn,
     const struct ld_prompt *p, uint64_t now_ms, uint64_t *until_ms);
+/**
+ * ld_quarantine_is_on_trial() - the quarantine of its own part has ended, and no
+ * answer has shown that it is sound
+ */
+bool ld_quarantine_is_on_trial(
+    struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms);
 /**
  * ld_quarantine_crashed() - a server crashed before or soon after it began to
  * answer this prompt
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -178,7 +178,7 @@
 	evidence_add_crash(v, f, now_ms);
 	/* On a part that was quarantined before, one crash is enough. */
 	if ((e == NULL || f->kind != LD_FINDING_CRASH_BEGUN) &&
-	    !evidence_suffices(v)) {
+	    !evidence_suffices(v, now_ms)) {
 		if (is_active(e, now_ms))
 			announce(qn, e, now_ms);
 		return;
@@ -248,6 +248,15 @@
 	return false;
 }
 
+bool
+ld_quarantine_is_on_trial(
+    struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms)
+{
+	const struct entry *e = find_entry(qn, p->own);
+
+	return p->own != 0 && e != NULL && !is_active(e, now_ms);
+}
+
 static void
 suspect(struct ld_quarantine *qn, const struct ld_finding *f, uint64_t now_ms)
 {
@@ -281,11 +290,13 @@
 }
 
 static void
-note_sound(struct ld_quarantine *qn, uint64_t part, uint64_t now_ms)
+note_sound(
+    struct ld_quarantine *qn, uint64_t part, bool is_request, uint64_t now_ms)
 {
 	struct evidence *v = evidence_use(&qn->evidence, part, now_ms);
 	bool was_suspected = v->crash_count > 0;
 
+	v->is_request = is_request;
 	v->sound_ms = v->own_sound_ms = now_ms;
 	v->crash_count = 0;
 	if (release_sound(qn, part) || was_suspected)
@@ -297,9 +308,9 @@
     struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms)
 {
 	for (size_t i = 0; i < p->part_count; i++)
-		note_sound(qn, p->parts[i], now_ms);
+		note_sound(qn, p->parts[i], false, now_ms);
 	if (p->own != 0)
-		note_sound(qn, p->own, now_ms);
+		note_sound(qn, p->own, p->is_request, now_ms);
 }
 
 /* ---- Events of other nodes ---- */
@@ -334,6 +345,8 @@
 		return;
 	if (f->kind != LD_FINDING_QUARANTINED)
 		judge_crash(qn, f, now_ms);
+	else if (evidence_is_refuted(v, now_ms))
+		contradict(qn, v, now_ms);
 	else if (!is_active(find_entry(qn, f->part), now_ms))
 		impose(qn, f->part, LD_QUARANTINE_BY_PEER, now_ms);
 }
@@ -343,7 +356,7 @@
 {
 	struct evidence *v = evidence_find(&qn->evidence, part);
 
-	if (evidence_is_own_sound(v, now_ms))
+	if (evidence_is_own_sound(v, now_ms) || evidence_is_refuted(v, now_ms))
 		contradict(qn, v, now_ms);
 	else if (!evidence_is_sound(v, now_ms) && find_entry(qn, part) == NULL)
 		impose(qn, part, LD_QUARANTINE_BY_RECORD, now_ms);
--- a/lib/quarantine/quarantine_internal.h
+++ b/lib/quarantine/quarantine_internal.h
@@ -10,7 +10,10 @@
 #define WEIGHT_BEGUN 5
 #define WEIGHT_OTHER 3
 #define WEIGHT_SUFFICES 15
-#define CRASHES_MAX 5
+/* A request that was answered before is not one that crashes each server: many
+ * crashes in a row are needed, as after a new version of the servers. */
+#define WEIGHT_AFTER_ANSWER 50
+#define CRASHES_MAX 10
 /* A shared part is suspected if two requests or more crashed servers: a single
  * one may crash them by its own part. */
 #define REQUESTS_MIN 2
@@ -31,6 +34,7 @@
 /**
  * struct evidence - what is known about one part
  * @part: a shared part, or the own part of a request; 0: free slot
+ * @is_request: the fingerprint of a request without a prompt
  * @used_ms: last use, to replace the least recently used
  * @sound_ms: last answer that went on, at any node, 0: none
  * @own_sound_ms: the same at this node
@@ -40,6 +44,7 @@
  */
 struct evidence {
 	uint64_t part;
+	bool is_request;
 	uint64_t used_ms;
 	uint64_t sound_ms;
 	uint64_t own_sound_ms;
@@ -48,7 +53,9 @@
 	size_t crash_count;
 };
 
-/* Set-associative, so that memory is bounded. */
+/* Set-associative, so that memory is bounded. A slot with crashes is replaced only
+ * if all slots of its set have some: requests that were answered come in any
+ * number. */
 #define EVIDENCE_SETS 256
 #define EVIDENCE_WAYS 8
 
@@ -57,7 +64,7 @@
 };
 
 struct evidence *evidence_find(struct evidence_table *t, uint64_t part);
-/** evidence_use() - find or add; may replace the least recently used */
+/** evidence_use() - find or add, see EVIDENCE_SETS */
 struct evidence *evidence_use(
     struct evidence_table *t, uint64_t part, uint64_t now_ms);
 /** evidence_is_sound() - an answer went on recently; NULL is not sound */
@@ -66,8 +73,13 @@
 /** evidence_add_crash() - add it, unless that crash is known already */
 void evidence_add_crash(
     struct evidence *e, const struct ld_finding *f, uint64_t now_ms);
+/**
+ * evidence_is_refuted() - this node has answered the request before, and too few
+ * crashes came since; NULL is not refuted
+ */
+bool evidence_is_refuted(const struct evidence *e, uint64_t now_ms);
 /** evidence_suffices() - the crashes suffice for a quarantine */
-bool evidence_suffices(const struct evidence *e);
+bool evidence_suffices(const struct evidence *e, uint64_t now_ms);
 /**
  * evidence_explain() - @culprit explains its crashes: remove those that it shares
  * with other parts, unless their evidence is as strong and of another request
--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -172,14 +172,6 @@
 	return e;
 }
 
-/* A limit that a server names holds for its calls as well. */
-static void
-count_call(struct control *c, struct ld_server *s)
-{
-	if (s != NULL && s->allowance != NULL)
-		ld_server_note_sent(s, 0, relay_now(c->relay));
-}
-
 static void
 start_call(struct server_call *e, struct ld_http_request rq,
     const char *address, const char *target, const char *server)
@@ -216,7 +208,8 @@
 	e->is_order = true;
 	e->order = *o;
 	relay_count(r, LD_M_RELAY_ORDERS);
-	count_call(c, ld_servers_find(r->servers, ld_str_c(o->server)));
+	server_limits_count_call(
+	    r, ld_servers_find(r->servers, ld_str_c(o->server)));
 	r->dialect->encode_order(o, &body);
 	rq.body = ld_buf_str(&body);
 	start_call(e, rq, o->address, r->dialect->order_target, o->server);
@@ -241,7 +234,7 @@
 	e = call_new(c);
 	e->probe = *p;
 	relay_count(r, LD_M_RELAY_PROBES);
-	count_call(c, s);
+	server_limits_count_call(r, s);
 	start_call(
 	    e, rq, s->entry.address, r->dialect->report_target, p->server);
 }
--- a/lib/relay/crashing_prompts.c
+++ b/lib/relay/crashing_prompts.c
@@ -40,6 +40,14 @@
 	return true;
 }
 
+bool
+request_is_on_trial(struct request *q)
+{
+	return q->prompt.is_request &&
+	    ld_quarantine_is_on_trial(q->relay->crashing_prompts->quarantine,
+		&q->prompt, relay_now(q->relay));
+}
+
 void
 request_note_crash(struct request *q)
 {
@@ -47,8 +55,15 @@
 	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
 	bool begun = q->response.code == 200 && q->send_first_event_ms == 0;
 
-	if (q->server == NULL || q->prompt.is_request || q->answer_went_on ||
-	    isolation_is_suspected(r))
+	if (q->server == NULL || q->answer_went_on)
+		return;
+	/* Nothing shows that the server had begun a request without a prompt: its
+	 * connection may have been reset. */
+	if (q->prompt.is_request) {
+		crash_check_start(r, q->server, q->prompt.own);
+		return;
+	}
+	if (isolation_is_suspected(r))
 		return;
 	relay_count(r, LD_M_RELAY_CRASH_SUSPECTS);
 	ld_event("prompt.suspected", "id=%s server=%s begun=%d parts=%s",
@@ -58,10 +73,19 @@
 	    q->server->id_hash, begun, relay_now(r));
 }
 
+void
+crashing_prompts_crashed(struct relay *r, uint64_t fingerprint, uint32_t server)
+{
+	struct ld_prompt p = {.own = fingerprint, .is_request = true};
+
+	ld_quarantine_crashed(
+	    r->crashing_prompts->quarantine, &p, server, true, relay_now(r));
+}
+
 void
 request_note_answer(struct request *q)
 {
-	if (q->answer_went_on || q->prompt.is_request)
+	if (q->answer_went_on)
 		return;
 	q->answer_went_on = true;
 	ld_quarantine_answered(q->relay->crashing_prompts->quarantine,
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -248,6 +248,14 @@
 	    q, q->response.code == 421 ? "wrong-server" : "full");
 }
 
+/* Status codes below this show that the server has survived the request: a server
+ * that fails may not have run it, and only a success answers a prompt. */
+static long
+survival_code(const struct request *q)
+{
+	return q->prompt.is_request ? 500 : 300;
+}
+
 static void
 handle_complete_response(struct request *q)
 {
@@ -268,7 +276,7 @@
 	    q->response.code != 504 && request_retry(q, "server-error"))
 		return;
 	note_server_answered(q);
-	if (q->response.code < 300)
+	if (q->response.code < survival_code(q))
 		request_note_answer(q);
 	request_relay_response(q);
 }
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -69,6 +69,7 @@
 	struct follow *follow;
 	struct leader_records *group_records;
 	struct crashing_prompts *crashing_prompts;
+	struct crash_check *crash_checks; /* in progress */
 	struct isolation *isolation;
 	struct ld_routes *routes; /* NULL before the first read */
 	struct ld_servers *servers;
@@ -167,6 +168,11 @@
 
 /* ---- server_limits.c: rates that servers grant to all nodes together ---- */
 
+/**
+ * server_limits_count_call() - an order or a probe is sent to @s, NULL if it is
+ * unknown: its limit holds for these as well
+ */
+void server_limits_count_call(struct relay *r, struct ld_server *s);
 /**
  * server_limits_log() - the limit of @s has changed
  * @source: id of the request whose answer said so, or "peer"
@@ -390,6 +396,18 @@
 struct leader_records *crashing_prompts_records(struct relay *r);
 /** crashing_prompts_receive() - a finding of another node */
 void crashing_prompts_receive(struct relay *r, const struct ld_finding *f);
+/** crashing_prompts_crashed() - the server of a request without a prompt crashed */
+void crashing_prompts_crashed(
+    struct relay *r, uint64_t fingerprint, uint32_t server);
+
+/* ---- crash_check.c ---- */
+
+/**
+ * crash_check_start() - @s ended a request without an answer
+ * @request: its fingerprint; reported as crashing if the server has crashed
+ */
+void crash_check_start(struct relay *r, struct ld_server *s, uint64_t request);
+void crash_checks_close(struct relay *r);
 
 /* ---- counts.c ---- */
 
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -188,6 +188,8 @@
  * @retry_after_ms: set to the time until the next trial if so
  */
 bool request_is_quarantined(struct request *q, uint64_t *retry_after_ms);
+/** request_is_on_trial() - it is sent once: it may crash the server */
+bool request_is_on_trial(struct request *q);
 /** request_note_crash() - the server of the send in progress crashed */
 void request_note_crash(struct request *q);
 /** request_note_event() - an event of the send in progress was received */
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -55,6 +55,7 @@
 	    (q->response_started || q->sends < SENDS_MAX) &&
 	    q->possible_runs < q->max_runs &&
 	    relay_now(q->relay) + RETRY_MIN_REMAINING_MS < q->deadline_ms &&
+	    !request_is_on_trial(q) &&
 	    !request_is_quarantined(q, &retry_after_ms);
 }
 
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -294,6 +294,7 @@
 	mesh_close(r);
 	ld_listener_free(r->entry);
 	isolation_close(r);
+	crash_checks_close(r);
 	leader_close(r);
 	control_close(r);
 	ld_http_free(r->http);
--- a/lib/relay/server_limits.c
+++ b/lib/relay/server_limits.c
@@ -17,6 +17,13 @@
 	    ld_event_token(ld_str_c(source), id));
 }
 
+void
+server_limits_count_call(struct relay *r, struct ld_server *s)
+{
+	if (s != NULL && s->allowance != NULL)
+		ld_server_note_sent(s, 0, relay_now(r));
+}
+
 void
 server_limits_tick(struct relay *r)
 {
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -280,6 +280,22 @@
 	return code;
 }
 
+unsigned long
+relay_counter(const char *name)
+{
+	struct client c = call_at(metrics_address, "GET", "/metrics", "");
+	const char *p = ld_buf_cstr(&c.body);
+	unsigned long n = 0;
+
+	while ((p = strstr(p, name)) != NULL) {
+		p += strlen(name);
+		if (*p == ' ')
+			n = strtoul(p, NULL, 10);
+	}
+	ld_buf_free(&c.body);
+	return n;
+}
+
 void
 restart_crashed(void)
 {
@@ -294,6 +310,8 @@
 		snprintf(key, sizeof(key), "servers/%s", s->id);
 		ld_kv_store_delete(store, key);
 		snprintf(s->id, sizeof(s->id), "r-%u", ++restarts);
+		relay_server_restart(s);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(s->listener);
 		put_entry(s, 0);
 		s->down = false;
 	}
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -116,6 +116,8 @@
 long code_of(const char *method, const char *path, const char *key);
 /** code_of_prompt() - of a stream with these parts of a prompt */
 long code_of_prompt(const char *prompt);
+/** relay_counter() - value of a counter of the relay, from its metrics */
+unsigned long relay_counter(const char *name);
 /** restart_crashed() - servers that are down come back under a new id */
 void restart_crashed(void);
 
