http: a head that is cut off is a broken connection, not another protocol

An operator's report: a server stops in the middle of its answer's head and closes, and clients get 200 with an empty body. That can't happen here: libcurl does report such a response as complete, but a call whose head has not ended was no success before either.

What was wrong: its status was LD_E_PROTOCOL, which is for 101 and bytes that are no HTTP; a server that crashed there was not counted as one (request_note_crash() is for LD_E_CLOSED).

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -235,6 +235,17 @@
 		sink->ops->done(sink, &r);
 }
 
+/* libcurl takes 101 for the end of the head, and a connection that ends within a
+ * head for the end of the response. */
+static enum ld_status
+status_without_head(const struct ld_http_call *c)
+{
+	long code = 0;
+
+	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &code);
+	return code == 101 ? LD_E_PROTOCOL : LD_E_CLOSED;
+}
+
 static enum ld_status
 status_from_curl(const struct ld_http_call *c, CURLcode code)
 {
@@ -242,8 +253,7 @@
 		return c->failure;
 	switch (code) {
 	case CURLE_OK:
-		/* libcurl takes 101 for the end of the head. */
-		return c->head_seen ? LD_OK : LD_E_PROTOCOL;
+		return c->head_seen ? LD_OK : status_without_head(c);
 	case CURLE_COULDNT_CONNECT:
 	case CURLE_COULDNT_RESOLVE_HOST:
 		return LD_E_UNAVAILABLE;
