relay: a stop takes no request that runs once without the time for it

An operator's report: in a planned stop requests that came late were taken, passed on and cut at the end of the grace period, among them some that may not be repeated. It happens here where the grace period is short, or the request may take longer than what is left: new requests were taken for 2.5 s after SIGTERM whatever their deadline, and ended 0.7 s before the end with 502: nobody knows whether they ran.

Change: while stopping, a request that may run once is refused at once if its deadline is after the end of the stop: 503 with 20 ms, as another node can take it, or 421 to a node that forwards. What may be repeated is taken as before. The end of the stop is computed once, at the signal.

--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -13,6 +13,8 @@
 /* Retry-After of a node that is shutting down: another node can take the
  * request at once. */
 #define STOPPING_RETRY_MS 20
+/* Status to the node that forwards a request: another node may take it. */
+#define CODE_OTHER_NODE 421
 /* Limits until the first configuration is loaded: larger than any that
  * operators have set so far. */
 #define INITIAL_BODY_BYTES ((size_t)16 * 1024 * 1024)
@@ -118,6 +120,27 @@
 	    1);
 }
 
+/* A request that may run once must not be cut off at the end of the grace period:
+ * it would be unknown whether it ran. */
+static bool
+is_too_late_to_run_once(const struct relay *r, struct ld_exchange *x,
+    const struct ld_route_rule *rule)
+{
+	return r->stopping && !request_kind_may_repeat(rule) &&
+	    request_deadline_ms(r, x, rule) > r->stop_ends_ms;
+}
+
+/* Another node can take the request at once. */
+static void
+refuse_stopping(
+    struct relay *r, struct ld_exchange *x, const struct request_routing *facts)
+{
+	if (facts->forwarded)
+		listen_refuse(r, x, CODE_OTHER_NODE, "stopping", 0);
+	else
+		listen_refuse(r, x, 503, "stopping", STOPPING_RETRY_MS);
+}
+
 static void
 accept_request(
     struct relay *r, struct ld_exchange *x, struct request_routing facts)
@@ -128,7 +151,7 @@
 		return;
 	}
 	if (r->refusing) {
-		listen_refuse(r, x, 503, "stopping", STOPPING_RETRY_MS);
+		refuse_stopping(r, x, &facts);
 		return;
 	}
 	if (r->routes == NULL) {
@@ -141,6 +164,10 @@
 		listen_refuse(r, x, 404, "no-route", 0);
 		return;
 	}
+	if (is_too_late_to_run_once(r, x, facts.rule)) {
+		refuse_stopping(r, x, &facts);
+		return;
+	}
 	if (!facts.rule->anonymous && r->routes->account_count > 0) {
 		if (!feed_keys_current(r)) {
 			listen_refuse(
@@ -189,22 +216,19 @@
 	return *end == '\0' || *end == ' ';
 }
 
-/* 421: another node may take the request. */
 void
 listen_forwarded(struct relay *r, struct ld_exchange *x)
 {
 	struct request_routing facts = {.forwarded = true};
 
 	if (!mesh_is_node_address(r, ld_exchange_sender(x)))
-		listen_refuse(r, x, 421, "unknown-node", 0);
+		listen_refuse(r, x, CODE_OTHER_NODE, "unknown-node", 0);
 	else if (!listen_read_forwarded(
 		     ld_exchange_header(x, RELAY_FORWARDED_FIELD),
 		     &facts.runs_left))
-		listen_refuse(r, x, 421, "unknown-version", 0);
-	else if (r->refusing)
-		listen_refuse(r, x, 421, "stopping", 0);
+		listen_refuse(r, x, CODE_OTHER_NODE, "unknown-version", 0);
 	else if (isolation_is_active(r))
-		listen_refuse(r, x, 421, "isolated", 0);
+		listen_refuse(r, x, CODE_OTHER_NODE, "isolated", 0);
 	else
 		accept_request(r, x, facts);
 }
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -83,6 +83,7 @@
 	uint64_t on_time_since_ms; /* no late check since then */
 	uint64_t limits_logged_ms; /* see server_limits_tick() */
 	bool stopping;
+	uint64_t stop_ends_ms; /* if stopping: what is not answered is ended */
 	bool refusing; /* the notice period of the stop has passed */
 	struct ld_metrics *metrics;
 	struct counts *counts;
@@ -130,6 +131,11 @@
 	uint32_t runs_left; /* if so: of the bound on its runs */
 };
 
+/** request_kind_may_repeat() - requests of the route may run more than once */
+bool request_kind_may_repeat(const struct ld_route_rule *rule);
+/** request_deadline_ms() - the earlier one of the client's and the route's */
+uint64_t request_deadline_ms(const struct relay *r, struct ld_exchange *x,
+    const struct ld_route_rule *rule);
 /** request_start() - take ownership of an exchange */
 void request_start(struct relay *r, struct ld_exchange *x,
     const struct request_routing *facts);
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -262,20 +262,37 @@
 	request_fail(q, "deadline", 0);
 }
 
+bool
+request_kind_may_repeat(const struct ld_route_rule *rule)
+{
+	return rule->kind == LD_KIND_IDEMPOTENT ||
+	    (rule->kind == LD_KIND_STREAM && rule->resumable);
+}
+
 static uint64_t
-read_ms_field(struct request *q, enum ld_field field, uint64_t default_ms)
+client_timeout_ms(const struct relay *r, struct ld_exchange *x)
 {
 	const char *v =
-	    ld_exchange_header(q->x, q->relay->dialect->fields[field]);
-	char *end = NULL;
+	    ld_exchange_header(x, r->dialect->fields[LD_FIELD_DEADLINE_MS]);
 	unsigned long long n;
 
 	if (v == NULL || *v < '0' || *v > '9')
-		return default_ms;
-	n = strtoull(v, &end, 10);
+		return TIMEOUT_MAX_MS;
+	n = strtoull(v, NULL, 10);
 	return n < TIMEOUT_MAX_MS ? n : TIMEOUT_MAX_MS;
 }
 
+uint64_t
+request_deadline_ms(const struct relay *r, struct ld_exchange *x,
+    const struct ld_route_rule *rule)
+{
+	uint64_t timeout_ms = client_timeout_ms(r, x);
+
+	if (rule->timeout_ms > 0 && rule->timeout_ms < timeout_ms)
+		timeout_ms = rule->timeout_ms;
+	return ld_exchange_start_ms(x) + timeout_ms;
+}
+
 static void
 read_prompt_tokens(struct request *q)
 {
@@ -329,7 +346,6 @@
 	const struct ld_route_rule *rule = facts->rule;
 	const char *const *fields = r->dialect->fields;
 	struct request *q = ld_alloc(sizeof(*q));
-	uint64_t timeout_ms;
 
 	q->sink.ops = &request_sink_ops;
 	q->relay = r;
@@ -343,16 +359,12 @@
 	q->priority = request_priority(facts, r->dialect->priority_last);
 	q->service = ld_str_dup(facts->service);
 	q->kind = rule->kind;
-	q->retryable = rule->kind == LD_KIND_IDEMPOTENT ||
-	    (rule->kind == LD_KIND_STREAM && rule->resumable);
+	q->retryable = request_kind_may_repeat(rule);
 	q->max_runs = rule->attempts > 0 ? rule->attempts : 1;
 	q->objective_ms = rule->objective_ms;
 	q->last_event_id = UINT64_MAX;
 	q->start_ms = ld_exchange_start_ms(x);
-	timeout_ms = read_ms_field(q, LD_FIELD_DEADLINE_MS, TIMEOUT_MAX_MS);
-	if (rule->timeout_ms > 0 && rule->timeout_ms < timeout_ms)
-		timeout_ms = rule->timeout_ms;
-	q->deadline_ms = q->start_ms + timeout_ms;
+	q->deadline_ms = request_deadline_ms(r, x, rule);
 	read_prompt_tokens(q);
 	read_prompt_parts(q);
 	q->timer.fn = on_timer;
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -113,6 +113,9 @@
 	r->stopping = true;
 	p->stop_requested_ms = relay_now(r);
 	p->grace_ms = r->settings->grace_ms;
+	r->stop_ends_ms = p->stop_requested_ms;
+	if (p->grace_ms > STOP_MARGIN_MS)
+		r->stop_ends_ms += p->grace_ms - STOP_MARGIN_MS;
 	ld_event("stop.asked", "requests=%zu connections=%zu grace_ms=%llu",
 	    r->request_count, ld_listener_connections(r->entry),
 	    (unsigned long long)p->grace_ms);
@@ -141,7 +144,7 @@
 	if (!r->stopping)
 		return;
 	since = now - p->stop_requested_ms;
-	at_end = since + STOP_MARGIN_MS >= p->grace_ms;
+	at_end = now >= r->stop_ends_ms;
 	r->refusing = since >= STOP_ACCEPT_MS || at_end;
 	if (at_end)
 		requests_fail_unbegun(r, "stopping");
--- a/tests/faults/test_planned_stops.c
+++ b/tests/faults/test_planned_stops.c
@@ -199,6 +199,36 @@
 	close_one(0, 1);
 }
 
+/* Cut at the end of the grace period it would be in doubt. */
+static void
+test_stop_takes_no_request_that_runs_once_without_the_time_for_it(void)
+{
+	struct stops_user *u = open_one(1, false, SHORT_GRACE_MS);
+	struct stops_plan p = steady;
+	struct stops_request *q;
+
+	p.is_resumable = false;
+	stops_user_open(&one, 0);
+	stops_user_open(&one, 0);
+	stops_term(&one, 0);
+	stops_run_for(&one, 300);
+	silence_servers(LONG_MS);
+	q = send_one(u, &p);
+	run_until_ended(q);
+	CU_ASSERT_EQUAL(q->arrivals, 0);
+	CU_ASSERT(stops_now(&one) < one.relays[0].term_ms + 1000);
+	/* What may be repeated is taken, and what ends in time. */
+	silence_servers(0);
+	p.deadline_ms = 2000;
+	q = send_one(&one.users[1], &p);
+	run_until_ended(q);
+	CU_ASSERT_EQUAL(q->arrivals, 1);
+	q = send_one(&one.users[2], &steady);
+	run_until_ended(q);
+	CU_ASSERT_EQUAL(q->arrivals, 1);
+	close_one(2, 1);
+}
+
 /* Bytes that the kernel still holds when the process ends are delivered. */
 static void
 test_slow_reader_gets_all_after_the_process_has_ended(void)
@@ -321,6 +351,8 @@
 		test_stream_waits_for_a_server_to_go_on_at},
 	    {"end of grace answers what waits at a server",
 		test_end_of_grace_answers_what_waits_at_a_server},
+	    {"a stop takes no request that runs once without the time for it",
+		test_stop_takes_no_request_that_runs_once_without_the_time_for_it},
 	    {"slow reader gets all after the process has ended",
 		test_slow_reader_gets_all_after_the_process_has_ended},
 	    {"close after a pipelined request keeps the answer",
