retry: only a process that replaces another goes without its share at first

Cause: the rule was meant for restarts. It was also too weak for them: a process that has just used its share may be followed by one that earns up to another within the same window.

Change: a process that finds an entry of its own node in the store when it first reads it has no share of the fixed number for one window; any other has all of it at once. The own entry is written after the first read.

--- a/lib/dispatch/ld_dispatch.h
+++ b/lib/dispatch/ld_dispatch.h
@@ -226,12 +226,11 @@
  * @permille: limit of retries, relative to the requests of this node
  * @extra: this node's share of the fixed number of retries allowed in addition
  * @nodes_most: the most nodes that were ever listed
- * @start_ms: when this process started to retry
+ * @start_ms: start of this process if another ran before, else 0
  *
  * All nodes together must stay within a ratio of their requests plus a fixed
  * number. Each node applies the ratio to its own requests, and has a share of the
- * fixed number, which grows from zero within the first window: the process
- * that ran before may have used the share of this window.
+ * fixed number, except in the first window after a restart.
  */
 struct ld_retry_budget {
 	uint64_t permille;
@@ -246,7 +245,7 @@
 /**
  * ld_retry_init() - start without requests and retries
  * @permille: the limit relative to this node's requests
- * @start_ms: start of the process
+ * @start_ms: start of the process if it replaces another one, else 0
  */
 void ld_retry_init(struct ld_retry_budget *b, uint64_t window_ms,
     uint64_t permille, uint64_t start_ms);
--- a/lib/dispatch/retry_budget.c
+++ b/lib/dispatch/retry_budget.c
@@ -38,17 +38,21 @@
 	ld_window_add(&b->requests, 1, now_ms);
 }
 
+/* The process that ran before may have used the share of this window. */
+static bool
+has_share(const struct ld_retry_budget *b, uint64_t now_ms)
+{
+	return b->start_ms == 0 || now_ms > b->start_ms + b->window_ms;
+}
+
 /* In thousandths, as the ratio is. */
 static uint64_t
 allowed(struct ld_retry_budget *b, uint64_t now_ms)
 {
 	uint64_t requests = ld_window_sum(&b->requests, SLOTS, now_ms);
-	uint64_t ms = now_ms - b->start_ms;
+	uint64_t extra = has_share(b, now_ms) ? b->extra : 0;
 
-	if (ms > b->window_ms)
-		ms = b->window_ms;
-	return requests * b->permille +
-	    (b->window_ms > 0 ? b->extra * PERMILLE * ms / b->window_ms : 0);
+	return requests * b->permille + extra * PERMILLE;
 }
 
 static uint64_t
--- a/lib/relay/mesh_entry.c
+++ b/lib/relay/mesh_entry.c
@@ -107,7 +107,9 @@
 {
 	struct relay *r = e->relay;
 
-	if (now < e->next_ms || e->call.request != NULL || r->stopping)
+	/* The first read shows whether a process of this node ran before. */
+	if (now < e->next_ms || e->call.request != NULL || r->stopping ||
+	    feed_revision(r) == 0)
 		return;
 	if (e->state == ENTRY_NONE) {
 		e->state = ENTRY_GRANTING;
--- a/lib/relay/mesh_peers.c
+++ b/lib/relay/mesh_peers.c
@@ -79,8 +79,10 @@
 	char text[LD_EVENT_TOKEN_BYTES];
 	struct peer *p;
 
-	if (ld_str_eq(name, ld_str_c(r->settings->name)))
+	if (ld_str_eq(name, ld_str_c(r->settings->name))) {
+		r->replaces_process |= r->mesh->entry.lease == 0;
 		return;
+	}
 	if (!is_valid_name(name) || !parse_entry(r, value, &entry)) {
 		ld_event("peer.refused",
 		    "peer=%s why=\"invalid name, address or core share\"",
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -80,6 +80,7 @@
 	struct ld_rand rand;
 	uint64_t silence_checked_ms; /* last check of the groups' streams */
 	uint64_t start_ms; /* of the process */
+	bool replaces_process; /* of this node, within the life of its entry */
 	uint64_t on_time_since_ms; /* no late check since then */
 	uint64_t limits_logged_ms; /* see server_limits_tick() */
 	bool stopping;
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -34,7 +34,8 @@
 	b->next = r->budgets;
 	r->budgets = b;
 	ld_retry_init(&b->budget, s->repeat_window_ms,
-	    s->repeat_permille * LD_RETRY_LOCAL_PERCENT / 100, r->start_ms);
+	    s->repeat_permille * LD_RETRY_LOCAL_PERCENT / 100,
+	    r->replaces_process ? r->start_ms : 0);
 	return &b->budget;
 }
 
--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -173,9 +173,28 @@
 		play(nodes[i], 300, 0);
 		play(nodes[i], 300, 3);
 		play(nodes[i], 1000, 180);
+		play(nodes[i], 3000, 3);
 	}
 }
 
+/* The process that is killed has used its whole share. */
+static void
+test_a_restart_after_a_burst_adds_no_retries(void)
+{
+	struct ld_retry_budget before, after;
+	unsigned int taken = 0;
+
+	ld_retry_init(&before, WINDOW_MS, RATIO_PERMILLE, 0);
+	ld_retry_set_share(&before, 400, 10);
+	while (ld_retry_try_acquire(&before, 3 * WINDOW_MS))
+		taken++;
+	CU_ASSERT_EQUAL(taken, 40);
+	ld_retry_init(&after, WINDOW_MS, RATIO_PERMILLE, 3 * WINDOW_MS + 100);
+	ld_retry_set_share(&after, 400, 10);
+	CU_ASSERT_FALSE(ld_retry_try_acquire(&after, 4 * WINDOW_MS - 100));
+	CU_ASSERT_TRUE(ld_retry_try_acquire(&after, 4 * WINDOW_MS + 200));
+}
+
 /* Nodes that are cut off keep the share of their longer list. */
 static void
 test_a_list_that_shrinks_adds_no_retries(void)
@@ -202,6 +221,8 @@
 		test_all_nodes_together_keep_within_the_budget},
 	    {"restarted nodes add no retries",
 		test_restarted_nodes_add_no_retries},
+	    {"a restart after a burst adds no retries",
+		test_a_restart_after_a_burst_adds_no_retries},
 	    {"a list that shrinks adds no retries",
 		test_a_list_that_shrinks_adds_no_retries},
 	    {NULL, NULL},
