--- a/lib/relay/crash_check.c
+++ b/lib/relay/crash_check.c
@@ -70,7 +70,7 @@
 	    "server=%s crashed=%d why=%s probes=%u requests=%zu",
 	    c->server->entry.id, crashed, why, c->probes, c->request_count);
 	for (size_t i = 0; crashed && i < c->request_count; i++)
-		crashing_prompts_crashed(
+		crashing_requests_crashed(
 		    c->relay, c->requests[i], c->server->id_hash);
 	check_free(c);
 }
--- a/lib/relay/crashing_prompts.c
+++ b/lib/relay/crashing_requests.c
@@ -1,7 +1,7 @@
 /*
- * Prompts that crash the servers they reach: reports crashes and answers to the
- * quarantine, refuses prompts in quarantine, and records them in the store for
- * nodes that start later.
+ * Requests that crash the servers they reach, by a part of their prompt or as a
+ * whole: reports crashes and answers to the quarantine, refuses what is in
+ * quarantine, and records it in the store for nodes that start later.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -19,7 +19,7 @@
 #define PART_TEXT_BYTES 24
 #define PART_DIGITS 16 /* hexadecimal */
 
-struct crashing_prompts {
+struct crashing_requests {
 	struct ld_quarantine *quarantine;
 	struct leader_records *records;
 	bool cancel_pending; /* requests in progress are to be checked */
@@ -33,7 +33,7 @@
 {
 	uint64_t now = relay_now(q->relay), until_ms = 0;
 
-	if (!ld_quarantine_contains(q->relay->crashing_prompts->quarantine,
+	if (!ld_quarantine_contains(q->relay->crashing_requests->quarantine,
 		&q->prompt, now, &until_ms))
 		return false;
 	*retry_after_ms = until_ms - now;
@@ -44,7 +44,7 @@
 request_is_on_trial(struct request *q)
 {
 	return q->prompt.is_request &&
-	    ld_quarantine_is_on_trial(q->relay->crashing_prompts->quarantine,
+	    ld_quarantine_is_on_trial(q->relay->crashing_requests->quarantine,
 		&q->prompt, relay_now(q->relay));
 }
 
@@ -69,17 +69,18 @@
 	ld_event("prompt.suspected", "id=%s server=%s begun=%d parts=%s",
 	    ld_event_token(ld_str_c(q->attempt_id), id), q->server->entry.id,
 	    begun, ld_prompt_text(&q->prompt, parts));
-	ld_quarantine_crashed(r->crashing_prompts->quarantine, &q->prompt,
+	ld_quarantine_crashed(r->crashing_requests->quarantine, &q->prompt,
 	    q->server->id_hash, begun, relay_now(r));
 }
 
 void
-crashing_prompts_crashed(struct relay *r, uint64_t fingerprint, uint32_t server)
+crashing_requests_crashed(
+    struct relay *r, uint64_t fingerprint, uint32_t server)
 {
 	struct ld_prompt p = {.own = fingerprint, .is_request = true};
 
 	ld_quarantine_crashed(
-	    r->crashing_prompts->quarantine, &p, server, true, relay_now(r));
+	    r->crashing_requests->quarantine, &p, server, true, relay_now(r));
 }
 
 void
@@ -88,7 +89,7 @@
 	if (q->answer_went_on)
 		return;
 	q->answer_went_on = true;
-	ld_quarantine_answered(q->relay->crashing_prompts->quarantine,
+	ld_quarantine_answered(q->relay->crashing_requests->quarantine,
 	    &q->prompt, relay_now(q->relay));
 }
 
@@ -153,13 +154,14 @@
 	    (unsigned long long)(until_ms - relay_now(r)));
 	relay_count(r, LD_M_RELAY_QUARANTINES);
 	/* Not here: the caller may be a request that is in the list. */
-	r->crashing_prompts->cancel_pending = true;
+	r->crashing_requests->cancel_pending = true;
 }
 
 void
-crashing_prompts_receive(struct relay *r, const struct ld_finding *f)
+crashing_requests_receive(struct relay *r, const struct ld_finding *f)
 {
-	ld_quarantine_receive(r->crashing_prompts->quarantine, f, relay_now(r));
+	ld_quarantine_receive(
+	    r->crashing_requests->quarantine, f, relay_now(r));
 }
 
 /* ---- Records: the part is the name, the value says who wrote it ---- */
@@ -177,7 +179,7 @@
 each_part(struct leader_records *rs)
 {
 	ld_quarantine_each(
-	    rs->relay->crashing_prompts->quarantine, want_part, rs);
+	    rs->relay->crashing_requests->quarantine, want_part, rs);
 	return true;
 }
 
@@ -198,7 +200,7 @@
 static bool
 apply_part(struct leader_records *rs, const char *name, char *value)
 {
-	struct ld_quarantine *qn = rs->relay->crashing_prompts->quarantine;
+	struct ld_quarantine *qn = rs->relay->crashing_requests->quarantine;
 	uint64_t part = strtoull(name, NULL, 16);
 
 	if (value != NULL)
@@ -209,17 +211,17 @@
 }
 
 struct leader_records *
-crashing_prompts_records(struct relay *r)
+crashing_requests_records(struct relay *r)
 {
-	return r->crashing_prompts->records;
+	return r->crashing_requests->records;
 }
 
 /* ---- Start, end, time ---- */
 
 void
-crashing_prompts_tick(struct relay *r)
+crashing_requests_tick(struct relay *r)
 {
-	struct crashing_prompts *cp = r->crashing_prompts;
+	struct crashing_requests *cp = r->crashing_requests;
 
 	leader_records_tick(cp->records);
 	if (cp->cancel_pending)
@@ -232,7 +234,7 @@
 }
 
 void
-crashing_prompts_open(struct relay *r)
+crashing_requests_open(struct relay *r)
 {
 	static const struct ld_quarantine_ops ops = {on_send, on_changed};
 	static const struct leader_records_ops record_ops = {
@@ -242,7 +244,7 @@
 	    .format = format_part,
 	    .apply = apply_part,
 	};
-	struct crashing_prompts *cp = ld_alloc(sizeof(*cp));
+	struct crashing_requests *cp = ld_alloc(sizeof(*cp));
 
 	cp->quarantine = ld_quarantine_new(
 	    &ops, r, ld_hash64(ld_str_c(r->settings->name), 0));
@@ -250,13 +252,13 @@
 	cp->records->ops = &record_ops;
 	cp->records->relay = r;
 	cp->records->prefix = RELAY_QUARANTINE_PREFIX;
-	r->crashing_prompts = cp;
+	r->crashing_requests = cp;
 }
 
 void
-crashing_prompts_close(struct relay *r)
+crashing_requests_close(struct relay *r)
 {
-	leader_records_free(r->crashing_prompts->records);
-	ld_quarantine_free(r->crashing_prompts->quarantine);
-	free(r->crashing_prompts);
+	leader_records_free(r->crashing_requests->records);
+	ld_quarantine_free(r->crashing_requests->quarantine);
+	free(r->crashing_requests);
 }
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -223,7 +223,7 @@
 		leader_records_apply(r->group_records, name, written);
 	} else if (is_below(kv, RELAY_QUARANTINE_PREFIX, &name)) {
 		leader_records_apply(
-		    crashing_prompts_records(r), name, written);
+		    crashing_requests_records(r), name, written);
 	} else if (ld_str_eq(kv->key, LD_STR(RELAY_CONTROL_KEY))) {
 		snprintf(f->control_holder, sizeof(f->control_holder), "%.*s",
 		    deleted ? 0 : (int)kv->value.len,
@@ -337,7 +337,7 @@
 	f->control_holder[0] = '\0';
 	mesh_snapshot_begin(r);
 	leader_records_snapshot_begin(r->group_records);
-	leader_records_snapshot_begin(crashing_prompts_records(r));
+	leader_records_snapshot_begin(crashing_requests_records(r));
 	changes_server_reset(r, revision);
 	for (size_t i = 0; i < n; i++)
 		if (!is_superseded(f, &kvs[i]))
@@ -554,7 +554,7 @@
 	r->feed = f;
 	server_entries_open(r);
 	group_records_open(r);
-	crashing_prompts_open(r);
+	crashing_requests_open(r);
 	ld_store_watch_start(r->store, &f->watch, LD_STR(""), true);
 }
 
@@ -564,7 +564,7 @@
 	ld_store_watch_stop(&r->feed->watch);
 	server_entries_close(r);
 	group_records_close(r);
-	crashing_prompts_close(r);
+	crashing_requests_close(r);
 	ld_store_free(r->store);
 	free(r->feed);
 }
--- a/lib/relay/mesh.c
+++ b/lib/relay/mesh.c
@@ -115,7 +115,7 @@
 static void
 on_finding(struct load_aggregation *a, const struct ld_finding *f)
 {
-	crashing_prompts_receive(mesh_of(a)->relay, f);
+	crashing_requests_receive(mesh_of(a)->relay, f);
 }
 
 static struct peer *
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -34,7 +34,7 @@
 struct leader;
 struct mesh;
 struct ready;
-struct crashing_prompts;
+struct crashing_requests;
 struct leader_records;
 struct request;
 struct server_entries;
@@ -68,7 +68,7 @@
 	struct changes_server *changes_server;
 	struct follow *follow;
 	struct leader_records *group_records;
-	struct crashing_prompts *crashing_prompts;
+	struct crashing_requests *crashing_requests;
 	struct crash_check *crash_checks; /* in progress */
 	struct isolation *isolation;
 	struct ld_routes *routes; /* NULL before the first read */
@@ -393,18 +393,18 @@
 /** group_records_close() - call before the store's client is freed */
 void group_records_close(struct relay *r);
 
-/* ---- crashing_prompts.c: prompts that crash the servers they reach ---- */
-
-void crashing_prompts_open(struct relay *r);
-/** crashing_prompts_close() - call before the store's client is freed */
-void crashing_prompts_close(struct relay *r);
-void crashing_prompts_tick(struct relay *r);
-/** crashing_prompts_records() - of the parts in quarantine, in the store */
-struct leader_records *crashing_prompts_records(struct relay *r);
-/** crashing_prompts_receive() - a finding of another node */
-void crashing_prompts_receive(struct relay *r, const struct ld_finding *f);
-/** crashing_prompts_crashed() - the server of a request without a prompt crashed */
-void crashing_prompts_crashed(
+/* ---- crashing_requests.c: requests that crash the servers they reach ---- */
+
+void crashing_requests_open(struct relay *r);
+/** crashing_requests_close() - call before the store's client is freed */
+void crashing_requests_close(struct relay *r);
+void crashing_requests_tick(struct relay *r);
+/** crashing_requests_records() - of the parts in quarantine, in the store */
+struct leader_records *crashing_requests_records(struct relay *r);
+/** crashing_requests_receive() - a finding of another node */
+void crashing_requests_receive(struct relay *r, const struct ld_finding *f);
+/** crashing_requests_crashed() - the server of a request without a prompt crashed */
+void crashing_requests_crashed(
     struct relay *r, uint64_t fingerprint, uint32_t server);
 
 /* ---- crash_check.c ---- */
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -181,7 +181,7 @@
 void request_record_failed_send(
     struct request *q, const char *why, const char *next);
 
-/* ---- crashing_prompts.c ---- */
+/* ---- crashing_requests.c ---- */
 
 /**
  * request_is_quarantined() - a part of its prompt crashes servers
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -177,7 +177,7 @@
 	mesh_tick(r);
 	control_tick(r);
 	leader_records_tick(r->group_records);
-	crashing_prompts_tick(r);
+	crashing_requests_tick(r);
 	silent_groups_check(r);
 	isolation_tick(r);
 	usage_tick(r);
--- a/tests/unit/test_mutation_records.c
+++ b/tests/unit/test_mutation_records.c
@@ -369,7 +369,7 @@
 	r.servers = ld_servers_new();
 	mesh.aggregation.servers = r.servers;
 	group_records_open(&r);
-	crashing_prompts_open(&r);
+	crashing_requests_open(&r);
 	mesh_peer_put(&r, LD_STR("n9"), LD_STR("10.0.0.9:80 250 z1"));
 	leader_records_apply(r.group_records, LD_STR("m0/1"),
 	    &(struct ld_store_kv){
@@ -399,7 +399,7 @@
 close_records(void)
 {
 	check_records();
-	crashing_prompts_close(&r);
+	crashing_requests_close(&r);
 	group_records_close(&r);
 	agg_free(&mesh.aggregation);
 	memset(&mesh.aggregation, 0, sizeof(mesh.aggregation));
@@ -437,9 +437,9 @@
 static void
 apply_part(struct ld_str name, const struct ld_store_kv *kv)
 {
-	leader_records_apply(crashing_prompts_records(&r), name, kv);
+	leader_records_apply(crashing_requests_records(&r), name, kv);
 	if (taken % 3 == 0)
-		leader_records_apply(crashing_prompts_records(&r), name, NULL);
+		leader_records_apply(crashing_requests_records(&r), name, NULL);
 }
 
 static void
--- a/tests/upgrade_samples.h
+++ b/tests/upgrade_samples.h
@@ -49,14 +49,14 @@
 	    .relay = &relay,
 	    .fd = -1};
 	group_records_open(&relay);
-	crashing_prompts_open(&relay);
+	crashing_requests_open(&relay);
 }
 
 static inline void
 close_relay(void)
 {
 	group_records_close(&relay);
-	crashing_prompts_close(&relay);
+	crashing_requests_close(&relay);
 	agg_free(&mesh.aggregation);
 	ld_servers_free(relay.servers);
 	ld_metrics_free(relay.metrics);
