--- a/lib/relay/crashing_requests.c
+++ b/lib/relay/crashing_requests.c
@@ -79,6 +79,7 @@
 {
 	struct ld_prompt p = {.own = fingerprint, .is_request = true};
 
+	relay_count(r, LD_M_RELAY_CRASH_SUSPECTS);
 	ld_quarantine_crashed(
 	    r->crashing_requests->quarantine, &p, server, true, relay_now(r));
 }
