lint: findings of clang-tidy in the new files

Widening of products, an array that was not initialised on every path as far as the analyzer sees, and the list of crash checks, which it took for used after free: now linked as the other lists of calls. No check or bound changed.

--- a/lib/relay/crash_check.c
+++ b/lib/relay/crash_check.c
@@ -38,6 +38,7 @@
 	struct ld_http_sink sink; /* first member */
 	struct relay *relay;
 	struct crash_check *next;
+	struct crash_check **link; /* the pointer to this check in the list */
 	struct ld_server *server;
 	struct ld_http_call *call;
 	struct ld_timer timer;
@@ -51,11 +52,9 @@
 static void
 check_free(struct crash_check *c)
 {
-	struct crash_check **p = &c->relay->crash_checks;
-
-	while (*p != c)
-		p = &(*p)->next;
-	*p = c->next;
+	*c->link = c->next;
+	if (c->next != NULL)
+		c->next->link = c->link;
 	if (c->call != NULL)
 		ld_http_cancel(c->call);
 	ld_timer_stop(ld_loop_timers(c->relay->loop), &c->timer);
@@ -178,6 +177,9 @@
 	c->server = s;
 	s->refs++;
 	c->next = r->crash_checks;
+	c->link = &r->crash_checks;
+	if (c->next != NULL)
+		c->next->link = &c->next;
 	r->crash_checks = c;
 	return c;
 }
@@ -209,6 +211,9 @@
 void
 crash_checks_close(struct relay *r)
 {
-	while (r->crash_checks != NULL)
-		check_free(r->crash_checks);
+	for (struct crash_check *c = r->crash_checks, *next; c != NULL;
+	     c = next) {
+		next = c->next;
+		check_free(c);
+	}
 }
--- a/tests/faults/test_cut_heads.c
+++ b/tests/faults/test_cut_heads.c
@@ -225,7 +225,7 @@
 static void
 test_a_begun_stream_does_not_end_with_a_cut_head(void)
 {
-	for (size_t n = 1; n < strlen(STREAM); n += 2 * STRIDE) {
+	for (size_t n = 1; n < strlen(STREAM); n += 2 * (size_t)STRIDE) {
 		static struct raw_step script[3];
 		struct client c;
 
@@ -293,7 +293,7 @@
 	put_in(store, "127.0.0.1:1", 1);
 	press(ISOLATED_MS);
 	CU_ASSERT(relay_counter("ld_relay_forwarded_total") > 0);
-	for (size_t n = 5; n < strlen(WITH_LENGTH); n += 4 * STRIDE) {
+	for (size_t n = 5; n < strlen(WITH_LENGTH); n += 4 * (size_t)STRIDE) {
 		unsigned long before =
 		    relay_counter("ld_relay_forwarded_total");
 		struct client c;
--- a/tests/unit/test_quarantine_requests.c
+++ b/tests/unit/test_quarantine_requests.c
@@ -166,7 +166,7 @@
 static void
 crash_server(size_t server, uint64_t down_ms)
 {
-	uint32_t id = (uint32_t)(server + 100 * w.restarts[server]++ + 1);
+	uint32_t id = (uint32_t)server + 100U * w.restarts[server]++ + 1;
 
 	w.down_until_ms[server] = w.now + down_ms;
 	for (size_t i = 0; i < REQUESTS_MAX; i++) {
@@ -354,7 +354,7 @@
 static void
 crash_some(const struct trouble *t)
 {
-	bool crashes[SERVERS_MAX];
+	bool crashes[SERVERS_MAX] = {false};
 
 	for (size_t i = 0; i < w.servers; i++) {
 		crashes[i] = w.now >= w.down_until_ms[i] &&
--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -48,7 +48,7 @@
 /* ---- Many nodes, restarted at random, that retry whenever they may ---- */
 
 #define FLEET_MAX 40
-#define WINDOW_MS 10000
+#define WINDOW_MS 10000UL
 #define DAY_MS 60000
 #define STEP_MS 20
 #define RATIO_PERMILLE 200
@@ -77,7 +77,7 @@
 {
 	unsigned int sum = 0;
 
-	for (int i = first; i < first + WINDOW_MS / STEP_MS; i++)
+	for (int i = first; i < first + (int)(WINDOW_MS / STEP_MS); i++)
 		if (i >= 0)
 			sum += counts[i];
 	return sum;
@@ -86,7 +86,7 @@
 static void
 check_windows(const struct fleet *f)
 {
-	const int width = WINDOW_MS / STEP_MS;
+	const int width = (int)(WINDOW_MS / STEP_MS);
 	unsigned int worst = 0;
 
 	for (int first = 0; first + width <= DAY_MS / STEP_MS; first++) {
