review: ports below those of outgoing connections

A port that was free when it was chosen could be taken by an outgoing connection before a relay bound it; the case then could not run.

--- a/review/common/stand.c
+++ b/review/common/stand.c
@@ -123,20 +123,30 @@
 	return a;
 }
 
+/* Below the ports of outgoing connections. */
 int
 free_port(void)
 {
-	struct sockaddr_in a = loopback(0);
-	socklen_t n = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	int port;
+	static int next;
 
-	if (bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&a, &n) != 0)
-		unfit("no free port");
-	port = ntohs(a.sin_port);
-	close(fd);
-	return port;
+	if (next == 0)
+		next = 15000 + (int)getpid() * 61 % 15000;
+	for (int tries = 0; tries < 2000; tries++) {
+		struct sockaddr_in a;
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+		bool ok;
+
+		next = next < 31000 ? next + 1 : 15000;
+		a = loopback(next);
+		ok = bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0 &&
+		    bind(udp, (struct sockaddr *)&a, sizeof(a)) == 0;
+		close(fd);
+		close(udp);
+		if (ok)
+			return next;
+	}
+	unfit("no free port");
 }
 
 bool
