--- a/review/4/case.c
+++ b/review/4/case.c
@@ -1,138 +1,131 @@
 /*
- * A deployment without fencing. Two orders to the head of a group get no answer
- * and are carried out late; meanwhile a member crashes, the group is closed, and
- * the member comes back. Does a server take a join of another group while the head
- * of its group is open? TROUBLE=0: no order is carried out late.
+ * A client sends a proper request with many header fields, well below
+ * max_header_bytes. What do servers get? TROUBLE=0: the same with few fields.
  */
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "engines.h"
+#include "stand.h"
 
+#define REQUESTS 20
+/* Further header fields of a request: "X-Label-NNN: v", 16 bytes a line. */
+#define FIELDS_MANY 120
+#define FIELDS_FEW 5
 #define KEY "n2ctnfzs989anu6wsjnb"
-/* A late order is carried out 2 to 12 s later. */
-#define JOIN_LATE_MS 11000
-#define OPEN_LATE_MS 11300
-/* After the first join. */
-#define CRASH_MS 6000
-#define DARK_MS 8500
-#define HEARTBEAT_MS 1200
-#define END_MS 22000
+#define TENANT "hule930"
 
-static struct relay relays[2];
-static char head[32];
-static uint64_t first_join_ms;
-static int joins, opens, orders;
-static bool done;
-static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static const char config[] =
+    "{\"version\":7,\"route_table\":["
+    "{\"name\":\"r-1\",\"host\":\"ficu95.example\",\"prefix\":\"/puxa403/\","
+    "\"type\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":300,"
+    "\"priority\":2,\"service\":\"wuno96b\",\"max_attempts\":1,\"anonymous\":false}],"
+    "\"services\":[{\"name\":\"wuno96b\",\"health_path\":\"/health\","
+    "\"max_connections\":110,\"protocol\":\"h1\",\"tls\":false}],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+    "\"tenants\":[{\"name\":\"" TENANT "\",\"api_keys\":[\"" KEY "\"],\"priority\":1}]}";
 
-/* The first join and the first open to the head of the first group. */
-static uint64_t
-choose_late(struct engine *e, const char *operation, bool to_head)
+struct server {
+	const char *id;
+	int port;
+};
+
+static int runs, wrong_tenant, no_expect, no_deadline;
+
+/* A plain server as PROTOCOL.md says: it runs what names it, or names nobody. */
+static bool
+serve(struct req *q, void *arg)
 {
-	uint64_t late_ms = 0;
+	const struct server *s = arg;
+	char attempt[64] = "", tenant[64] = "(none)", expect[64] = "(none)";
+	char deadline[64] = "(none)";
 
-	pthread_mutex_lock(&lock);
-	orders++;
-	if (strcmp(operation, "join") == 0 && first_join_ms == 0)
-		first_join_ms = now_ms();
-	if (now_ms() > first_join_ms + 5500) {
-		/* The trouble has ended. */
-	} else if (strcmp(operation, "join") == 0 && to_head && head[0] == '\0') {
-		snprintf(head, sizeof(head), "%s", e->id);
-		joins++;
-		late_ms = JOIN_LATE_MS;
-	} else if (strcmp(operation, "open") == 0 && strcmp(head, e->id) == 0 &&
-	    opens++ == 0) {
-		late_ms = OPEN_LATE_MS;
-	}
-	pthread_mutex_unlock(&lock);
-	return trouble() ? late_ms : 0;
+	if (!field(q, "X-Attempt-Id", attempt, sizeof(attempt)))
+		return sendf(q->fd,
+		    "HTTP/1.1 400 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+	field(q, "X-Tenant", tenant, sizeof(tenant));
+	if (!field(q, "X-Expect-Instance", expect, sizeof(expect)))
+		__atomic_add_fetch(&no_expect, 1, __ATOMIC_SEQ_CST);
+	else if (strcmp(expect, s->id) != 0)
+		return sendf(q->fd,
+		    "HTTP/1.1 421 X\r\nX-Instance-Id: %s\r\nX-Attempt-Id: %s\r\n"
+		    "Content-Length: 0\r\n\r\n",
+		    s->id, attempt);
+	if (!field(q, "X-Deadline-Ms", deadline, sizeof(deadline)))
+		__atomic_add_fetch(&no_deadline, 1, __ATOMIC_SEQ_CST);
+	__atomic_add_fetch(&runs, 1, __ATOMIC_SEQ_CST);
+	if (strcmp(tenant, TENANT) != 0)
+		__atomic_add_fetch(&wrong_tenant, 1, __ATOMIC_SEQ_CST);
+	record("server %s runs %s %s id=%s fields=%d X-Tenant=%s X-Expect-Instance=%s "
+	       "X-Deadline-Ms=%s",
+	    s->id, q->method, q->target, attempt, field_count(q), tenant, expect,
+	    deadline);
+	return sendf(q->fd,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: 3e1b.%s\r\n"
+	    "Content-Length: 4\r\n\r\ndone",
+	    attempt, attempt);
 }
 
-static void *
-run_clients(void *arg)
+static void
+put_server(const struct server *s)
 {
-	for (int i = 0; !done; i++) {
-		char raw[1024];
-		struct resp a;
-		int n = snprintf(raw, sizeof(raw),
-		    "POST /pufi791/2f HTTP/1.1\r\nHost: ficu95.example\r\n"
-		    "X-Attempt-Id: %016x\r\nX-Deadline-Ms: 6000\r\n"
-		    "X-Model: " ENGINE_MODEL "\r\nX-Token-Count: 714,40\r\n"
-		    "X-Prefix-Hash: 5c1e07a2:40,%08x:674\r\n"
-		    "Authorization: Bearer " KEY "\r\nContent-Length: 2\r\n\r\nab",
-		    i + 1, 0x91bd0000 + i);
+	char key[64], value[512];
 
-		call(relays[i % 2].entry, raw, (size_t)n, 6000, &a);
-		record("client id=%016x -> %d%s after %d ms", i + 1, a.code,
-		    a.complete ? "" : " (no whole answer)", a.ms);
-		resp_free(&a);
-		sleep_ms(500);
-	}
-	return NULL;
+	snprintf(key, sizeof(key), "servers/%s", s->id);
+	snprintf(value, sizeof(value),
+	    "{\"service\":\"wuno96b\",\"address\":\"127.0.0.1:%d\",\"zone\":\"neng-a\","
+	    "\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"warmup_left_ms\":0,"
+	    "\"stage\":\"both\",\"models\":[],\"sequence\":4,\"born\":1764900000000}",
+	    s->port);
+	store_put(key, value);
 }
 
 int
 main(int argc, char **argv)
 {
-	static char config[8192];
-	struct engine *lost = NULL;
-	pthread_t clients;
+	static struct server servers[2] = {{.id = "i-7f3a91c2"}, {.id = "i-02d9e6b4"}};
+	int fields = trouble() ? FIELDS_MANY : FIELDS_FEW, served = 0;
+	struct relay r;
 
 	record_open(argv[1]);
 	store_start();
-	engine_fenced = false;
-	engine_group_size = 4;
-	engine_load_s = 16.0;
-	engine_late = choose_late;
-	snprintf(config, sizeof(config),
-	    "{\"version\":7,\"route_table\":["
-	    "{\"name\":\"r-fi6y7z5\",\"host\":\"ficu95.example\",\"prefix\":\"/pufi791/\","
-	    "\"type\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":300,"
-	    "\"priority\":1,\"service\":\"" ENGINE_SERVICE "\",\"max_attempts\":2,"
-	    "\"anonymous\":false,\"session_affinity\":true,\"resumable\":true,"
-	    "\"target_gap_ms\":300}],\"services\":[%s],"
-	    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
-	    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-	    "\"tenants\":[{\"name\":\"hule930\",\"api_keys\":[\"" KEY "\"],\"priority\":1}]}",
-	    engine_service_json());
 	store_put("op/config", config);
-	engines_start(4);
 	for (int i = 0; i < 2; i++) {
-		relay_prepare(&relays[i], i == 0 ? "edge-dk-east-a-1" : "edge-dk-east-a-2",
-		    "dk-east-a");
-		relay_start(&relays[i], true);
+		servers[i].port = free_port();
+		listen_on(servers[i].port, serve, &servers[i]);
+		put_server(&servers[i]);
 	}
-	wait_ready(&relays[0], 10000);
-	wait_ready(&relays[1], 10000);
-	for (int i = 0; first_join_ms == 0 || engines_open() == 0; i++) {
-		if (i == 400)
-			unfit("the group isn't open");
-		sleep_ms(50);
+	relay_prepare(&r, "edge-neng-a-1", "neng-a");
+	relay_start(&r, true);
+	wait_ready(&r, 10000);
+	sleep_ms(1500);
+	for (int i = 0; i < REQUESTS; i++) {
+		char raw[16384], id[32];
+		struct resp a;
+		int n;
+
+		snprintf(id, sizeof(id), "%016x", 0x9c41d07b + i);
+		n = snprintf(raw, sizeof(raw),
+		    "POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\n"
+		    "X-Attempt-Id: %s\r\nX-Deadline-Ms: 3000\r\n"
+		    "Authorization: Bearer " KEY "\r\nContent-Length: 2\r\n",
+		    id);
+		for (int k = 0; k < fields; k++)
+			n += snprintf(raw + n, sizeof(raw) - (size_t)n,
+			    "X-Label-%03d: v\r\n", k);
+		n += snprintf(raw + n, sizeof(raw) - (size_t)n, "\r\nab");
+		call(r.entry, raw, (size_t)n, 3500, &a);
+		served += a.code == 200;
+		record("client id=%s head_bytes=%d fields=%d -> %d in %d ms", id, n - 4,
+		    fields + 5, a.code, a.ms);
+		resp_free(&a);
 	}
-	record("the group is open, its head is %s", head);
-	pthread_create(&clients, NULL, run_clients, NULL);
-	while (now_ms() < first_join_ms + CRASH_MS)
-		sleep_ms(10);
-	for (int i = 0; i < engine_count && lost == NULL; i++)
-		if (strcmp(engines[i].id, head) != 0)
-			lost = &engines[i];
-	engine_crash(lost);
-	sleep_ms(3 * HEARTBEAT_MS);
-	engine_entry_lapses(lost);
-	sleep_ms(DARK_MS - 3 * HEARTBEAT_MS);
-	engine_restart(lost);
-	while (now_ms() < first_join_ms + END_MS)
-		sleep_ms(10);
-	done = true;
-	pthread_join(clients, NULL);
-	record("orders=%d late=%d; joins taken while the head of the server's group was "
-	       "open=%d",
-	    orders, trouble() ? joins + (opens > 0) : 0, engine_two);
-	if (trouble() && (joins == 0 || opens == 0))
-		unfit("no order fell into the trouble");
-	finish(engine_two > 0);
+	record("runs=%d X-Tenant wrong or absent=%d without X-Expect-Instance=%d "
+	       "without X-Deadline-Ms=%d answered 200=%d",
+	    runs, wrong_tenant, no_expect, no_deadline, served);
+	if (runs == 0)
+		unfit("no request was run");
+	finish(wrong_tenant > 0);
 }
