--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,7 +1,7 @@
 /*
  * A small deployment's traffic at one machine. A model server in trouble answers
- * one stream with a proper head and a body of bytes without end, until the caller
- * closes. TROUBLE=0: it answers that one like all others.
+ * a few streams with a proper head and a body of bytes without end, until the caller
+ * closes. TROUBLE=0: it answers these like all others.
  */
 #include <pthread.h>
 #include <stdio.h>
@@ -11,18 +11,20 @@
 #include "engines.h"
 
 #define KEY "n2ctnfzs989anu6wsjnb"
-#define PLAIN_TIMEOUT_MS 800
-#define PLAIN_DEADLINE_MS 1500
+#define PLAIN_TIMEOUT_MS 1500
+#define PLAIN_DEADLINE_MS 3000
+#define PLAIN_WORK_MS 60
 #define LATE_MS 500 /* of the rule */
-/* One machine's share of the usual traffic: 168 / 7 a second. */
-#define STREAM_EVERY_MS 48
-#define PLAIN_EVERY_MS 390
-#define TRAFFIC_MS 20000
-/* Garble at one of two heads, for 5.5 s: one answer is spoiled, when the head has
- * given this number of answers. */
-#define SPOILED_AFTER 50
-#define GARBLE_FROM_MS 4000
-#define GARBLE_FOR_MS 5500
+/* One machine's share of the usual traffic: an eighth of 166 a second. */
+#define STREAM_EVERY_MS 54
+#define PLAIN_EVERY_MS 450
+#define TRAFFIC_MS 32000
+/* Garble at one of two heads, for 5 s, twice: of its answers since the last time, two
+ * after the first SOUND_ANSWERS are spoiled. */
+#define SOUND_ANSWERS 40
+#define SPOILED 2
+#define GARBLE_FOR_MS 5000
+static const uint64_t garble_from_ms[] = {5000, 20000};
 
 struct client {
 	pthread_t thread;
@@ -36,6 +38,7 @@
 static uint64_t traffic_ms;
 static struct engine *troubled;
 static int troubled_answers, spoiled;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static int longest_unready_ms;
 static bool done;
 
@@ -50,29 +53,51 @@
 	char attempt[64] = "";
 
 	field(q, "X-Attempt-Id", attempt, sizeof(attempt));
-	sleep_ms(15);
+	sleep_ms(PLAIN_WORK_MS);
 	return sendf(q->fd,
 	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: 3e1b.%s\r\n"
 	    "Content-Length: 4\r\n\r\ndone",
 	    attempt, attempt);
 }
 
+/* Whether this answer is spoiled. */
+static bool
+is_spoiled(const struct engine *e, const char *attempt)
+{
+	static int sound, spoiled_here;
+	static size_t window;
+	uint64_t now = now_ms() - traffic_ms;
+	bool yes = false;
+
+	if (e != troubled)
+		return false;
+	pthread_mutex_lock(&lock);
+	troubled_answers++;
+	while (window < 2 && now >= garble_from_ms[window] + GARBLE_FOR_MS) {
+		window++;
+		sound = spoiled_here = 0;
+	}
+	yes = window < 2 && now >= garble_from_ms[window] && sound >= SOUND_ANSWERS &&
+	    spoiled_here < SPOILED;
+	sound += !yes;
+	spoiled_here += yes;
+	spoiled += yes;
+	pthread_mutex_unlock(&lock);
+	if (yes)
+		record("server %s: in trouble, answer %d, id=%s: %s", e->id, troubled_answers,
+		    attempt, trouble() ? "a body without end" : "as usual");
+	return yes;
+}
+
 /* Bytes that are no answer, without end, at no more than the link's 1,000 Mbit/s. */
 static bool
 spoil(struct engine *e, struct req *q, const char *attempt, bool *keep)
 {
 	static char bytes[65536];
-	uint64_t now = now_ms() - traffic_ms, start = now_ms();
+	uint64_t start = now_ms();
 	long sent = 0;
 
-	if (e != troubled ||
-	    __atomic_add_fetch(&troubled_answers, 1, __ATOMIC_SEQ_CST) < SPOILED_AFTER ||
-	    now < GARBLE_FROM_MS || now >= GARBLE_FROM_MS + GARBLE_FOR_MS ||
-	    __atomic_add_fetch(&spoiled, 1, __ATOMIC_SEQ_CST) != 1)
-		return false;
-	record("server %s: in trouble, answer %d, id=%s: %s", e->id, troubled_answers, attempt,
-	    trouble() ? "a body without end" : "as usual");
-	if (!trouble())
+	if (!is_spoiled(e, attempt) || !trouble())
 		return false;
 	memset(bytes, 'x', sizeof(bytes));
 	sendf(q->fd,
@@ -162,10 +187,10 @@
 	    "\"anonymous\":false,\"session_affinity\":true,\"resumable\":true,"
 	    "\"target_gap_ms\":200},"
 	    "{\"name\":\"r-7\",\"host\":\"ficu95.example\",\"prefix\":\"/cufi504/\","
-	    "\"type\":\"idempotent\",\"timeout_ms\":%d,\"target_latency_ms\":120,"
+	    "\"type\":\"idempotent\",\"timeout_ms\":%d,\"target_latency_ms\":300,"
 	    "\"priority\":2,\"service\":\"wuno96b\",\"max_attempts\":2,\"anonymous\":false}],"
 	    "\"services\":[%s,{\"name\":\"wuno96b\",\"health_path\":\"/health\","
-	    "\"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}],"
+	    "\"max_connections\":110,\"protocol\":\"h1\",\"tls\":false}],"
 	    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
 	    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
 	    "\"tenants\":[{\"name\":\"hule930\",\"api_keys\":[\"" KEY "\"],\"priority\":1}]}",
@@ -229,7 +254,7 @@
 	record("requests=%d answered 200=%d; lookups=%d, unanswered at timeout_ms=%d, of these "
 	       "unanswered half a second later=%d; spoiled answers=%d; readiness not given for "
 	       "%d ms at most",
-	    count, served, plain, overdue, late, trouble() && spoiled > 0, longest_unready_ms);
+	    count, served, plain, overdue, late, trouble() ? spoiled : 0, longest_unready_ms);
 	if (spoiled == 0)
 		unfit("no answer fell into the trouble");
 	/* CONFIG, both rules on timeout_ms: over half, and eight or more and over a
--- a/review/common/engines.c
+++ b/review/common/engines.c
@@ -134,10 +134,12 @@
 	if (group == NULL || epoch < e->epoch_seen)
 		return epoch < e->epoch_seen ? 412 : 400;
 	if (e->state > 0 && strcmp(e->group, group) == 0 && e->epoch == epoch)
-		return 200;
+		return json_equal(members, e->members) ? 200 : 412;
 	judge_join(e, group);
 	snprintf(e->group, sizeof(e->group), "%s", group);
 	e->epoch = e->epoch_seen = epoch;
+	json_decref(e->members);
+	e->members = json_deep_copy(members);
 	json_array_foreach(members, i, m)
 		if (strcmp(json_string_value(m), e->id) == 0)
 			e->rank = (int)i;
@@ -171,8 +173,12 @@
 	if (strcmp(op, "join") == 0)
 		return join(e, o);
 	if (strcmp(op, "stage") == 0) {
-		e->staged = true;
-		return 200;
+		if (e->staged)
+			return 200;
+		if (e->stage_due_ms == 0)
+			e->stage_due_ms =
+			    now_ms() + (uint64_t)(engine_load_s * LOAD_MS_PER_S);
+		return 202;
 	}
 	if (!same)
 		return strcmp(op, "leave") == 0 ? 200 : 409;
@@ -322,6 +328,10 @@
 				e->state++;
 				e->staged = true;
 			}
+			if (e->stage_due_ms != 0 && now_ms() >= e->stage_due_ms) {
+				e->stage_due_ms = 0;
+				e->staged = due = true;
+			}
 			if ((due || beat) && !e->cut_from_store)
 				write_entry(e);
 		}
--- a/review/common/engines.h
+++ b/review/common/engines.h
@@ -2,6 +2,8 @@
 #ifndef ENGINES_H
 #define ENGINES_H
 
+#include <jansson.h>
+
 #include "stand.h"
 
 #define ENGINES_MAX 16
@@ -25,7 +27,9 @@
 	int rank;
 	int state; /* 0 none, 1 joining, 2 ready, 3 opening, 4 open */
 	uint64_t due_ms; /* joining, opening: until then */
+	json_t *members;
 	bool staged;
+	uint64_t stage_due_ms; /* staging until then, 0: not */
 	int sequence;
 	int arrivals; /* of clients' requests */
 	bool dark;
