http: parse event streams in time linear in their bytes

What callers saw: a model server that answered a stream with bytes without an empty line kept the whole node from answering.

Cause: lib/relay searched the end of the first event from its first byte after each read, up to 16 MB: quadratic. lib/backend had a second parser, bounded, but it moved all pending bytes for each event.

Ruled out: libcurl reading on without end (one buffer of 16 KB for each event of a socket), libmicrohttpd (nothing is passed on).

Change: one parser for both, lib/http/sse.c, on a byte queue (struct ld_fifo). An event over servers.max_event_bytes (256 KB) ends the send at once; the server counts as failed. node.usage names the longest turn of the loop.

The tests of the old parsers call the new interface; they demand the same, and that incomplete input is never an error.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 endif
 
 # Libraries whose basic blocks are counted in the tests, see tests/ld_trace.h.
-TRACED := groups servers
+TRACED := common http wire groups servers
 
 src = $(wildcard lib/$(1)/*.c)
 obj = $(patsubst %.c,$(B)/obj/%.o,$(1))
@@ -148,6 +148,9 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
+# Counts the bytes that are moved.
+$(B)/unit/test_linear_parsers: LDFLAGS += -Wl,--wrap=memmove
+
 $(B)/unit/%: $(B)/obj/tests/unit/%.o $(REVERSED)
 	@mkdir -p $(@D)
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
--- a/lib/backend/engine.c
+++ b/lib/backend/engine.c
@@ -11,6 +11,8 @@
 /* Largest response that is not a stream, bytes. */
 #define ANSWER_MAX_BYTES 8388608
 #define CANCEL_TIMEOUT_MS 2000
+/* Status of a response that streams events. */
+#define STREAM_CODE 200
 
 struct ld_engine_call {
 	struct ld_http_sink sink;
@@ -27,7 +29,6 @@
 	bool finished;
 	bool cancelled;
 	unsigned int callback_depth; /* > 0 during a callback: defers freeing */
-	enum ld_status failure;
 };
 
 static void
@@ -89,7 +90,7 @@
 	struct ld_engine_call *c = call_of(s);
 
 	c->content_type = ld_str_dup(content_type);
-	c->is_stream = code == 200 &&
+	c->is_stream = code == STREAM_CODE &&
 	    ld_str_starts(content_type, LD_STR("text/event-stream"));
 	if (!c->is_stream || c->ops->begin == NULL)
 		return;
@@ -100,58 +101,77 @@
 		engine_free(c);
 }
 
-static void
+static enum ld_status
 deliver_events(struct ld_engine_call *c)
 {
 	struct ld_str event, data;
+	enum ld_status st = LD_E_AGAIN;
 
 	while (!c->cancelled && !c->finished &&
-	    ld_sse_next(&c->sse, &event, &data)) {
-		if (data.len == 0)
+	    (st = ld_sse_next(&c->sse, &event)) == LD_OK) {
+		if (!ld_sse_data(event, &data) || data.len == 0)
 			continue; /* a comment or keep-alive */
 		if (ld_str_eq(data, LD_STR("[DONE]")))
 			c->finished = true;
 		else
 			c->ops->token(c->owner, event);
 	}
+	return st == LD_E_AGAIN ? LD_OK : st;
+}
+
+static void
+end_call(struct ld_engine_call *c, const struct ld_http_result *result)
+{
+	c->call = NULL;
+	c->callback_depth++;
+	c->ops->done(c->owner, result, c->finished, ld_str_c(c->content_type),
+	    ld_buf_str(&c->body));
+	engine_free(c);
+}
+
+/* Ends a call whose stream is over or can't be used, while bytes still arrive. */
+static void
+close_stream(struct ld_engine_call *c, enum ld_status st)
+{
+	struct ld_http_result result = {
+	    .status = st, .code = STREAM_CODE, .sent = true};
+
+	ld_http_cancel(c->call);
+	end_call(c, &result);
 }
 
 static void
 on_body(struct ld_http_sink *s, struct ld_str bytes)
 {
 	struct ld_engine_call *c = call_of(s);
+	enum ld_status st;
 
 	if (!c->is_stream) {
 		ld_buf_adds(&c->body, bytes);
 		return;
 	}
-	if (c->finished || c->failure != LD_OK)
-		return;
-	c->failure = ld_sse_feed(&c->sse, bytes);
-	if (c->failure != LD_OK)
+	if (c->finished) {
+		close_stream(c, LD_OK);
 		return;
+	}
+	ld_sse_feed(&c->sse, bytes);
 	c->callback_depth++;
-	deliver_events(c);
+	st = deliver_events(c);
 	c->callback_depth--;
 	if (c->cancelled)
 		engine_free(c);
+	else if (st != LD_OK)
+		close_stream(c, st);
 }
 
 static void
 on_done(struct ld_http_sink *s, const struct ld_http_result *r)
 {
 	struct ld_engine_call *c = call_of(s);
-	struct ld_http_result result = *r;
 
-	if (c->failure != LD_OK)
-		result.status = c->failure;
 	if (!c->is_stream)
-		c->finished = result.status == LD_OK;
-	c->call = NULL;
-	c->callback_depth++;
-	c->ops->done(c->owner, &result, c->finished, ld_str_c(c->content_type),
-	    ld_buf_str(&c->body));
-	engine_free(c);
+		c->finished = r->status == LD_OK;
+	end_call(c, r);
 }
 
 /* ---- Request ---- */
@@ -185,6 +205,7 @@
 	hr.total_timeout_ms = rq->total_timeout_ms;
 	hr.max_body = rq->stream ? 0 : ANSWER_MAX_BYTES;
 	c->sink.ops = &sink_ops;
+	c->sse.max_event_bytes = LD_ENGINE_EVENT_MAX_BYTES;
 	c->http = http;
 	c->ops = ops;
 	c->owner = owner;
--- a/lib/backend/ld_backend.h
+++ b/lib/backend/ld_backend.h
@@ -6,44 +6,13 @@
 
 #include "ld_http.h"
 
-/* ---- Server-sent events ---- */
-
-/**
- * struct ld_sse - incremental parser; zero-initialise
- *
- * An event is a block of lines that ends with an empty line. Input may be split
- * at any byte.
- */
-struct ld_sse {
-	struct ld_buf pending;
-	size_t scanned; /* leading bytes of pending without an event end */
-	size_t returned; /* bytes of pending returned by ld_sse_next() */
-};
-
-/** Largest event accepted, bytes. */
-#define LD_SSE_EVENT_MAX_BYTES 262144
-
-/**
- * ld_sse_feed() - append input
- *
- * Return: LD_OK, or LD_E_TOO_LARGE when LD_SSE_EVENT_MAX_BYTES is exceeded.
- */
-enum ld_status ld_sse_feed(struct ld_sse *s, struct ld_str bytes);
-/**
- * ld_sse_next() - next complete event
- * @event: set to its lines, including the empty line at the end
- * @data: set to the text after "data:" of its first data line, or empty
- *
- * Return: false when no complete event is buffered. The views are valid until
- * the next call on @s.
- */
-bool ld_sse_next(struct ld_sse *s, struct ld_str *event, struct ld_str *data);
-void ld_sse_free(struct ld_sse *s);
-
 /* ---- Completions ---- */
 
 struct ld_engine_call;
 
+/** Largest event of a streamed completion, bytes. */
+#define LD_ENGINE_EVENT_MAX_BYTES 262144
+
 /**
  * struct ld_engine_ops - callbacks of a completion call
  * @begin: a streamed response with status 200 starts; may be NULL
--- a/lib/common/ld_common.h
+++ b/lib/common/ld_common.h
@@ -88,6 +88,29 @@
 struct ld_str ld_buf_str(const struct ld_buf *b);
 void ld_buf_free(struct ld_buf *b);
 
+/**
+ * struct ld_fifo - bytes appended at the end and consumed at the front;
+ * zero-initialise before use
+ *
+ * The work is linear in the bytes that pass through, and the memory in the bytes
+ * that wait, however they are split.
+ */
+struct ld_fifo {
+	struct ld_buf buf;
+	size_t start; /* leading bytes of buf that were consumed */
+};
+
+/** ld_fifo_str() - the bytes that wait, valid until the next ld_fifo_tail() */
+struct ld_str ld_fifo_str(const struct ld_fifo *f);
+size_t ld_fifo_len(const struct ld_fifo *f);
+/** ld_fifo_tail() - the buffer to append to; call it before each append */
+struct ld_buf *ld_fifo_tail(struct ld_fifo *f);
+/** ld_fifo_consume() - drop the first @n bytes; moves nothing */
+void ld_fifo_consume(struct ld_fifo *f, size_t n);
+/** ld_fifo_reset() - drop all bytes */
+void ld_fifo_reset(struct ld_fifo *f);
+void ld_fifo_free(struct ld_fifo *f);
+
 /* ---- Memory: a failed allocation ends the process with a log line ---- */
 
 void *ld_alloc(size_t n); /* zeroed */
--- a/lib/http/ld_http.h
+++ b/lib/http/ld_http.h
@@ -1,5 +1,5 @@
 /*
- * HTTP client on libcurl multi and libev. Source: lib/http.
+ * HTTP client on libcurl multi and libev; event streams. Source: lib/http.
  */
 #ifndef LD_HTTP_H
 #define LD_HTTP_H
@@ -111,4 +111,45 @@
 /** ld_http_is_new_connection() - whether the call set up its connection */
 bool ld_http_is_new_connection(struct ld_http_call *c);
 
+/* ---- Server-sent events ---- */
+
+/**
+ * struct ld_sse - incremental parser; zero-initialise, then set the bound
+ * @max_event_bytes: of one event, with the empty line that ends it
+ *
+ * An event is a block of lines that ends with an empty line. Input may be split
+ * at any byte, which changes neither the events nor the order of the work: it
+ * is linear in the bytes.
+ */
+struct ld_sse {
+	struct ld_fifo pending;
+	size_t scanned; /* leading bytes of pending without an event end */
+	size_t max_event_bytes;
+};
+
+/** ld_sse_feed() - append input; take its events before the next call */
+void ld_sse_feed(struct ld_sse *s, struct ld_str bytes);
+/**
+ * ld_sse_next() - take the next complete event
+ * @event: set to its lines, with the empty line; valid until ld_sse_feed()
+ *
+ * Return: LD_OK; LD_E_AGAIN when no complete event is buffered; LD_E_TOO_LARGE
+ * when the event, complete or not, exceeds the bound.
+ */
+enum ld_status ld_sse_next(struct ld_sse *s, struct ld_str *event);
+/** ld_sse_pending_bytes() - bytes of an event that is not complete */
+size_t ld_sse_pending_bytes(const struct ld_sse *s);
+/** ld_sse_reset() - drop what is buffered */
+void ld_sse_reset(struct ld_sse *s);
+void ld_sse_free(struct ld_sse *s);
+
+/**
+ * ld_sse_data() - value of the first data field
+ *
+ * Return: false for comments and other fields alone.
+ */
+bool ld_sse_data(struct ld_str event, struct ld_str *data);
+/** ld_sse_id() - the id, UINT64_MAX if it has none or one that is no number */
+uint64_t ld_sse_id(struct ld_str event);
+
 #endif
--- a/lib/loop/ld_loop.h
+++ b/lib/loop/ld_loop.h
@@ -109,6 +109,11 @@
 /** ld_loop_run() - run until ld_loop_stop() */
 void ld_loop_run(struct ld_loop *l);
 void ld_loop_stop(struct ld_loop *l);
+/**
+ * ld_loop_take_longest_turn_ms() - the longest turn since the last call: from the
+ * end of a wait to the next wait, while no other event has its turn
+ */
+uint64_t ld_loop_take_longest_turn_ms(struct ld_loop *l);
 /** ld_loop_pauses() - number of process pauses detected */
 uint64_t ld_loop_pauses(const struct ld_loop *l);
 
--- a/lib/loop/loop.c
+++ b/lib/loop/loop.c
@@ -18,6 +18,9 @@
 	struct ld_task *ready_head;
 	struct ld_task **ready_tail;
 	uint64_t expected_ms; /* the next iteration starts by then */
+	uint64_t
+	    turn_start_ms; /* of the turn in progress, 0 before the first */
+	uint64_t longest_turn_ms; /* see ld_loop_take_longest_turn_ms() */
 	uint64_t pauses;
 };
 
@@ -168,6 +171,9 @@
 	if (l->ready_head == NULL)
 		ev_idle_stop(ev, &l->idle);
 	now = ld_loop_now(l);
+	if (l->turn_start_ms != 0 &&
+	    now - l->turn_start_ms > l->longest_turn_ms)
+		l->longest_turn_ms = now - l->turn_start_ms;
 	next = ld_timers_next(l->timers);
 	ev_timer_stop(ev, &l->wake);
 	l->expected_ms = UINT64_MAX;
@@ -193,6 +199,7 @@
 		    "the process was stopped for about %llu ms",
 		    (unsigned long long)(now - l->expected_ms));
 	}
+	l->turn_start_ms = now;
 	ld_timers_advance(l->timers, now);
 }
 
@@ -260,6 +267,15 @@
 	ev_break(l->ev, EVBREAK_ALL);
 }
 
+uint64_t
+ld_loop_take_longest_turn_ms(struct ld_loop *l)
+{
+	uint64_t ms = l->longest_turn_ms;
+
+	l->longest_turn_ms = 0;
+	return ms;
+}
+
 uint64_t
 ld_loop_pauses(const struct ld_loop *l)
 {
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -163,6 +163,7 @@
 relay_event(struct request *q, struct ld_str event, uint64_t id)
 {
 	uint64_t now = relay_now(q->relay);
+	struct ld_str data;
 
 	if (!q->response_started) {
 		q->response_started = true;
@@ -182,50 +183,53 @@
 	if (id != UINT64_MAX) {
 		q->last_event_id = id;
 		q->data_without_id = false;
-	} else if (event_has_data(event)) {
+	} else if (ld_sse_data(event, &data)) {
 		q->data_without_id = true;
 	}
 	ld_exchange_write(q->x, event);
 }
 
-/* Skips events that were relayed already. Returns false when an event is
- * missing. */
-static bool
+/* Skips events that were relayed already. Returns NULL, or why the rest of the
+ * stream can't be relayed. */
+static const char *
 relay_events(struct request *q)
 {
 	struct ld_str event;
-	uint64_t id;
+	enum ld_status st;
 
-	while (events_peek(&q->events, &event, &id)) {
+	while ((st = ld_sse_next(&q->events, &event)) == LD_OK) {
+		uint64_t id = ld_sse_id(event);
 		bool seen = q->last_event_id != UINT64_MAX &&
 		    id != UINT64_MAX && id <= q->last_event_id;
 
 		if (q->response_started && !seen && id != UINT64_MAX &&
 		    q->last_event_id != UINT64_MAX &&
 		    id != q->last_event_id + 1)
-			return false;
+			return "event-missing";
 		if (!seen)
 			relay_event(q, event, id);
 		request_note_event(q);
-		events_consume(&q->events, event);
 	}
-	return true;
+	return st == LD_E_TOO_LARGE ? "event-too-large" : NULL;
 }
 
 static void
 on_body(struct ld_http_sink *s, struct ld_str bytes)
 {
 	struct request *q = request_of(s);
+	const char *fault;
 
 	record_bytes_received(q);
 	if (!is_event_stream(q)) {
 		ld_buf_adds(&q->response.body, bytes);
 		return;
 	}
-	events_append(&q->events, bytes);
-	if (!relay_events(q)) {
+	ld_sse_feed(&q->events, bytes);
+	fault = relay_events(q);
+	if (fault != NULL) {
 		request_mark_maybe_ran(q);
-		retry_or_fail(q, "event-missing");
+		note_server_failed(q);
+		retry_or_fail(q, fault);
 		return;
 	}
 	if (ld_exchange_backlog(q->x) > LD_ENTRY_BACKLOG_BYTES)
@@ -286,7 +290,7 @@
 static bool
 stream_is_cut(const struct request *q)
 {
-	return events_pending_bytes(&q->events) > 0 ||
+	return ld_sse_pending_bytes(&q->events) > 0 ||
 	    (!q->response.has_framing && q->send_first_event_ms == 0);
 }
 
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -51,7 +51,7 @@
 		q->next->prev_next = q->prev_next;
 	q->relay->request_count--;
 	response_reset(&q->response);
-	events_free(&q->events);
+	ld_sse_free(&q->events);
 	for (size_t i = 0; i < q->tried_count; i++)
 		free(q->tried[i]);
 	free(q->attempt_id);
@@ -100,7 +100,8 @@
 	};
 
 	response_reset(&q->response);
-	events_reset(&q->events);
+	ld_sse_reset(&q->events);
+	q->events.max_event_bytes = r->settings->max_event_bytes;
 	q->resume_retried = false;
 	q->send_reused = false;
 	q->last_byte_ms = 0;
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -2,7 +2,6 @@
 #ifndef REQUEST_INTERNAL_H
 #define REQUEST_INTERNAL_H
 
-#include "events.h"
 #include "relay_internal.h"
 
 #define RESPONSE_FIELDS_MAX 64
@@ -93,7 +92,7 @@
 	char *tried[LD_DISPATCH_TRIED_MAX];
 	size_t tried_count;
 	/* Event streams only. */
-	struct events events;
+	struct ld_sse events;
 	bool response_started; /* its head was sent to the client */
 	bool data_without_id; /* after the last id: a new run repeats it */
 	uint64_t last_event_id; /* last one relayed, UINT64_MAX: none */
--- a/lib/relay/usage.c
+++ b/lib/relay/usage.c
@@ -70,13 +70,15 @@
 		return;
 	t = totals_now(r);
 	ld_event("node.usage",
-	    "ms=%llu processor_ms=%llu requests=%llu sends=%llu "
-	    "store_reads=%llu store_writes=%llu store_leases=%llu "
+	    "ms=%llu processor_ms=%llu longest_turn_ms=%llu "
+	    "requests=%llu sends=%llu store_reads=%llu store_writes=%llu "
+	    "store_leases=%llu "
 	    "store_watches=%llu datagrams_in=%llu datagrams_out=%llu "
 	    "bytes_in=%llu bytes_out=%llu peers=%zu holds_control=%d "
 	    "watches_store=%d",
 	    (unsigned long long)(now - u->logged_ms),
 	    (unsigned long long)(t.processor_ms - u->logged.processor_ms),
+	    (unsigned long long)ld_loop_take_longest_turn_ms(r->loop),
 	    (unsigned long long)(t.requests - u->logged.requests),
 	    (unsigned long long)(t.sends - u->logged.sends),
 	    (unsigned long long)(t.calls[LD_STORE_READ] -
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -183,6 +183,7 @@
 	uint64_t follow_from_nodes;
 	uint64_t metrics_port;
 	struct ld_address store_address;
+	uint64_t max_event_bytes;
 	uint64_t max_descriptors;
 	uint64_t processor_permille; /* of node.processor_share */
 	uint64_t revoke_ms;
--- a/lib/settings/relay_table.c
+++ b/lib/settings/relay_table.c
@@ -44,6 +44,8 @@
 	"Port of the counters, on the entry's address."),
     ROW("store.address", ADDRESS, store_address, 0, 0, NULL,
 	"Address of the key-value store."),
+    ROW("servers.max_event_bytes", UINT, max_event_bytes, 1024, 16777216,
+	"262144", "Longest event of a server's stream, bytes."),
     ROW("bounds.strict_revocation", BOOL, strict_revocation, 0, 0, "true",
 	"A key that was taken away must not serve after bounds.revoke_ms."),
     ROUNDED_ROW("bounds.revoke_ms", UINT, revoke_ms, 0, HOUR_MS, "5000",
--- a/tests/faults/ld_raw_server.c
+++ b/tests/faults/ld_raw_server.c
@@ -1,5 +1,6 @@
 /* A server that writes scripted bytes. */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,6 +28,10 @@
 	struct linger now = {.l_onoff = 1, .l_linger = 0};
 
 	drop_pending(c);
+	if (c->repeated != NULL) {
+		ev_io_stop(ld_loop_ev(s->loop), &c->endless);
+		s->endless--;
+	}
 	if (reset)
 		setsockopt(c->io.fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
 	ev_io_stop(ld_loop_ev(s->loop), &c->io);
@@ -34,11 +39,49 @@
 	c->server = NULL;
 }
 
+static void
+on_endless(struct ev_loop *ev, ev_io *io, int events)
+{
+	static char burst[RAW_BURST_BYTES];
+	struct raw_connection *c = io->data;
+	size_t unit = strlen(c->repeated), n = 0;
+	ssize_t sent;
+
+	/* Whole units, so that any socket may take a part of the bytes. */
+	for (; n + unit <= sizeof(burst); n += unit)
+		memcpy(burst + n, c->repeated, unit);
+	sent = send(io->fd, burst + c->burst_offset, n - c->burst_offset,
+	    MSG_NOSIGNAL | MSG_DONTWAIT);
+	if (sent < 0) {
+		if (errno != EAGAIN)
+			close_connection(c, false);
+		return;
+	}
+	c->burst_offset = (c->burst_offset + (size_t)sent) % unit;
+	c->endless_bytes += (size_t)sent;
+	if (c->endless_bytes > c->server->endless_bytes)
+		c->server->endless_bytes = c->endless_bytes;
+}
+
+static void
+start_endless(struct raw_connection *c, const char *bytes)
+{
+	c->repeated = bytes;
+	c->server->endless++;
+	ev_io_init(&c->endless, on_endless, c->io.fd, EV_WRITE);
+	c->endless.data = c;
+	ev_io_start(ld_loop_ev(c->server->loop), &c->endless);
+}
+
 static void
 run_step(struct raw_connection *c, const struct raw_step *step)
 {
 	size_t n = strlen(step->bytes);
 
+	if (step->end == RAW_ENDLESS) {
+		start_endless(c, step->bytes);
+		return;
+	}
 	/* The peer may have closed: the step then has no effect. */
 	(void)send(c->io.fd, step->bytes, n, MSG_NOSIGNAL | MSG_DONTWAIT);
 	if (step->end != RAW_KEEP)
@@ -210,6 +253,7 @@
 	s->script = script;
 	s->requests = 0;
 	s->connections = 0;
+	s->endless_bytes = 0;
 	s->last_request[0] = '\0';
 }
 
--- a/tests/faults/ld_raw_server.h
+++ b/tests/faults/ld_raw_server.h
@@ -12,12 +12,14 @@
 #define RAW_CONNECTIONS_MAX 64
 #define RAW_PENDING_MAX 16
 #define RAW_REQUEST_BYTES 4096
+#define RAW_BURST_BYTES 65536
 
 /** enum raw_end - what follows the bytes of a step */
 enum raw_end {
 	RAW_KEEP, /* the connection stays open */
 	RAW_CLOSE,
-	RAW_RESET
+	RAW_RESET,
+	RAW_ENDLESS /* they are repeated until the peer closes */
 };
 
 /**
@@ -49,6 +51,10 @@
 	char request[RAW_REQUEST_BYTES];
 	size_t len;
 	struct raw_pending pending[RAW_PENDING_MAX];
+	ev_io endless; /* writes the bytes of a RAW_ENDLESS step */
+	const char *repeated; /* these bytes, NULL for none */
+	size_t burst_offset; /* of the next byte within them */
+	size_t endless_bytes; /* written by that step */
 };
 
 /** struct raw_server - zero-initialise before raw_server_open() */
@@ -60,6 +66,9 @@
 	unsigned int requests; /* since raw_server_play() */
 	unsigned int probes; /* answered whatever the script, and not counted */
 	unsigned int connections; /* accepted since raw_server_play() */
+	unsigned int
+	    endless; /* RAW_ENDLESS steps that the peer has not ended */
+	size_t endless_bytes; /* the most that one of them has written */
 	char last_request[RAW_REQUEST_BYTES]; /* head and body */
 	struct raw_connection connection[RAW_CONNECTIONS_MAX];
 };
--- a/tests/unit/test_entry.c
+++ b/tests/unit/test_entry.c
@@ -252,14 +252,17 @@
 		    {text, cut}, {text + cut, sizeof(text) - 1 - cut}};
 		struct ld_str event, data;
 		struct ld_buf seen = {0};
-		struct ld_sse sse = {0};
+		struct ld_sse sse = {.max_event_bytes = sizeof(text)};
 
 		if (cut == sizeof(text) - 1)
 			parts[1].len = 0;
 		for (int i = 0; i < 2; i++) {
-			CU_ASSERT_EQUAL(ld_sse_feed(&sse, parts[i]), LD_OK);
-			while (ld_sse_next(&sse, &event, &data))
+			ld_sse_feed(&sse, parts[i]);
+			while (ld_sse_next(&sse, &event) == LD_OK) {
+				if (!ld_sse_data(event, &data))
+					data = LD_STR("");
 				ld_buf_printf(&seen, "<%.*s>", LD_FMT(data));
+			}
 		}
 		CU_ASSERT_STRING_EQUAL(ld_buf_cstr(&seen), expected);
 		ld_buf_free(&seen);
--- a/tests/unit/test_mutation.c
+++ b/tests/unit/test_mutation.c
@@ -233,19 +233,22 @@
 static bool
 take_sse(struct ld_str input)
 {
-	struct ld_sse s = {0};
+	struct ld_sse s = {.max_event_bytes = input.len + 1};
 	struct ld_str event, data;
 	size_t from = 0, events = 0, seen = 0;
-	enum ld_status st = LD_OK;
+	enum ld_status st;
 
-	while (from < input.len && st == LD_OK) {
+	while (from < input.len) {
 		size_t n = 1 + (from * 7 + input.len) % 61;
 
 		if (n > input.len - from)
 			n = input.len - from;
-		st = ld_sse_feed(&s, (struct ld_str){input.p + from, n});
+		ld_sse_feed(&s, (struct ld_str){input.p + from, n});
 		from += n;
-		while (st == LD_OK && ld_sse_next(&s, &event, &data)) {
+		while ((st = ld_sse_next(&s, &event)) == LD_OK) {
+			data.len = 0;
+			(void)ld_sse_data(event, &data);
+			(void)ld_sse_id(event);
 			CU_ASSERT_TRUE(event.len <= input.len - seen);
 			CU_ASSERT_TRUE(data.len <= event.len);
 			CU_ASSERT_EQUAL(
@@ -253,6 +256,7 @@
 			seen += event.len;
 			events++;
 		}
+		CU_ASSERT_EQUAL(st, LD_E_AGAIN);
 	}
 	ld_sse_free(&s);
 	return events > 0;
--- a/tests/unit/test_relay_parts.c
+++ b/tests/unit/test_relay_parts.c
@@ -20,41 +20,38 @@
 		struct ld_str parts[] = {
 		    {text, cut}, {text + cut, sizeof(text) - 1 - cut}};
 		uint64_t ids[4] = {0};
-		struct events e = {0};
+		struct ld_sse e = {.max_event_bytes = sizeof(text)};
 		struct ld_str event;
 		size_t n = 0;
 
 		if (cut == sizeof(text) - 1)
 			parts[1].len = 0;
 		for (int i = 0; i < 2 && cut < sizeof(text); i++) {
-			events_append(&e, parts[i]);
-			while (n < 4 && events_peek(&e, &event, &ids[n])) {
-				events_consume(&e, event);
-				n++;
-			}
+			ld_sse_feed(&e, parts[i]);
+			while (n < 4 && ld_sse_next(&e, &event) == LD_OK)
+				ids[n++] = ld_sse_id(event);
 		}
 		CU_ASSERT_EQUAL(n, 3);
 		CU_ASSERT_EQUAL(ids[0], 7);
 		CU_ASSERT_EQUAL(ids[1], 8);
 		CU_ASSERT_EQUAL(ids[2], UINT64_MAX);
-		CU_ASSERT_EQUAL(events_pending_bytes(&e), 0);
-		events_free(&e);
+		CU_ASSERT_EQUAL(ld_sse_pending_bytes(&e), 0);
+		ld_sse_free(&e);
 	}
 }
 
 static void
 test_half_an_event(void)
 {
-	struct events e = {0};
+	struct ld_sse e = {.max_event_bytes = 64};
 	struct ld_str event;
-	uint64_t id;
-
-	events_append(&e, LD_STR("id: 7\ndata: a\n"));
-	CU_ASSERT(!events_peek(&e, &event, &id));
-	CU_ASSERT(events_pending_bytes(&e) > 0);
-	events_reset(&e);
-	CU_ASSERT_EQUAL(events_pending_bytes(&e), 0);
-	events_free(&e);
+
+	ld_sse_feed(&e, LD_STR("id: 7\ndata: a\n"));
+	CU_ASSERT_EQUAL(ld_sse_next(&e, &event), LD_E_AGAIN);
+	CU_ASSERT(ld_sse_pending_bytes(&e) > 0);
+	ld_sse_reset(&e);
+	CU_ASSERT_EQUAL(ld_sse_pending_bytes(&e), 0);
+	ld_sse_free(&e);
 }
 
 static void
@@ -63,15 +60,14 @@
 	static const char *const texts[] = {
 	    "id: x\n\n", "id: 1234567890123456789012\n\n", "id:\n\n", "\n\n"};
 	struct ld_str event;
-	uint64_t id;
 
 	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
-		struct events e = {0};
+		struct ld_sse e = {.max_event_bytes = 64};
 
-		events_append(&e, ld_str_c(texts[i]));
-		CU_ASSERT(events_peek(&e, &event, &id));
-		CU_ASSERT_EQUAL(id, UINT64_MAX);
-		events_free(&e);
+		ld_sse_feed(&e, ld_str_c(texts[i]));
+		CU_ASSERT_EQUAL(ld_sse_next(&e, &event), LD_OK);
+		CU_ASSERT_EQUAL(ld_sse_id(event), UINT64_MAX);
+		ld_sse_free(&e);
 	}
 }
 
