--- a/lib/node/peer_conn.c
+++ b/lib/node/peer_conn.c
@@ -15,8 +15,6 @@
 #define READS_PER_EVENT 8
 /* Larger than a whole catalogue; a peer with a longer queue is too slow. */
 #define QUEUE_MAX_BYTES ((size_t)4 * 1024 * 1024)
-/* The buffer of an empty queue is freed if it is larger than this. */
-#define QUEUE_KEEP_BYTES 65536
 
 static void on_readable(struct ev_loop *ev, ev_io *w, int revents);
 static void on_writable(struct ev_loop *ev, ev_io *w, int revents);
@@ -40,7 +38,7 @@
 	c->session =
 	    ld_wire_session_new(dialled ? LD_WIRE_DIALER : LD_WIRE_ACCEPTOR,
 		ld_buf_str(&t->key), &t->rand);
-	ld_wire_hello(c->session, &c->out);
+	ld_wire_hello(c->session, ld_fifo_tail(&c->out));
 	ev_io_init(&c->reader, on_readable, fd, EV_READ);
 	ev_io_init(&c->writer, on_writable, fd, EV_WRITE);
 	c->reader.data = c;
@@ -106,8 +104,8 @@
 		*at = c->next;
 		t->conn_count--;
 		ld_wire_session_free(c->session);
-		ld_buf_free(&c->in);
-		ld_buf_free(&c->out);
+		ld_fifo_free(&c->in);
+		ld_fifo_free(&c->out);
 		free(c);
 	}
 }
@@ -131,9 +129,9 @@
 {
 	struct ev_loop *ev = ld_loop_ev(c->task->loop);
 
-	while (c->out_written < c->out.len) {
-		ssize_t n = send(c->fd, c->out.p + c->out_written,
-		    c->out.len - c->out_written, MSG_NOSIGNAL);
+	while (ld_fifo_len(&c->out) > 0) {
+		struct ld_str queued = ld_fifo_str(&c->out);
+		ssize_t n = send(c->fd, queued.p, queued.len, MSG_NOSIGNAL);
 
 		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
 			ev_io_start(ev, &c->writer);
@@ -143,14 +141,11 @@
 			conn_lost(c);
 			return;
 		}
-		c->out_written += (size_t)n;
+		ld_fifo_consume(&c->out, (size_t)n);
 		c->task->counters.bytes_out += (uint64_t)n;
 	}
 	ev_io_stop(ev, &c->writer);
-	c->out.len = 0;
-	c->out_written = 0;
-	if (c->out.cap > QUEUE_KEEP_BYTES)
-		ld_buf_free(&c->out);
+	ld_fifo_reset(&c->out);
 }
 
 void
@@ -158,7 +153,7 @@
 {
 	for (struct peer_conn *c = t->conns; c != NULL; c = c->next) {
 		if (c->fd < 0 || c->state == CONN_CONNECTING ||
-		    c->out.len == 0 || ev_is_active(&c->writer))
+		    ld_fifo_len(&c->out) == 0 || ev_is_active(&c->writer))
 			continue;
 		write_out(c);
 	}
@@ -167,16 +162,14 @@
 void
 peer_conn_send(struct peer_conn *c, struct ld_str payload)
 {
-	if (c->out.len - c->out_written + payload.len > QUEUE_MAX_BYTES) {
+	if (ld_fifo_len(&c->out) + payload.len > QUEUE_MAX_BYTES) {
 		c->task->counters.slow_closed++;
 		ld_log(LD_LOG_WARNING, "peers",
 		    "a slow peer's output queue is full, closing its link");
 		conn_lost(c);
 		return;
 	}
-	ld_buf_consume(&c->out, c->out_written);
-	c->out_written = 0;
-	if (ld_wire_seal(c->session, payload, &c->out) == LD_OK)
+	if (ld_wire_seal(c->session, payload, ld_fifo_tail(&c->out)) == LD_OK)
 		c->task->counters.frames_out++;
 }
 
@@ -265,19 +258,20 @@
 static bool
 read_chunk(struct peer_conn *c)
 {
+	struct ld_buf *in = ld_fifo_tail(&c->in);
 	ssize_t n;
 
-	ld_buf_reserve(&c->in, READ_BYTES);
-	n = recv(c->fd, c->in.p + c->in.len, READ_BYTES, 0);
+	ld_buf_reserve(in, READ_BYTES);
+	n = recv(c->fd, in->p + in->len, READ_BYTES, 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return false;
 	if (n <= 0) {
-		if (c->state == CONN_OPEN && c->in.len > 0)
+		if (c->state == CONN_OPEN && ld_fifo_len(&c->in) > 0)
 			c->task->counters.refused_protocol++;
 		conn_lost(c);
 		return false;
 	}
-	c->in.len += (size_t)n;
+	in->len += (size_t)n;
 	c->task->counters.bytes_in += (uint64_t)n;
 	process_frames(c);
 	return n == READ_BYTES && c->fd >= 0;
@@ -293,7 +287,7 @@
 		if (!read_chunk(c))
 			break;
 	}
-	if (c->in.len == 0)
-		ld_buf_free(&c->in);
+	if (ld_fifo_len(&c->in) == 0)
+		ld_fifo_free(&c->in);
 	peer_task_perform_actions(t);
 }
--- a/lib/node/peer_task_internal.h
+++ b/lib/node/peer_task_internal.h
@@ -33,9 +33,8 @@
 	bool dialled;
 	uint32_t link; /* id of the link in lib/peers, 0: none yet */
 	struct ld_wire_session *session;
-	struct ld_buf in;
-	struct ld_buf out;
-	size_t out_written; /* bytes of out already written */
+	struct ld_fifo in;
+	struct ld_fifo out;
 };
 
 struct ld_peer_task {
--- a/lib/store/watch.c
+++ b/lib/store/watch.c
@@ -25,10 +25,10 @@
 	bool prefix;
 	struct ld_store_call read;
 	struct ld_http_call *stream;
-	struct ld_buf line; /* or the complete response to a poll */
+	struct ld_fifo received; /* lines, or the response to a poll */
 	bool polling; /* the timer starts a poll, not a read */
 	uint64_t read_start_ms;
-	size_t scanned; /* leading bytes of line without a line feed */
+	size_t scanned; /* leading bytes of received without a line feed */
 	struct ld_timer
 	    timer; /* renewal, next poll, or retry after a failure */
 	struct backoff backoff;
@@ -56,7 +56,7 @@
 	if (w->stream != NULL)
 		ld_http_cancel(w->stream);
 	w->stream = NULL;
-	w->line.len = 0;
+	ld_fifo_reset(&w->received);
 	w->scanned = 0;
 }
 
@@ -133,26 +133,37 @@
 	return alive;
 }
 
+/* The first complete line; false: there is none yet. */
+static bool
+find_line(struct store_watch *w, struct ld_str *line)
+{
+	struct ld_str received = ld_fifo_str(&w->received);
+	const char *end = NULL;
+
+	if (w->scanned < received.len)
+		end = memchr(
+		    received.p + w->scanned, '\n', received.len - w->scanned);
+	w->scanned = end != NULL ? 0 : received.len;
+	*line = (struct ld_str){
+	    received.p, end != NULL ? (size_t)(end - received.p) : 0};
+	return end != NULL;
+}
+
 static void
 on_stream_body(struct ld_http_sink *sink, struct ld_str bytes)
 {
 	struct store_watch *w = (struct store_watch *)sink;
 	struct ld_str line;
-	char *end;
 
-	ld_buf_adds(&w->line, bytes);
+	ld_buf_adds(ld_fifo_tail(&w->received), bytes);
 	if (is_polled(w))
 		return;
-	while ((end = memchr(w->line.p + w->scanned, '\n',
-		    w->line.len - w->scanned)) != NULL) {
-		line = (struct ld_str){w->line.p, (size_t)(end - w->line.p)};
-		w->scanned = 0;
+	while (find_line(w, &line)) {
 		if (!on_line(w, line))
 			return;
-		ld_buf_consume(&w->line, line.len + 1);
+		ld_fifo_consume(&w->received, line.len + 1);
 	}
-	w->scanned = w->line.len;
-	if (w->line.len > LINE_MAX_BYTES)
+	if (ld_fifo_len(&w->received) > LINE_MAX_BYTES)
 		watch_failed(w, LD_E_TOO_LARGE);
 }
 
@@ -260,7 +271,8 @@
 	else if (st != LD_OK)
 		st = st == LD_E_TIMEOUT ? LD_E_TIMEOUT : LD_E_UNAVAILABLE;
 	if (st == LD_OK)
-		st = codec->decode(&op, result->code, ld_buf_str(&w->line), &d);
+		st = codec->decode(
+		    &op, result->code, ld_fifo_str(&w->received), &d);
 	if (st == LD_OK)
 		st = store_apply_era(w->store, w->era, &d);
 	/* In another era the same revisions denote other changes. */
@@ -269,7 +281,7 @@
 	/* The response may come from a replica that lags. */
 	if (st == LD_OK)
 		st = store_check_response(w->store, &d, w->revision);
-	w->line.len = 0;
+	ld_fifo_reset(&w->received);
 	if (st == LD_OK) {
 		on_poll_response(w, &d);
 	} else {
@@ -557,7 +569,7 @@
 	ld_timer_stop(ld_loop_timers(w->store->loop), &w->timer);
 	ld_store_cancel(&w->read);
 	cancel_stream(w);
-	ld_buf_free(&w->line);
+	ld_fifo_free(&w->received);
 	free(w->key);
 	free(w);
 }
--- a/lib/wire/ld_wire.h
+++ b/lib/wire/ld_wire.h
@@ -68,7 +68,7 @@
  * for a malformed frame or a gap in the sequence numbers.
  */
 enum ld_status ld_wire_open(
-    struct ld_wire_session *s, struct ld_buf *in, struct ld_buf *payload);
+    struct ld_wire_session *s, struct ld_fifo *in, struct ld_buf *payload);
 
 /**
  * ld_wire_end() - check the end of the stream
@@ -76,7 +76,7 @@
  * Return: LD_OK at a frame boundary, LD_E_PROTOCOL inside a frame.
  */
 enum ld_status ld_wire_end(
-    const struct ld_wire_session *s, const struct ld_buf *in);
+    const struct ld_wire_session *s, const struct ld_fifo *in);
 
 /* ---- Messages ---- */
 
--- a/lib/wire/session.c
+++ b/lib/wire/session.c
@@ -238,27 +238,28 @@
 
 /* Finds a complete frame at @offset of @in without consuming it. */
 static enum ld_status
-find_body(const struct ld_buf *in, size_t offset, struct ld_str *body)
+find_body(const struct ld_fifo *in, size_t offset, struct ld_str *body)
 {
-	size_t available = in->len - offset;
+	struct ld_str received = ld_fifo_str(in);
+	size_t available = received.len - offset;
 	uint32_t len;
 
 	if (available < LENGTH_BYTES)
 		return LD_E_AGAIN;
-	len = get_u32(in->p + offset);
+	len = get_u32(received.p + offset);
 	if (len > BODY_MIN_BYTES + LD_WIRE_PAYLOAD_MAX_BYTES)
 		return ld_fail(LD_E_TOO_LARGE, "frame of %u bytes", len);
 	if (len < BODY_MIN_BYTES)
 		return ld_fail(LD_E_PROTOCOL, "frame of %u bytes", len);
 	if (available - LENGTH_BYTES < len)
 		return LD_E_AGAIN;
-	*body = (struct ld_str){in->p + offset + LENGTH_BYTES, len};
+	*body = (struct ld_str){received.p + offset + LENGTH_BYTES, len};
 	return LD_OK;
 }
 
 enum ld_status
 ld_wire_open(
-    struct ld_wire_session *s, struct ld_buf *in, struct ld_buf *payload)
+    struct ld_wire_session *s, struct ld_fifo *in, struct ld_buf *payload)
 {
 	struct ld_str body = {"", 0};
 	size_t used = 0;
@@ -275,14 +276,14 @@
 		st = accept_frame(s, body, payload);
 		used += LENGTH_BYTES + body.len;
 	}
-	ld_buf_consume(in, used);
+	ld_fifo_consume(in, used);
 	return st;
 }
 
 enum ld_status
-ld_wire_end(const struct ld_wire_session *s, const struct ld_buf *in)
+ld_wire_end(const struct ld_wire_session *s, const struct ld_fifo *in)
 {
-	if (in->len > 0)
+	if (ld_fifo_len(in) > 0)
 		return ld_fail(LD_E_PROTOCOL, "stream ended inside a frame");
 	if (!s->ready)
 		return ld_fail(LD_E_PROTOCOL, "stream ended before a hello");
--- a/tests/faults/test_http_endless.c
+++ b/tests/faults/test_http_endless.c
@@ -9,7 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "ld_http.h"
+#include "ld_backend.h"
 #include "ld_session.h"
 #include "ld_test.h"
 
@@ -254,6 +254,89 @@
 	CU_ASSERT_EQUAL(t.bytes, 5);
 }
 
+/* ---- Streams of engines ---- */
+
+/** struct completion - the caller's side of a streamed completion */
+struct completion {
+	struct ld_http_result result;
+	unsigned int tokens;
+	bool finished;
+	bool done;
+};
+
+static void
+on_token(void *owner, struct ld_str event)
+{
+	((struct completion *)owner)->tokens++;
+}
+
+static void
+on_completion_done(void *owner, const struct ld_http_result *r, bool finished,
+    struct ld_str content_type, struct ld_str body)
+{
+	struct completion *c = owner;
+
+	c->result = *r;
+	c->finished = finished;
+	c->done = true;
+}
+
+#define EVENTS_HEAD OK_HEAD "Content-Type: text/event-stream\r\n\r\n"
+
+static struct completion
+complete(const char *name, const char *head, const char *again)
+{
+	static const struct ld_engine_ops engine_ops = {
+	    .token = on_token, .done = on_completion_done};
+	static struct sender s;
+	struct ld_loop *loop = ld_loop_new();
+	struct ld_http *h = ld_http_new(loop);
+	struct completion c = {0};
+	char address[32];
+	struct ld_engine_request rq = {
+	    .address = address,
+	    .path = "/v1/completions",
+	    .request_id = "r",
+	    .replica = "m",
+	    .stream = true,
+	    .body = LD_STR("{}"),
+	    .progress_timeout_ms = TOTAL_TIMEOUT_MS,
+	};
+
+	memset(&s, 0, sizeof(s));
+	s.loop = loop;
+	s.head = head;
+	s.again = again;
+	snprintf(address, sizeof(address), "127.0.0.1:%u", sender_open(&s));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ld_engine_start(h, &rq, &engine_ops, &c));
+	for (int i = 0; i < ENDS_WITHIN_MS && !(c.done && s.closed); i++)
+		ld_loop_run_for(loop, 1);
+	printf("%s: %s, finished %d, %zu bytes sent\n", name,
+	    ld_status_name(c.result.status), c.finished, s.sent);
+	CU_ASSERT(c.done);
+	CU_ASSERT(s.closed);
+	CU_ASSERT(s.sent < SENT_MAX_BYTES);
+	sender_close(&s);
+	ld_http_free(h);
+	ld_loop_free(loop);
+	return c;
+}
+
+static void
+test_streams_of_engines(void)
+{
+	struct completion c;
+
+	c = complete("event without end", EVENTS_HEAD, "data: x");
+	CU_ASSERT_EQUAL(c.result.status, LD_E_TOO_LARGE);
+	CU_ASSERT(!c.finished);
+	c = complete("bytes after the last event",
+	    EVENTS_HEAD "data: a\n\ndata: [DONE]\n\n", "data: x\n\n");
+	CU_ASSERT_EQUAL(c.result.status, LD_OK);
+	CU_ASSERT_EQUAL(c.tokens, 1);
+	CU_ASSERT(c.finished);
+}
+
 /* Single bytes at long intervals don't count as progress. */
 static void
 test_slow_heads_end_in_time(void)
@@ -271,6 +354,7 @@
 	    {"heads without end", test_heads_without_end},
 	    {"bodies without end", test_bodies_without_end},
 	    {"bytes past the end", test_bytes_past_the_end},
+	    {"streams of engines without end", test_streams_of_engines},
 	    {"slow heads end in time", test_slow_heads_end_in_time},
 	    {NULL, NULL},
 	};
--- a/tests/unit/test_linear_parsers.c
+++ b/tests/unit/test_linear_parsers.c
@@ -8,6 +8,7 @@
 #include "ld_http.h"
 #include "ld_test.h"
 #include "ld_trace.h"
+#include "ld_wire.h"
 
 /* The Makefile passes calls of memmove() to __wrap_memmove(). */
 void *__real_memmove(void *to, const void *from, size_t n);
@@ -101,6 +102,95 @@
 		check_linear("events", work_of_events, units[u]);
 }
 
+/* ---- Frames of a peer ---- */
+
+#define KEY LD_STR("a key of sixteen or more bytes")
+
+/* A stream of @n bytes or a little more of frames with @payload. */
+static struct ld_buf
+seal_frames(struct ld_wire_session *dialer, const char *payload, size_t n)
+{
+	struct ld_buf out = {0};
+
+	while (out.len < n)
+		CU_ASSERT_EQUAL_FATAL(
+		    ld_wire_seal(dialer, ld_str_c(payload), &out), LD_OK);
+	return out;
+}
+
+static uint64_t
+work_of_frames(const char *payload, size_t n, size_t chunk)
+{
+	struct ld_wire_session *dialer, *acceptor;
+	struct ld_fifo in = {0}, hello = {0};
+	struct ld_buf frames, taken = {0};
+	struct ld_rand r;
+	uint64_t start;
+
+	ld_rand_seed(&r, 1);
+	dialer = ld_wire_session_new(LD_WIRE_DIALER, KEY, &r);
+	acceptor = ld_wire_session_new(LD_WIRE_ACCEPTOR, KEY, &r);
+	ld_wire_hello(acceptor, ld_fifo_tail(&hello));
+	ld_wire_hello(dialer, ld_fifo_tail(&in));
+	CU_ASSERT_EQUAL(ld_wire_open(dialer, &hello, &taken), LD_E_AGAIN);
+	CU_ASSERT_EQUAL(ld_wire_open(acceptor, &in, &taken), LD_E_AGAIN);
+	frames = seal_frames(dialer, payload, n);
+	start = work_now();
+	for (size_t at = 0; at < frames.len; at += chunk) {
+		size_t left = frames.len - at;
+
+		ld_buf_add(ld_fifo_tail(&in), frames.p + at,
+		    chunk < left ? chunk : left);
+		while (ld_wire_open(acceptor, &in, &taken) == LD_OK)
+			;
+	}
+	start = work_now() - start;
+	CU_ASSERT_EQUAL(ld_wire_end(acceptor, &in), LD_OK);
+	ld_wire_session_free(dialer);
+	ld_wire_session_free(acceptor);
+	ld_fifo_free(&in);
+	ld_fifo_free(&hello);
+	ld_buf_free(&frames);
+	ld_buf_free(&taken);
+	return start;
+}
+
+static void
+test_frames(void)
+{
+	check_linear("frames", work_of_frames, "");
+	check_linear("frames", work_of_frames, "a short payload");
+}
+
+/* ---- A queue that is appended to while it is sent ---- */
+
+static uint64_t
+work_of_queue(const char *message, size_t n, size_t sent)
+{
+	struct ld_fifo queue = {0};
+	uint64_t start = work_now();
+
+	/* A reader that takes half of what is written. */
+	for (size_t done = 0; done < n; done += strlen(message)) {
+		ld_buf_adds(ld_fifo_tail(&queue), ld_str_c(message));
+		if (sent <= ld_fifo_len(&queue))
+			ld_fifo_consume(&queue, sent);
+	}
+	start = work_now() - start;
+	ld_fifo_free(&queue);
+	return start;
+}
+
+static void
+test_queue(void)
+{
+	static const char message[] = "a message of thirty-two bytes...";
+	uint64_t once = work_of_queue(message, BYTES, 16);
+	uint64_t twice = work_of_queue(message, 2 * BYTES, 16);
+
+	CU_ASSERT((double)twice <= GROWTH_MAX * (double)once);
+}
+
 /* ---- The bound of an event ---- */
 
 /* Whether an event of @len bytes is taken, in chunks of @chunk. */
@@ -139,6 +229,8 @@
 {
 	static const struct ld_test_case cases[] = {
 	    {"events of a stream", test_events},
+	    {"frames of a peer", test_frames},
+	    {"a queue that is sent in parts", test_queue},
 	    {"the bound of an event holds for any chunks",
 		test_bound_of_an_event},
 	    {NULL, NULL},
--- a/tests/unit/test_mutation_wire.c
+++ b/tests/unit/test_mutation_wire.c
@@ -37,29 +37,31 @@
 {
 	struct ld_wire_session *dialer = new_session(LD_WIRE_DIALER);
 	struct ld_wire_session *other = new_session(LD_WIRE_ACCEPTOR);
-	struct ld_buf hello = {0}, none = {0};
+	struct ld_fifo hello = {0};
+	struct ld_buf none = {0};
 
 	ld_wire_hello(dialer, out);
-	ld_wire_hello(other, &hello);
+	ld_wire_hello(other, ld_fifo_tail(&hello));
 	ld_wire_open(dialer, &hello, &none);
 	for (int i = 0; i < PAYLOADS; i++)
 		CU_ASSERT_EQUAL(ld_wire_seal(dialer, payloads[i], out), LD_OK);
 	ld_wire_session_free(dialer);
 	ld_wire_session_free(other);
-	ld_buf_free(&hello);
+	ld_fifo_free(&hello);
 	ld_buf_free(&none);
 }
 
 static bool
 take_frames(struct ld_str input)
 {
-	struct ld_buf in = {0}, payload = {0}, hello = {0};
+	struct ld_fifo in = {0};
+	struct ld_buf payload = {0}, hello = {0};
 	enum ld_status st;
 	int n = 0;
 
 	acceptor = new_session(LD_WIRE_ACCEPTOR);
 	ld_wire_hello(acceptor, &hello);
-	ld_buf_adds(&in, input);
+	ld_buf_adds(ld_fifo_tail(&in), input);
 	while ((st = ld_wire_open(acceptor, &in, &payload)) == LD_OK) {
 		CU_ASSERT_TRUE_FATAL(n < PAYLOADS);
 		CU_ASSERT_TRUE(ld_str_eq(ld_buf_str(&payload), payloads[n]));
@@ -68,7 +70,7 @@
 	CU_ASSERT_TRUE(st == LD_E_AGAIN || st == LD_E_TOO_LARGE ||
 	    st == LD_E_AUTH || st == LD_E_REPLAY || st == LD_E_PROTOCOL);
 	ld_wire_session_free(acceptor);
-	ld_buf_free(&in);
+	ld_fifo_free(&in);
 	ld_buf_free(&payload);
 	ld_buf_free(&hello);
 	return n == PAYLOADS;
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -13,8 +13,8 @@
 	struct ld_rand rand;
 	struct ld_wire_session *dialer;
 	struct ld_wire_session *acceptor;
-	struct ld_buf to_acceptor;
-	struct ld_buf to_dialer;
+	struct ld_fifo to_acceptor;
+	struct ld_fifo to_dialer;
 	struct ld_buf payload;
 };
 
@@ -25,8 +25,8 @@
 	ld_rand_seed(&p->rand, seed);
 	p->dialer = ld_wire_session_new(LD_WIRE_DIALER, KEY, &p->rand);
 	p->acceptor = ld_wire_session_new(LD_WIRE_ACCEPTOR, KEY, &p->rand);
-	ld_wire_hello(p->dialer, &p->to_acceptor);
-	ld_wire_hello(p->acceptor, &p->to_dialer);
+	ld_wire_hello(p->dialer, ld_fifo_tail(&p->to_acceptor));
+	ld_wire_hello(p->acceptor, ld_fifo_tail(&p->to_dialer));
 	CU_ASSERT_EQUAL(
 	    ld_wire_open(p->dialer, &p->to_dialer, &p->payload), LD_E_AGAIN);
 	CU_ASSERT_EQUAL(ld_wire_open(p->acceptor, &p->to_acceptor, &p->payload),
@@ -40,15 +40,15 @@
 {
 	ld_wire_session_free(p->dialer);
 	ld_wire_session_free(p->acceptor);
-	ld_buf_free(&p->to_acceptor);
-	ld_buf_free(&p->to_dialer);
+	ld_fifo_free(&p->to_acceptor);
+	ld_fifo_free(&p->to_dialer);
 	ld_buf_free(&p->payload);
 }
 
 static enum ld_status
 deliver(struct pair *p, struct ld_str bytes)
 {
-	ld_buf_adds(&p->to_acceptor, bytes);
+	ld_buf_adds(ld_fifo_tail(&p->to_acceptor), bytes);
 	return ld_wire_open(p->acceptor, &p->to_acceptor, &p->payload);
 }
 
@@ -62,13 +62,14 @@
 	ld_rand_seed(&r, SEED);
 	for (size_t cut = 1; cut < 90; cut++) {
 		struct ld_wire_session *d, *a;
-		struct ld_buf in = {0}, hello = {0}, payload = {0};
+		struct ld_fifo in = {0}, hello = {0};
+		struct ld_buf payload = {0};
 		int got = 0;
 
 		stream.len = 0;
 		d = ld_wire_session_new(LD_WIRE_DIALER, KEY, &r);
 		a = ld_wire_session_new(LD_WIRE_ACCEPTOR, KEY, &r);
-		ld_wire_hello(a, &hello);
+		ld_wire_hello(a, ld_fifo_tail(&hello));
 		ld_wire_hello(d, &stream);
 		CU_ASSERT_EQUAL(ld_wire_open(d, &hello, &payload), LD_E_AGAIN);
 		ld_wire_seal(d, LD_STR("one"), &stream);
@@ -78,7 +79,7 @@
 			size_t n =
 			    stream.len - at < cut ? stream.len - at : cut;
 
-			ld_buf_add(&in, stream.p + at, n);
+			ld_buf_add(ld_fifo_tail(&in), stream.p + at, n);
 			while (ld_wire_open(a, &in, &payload) == LD_OK)
 				got++;
 		}
@@ -86,8 +87,8 @@
 		CU_ASSERT_TRUE(
 		    ld_str_eq(ld_buf_str(&payload), LD_STR("three")));
 		CU_ASSERT_EQUAL(ld_wire_end(a, &in), LD_OK);
-		ld_buf_free(&in);
-		ld_buf_free(&hello);
+		ld_fifo_free(&in);
+		ld_fifo_free(&hello);
 		ld_buf_free(&payload);
 		ld_wire_session_free(d);
 		ld_wire_session_free(a);
@@ -146,21 +147,22 @@
 {
 	struct pair p, q;
 	struct ld_wire_session *s;
-	struct ld_buf frame = {0}, hello = {0}, payload = {0};
+	struct ld_fifo frame = {0}, hello = {0};
+	struct ld_buf payload = {0};
 
 	pair_open(&p, SEED);
 	pair_open(&q, SEED + 1);
-	ld_wire_seal(p.dialer, LD_STR("x"), &frame);
-	CU_ASSERT_EQUAL(deliver(&q, ld_buf_str(&frame)), LD_E_AUTH);
+	ld_wire_seal(p.dialer, LD_STR("x"), ld_fifo_tail(&frame));
+	CU_ASSERT_EQUAL(deliver(&q, ld_fifo_str(&frame)), LD_E_AUTH);
 	CU_ASSERT_EQUAL(ld_wire_open(p.dialer, &frame, &payload), LD_E_AUTH);
 	s = ld_wire_session_new(LD_WIRE_DIALER, KEY, &p.rand);
-	ld_wire_hello(s, &hello);
+	ld_wire_hello(s, ld_fifo_tail(&hello));
 	CU_ASSERT_EQUAL(ld_wire_open(s, &hello, &payload), LD_E_AUTH);
 	ld_wire_session_free(s);
 	pair_close(&p);
 	pair_close(&q);
-	ld_buf_free(&frame);
-	ld_buf_free(&hello);
+	ld_fifo_free(&frame);
+	ld_fifo_free(&hello);
 	ld_buf_free(&payload);
 }
 
@@ -169,18 +171,19 @@
 {
 	struct ld_rand r;
 	struct ld_wire_session *a, *b;
-	struct ld_buf hello = {0}, payload = {0};
+	struct ld_fifo hello = {0};
+	struct ld_buf payload = {0};
 
 	ld_rand_seed(&r, SEED);
 	a = ld_wire_session_new(LD_WIRE_DIALER, KEY, &r);
 	b = ld_wire_session_new(
 	    LD_WIRE_ACCEPTOR, LD_STR("another key of 16 or more"), &r);
-	ld_wire_hello(a, &hello);
+	ld_wire_hello(a, ld_fifo_tail(&hello));
 	CU_ASSERT_EQUAL(ld_wire_open(b, &hello, &payload), LD_E_AUTH);
 	CU_ASSERT_FALSE(ld_wire_ready(b));
 	ld_wire_session_free(a);
 	ld_wire_session_free(b);
-	ld_buf_free(&hello);
+	ld_fifo_free(&hello);
 	ld_buf_free(&payload);
 }
 
@@ -208,7 +211,7 @@
 	pair_open(&p, SEED);
 	CU_ASSERT_EQUAL(
 	    deliver(&p, LD_STR("\xff\xff\xff\xff")), LD_E_TOO_LARGE);
-	p.to_acceptor.len = 0;
+	ld_fifo_reset(&p.to_acceptor);
 	CU_ASSERT_EQUAL(deliver(&p, LD_STR("\0\0\0\1")), LD_E_PROTOCOL);
 	pair_close(&p);
 	ld_buf_free(&frame);
