groups: a refused connection does not prove the end of a head

Cause: head_gone() took a refused order and a lapsed entry for the end of the head's process. Both come from a partition as well.

Ruled out: late joins (answered at once), a second holder (one lease).

Change: a head that refuses connections is handled like one that is silent: its members are ordered to leave, and the group is retired when it has stood still for the stall time. Requests that nodes know of at the head defer that.

--- a/lib/groups/closing.c
+++ b/lib/groups/closing.c
@@ -1,8 +1,9 @@
 /*
  * End of a group: its members become free once its head certainly doesn't serve.
- * A head that gives no answer may be cut off and open. Each other member is then
- * ordered to leave, and is free once it has; as soon as one has left, the group
- * stands still, and after the engines' stall time its head is broken.
+ * A head that gives no answer, or refuses connections, may be on the other side of
+ * a partition and open. Each other member is then ordered to leave; as soon as one
+ * has left, the group stands still, and after the engines' stall time its head is
+ * broken and all are free.
  */
 #include <string.h>
 
@@ -30,20 +31,6 @@
 	return head->listed && !names_group(head, gr);
 }
 
-/*
- * Whether a head without an entry, at whose address nothing listens, has
- * stopped serving. A head that left without notice no longer listens either,
- * but continues until its requests have ended.
- */
-static bool
-head_gone(
-    const struct tick *s, const struct group *gr, const struct ld_server *head)
-{
-	return gr->head_unreachable && !head->listed && s->settled &&
-	    (head->active + head->peer_active == 0 ||
-		s->now_ms > head->unlisted_ms + HEAD_DRAIN_MAX_MS);
-}
-
 static void
 order_head(const struct tick *s, struct group *gr, struct ld_server *head)
 {
@@ -62,11 +49,17 @@
 
 /* ---- A head that gives no answer ---- */
 
-/*
- * A head that refuses connections may be leaving, and finish its requests with
- * all members. An order that is carried out late isn't answered either, but
- * probes are.
- */
+/* A head that has stopped listening may be leaving: it finishes its requests, for
+ * which it needs all members. */
+static bool
+may_finish_requests(
+    const struct tick *s, const struct group *gr, const struct ld_server *head)
+{
+	return head->active + head->peer_active > 0 &&
+	    s->now_ms <= gr->phase_since_ms + HEAD_DRAIN_MAX_MS;
+}
+
+/* An order that is carried out late isn't answered either, but probes are. */
 static bool
 head_gives_no_answer(
     const struct tick *s, const struct group *gr, const struct ld_server *head)
@@ -75,7 +68,11 @@
 
 	if (head == NULL)
 		return true;
-	if (!gr->head_silent || s->now_ms < gr->phase_since_ms + gr->drain_ms)
+	if (s->now_ms < gr->phase_since_ms + gr->drain_ms)
+		return false;
+	if (gr->head_unreachable)
+		return !may_finish_requests(s, gr, head);
+	if (!gr->head_silent)
 		return false;
 	info = server_info_get(s->g, head);
 	if (info->failed_probes >= FAILED_PROBES_MAX)
@@ -173,10 +170,6 @@
 		retire(s, gr, "the head has stopped");
 		return;
 	}
-	if (head != NULL && head_gone(s, gr, head)) {
-		retire(s, gr, "the head is gone");
-		return;
-	}
 	if (head != NULL)
 		order_head(s, gr, head);
 	if (head_gives_no_answer(s, gr, head))
--- a/tests/holders_servers.h
+++ b/tests/holders_servers.h
@@ -32,14 +32,25 @@
 	int members[LD_GROUP_SIZE_MAX];
 };
 
+/** enum cut - what a node sees of a server behind a partition */
+enum cut {
+	CUT_SILENT, /* orders and probes don't arrive, nor does an answer */
+	CUT_REFUSES, /* connections are refused */
+	CUT_ONE_WAY, /* they arrive, and are not answered */
+	CUT_KINDS
+};
+
 /** struct sim_server - one server; a restart clears all but @domain */
 struct sim_server {
 	int domain;
 	int64_t born;
 	bool dead;
+	bool ends_with_refusals; /* if dead: else it is dark */
 	uint64_t restart_ms;
 	uint64_t store_cut_until_ms;
 	uint64_t cut_until_ms; /* from nodes, store and members */
+	uint64_t nodes_cut_until_ms; /* from the nodes alone */
+	enum cut nodes_cut; /* how */
 	int64_t token_seen;
 	int64_t epoch_seen;
 	struct join join;
@@ -92,6 +103,22 @@
 	return s->now < s->v[i].cut_until_ms;
 }
 
+/* Whether a partition of that kind is between the server and the nodes. */
+static bool
+is_cut_from_nodes(const struct servers *s, int i, enum cut how)
+{
+	return s->now < s->v[i].nodes_cut_until_ms && s->v[i].nodes_cut == how;
+}
+
+/* Whether what a node sends doesn't arrive. */
+static bool
+is_out_of_reach(const struct servers *s, int i)
+{
+	return s->v[i].dead || is_cut(s, i) ||
+	    is_cut_from_nodes(s, i, CUT_SILENT) ||
+	    is_cut_from_nodes(s, i, CUT_REFUSES);
+}
+
 static void
 note_change(struct servers *s, struct sim_server *v)
 {
@@ -270,6 +297,8 @@
 	    .staged = v->staged,
 	    .store_cut_until_ms = v->store_cut_until_ms,
 	    .cut_until_ms = v->cut_until_ms,
+	    .nodes_cut_until_ms = v->nodes_cut_until_ms,
+	    .nodes_cut = v->nodes_cut,
 	    .changed = true};
 }
 
--- a/tests/holders_world.h
+++ b/tests/holders_world.h
@@ -28,6 +28,7 @@
 	uint64_t crash_ms; /* a server ends and starts again */
 	uint64_t store_cut_ms; /* a server is cut off from the store */
 	uint64_t cut_ms; /* a server is cut off from everything */
+	uint64_t partition_ms; /* some are from the nodes, and the store */
 	uint64_t late_percent; /* unanswered, carried out seconds later */
 	uint64_t lost_percent; /* carried out and unanswered */
 	uint64_t repeated_percent; /* carried out once more, later */
@@ -55,6 +56,7 @@
 	uint64_t reaches_ms; /* 0: it has, or never will */
 	uint64_t answered_ms; /* 0: it has been, or repeats another */
 	bool unanswered;
+	bool refused; /* the connection, at once */
 	enum ld_order_result result;
 	int64_t born; /* server process that it was sent to */
 	struct ld_server_entry report;
@@ -278,6 +280,18 @@
 	return c;
 }
 
+/* A process that has ended refuses connections, as a partition may. */
+static bool
+refuses_connections(const struct world *w, int i)
+{
+	const struct sim_server *v = &w->s.v[i];
+
+	if (is_cut(&w->s, i) || is_cut_from_nodes(&w->s, i, CUT_SILENT))
+		return false;
+	return (v->dead && v->ends_with_refusals) ||
+	    is_cut_from_nodes(&w->s, i, CUT_REFUSES);
+}
+
 static void
 send_order(struct world *w, int node, const struct ld_order *o)
 {
@@ -289,9 +303,12 @@
 	c->order = *o;
 	c->reaches_ms = now + 1 + below(w, 2UL * STEP_MS);
 	c->answered_ms = c->reaches_ms;
-	if (w->s.v[i].dead || is_cut(&w->s, i)) {
+	if (is_out_of_reach(&w->s, i)) {
 		c->unanswered = true;
+		c->refused = refuses_connections(w, i);
 		c->reaches_ms = 0;
+	} else if (is_cut_from_nodes(&w->s, i, CUT_ONE_WAY)) {
+		c->unanswered = true;
 	} else if (dice < w->faults.late_percent) {
 		c->unanswered = true;
 		c->reaches_ms = now + 200 + below(w, 6000);
@@ -305,7 +322,8 @@
 		again->reaches_ms = now + 200 + below(w, 6000);
 	}
 	if (c->unanswered)
-		c->answered_ms = now + ORDER_TIMEOUT_MS;
+		c->answered_ms =
+		    now + (c->refused ? STEP_MS : ORDER_TIMEOUT_MS);
 }
 
 static void
@@ -317,9 +335,12 @@
 	w->probes++;
 	c->is_probe = true;
 	c->probe = *p;
-	c->unanswered = w->s.v[i].dead || is_cut(&w->s, i);
+	c->unanswered = is_out_of_reach(&w->s, i) ||
+	    is_cut_from_nodes(&w->s, i, CUT_ONE_WAY);
+	c->refused = c->unanswered && refuses_connections(w, i);
 	c->answered_ms = w->s.now +
-	    (c->unanswered ? PROBE_TIMEOUT_MS : 1 + below(w, STEP_MS));
+	    (c->unanswered && !c->refused ? PROBE_TIMEOUT_MS
+					  : 1 + below(w, STEP_MS));
 	if (c->unanswered)
 		return;
 	c->report = server_report(&w->s, i);
@@ -337,7 +358,10 @@
 		ld_groups_on_probe_result(n->g, &c->probe,
 		    c->has_report ? &c->report : NULL, w->s.now);
 	else if (!ld_groups_on_order_result(n->g, &c->order,
-		     c->unanswered ? LD_ORDER_SILENT : c->result, w->s.now))
+		     c->refused		 ? LD_ORDER_UNREACHABLE
+			 : c->unanswered ? LD_ORDER_SILENT
+					 : c->result,
+		     w->s.now))
 		node_resign(w, c->node);
 }
 
@@ -354,7 +378,7 @@
 
 		if (c->reaches_ms != 0 && w->s.now >= c->reaches_ms) {
 			c->reaches_ms = 0;
-			if (w->s.v[i].dead || is_cut(&w->s, i))
+			if (is_out_of_reach(&w->s, i))
 				c->unanswered = true;
 			else if (w->s.v[i].born == c->born)
 				c->result =
@@ -465,6 +489,28 @@
 	}
 }
 
+/* Up to a fifth of the servers, mostly from the store as well, which takes longer
+ * than entries live. */
+static void
+fault_partition(struct world *w)
+{
+	uint64_t until = w->s.now + 2000 + below(w, 10000);
+	uint64_t percent = 1 + below(w, 20);
+	enum cut how = (enum cut)below(w, CUT_KINDS);
+	bool from_store = below(w, 4) != 0;
+
+	for (int i = 0; i < w->s.n; i++) {
+		struct sim_server *v = &w->s.v[i];
+
+		if (below(w, 100) >= percent)
+			continue;
+		v->nodes_cut = how;
+		v->nodes_cut_until_ms = until;
+		if (from_store)
+			v->store_cut_until_ms = until;
+	}
+}
+
 static void
 fault_servers(struct world *w)
 {
@@ -480,11 +526,14 @@
 		struct sim_server *v = &w->s.v[below(w, (uint64_t)w->s.n)];
 
 		v->dead = true;
+		v->ends_with_refusals = below(w, 2) == 0;
 		v->restart_ms = now + 500 + below(w, 8000);
 	}
 	if (strikes(w, w->faults.store_cut_ms))
 		w->s.v[below(w, (uint64_t)w->s.n)].store_cut_until_ms =
 		    now + 2000 + below(w, 6000);
+	if (strikes(w, w->faults.partition_ms))
+		fault_partition(w);
 	if (strikes(w, w->faults.cut_ms))
 		w->s.v[below(w, (uint64_t)w->s.n)].cut_until_ms =
 		    now + 2000 + below(w, 6000);
--- a/tests/unit/test_groups_exclusive.c
+++ b/tests/unit/test_groups_exclusive.c
@@ -108,6 +108,35 @@
 	run_seeds("late", 6, 11, small_sizes, &f, 10);
 }
 
+/* Whatever a side of a partition sees: a head may be open on the other. */
+static void
+test_partitions(void)
+{
+	static const struct faults f = {.kill_ms = 20000,
+	    .resign_ms = 20000,
+	    .crash_ms = 2000,
+	    .partition_ms = 3000,
+	    .late_percent = 5,
+	    .lost_percent = 2,
+	    .follower_age_ms = 1500,
+	    .catch_up_ms = 300,
+	    .holder_age_ms = 200};
+
+	run_seeds("partition", 6, 11, small_sizes, &f, 10);
+}
+
+/* What crashes of heads cost: nothing else happens. */
+static void
+test_crashes_alone(void)
+{
+	static const struct faults f = {.crash_ms = 1000,
+	    .follower_age_ms = 1500,
+	    .catch_up_ms = 300,
+	    .holder_age_ms = 200};
+
+	run_seeds("crashes", 6, 11, small_sizes, &f, 5);
+}
+
 int
 main(void)
 {
@@ -116,6 +145,8 @@
 	    {"holders in turn, 66 servers", test_holders_small},
 	    {"servers cut off from all nodes", test_servers_cut_off},
 	    {"orders carried out late", test_orders_carried_out_late},
+	    {"a refused connection is not the end of a head", test_partitions},
+	    {"crashes alone", test_crashes_alone},
 	    {NULL, NULL},
 	};
 
