--- a/tests/holders_servers.h
+++ b/tests/holders_servers.h
@@ -111,7 +111,7 @@
 }
 
 /* Whether what a node sends doesn't arrive. */
-static bool
+static inline bool
 is_out_of_reach(const struct servers *s, int i)
 {
 	return s->v[i].dead || is_cut(s, i) ||
