relay: a struct for one send of a request

Preparation for a request with two sends at a time: what belongs to one send (its call, server, times, response and events) moves from struct request to struct send, its code to send.c. A server that is tried again is listed once among those tried, and a failure is noted by its id rather than by the last index.

--- a/lib/relay/counts.c
+++ b/lib/relay/counts.c
@@ -67,17 +67,17 @@
 }
 
 void
-counts_send_started(struct request *q, const struct ld_server *s)
+counts_send_started(struct send *s)
 {
-	const char *group = s->entry.member.group;
+	const char *group = s->server->entry.member.group;
 
-	snprintf(q->group, sizeof(q->group), "%s", group != NULL ? group : "-");
+	snprintf(s->group, sizeof(s->group), "%s", group != NULL ? group : "-");
 }
 
 void
-counts_send_ended(const struct request *q, const char *result)
+counts_send_ended(const struct send *s, const char *result)
 {
-	const char *values[] = {q->group, result};
+	const char *values[] = {s->group, result};
 
-	ld_tally_add(q->relay->counts->group, values);
+	ld_tally_add(s->request->relay->counts->group, values);
 }
--- a/lib/relay/crashing_requests.c
+++ b/lib/relay/crashing_requests.c
@@ -53,24 +53,26 @@
 {
 	struct relay *r = q->relay;
 	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
-	bool begun = q->response.code == 200 && q->send_first_event_ms == 0;
+	bool begun =
+	    q->send->response.code == 200 && q->send->first_event_ms == 0;
 
-	if (q->server == NULL || q->answer_went_on)
+	if (q->send->server == NULL || q->answer_went_on)
 		return;
 	/* Nothing shows that the server had begun a request without a prompt: its
 	 * connection may have been reset. */
 	if (q->prompt.is_request) {
-		crash_check_start(r, q->server, q->prompt.own);
+		crash_check_start(r, q->send->server, q->prompt.own);
 		return;
 	}
 	if (isolation_is_suspected(r))
 		return;
 	relay_count(r, LD_M_RELAY_CRASH_SUSPECTS);
 	ld_event("prompt.suspected", "id=%s server=%s begun=%d parts=%s",
-	    ld_event_token(ld_str_c(q->attempt_id), id), q->server->entry.id,
-	    begun, ld_prompt_text(&q->prompt, parts));
+	    ld_event_token(ld_str_c(q->attempt_id), id),
+	    q->send->server->entry.id, begun,
+	    ld_prompt_text(&q->prompt, parts));
 	ld_quarantine_crashed(r->crashing_requests->quarantine, &q->prompt,
-	    q->server->id_hash, begun, relay_now(r));
+	    q->send->server->id_hash, begun, relay_now(r));
 }
 
 void
@@ -99,9 +101,9 @@
 {
 	uint64_t now = relay_now(q->relay);
 
-	if (q->send_first_event_ms == 0)
-		q->send_first_event_ms = now;
-	else if (now >= q->send_first_event_ms + SOUND_AFTER_MS)
+	if (q->send->first_event_ms == 0)
+		q->send->first_event_ms = now;
+	else if (now >= q->send->first_event_ms + SOUND_AFTER_MS)
 		request_note_answer(q);
 }
 
@@ -123,10 +125,10 @@
 
 	for (struct request *q = r->requests; q != NULL; q = next) {
 		next = q->next;
-		if (q->call == NULL || q->response_started ||
+		if (q->send->call == NULL || q->response_started ||
 		    !request_is_quarantined(q, &retry_after_ms))
 			continue;
-		if (ld_http_maybe_sent(q->call))
+		if (ld_http_maybe_sent(q->send->call))
 			q->maybe_ran = true;
 		request_record_failed_send(q, "quarantined", "give-up");
 		request_fail(q, "quarantined", retry_after_ms);
--- a/lib/relay/finish.c
+++ b/lib/relay/finish.c
@@ -17,7 +17,7 @@
 
 	counts_request_ended(q, outcome);
 	if (answered)
-		counts_send_ended(q, outcome);
+		counts_send_ended(q->send, outcome);
 	if (answered)
 		ld_metrics_observe(q->relay->metrics, LD_L_RELAY_ANSWER,
 		    (double)(now - q->start_ms));
@@ -35,11 +35,11 @@
 	    (unsigned long long)(now - q->start_ms),
 	    q->first_event_ms > 0 ? (long long)(q->first_event_ms - q->start_ms)
 				  : -1LL,
-	    (unsigned long long)q->predicted_ms,
+	    (unsigned long long)q->send->predicted_ms,
 	    (unsigned long long)q->max_gap_ms, q->sends, q->maybe_ran,
 	    q->service, q->model, (unsigned long long)q->prompt_tokens,
 	    ld_prompt_text(&q->prompt, parts), q->account,
-	    q->tried_count > 0 ? q->tried[q->tried_count - 1] : "-");
+	    send_server_id(q->send));
 }
 
 /* Detaches the exchange from the request, for the final response. */
@@ -86,16 +86,17 @@
 end_answered(struct request *q)
 {
 	relay_count(q->relay, LD_M_RELAY_ANSWERED);
-	request_record_end(q, "answered", q->response.code, "-");
+	request_record_end(q, "answered", q->send->response.code, "-");
 	return detach_exchange(q);
 }
 
 void
 request_relay_response(struct request *q)
 {
-	ld_exchange_answer(end_answered(q), (unsigned int)q->response.code,
-	    NULL, response_headers(&q->response),
-	    ld_buf_str(&q->response.body));
+	ld_exchange_answer(end_answered(q),
+	    (unsigned int)q->send->response.code, NULL,
+	    response_headers(&q->send->response),
+	    ld_buf_str(&q->send->response.body));
 	request_free(q);
 }
 
@@ -110,19 +111,18 @@
 request_record_failed_send(struct request *q, const char *why, const char *next)
 {
 	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
-	const struct ld_server *s = q->server;
+	const struct ld_server *s = q->send->server;
 	uint64_t now = relay_now(q->relay);
 
-	counts_send_ended(q, why);
+	counts_send_ended(q->send, why);
 	ld_event("send.failed",
 	    "id=%s server=%s why=%s code=%ld ms=%llu next=%s last_event=%lld "
 	    "parts=%s fresh=%d reused=%d peers_heard_ago_ms=%lld",
 	    ld_event_token(ld_str_c(q->attempt_id), id),
-	    q->tried_count > 0 ? q->tried[q->tried_count - 1] : "-", why,
-	    q->response.code,
-	    (unsigned long long)(relay_now(q->relay) - q->sent_ms), next,
+	    send_server_id(q->send), why, q->send->response.code,
+	    (unsigned long long)(relay_now(q->relay) - q->send->sent_ms), next,
 	    (long long)q->last_event_id, ld_prompt_text(&q->prompt, parts),
-	    !q->retryable, q->send_reused,
+	    !q->retryable, q->send->reused,
 	    s != NULL && s->peer_last_byte_ms > 0
 		? (long long)(now - s->peer_last_byte_ms)
 		: -1LL);
--- a/lib/relay/forward.c
+++ b/lib/relay/forward.c
@@ -3,9 +3,6 @@
  * other node handles them as if the client had connected to it; it forwards no
  * request that was forwarded.
  */
-#include <stdio.h>
-#include <string.h>
-
 #include "request_internal.h"
 
 /* Nodes that one request is sent to at most. */
@@ -28,21 +25,12 @@
 bool
 request_forward(struct request *q)
 {
-	struct relay *r = q->relay;
 	struct mesh_delegate helper;
-	char id[LD_EVENT_TOKEN_BYTES];
 
-	if (!mesh_find_helper(r, &helper))
+	if (!mesh_find_helper(q->relay, &helper))
 		return false;
-	q->forwards++;
-	snprintf(q->group, sizeof(q->group), "-");
-	snprintf(q->helper, sizeof(q->helper), "%s", helper.name);
-	relay_count(r, LD_M_RELAY_FORWARDED);
-	ld_event("request.forward", "id=%s node=%s forwards=%u",
-	    ld_event_token(ld_str_c(q->attempt_id), id), helper.name,
-	    q->forwards);
-	request_start_call(q, helper.address);
-	if (q->call == NULL)
+	q->resume_retried = false;
+	if (!send_to_node(q->send, &helper))
 		request_forward_failed(q, "bad-address", false);
 	return true;
 }
@@ -51,7 +39,7 @@
 try_next(struct request *q, const char *why)
 {
 	mesh_exclude_helper(
-	    q->relay, q->helper, relay_now(q->relay) + EXCLUDE_MS);
+	    q->relay, q->send->helper, relay_now(q->relay) + EXCLUDE_MS);
 	request_record_failed_send(q, why, "next-node");
 	request_cancel_send(q);
 	request_send(q);
@@ -60,9 +48,9 @@
 void
 request_forward_refused(struct request *q)
 {
-	uint64_t retry_after_ms = q->response.retry_after_ms;
+	uint64_t retry_after_ms = q->send->response.retry_after_ms;
 
-	if (q->response.code == CODE_OTHER_NODE) {
+	if (q->send->response.code == CODE_OTHER_NODE) {
 		try_next(q, "node-refused");
 		return;
 	}
--- a/lib/relay/headers.c
+++ b/lib/relay/headers.c
@@ -53,10 +53,10 @@
 	    LD_FIELD_ACCOUNT, LD_FIELD_EXPECT_SERVER, LD_FIELD_AUTHORIZATION,
 	    LD_FIELD_PRIORITY};
 	/* Another node authenticates the client's request itself. */
-	size_t count = h->request->server != NULL
+	size_t count = h->send->server != NULL
 	    ? sizeof(replaced) / sizeof(replaced[0])
 	    : 1;
-	const struct ld_dialect *d = h->request->relay->dialect;
+	const struct ld_dialect *d = h->send->request->relay->dialect;
 
 	for (size_t i = 0; i < sizeof(not_forwarded) / sizeof(not_forwarded[0]);
 	     i++)
@@ -67,7 +67,7 @@
 	for (size_t i = 0; i < count; i++)
 		if (strcasecmp(d->fields[replaced[i]], name) == 0)
 			return true;
-	if (has_own_last_event(h->request) &&
+	if (has_own_last_event(h->send->request) &&
 	    strcasecmp(d->fields[LD_FIELD_LAST_EVENT], name) == 0)
 		return true;
 	return list_contains(h->connection, name);
@@ -85,11 +85,12 @@
 static void
 add_server_fields(struct headers *h)
 {
-	const struct request *q = h->request;
+	const struct request *q = h->send->request;
 	const struct ld_dialect *d = q->relay->dialect;
 	char text[VALUE_BYTES];
 
-	add_header(h, d->fields[LD_FIELD_EXPECT_SERVER], q->server->entry.id);
+	add_header(
+	    h, d->fields[LD_FIELD_EXPECT_SERVER], h->send->server->entry.id);
 	snprintf(text, sizeof(text), "%u", q->priority);
 	add_header(h, d->fields[LD_FIELD_PRIORITY], text);
 	if (q->account[0] != '\0')
@@ -97,17 +98,18 @@
 }
 
 void
-headers_build(struct request *q, struct headers *h, uint64_t remaining_ms)
+headers_build(const struct send *s, struct headers *h, uint64_t remaining_ms)
 {
+	const struct request *q = s->request;
 	const struct ld_dialect *d = q->relay->dialect;
 	char text[VALUE_BYTES];
 
-	h->request = q;
+	h->send = s;
 	h->connection = ld_exchange_header(q->x, "Connection");
 	ld_exchange_fields(q->x, copy_client_header, h);
 	snprintf(text, sizeof(text), "%llu", (unsigned long long)remaining_ms);
 	add_header(h, d->fields[LD_FIELD_DEADLINE_MS], text);
-	if (q->server != NULL) {
+	if (s->server != NULL) {
 		add_server_fields(h);
 	} else {
 		snprintf(text, sizeof(text), "%s %u", q->relay->settings->name,
--- a/lib/relay/isolation.c
+++ b/lib/relay/isolation.c
@@ -75,8 +75,9 @@
 
 	for (struct request *q = r->requests; q != NULL; q = next) {
 		next = q->next;
-		if (q->server != NULL && q->call != NULL &&
-		    !ld_http_maybe_sent(q->call) && request_can_forward(q))
+		if (q->send->server != NULL && q->send->call != NULL &&
+		    !ld_http_maybe_sent(q->send->call) &&
+		    request_can_forward(q))
 			request_retry_or_fail(q, "node-isolated");
 	}
 }
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -9,30 +9,30 @@
 static struct request *
 request_of(struct ld_http_sink *s)
 {
-	return (struct request *)s;
+	return ((struct send *)s)->request;
 }
 
 static void
 note_server_failed(struct request *q)
 {
-	if (q->server == NULL)
+	if (q->send->server == NULL)
 		return;
-	ld_dispatch_failed(q->server, relay_now(q->relay));
-	q->tried_failed |= 1U << (q->tried_count - 1);
+	ld_dispatch_failed(q->send->server, relay_now(q->relay));
+	request_note_failed(q, q->send->server->entry.id);
 }
 
 static void
 note_server_answered(struct request *q)
 {
-	if (q->server != NULL)
-		ld_dispatch_answered(q->server, relay_now(q->relay));
+	if (q->send->server != NULL)
+		ld_dispatch_answered(q->send->server, relay_now(q->relay));
 }
 
 /* The send was answered, but not in a way that can be relayed. */
 static void
 retry_or_fail(struct request *q, const char *why)
 {
-	if (q->helper[0] != '\0')
+	if (q->send->helper[0] != '\0')
 		request_forward_failed(q, why, true);
 	else
 		request_retry_or_fail(q, why);
@@ -44,7 +44,7 @@
 	struct request *q = request_of(s);
 
 	response_add_field(
-	    &q->response, q->relay->dialect, q->attempt_id, name, value);
+	    &q->send->response, q->relay->dialect, q->attempt_id, name, value);
 }
 
 static void
@@ -52,10 +52,10 @@
 {
 	uint64_t now = ld_timers_now(ld_loop_timers(q->relay->loop));
 
-	q->last_byte_ms = now;
-	if (q->server == NULL)
+	q->send->last_byte_ms = now;
+	if (q->send->server == NULL)
 		return;
-	q->server->last_byte_ms = now;
+	q->send->server->last_byte_ms = now;
 	isolation_note_heard(q->relay);
 }
 
@@ -64,8 +64,8 @@
 static void
 record_rate(struct request *q)
 {
-	const struct response *rsp = &q->response;
-	struct ld_server *s = q->server;
+	const struct response *rsp = &q->send->response;
+	struct ld_server *s = q->send->server;
 	uint64_t now = relay_now(q->relay);
 	uint32_t rate = rsp->names_rate ? rsp->rate_milli : LD_RATE_UNLIMITED;
 
@@ -82,8 +82,8 @@
 static void
 record_server_state(struct request *q)
 {
-	const struct response *rsp = &q->response;
-	struct ld_server *s = q->server;
+	const struct response *rsp = &q->send->response;
+	struct ld_server *s = q->send->server;
 
 	if (s == NULL || rsp->code == 421)
 		return;
@@ -117,10 +117,10 @@
 static const char *
 response_fault(const struct request *q, struct ld_str type)
 {
-	if (response_verdict(&q->response) == RESPONSE_INVALID)
+	if (response_verdict(&q->send->response) == RESPONSE_INVALID)
 		return "foreign-answer";
 	/* Any other body can't go on where the stream broke off. */
-	if (q->response_started && q->response.code == 200 &&
+	if (q->response_started && q->send->response.code == 200 &&
 	    !is_event_stream_type(type))
 		return "no-event-stream";
 	return NULL;
@@ -132,15 +132,15 @@
 	struct request *q = request_of(s);
 	const char *fault;
 
-	q->response.code = code;
-	if (q->server != NULL) {
-		bool new_connection = ld_http_is_new_connection(q->call);
+	q->send->response.code = code;
+	if (q->send->server != NULL) {
+		bool new_connection = ld_http_is_new_connection(q->send->call);
 
 		isolation_note_heard(q->relay);
 		if (new_connection)
-			isolation_note_answered(q->relay, q->sent_ms);
+			isolation_note_answered(q->relay, q->send->sent_ms);
 		/* Servers can't echo the id of a request without one. */
-		q->response.needs_attempt_id =
+		q->send->response.needs_attempt_id =
 		    !new_connection && q->attempt_id[0] != '\0';
 	}
 	record_server_state(q);
@@ -156,7 +156,7 @@
 static bool
 is_event_stream(const struct request *q)
 {
-	return q->kind == LD_KIND_STREAM && q->response.code == 200;
+	return q->kind == LD_KIND_STREAM && q->send->response.code == 200;
 }
 
 static void
@@ -170,12 +170,14 @@
 		q->first_event_ms = now;
 		ld_metrics_observe(q->relay->metrics, LD_L_RELAY_FIRST,
 		    (double)(now - q->start_ms));
-		if (q->model[0] != '\0' && q->sends == 1 && q->server != NULL)
+		if (q->model[0] != '\0' && q->sends == 1 &&
+		    q->send->server != NULL)
 			ld_dispatch_add_sample(&q->relay->prediction_bias,
-			    ld_str_c(q->model), q->predicted_uncorrected_ms,
-			    now - q->sent_ms);
+			    ld_str_c(q->model),
+			    q->send->predicted_uncorrected_ms,
+			    now - q->send->sent_ms);
 		ld_exchange_begin_with(
-		    q->x, 200, response_headers(&q->response));
+		    q->x, 200, response_headers(&q->send->response));
 	} else if (now - q->last_event_ms > q->max_gap_ms) {
 		q->max_gap_ms = now - q->last_event_ms;
 	}
@@ -197,7 +199,7 @@
 	struct ld_str event;
 	enum ld_status st;
 
-	while ((st = ld_sse_next(&q->events, &event)) == LD_OK) {
+	while ((st = ld_sse_next(&q->send->events, &event)) == LD_OK) {
 		uint64_t id = ld_sse_id(event);
 		bool seen = q->last_event_id != UINT64_MAX &&
 		    id != UINT64_MAX && id <= q->last_event_id;
@@ -221,10 +223,10 @@
 
 	record_bytes_received(q);
 	if (!is_event_stream(q)) {
-		ld_buf_adds(&q->response.body, bytes);
+		ld_buf_adds(&q->send->response.body, bytes);
 		return;
 	}
-	ld_sse_feed(&q->events, bytes);
+	ld_sse_feed(&q->send->events, bytes);
 	fault = relay_events(q);
 	if (fault != NULL) {
 		request_mark_maybe_ran(q);
@@ -233,23 +235,23 @@
 		return;
 	}
 	if (ld_exchange_backlog(q->x) > LD_ENTRY_BACKLOG_BYTES)
-		ld_http_pause(q->call);
+		ld_http_pause(q->send->call);
 }
 
 static void
 handle_not_run(struct request *q)
 {
-	if (q->helper[0] != '\0') {
+	if (q->send->helper[0] != '\0') {
 		request_forward_refused(q);
 		return;
 	}
 	/* A late or wrong server, or one without room. */
-	if (q->response.code == 421)
+	if (q->send->response.code == 421)
 		note_server_failed(q);
 	else
-		ld_dispatch_full(q->server, relay_now(q->relay));
+		ld_dispatch_full(q->send->server, relay_now(q->relay));
 	request_retry_or_fail(
-	    q, q->response.code == 421 ? "wrong-server" : "full");
+	    q, q->send->response.code == 421 ? "wrong-server" : "full");
 }
 
 /* Status codes below this show that the server has survived the request: a server
@@ -264,7 +266,7 @@
 handle_complete_response(struct request *q)
 {
 	/* on_head() ends the send of an invalid response. */
-	if (response_verdict(&q->response) == RESPONSE_NOT_RUN) {
+	if (response_verdict(&q->send->response) == RESPONSE_NOT_RUN) {
 		handle_not_run(q);
 		return;
 	}
@@ -276,11 +278,12 @@
 		retry_or_fail(q, "server-error");
 		return;
 	}
-	if (q->response.code >= 500 && q->retryable && q->server != NULL &&
-	    q->response.code != 504 && request_retry(q, "server-error"))
+	if (q->send->response.code >= 500 && q->retryable &&
+	    q->send->server != NULL && q->send->response.code != 504 &&
+	    request_retry(q, "server-error"))
 		return;
 	note_server_answered(q);
-	if (q->response.code < survival_code(q))
+	if (q->send->response.code < survival_code(q))
 		request_note_answer(q);
 	request_relay_response(q);
 }
@@ -290,8 +293,8 @@
 static bool
 stream_is_cut(const struct request *q)
 {
-	return ld_sse_pending_bytes(&q->events) > 0 ||
-	    (!q->response.has_framing && q->send_first_event_ms == 0);
+	return ld_sse_pending_bytes(&q->send->events) > 0 ||
+	    (!q->send->response.has_framing && q->send->first_event_ms == 0);
 }
 
 static void
@@ -332,8 +335,8 @@
 {
 	struct request *q = request_of(s);
 
-	q->call = NULL;
-	q->send_reused = result->reused;
+	q->send->call = NULL;
+	q->send->reused = result->reused;
 	if (result->status == LD_OK) {
 		if (is_event_stream(q))
 			handle_stream_end(q);
@@ -343,14 +346,14 @@
 	}
 	if (result->sent)
 		request_mark_maybe_ran(q);
-	if (q->helper[0] != '\0') {
+	if (q->send->helper[0] != '\0') {
 		request_forward_failed(
 		    q, failure_name(result->status), result->sent);
 		return;
 	}
-	if (q->last_byte_ms == 0 && q->response.code == 0)
+	if (q->send->last_byte_ms == 0 && q->send->response.code == 0)
 		isolation_note_failed(
-		    q->relay, q->server, result->sent, q->sent_ms);
+		    q->relay, q->send->server, result->sent, q->send->sent_ms);
 	if (result->sent && result->status == LD_E_CLOSED)
 		request_note_crash(q);
 	note_server_failed(q);
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -9,40 +9,19 @@
 /* Upper bound of the time until a request's deadline, and the default if the
  * client sends none. */
 #define TIMEOUT_MAX_MS 600000
-/* Allows a few round trips between failure domains. A lost SYN is retransmitted
- * only after 1 s. */
-#define CONNECT_TIMEOUT_MS 400
 /* Interval of the attempts to resume a stream. */
 #define RESUME_INTERVAL_MS 40
-#define RESPONSE_MAX_BYTES ((size_t)16 * 1024 * 1024)
-
-static void
-release_server(struct request *q)
-{
-	struct ld_server *s = q->server;
-
-	if (s == NULL)
-		return;
-	s->active--;
-	s->refs--;
-	s->load_changed_ms = relay_now(q->relay);
-	q->server = NULL;
-}
 
 void
 request_cancel_send(struct request *q)
 {
-	if (q->call != NULL)
-		ld_http_cancel(q->call);
-	q->call = NULL;
-	q->helper[0] = '\0';
-	release_server(q);
+	send_cancel(q->send);
 }
 
 void
 request_free(struct request *q)
 {
-	request_cancel_send(q);
+	send_free(q->send);
 	ld_timer_stop(ld_loop_timers(q->relay->loop), &q->timer);
 	if (q->x != NULL)
 		ld_exchange_set_user_data(q->x, NULL);
@@ -50,8 +29,6 @@
 	if (q->next != NULL)
 		q->next->prev_next = q->prev_next;
 	q->relay->request_count--;
-	response_reset(&q->response);
-	ld_sse_free(&q->events);
 	for (size_t i = 0; i < q->tried_count; i++)
 		free(q->tried[i]);
 	free(q->attempt_id);
@@ -64,75 +41,22 @@
 
 /* ---- Sending ---- */
 
-static void
-assign_server(struct request *q, struct ld_server *s)
+void
+request_note_tried(struct request *q, const char *server)
 {
-	q->server = s;
-	counts_send_started(q, s);
-	s->refs++;
-	s->active++;
-	ld_dispatch_prompt_sent(
-	    ld_routes_service(q->relay->routes, ld_str_c(q->service)), s,
-	    q->prompt_tokens, relay_now(q->relay));
-	ld_server_note_sent(s, q->prompt_tokens, relay_now(q->relay));
+	for (size_t i = 0; i < q->tried_count; i++)
+		if (strcmp(q->tried[i], server) == 0)
+			return;
 	if (q->tried_count < LD_DISPATCH_TRIED_MAX)
-		q->tried[q->tried_count++] = ld_strdup(s->entry.id);
+		q->tried[q->tried_count++] = ld_strdup(server);
 }
 
 void
-request_start_call(struct request *q, const char *address)
+request_note_failed(struct request *q, const char *server)
 {
-	struct relay *r = q->relay;
-	uint64_t now = relay_now(r);
-	uint64_t remaining_ms = q->deadline_ms - now;
-	struct headers h = {0};
-	struct ld_buf url = {0};
-	const char *method = ld_exchange_method(q->x);
-	struct ld_http_request rq = {
-	    .method = method,
-	    .target = ld_exchange_target(q->x),
-	    .bare = true,
-	    .body = ld_exchange_body(q->x),
-	    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-	    .total_timeout_ms = remaining_ms,
-	    .fresh = !q->retryable,
-	    .max_body = RESPONSE_MAX_BYTES,
-	};
-
-	response_reset(&q->response);
-	ld_sse_reset(&q->events);
-	q->events.max_event_bytes = r->settings->max_event_bytes;
-	q->resume_retried = false;
-	q->send_reused = false;
-	q->last_byte_ms = 0;
-	q->send_first_event_ms = 0;
-	q->sent_ms = now;
-	q->sends++;
-	headers_build(q, &h, remaining_ms);
-	h.line[h.count] = NULL;
-	ld_buf_printf(&url, "http://%s/", address);
-	rq.url = ld_buf_cstr(&url);
-	rq.headers = (const char *const *)h.line;
-	/* Methods with a body send Content-Length also when it is empty. */
-	if (rq.body.len == 0)
-		rq.body.p = strcmp(method, "POST") == 0 ||
-			strcmp(method, "PUT") == 0 ||
-			strcmp(method, "PATCH") == 0
-		    ? ""
-		    : NULL;
-	q->call = ld_http_start(r->http, &rq, &q->sink);
-	headers_free(&h);
-	ld_buf_free(&url);
-}
-
-static void
-start_send(struct request *q, struct ld_server *s)
-{
-	assign_server(q, s);
-	relay_count(q->relay, LD_M_RELAY_SENDS);
-	request_start_call(q, s->entry.address);
-	if (q->call == NULL)
-		request_retry_or_fail(q, "bad-address");
+	for (size_t i = 0; i < q->tried_count; i++)
+		if (strcmp(q->tried[i], server) == 0)
+			q->tried_failed |= 1U << i;
 }
 
 void
@@ -234,14 +158,14 @@
 	    request_forward(q))
 		return;
 	v = pick_server(q, q->resume_retried, &c);
-	q->predicted_ms = c.predicted_ms;
-	q->predicted_uncorrected_ms = c.predicted_uncorrected_ms;
-	if (v == LD_DISPATCH_SEND)
-		start_send(q, c.server);
-	else if (!q->response_started)
+	q->resume_retried = v != LD_DISPATCH_SEND;
+	q->send->predicted_ms = c.predicted_ms;
+	if (v == LD_DISPATCH_SEND) {
+		if (!send_to_server(q->send, &c))
+			request_retry_or_fail(q, "bad-address");
+	} else if (!q->response_started) {
 		request_fail(q, ld_dispatch_verdict_name(v), c.retry_after_ms);
-	else {
-		q->resume_retried = true;
+	} else {
 		request_wait_for_retry(q);
 	}
 }
@@ -258,7 +182,7 @@
 		resume(q);
 		return;
 	}
-	if (q->call != NULL && ld_http_maybe_sent(q->call))
+	if (send_may_have_run(q->send))
 		q->maybe_ran = true;
 	request_fail(q, "deadline", 0);
 }
@@ -348,8 +272,8 @@
 	const char *const *fields = r->dialect->fields;
 	struct request *q = ld_alloc(sizeof(*q));
 
-	q->sink.ops = &request_sink_ops;
 	q->relay = r;
+	q->send = send_new(q, &request_sink_ops);
 	q->x = x;
 	q->attempt_id =
 	    copy_or_empty(ld_exchange_header(x, fields[LD_FIELD_ATTEMPT_ID]));
@@ -399,8 +323,8 @@
 void
 request_client_drained(struct request *q)
 {
-	if (q->call != NULL)
-		ld_http_resume(q->call);
+	if (q->send->call != NULL)
+		ld_http_resume(q->send->call);
 }
 
 void
@@ -412,7 +336,7 @@
 		next = q->next;
 		if (q->response_started)
 			continue;
-		if (q->call != NULL && ld_http_maybe_sent(q->call))
+		if (send_may_have_run(q->send))
 			q->maybe_ran = true;
 		request_fail(q, why, 0);
 	}
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -43,13 +43,34 @@
  */
 const char *const *response_headers(struct response *rsp);
 
+/**
+ * struct send - one send of a request to a server or to another node
+ * @sink: receives the response; must be the first member
+ */
+struct send {
+	struct ld_http_sink sink;
+	struct request *request;
+	struct ld_http_call *call; /* NULL: it has ended, or not begun */
+	struct ld_server *server; /* NULL if sent to another node */
+	char helper[LD_GROUP_NAME_MAX]; /* that node, empty for none */
+	char server_id[LD_GROUP_NAME_MAX]; /* of the last server, or empty */
+	char group[LD_GROUP_NAME_MAX]; /* "-" for none */
+	uint64_t sent_ms;
+	bool reused; /* it ended on a connection of an earlier send */
+	uint64_t first_event_ms; /* first event, 0: none */
+	uint64_t last_byte_ms; /* last body bytes, 0: none */
+	uint64_t predicted_ms; /* time to the first event */
+	uint64_t predicted_uncorrected_ms; /* without the learned bias */
+	struct response response;
+	struct ld_sse events; /* received, and not complete */
+};
+
 /**
  * struct request - one client request
- * @sink: receives the server's response; must be the first member
  * @prev_next: the pointer that points at this request in the list
+ * @send: the send in progress, or the last one
  */
 struct request {
-	struct ld_http_sink sink;
 	struct request *next;
 	struct request **prev_next;
 	struct relay *relay;
@@ -68,18 +89,7 @@
 	uint64_t objective_ms;
 	uint64_t prompt_tokens;
 	struct ld_prompt prompt;
-	/* The send in progress. */
-	struct ld_http_call *call;
-	struct ld_server *server; /* NULL if sent to another node */
-	char helper[LD_GROUP_NAME_MAX]; /* that node, empty for none */
-	char group[LD_GROUP_NAME_MAX]; /* of the last send, "-" for none */
-	uint64_t sent_ms;
-	bool send_reused; /* it ended on a connection of an earlier send */
-	uint64_t send_first_event_ms; /* first event of this send, 0: none */
-	uint64_t last_byte_ms; /* last body bytes of this send, 0: none */
-	uint64_t predicted_ms; /* time to the first event */
-	uint64_t predicted_uncorrected_ms; /* without the learned bias */
-	struct response response;
+	struct send *send;
 	/* All sends. */
 	unsigned int sends;
 	unsigned int possible_runs; /* sends that may have run */
@@ -88,11 +98,10 @@
 	bool forwarded; /* by another node: not forwarded again */
 	bool helper_in_doubt; /* another node may have sent it to a server */
 	unsigned int forwards; /* sends to other nodes */
-	uint32_t tried_failed; /* bit I: the send to tried[I] failed */
+	uint32_t tried_failed; /* bit I: a send to tried[I] failed */
 	char *tried[LD_DISPATCH_TRIED_MAX];
 	size_t tried_count;
 	/* Event streams only. */
-	struct ld_sse events;
 	bool response_started; /* its head was sent to the client */
 	bool data_without_id; /* after the last id: a new run repeats it */
 	uint64_t last_event_id; /* last one relayed, UINT64_MAX: none */
@@ -119,12 +128,29 @@
  * allows is the client's decision.
  */
 void request_wait_for_retry(struct request *q);
-/** request_start_call() - send to @address, with headers_build() */
-void request_start_call(struct request *q, const char *address);
+/** request_note_tried() - a send to the server has begun */
+void request_note_tried(struct request *q, const char *server);
+/** request_note_failed() - one has failed: it gets the request no more */
+void request_note_failed(struct request *q, const char *server);
 /** request_cancel_send() - cancel the send in progress, if any */
 void request_cancel_send(struct request *q);
 void request_free(struct request *q);
 
+/* ---- send.c ---- */
+
+struct send *send_new(struct request *q, const struct ld_http_sink_ops *ops);
+void send_free(struct send *s);
+/** send_to_server() - send to the server chosen; false if its address is bad */
+bool send_to_server(struct send *s, const struct ld_dispatch_choice *c);
+/** send_to_node() - the same to another node, which sends it to a server */
+bool send_to_node(struct send *s, const struct mesh_delegate *node);
+/** send_cancel() - end it, if in progress; its connection is closed */
+void send_cancel(struct send *s);
+/** send_server_id() - id of the last server, "-" for none, for the log */
+const char *send_server_id(const struct send *s);
+/** send_may_have_run() - in progress, and the server may have received it */
+bool send_may_have_run(const struct send *s);
+
 /* ---- receive.c ---- */
 
 extern const struct ld_http_sink_ops request_sink_ops;
@@ -199,8 +225,8 @@
 /* ---- counts.c ---- */
 
 void counts_request_ended(const struct request *q, const char *outcome);
-void counts_send_started(struct request *q, const struct ld_server *s);
-void counts_send_ended(const struct request *q, const char *result);
+void counts_send_started(struct send *s);
+void counts_send_ended(const struct send *s, const char *result);
 
 /* ---- headers.c ---- */
 
@@ -208,14 +234,15 @@
 
 /** struct headers - header fields of a send; zero-initialise before use */
 struct headers {
-	struct request *request;
+	const struct send *send;
 	const char *connection; /* the client's Connection field, or NULL */
 	char *line[HEADERS_MAX + 1];
 	size_t count;
 };
 
-/** headers_build() - the header fields sent to the server of @q */
-void headers_build(struct request *q, struct headers *h, uint64_t remaining_ms);
+/** headers_build() - the header fields of @s */
+void headers_build(
+    const struct send *s, struct headers *h, uint64_t remaining_ms);
 void headers_free(struct headers *h);
 
 #endif
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -102,7 +102,7 @@
 		    q->deadline_ms;
 	/* One stream that all servers refuse must not use up the budget. */
 	if (q->sends >= SENDS_MAX &&
-	    relay_now(q->relay) < q->sent_ms + RETRY_AFTER_MS)
+	    relay_now(q->relay) < q->send->sent_ms + RETRY_AFTER_MS)
 		return false;
 	return may_send_again(q) && take_from_budget(q);
 }
@@ -116,8 +116,8 @@
 request_mark_maybe_ran(struct request *q)
 {
 	q->maybe_ran = true;
-	if (q->model[0] == '\0' || q->last_byte_ms > 0 ||
-	    relay_now(q->relay) - q->sent_ms >= FIRST_TOKEN_MIN_MS)
+	if (q->model[0] == '\0' || q->send->last_byte_ms > 0 ||
+	    relay_now(q->relay) - q->send->sent_ms >= FIRST_TOKEN_MIN_MS)
 		q->possible_runs++;
 }
 
@@ -170,11 +170,12 @@
 void
 request_leave_silent_group(struct request *q, uint64_t now)
 {
-	uint64_t since = q->last_byte_ms > 0 ? q->last_byte_ms : q->sent_ms;
+	uint64_t since = q->send->last_byte_ms > 0 ? q->send->last_byte_ms
+						   : q->send->sent_ms;
 	bool isolated = isolation_is_active(q->relay);
 	uint64_t retry_after_ms;
 
-	if (q->server == NULL || !(q->server->silent || isolated) ||
+	if (q->send->server == NULL || !(q->send->server->silent || isolated) ||
 	    !request_may_run_again(q) || now < since + SILENT_MOVE_MS ||
 	    now < q->next_move_ms || q->possible_runs + 1 >= q->max_runs)
 		return;
--- a/lib/relay/silent_groups.c
+++ b/lib/relay/silent_groups.c
@@ -30,8 +30,9 @@
 static uint64_t
 next_byte_due_ms(const struct request *q)
 {
-	return q->last_byte_ms > 0 ? q->last_byte_ms
-				   : q->sent_ms + q->predicted_ms;
+	return q->send->last_byte_ms > 0
+	    ? q->send->last_byte_ms
+	    : q->send->sent_ms + q->send->predicted_ms;
 }
 
 /* Iterates over requests rather than servers: of hundreds of servers only a few
@@ -40,13 +41,13 @@
 update_due_times(struct relay *r)
 {
 	for (struct request *q = r->requests; q != NULL; q = q->next)
-		if (q->server != NULL)
-			q->server->byte_due_ms = 0;
+		if (q->send->server != NULL)
+			q->send->server->byte_due_ms = 0;
 	for (struct request *q = r->requests; q != NULL; q = q->next)
-		if (q->server != NULL && q->call != NULL &&
-		    (q->server->byte_due_ms == 0 ||
-			next_byte_due_ms(q) < q->server->byte_due_ms))
-			q->server->byte_due_ms = next_byte_due_ms(q);
+		if (q->send->server != NULL && q->send->call != NULL &&
+		    (q->send->server->byte_due_ms == 0 ||
+			next_byte_due_ms(q) < q->send->server->byte_due_ms))
+			q->send->server->byte_due_ms = next_byte_due_ms(q);
 }
 
 static void
@@ -85,17 +86,19 @@
 static void
 check_send(struct relay *r, const struct request *q, uint64_t now)
 {
-	const struct ld_server *s = q->server;
+	const struct ld_server *s = q->send->server;
 	uint64_t since, limit_ms;
 
-	if (s == NULL || q->call == NULL ||
+	if (s == NULL || q->send->call == NULL ||
 	    s->peer_last_byte_ms <= s->last_byte_ms)
 		return;
-	since = q->last_byte_ms > 0 ? s->last_byte_ms
-				    : max_ms(q->sent_ms, s->last_byte_ms);
-	limit_ms = q->last_byte_ms > 0 ? STOPPED_MS : UNANSWERED_MS;
+	since = q->send->last_byte_ms > 0
+	    ? s->last_byte_ms
+	    : max_ms(q->send->sent_ms, s->last_byte_ms);
+	limit_ms = q->send->last_byte_ms > 0 ? STOPPED_MS : UNANSWERED_MS;
 	if (now > max_ms(since, r->on_time_since_ms) + limit_ms)
-		isolation_note_failed(r, s, ld_http_maybe_sent(q->call), since);
+		isolation_note_failed(
+		    r, s, ld_http_maybe_sent(q->send->call), since);
 }
 
 /* A server with several requests is checked once for each, which has no further
@@ -105,8 +108,8 @@
 {
 	for (struct request *q = r->requests; q != NULL; q = q->next) {
 		check_send(r, q, now);
-		if (q->server != NULL)
-			check_group(r, q->server, now);
+		if (q->send->server != NULL)
+			check_group(r, q->send->server, now);
 	}
 }
 
