relay: keep a begun run until another server has answered

What callers saw: in a planned stop, streams of a server that was silent for a second were taken from it, found only full servers and were cut (LOST).

Cause: a request left a silent server on the prediction that another would take it. Then it waited for a server until its deadline, which lay behind the end of the process.

Ruled out: the server broke them off (it saw its callers close).

Change: move.c starts a second send beside the first; whichever delivers first is kept. Retries and waits end with the process in a stop.

--- a/lib/http/ld_http.h
+++ b/lib/http/ld_http.h
@@ -137,6 +137,8 @@
  * when the event, complete or not, exceeds the bound.
  */
 enum ld_status ld_sse_next(struct ld_sse *s, struct ld_str *event);
+/** ld_sse_has_event() - whether a complete event is buffered */
+bool ld_sse_has_event(struct ld_sse *s);
 /** ld_sse_pending_bytes() - bytes of an event that is not complete */
 size_t ld_sse_pending_bytes(const struct ld_sse *s);
 /** ld_sse_reset() - drop what is buffered */
--- a/lib/http/sse.c
+++ b/lib/http/sse.c
@@ -49,6 +49,12 @@
 	return LD_OK;
 }
 
+bool
+ld_sse_has_event(struct ld_sse *s)
+{
+	return event_length(s, ld_fifo_str(&s->pending)) > 0;
+}
+
 size_t
 ld_sse_pending_bytes(const struct ld_sse *s)
 {
--- a/lib/relay/crashing_requests.c
+++ b/lib/relay/crashing_requests.c
@@ -49,30 +49,30 @@
 }
 
 void
-request_note_crash(struct request *q)
+send_note_crash(struct send *s)
 {
+	struct request *q = s->request;
 	struct relay *r = q->relay;
 	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
-	bool begun =
-	    q->send->response.code == 200 && q->send->first_event_ms == 0;
+	bool begun = s->response.code == 200 && s->first_event_ms == 0;
 
-	if (q->send->server == NULL || q->answer_went_on)
+	if (s->server == NULL || s->crash_noted || q->answer_went_on)
 		return;
+	s->crash_noted = true;
 	/* Nothing shows that the server had begun a request without a prompt: its
 	 * connection may have been reset. */
 	if (q->prompt.is_request) {
-		crash_check_start(r, q->send->server, q->prompt.own);
+		crash_check_start(r, s->server, q->prompt.own);
 		return;
 	}
 	if (isolation_is_suspected(r))
 		return;
 	relay_count(r, LD_M_RELAY_CRASH_SUSPECTS);
 	ld_event("prompt.suspected", "id=%s server=%s begun=%d parts=%s",
-	    ld_event_token(ld_str_c(q->attempt_id), id),
-	    q->send->server->entry.id, begun,
-	    ld_prompt_text(&q->prompt, parts));
+	    ld_event_token(ld_str_c(q->attempt_id), id), s->server->entry.id,
+	    begun, ld_prompt_text(&q->prompt, parts));
 	ld_quarantine_crashed(r->crashing_requests->quarantine, &q->prompt,
-	    q->send->server->id_hash, begun, relay_now(r));
+	    s->server->id_hash, begun, relay_now(r));
 }
 
 void
@@ -128,8 +128,6 @@
 		if (q->send->call == NULL || q->response_started ||
 		    !request_is_quarantined(q, &retry_after_ms))
 			continue;
-		if (ld_http_maybe_sent(q->send->call))
-			q->maybe_ran = true;
 		request_record_failed_send(q, "quarantined", "give-up");
 		request_fail(q, "quarantined", retry_after_ms);
 	}
--- a/lib/relay/finish.c
+++ b/lib/relay/finish.c
@@ -63,6 +63,8 @@
 	struct ld_exchange *x = detach_exchange(q);
 	unsigned int code = 502;
 
+	q->maybe_ran |= send_may_have_run(q->send) ||
+	    (q->move != NULL && send_may_have_run(q->move));
 	request_cancel_send(q);
 	if (q->response_started) {
 		relay_count(q->relay, LD_M_RELAY_BROKEN);
--- a/lib/relay/forward.c
+++ b/lib/relay/forward.c
@@ -35,11 +35,18 @@
 	return true;
 }
 
+void
+send_exclude_node(struct send *s)
+{
+	struct relay *r = s->request->relay;
+
+	mesh_exclude_helper(r, s->helper, relay_now(r) + EXCLUDE_MS);
+}
+
 static void
 try_next(struct request *q, const char *why)
 {
-	mesh_exclude_helper(
-	    q->relay, q->send->helper, relay_now(q->relay) + EXCLUDE_MS);
+	send_exclude_node(q->send);
 	request_record_failed_send(q, why, "next-node");
 	request_cancel_send(q);
 	request_send(q);
@@ -50,6 +57,8 @@
 {
 	uint64_t retry_after_ms = q->send->response.retry_after_ms;
 
+	if (move_take_over(q, "node-refused"))
+		return;
 	if (q->send->response.code == CODE_OTHER_NODE) {
 		try_next(q, "node-refused");
 		return;
@@ -66,6 +75,8 @@
 void
 request_forward_failed(struct request *q, const char *why, bool sent)
 {
+	if (move_take_over(q, why))
+		return;
 	if (!sent && relay_now(q->relay) < q->deadline_ms) {
 		try_next(q, why);
 		return;
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -5,20 +5,26 @@
 #include "request_internal.h"
 
 #define EVENT_STREAM_TYPE "text/event-stream"
+/* Status of a server other than the addressed one. */
+#define CODE_OTHER_SERVER 421
 
-static struct request *
-request_of(struct ld_http_sink *s)
+void
+send_note_failed(struct send *s)
 {
-	return ((struct send *)s)->request;
+	if (s->server == NULL)
+		return;
+	ld_dispatch_failed(s->server, relay_now(s->request->relay));
+	request_note_failed(s->request, s->server->entry.id);
 }
 
-static void
-note_server_failed(struct request *q)
+void
+send_note_refused(struct send *s)
 {
-	if (q->send->server == NULL)
-		return;
-	ld_dispatch_failed(q->send->server, relay_now(q->relay));
-	request_note_failed(q, q->send->server->entry.id);
+	/* A late or wrong server, or one without room. */
+	if (s->response.code == CODE_OTHER_SERVER)
+		send_note_failed(s);
+	else if (s->server != NULL)
+		ld_dispatch_full(s->server, relay_now(s->request->relay));
 }
 
 static void
@@ -38,68 +44,71 @@
 		request_retry_or_fail(q, why);
 }
 
-static void
-on_field(struct ld_http_sink *s, struct ld_str name, struct ld_str value)
+void
+send_on_field(
+    struct ld_http_sink *sink, struct ld_str name, struct ld_str value)
 {
-	struct request *q = request_of(s);
+	struct send *s = (struct send *)sink;
+	struct request *q = s->request;
 
 	response_add_field(
-	    &q->send->response, q->relay->dialect, q->attempt_id, name, value);
+	    &s->response, q->relay->dialect, q->attempt_id, name, value);
 }
 
-static void
-record_bytes_received(struct request *q)
+void
+send_note_bytes(struct send *s)
 {
-	uint64_t now = ld_timers_now(ld_loop_timers(q->relay->loop));
+	struct relay *r = s->request->relay;
+	uint64_t now = ld_timers_now(ld_loop_timers(r->loop));
 
-	q->send->last_byte_ms = now;
-	if (q->send->server == NULL)
+	s->last_byte_ms = now;
+	if (s->server == NULL)
 		return;
-	q->send->server->last_byte_ms = now;
-	isolation_note_heard(q->relay);
+	s->server->last_byte_ms = now;
+	isolation_note_heard(r);
 }
 
 /* The rate that the answer names; a valid one without a rate ends an earlier
  * limit. */
 static void
-record_rate(struct request *q)
+record_rate(const struct send *s)
 {
-	const struct response *rsp = &q->send->response;
-	struct ld_server *s = q->send->server;
-	uint64_t now = relay_now(q->relay);
+	const struct request *q = s->request;
+	const struct response *rsp = &s->response;
 	uint32_t rate = rsp->names_rate ? rsp->rate_milli : LD_RATE_UNLIMITED;
 
 	if (rsp->has_attempt_id && !rsp->attempt_id_matches)
 		return;
 	if (!rsp->names_rate && response_verdict(rsp) != RESPONSE_VALID)
 		return;
-	if (ld_server_observe_rate(s, rate, now))
-		server_limits_log(q->relay, s, q->attempt_id);
+	if (ld_server_observe_rate(s->server, rate, relay_now(q->relay)))
+		server_limits_log(q->relay, s->server, q->attempt_id);
 }
 
 /* Records what the head of a response states about the server itself. A 421
  * comes from a server other than the addressed one, so it is ignored here. */
 static void
-record_server_state(struct request *q)
+record_server_state(const struct send *s)
 {
-	const struct response *rsp = &q->send->response;
-	struct ld_server *s = q->send->server;
+	const struct request *q = s->request;
+	const struct response *rsp = &s->response;
+	struct ld_server *v = s->server;
 
-	if (s == NULL || rsp->code == 421)
+	if (v == NULL || rsp->code == CODE_OTHER_SERVER)
 		return;
-	if (rsp->leaving && !s->entry.leaving) {
-		ld_servers_note_leaving(s);
+	if (rsp->leaving && !v->entry.leaving) {
+		ld_servers_note_leaving(v);
 		ld_event("server.leaving", "id=%s server=%s code=%ld",
-		    q->attempt_id, s->entry.id, rsp->code);
+		    q->attempt_id, v->entry.id, rsp->code);
 		control_servers_changed(q->relay);
 	}
-	record_rate(q);
+	record_rate(s);
 	if (rsp->code == 503 && rsp->retry_after_ms > 0) {
 		ld_dispatch_retry_after(
-		    s, relay_now(q->relay), rsp->retry_after_ms);
+		    v, relay_now(q->relay), rsp->retry_after_ms);
 		ld_event("server.retry_after",
 		    "id=%s server=%s retry_after_ms=%llu", q->attempt_id,
-		    s->entry.id, (unsigned long long)rsp->retry_after_ms);
+		    v->entry.id, (unsigned long long)rsp->retry_after_ms);
 	}
 }
 
@@ -115,48 +124,55 @@
 
 /* Why the response can't be used, NULL if it can. */
 static const char *
-response_fault(const struct request *q, struct ld_str type)
+response_fault(const struct send *s, struct ld_str type)
 {
-	if (response_verdict(&q->send->response) == RESPONSE_INVALID)
+	if (response_verdict(&s->response) == RESPONSE_INVALID)
 		return "foreign-answer";
 	/* Any other body can't go on where the stream broke off. */
-	if (q->response_started && q->send->response.code == 200 &&
+	if (s->request->response_started && s->response.code == 200 &&
 	    !is_event_stream_type(type))
 		return "no-event-stream";
 	return NULL;
 }
 
-static void
-on_head(struct ld_http_sink *s, long code, struct ld_str type)
+const char *
+send_receive_head(struct send *s, long code, struct ld_str type)
 {
-	struct request *q = request_of(s);
-	const char *fault;
+	const struct request *q = s->request;
 
-	q->send->response.code = code;
-	if (q->send->server != NULL) {
-		bool new_connection = ld_http_is_new_connection(q->send->call);
+	s->response.code = code;
+	if (s->server != NULL) {
+		bool new_connection = ld_http_is_new_connection(s->call);
 
 		isolation_note_heard(q->relay);
 		if (new_connection)
-			isolation_note_answered(q->relay, q->send->sent_ms);
+			isolation_note_answered(q->relay, s->sent_ms);
 		/* Servers can't echo the id of a request without one. */
-		q->send->response.needs_attempt_id =
+		s->response.needs_attempt_id =
 		    !new_connection && q->attempt_id[0] != '\0';
 	}
-	record_server_state(q);
+	record_server_state(s);
+	return response_fault(s, type);
+}
+
+static void
+on_head(struct ld_http_sink *sink, long code, struct ld_str type)
+{
+	struct send *s = (struct send *)sink;
+	const char *fault = send_receive_head(s, code, type);
+
 	/* The connection is closed: what follows on it can't be trusted. */
-	fault = response_fault(q, type);
 	if (fault != NULL) {
-		request_mark_maybe_ran(q);
-		note_server_failed(q);
-		retry_or_fail(q, fault);
+		send_mark_maybe_ran(s);
+		send_note_failed(s);
+		retry_or_fail(s->request, fault);
 	}
 }
 
-static bool
-is_event_stream(const struct request *q)
+bool
+send_is_event_stream(const struct send *s)
 {
-	return q->kind == LD_KIND_STREAM && q->send->response.code == 200;
+	return s->request->kind == LD_KIND_STREAM && s->response.code == 200;
 }
 
 static void
@@ -208,29 +224,23 @@
 		    q->last_event_id != UINT64_MAX &&
 		    id != q->last_event_id + 1)
 			return "event-missing";
-		if (!seen)
+		if (!seen) {
 			relay_event(q, event, id);
+			move_end(q, "not-needed");
+		}
 		request_note_event(q);
 	}
 	return st == LD_E_TOO_LARGE ? "event-too-large" : NULL;
 }
 
-static void
-on_body(struct ld_http_sink *s, struct ld_str bytes)
+void
+request_receive_events(struct request *q)
 {
-	struct request *q = request_of(s);
-	const char *fault;
+	const char *fault = relay_events(q);
 
-	record_bytes_received(q);
-	if (!is_event_stream(q)) {
-		ld_buf_adds(&q->send->response.body, bytes);
-		return;
-	}
-	ld_sse_feed(&q->send->events, bytes);
-	fault = relay_events(q);
 	if (fault != NULL) {
-		request_mark_maybe_ran(q);
-		note_server_failed(q);
+		send_mark_maybe_ran(q->send);
+		send_note_failed(q->send);
 		retry_or_fail(q, fault);
 		return;
 	}
@@ -238,20 +248,32 @@
 		ld_http_pause(q->send->call);
 }
 
+static void
+on_body(struct ld_http_sink *sink, struct ld_str bytes)
+{
+	struct send *s = (struct send *)sink;
+
+	send_note_bytes(s);
+	if (!send_is_event_stream(s)) {
+		ld_buf_adds(&s->response.body, bytes);
+		return;
+	}
+	ld_sse_feed(&s->events, bytes);
+	request_receive_events(s->request);
+}
+
 static void
 handle_not_run(struct request *q)
 {
-	if (q->send->helper[0] != '\0') {
+	struct send *s = q->send;
+
+	if (s->helper[0] != '\0') {
 		request_forward_refused(q);
 		return;
 	}
-	/* A late or wrong server, or one without room. */
-	if (q->send->response.code == 421)
-		note_server_failed(q);
-	else
-		ld_dispatch_full(q->send->server, relay_now(q->relay));
+	send_note_refused(s);
 	request_retry_or_fail(
-	    q, q->send->response.code == 421 ? "wrong-server" : "full");
+	    q, s->response.code == CODE_OTHER_SERVER ? "wrong-server" : "full");
 }
 
 /* Status codes below this show that the server has survived the request: a server
@@ -274,7 +296,7 @@
 	/* The client has the head of a stream, so that another response
 	 * can't be relayed. */
 	if (q->response_started) {
-		note_server_failed(q);
+		send_note_failed(q->send);
 		retry_or_fail(q, "server-error");
 		return;
 	}
@@ -302,8 +324,8 @@
 {
 	request_mark_ran(q);
 	if (stream_is_cut(q)) {
-		request_note_crash(q);
-		note_server_failed(q);
+		send_note_crash(q->send);
+		send_note_failed(q->send);
 		retry_or_fail(q, "event-cut");
 		return;
 	}
@@ -315,8 +337,8 @@
 		request_relay_response(q);
 }
 
-static const char *
-failure_name(enum ld_status st)
+const char *
+send_failure_name(enum ld_status st)
 {
 	switch (st) {
 	case LD_E_UNAVAILABLE:
@@ -330,38 +352,47 @@
 	}
 }
 
+void
+send_receive_failure(struct send *s, const struct ld_http_result *result)
+{
+	struct request *q = s->request;
+
+	if (s->last_byte_ms == 0 && s->response.code == 0)
+		isolation_note_failed(
+		    q->relay, s->server, result->sent, s->sent_ms);
+	if (result->sent && result->status == LD_E_CLOSED)
+		send_note_crash(s);
+	send_note_failed(s);
+}
+
 static void
-on_done(struct ld_http_sink *s, const struct ld_http_result *result)
+on_done(struct ld_http_sink *sink, const struct ld_http_result *result)
 {
-	struct request *q = request_of(s);
+	struct send *s = (struct send *)sink;
+	struct request *q = s->request;
 
-	q->send->call = NULL;
-	q->send->reused = result->reused;
+	s->call = NULL;
+	s->reused = result->reused;
 	if (result->status == LD_OK) {
-		if (is_event_stream(q))
+		if (send_is_event_stream(s))
 			handle_stream_end(q);
 		else
 			handle_complete_response(q);
 		return;
 	}
 	if (result->sent)
-		request_mark_maybe_ran(q);
-	if (q->send->helper[0] != '\0') {
+		send_mark_maybe_ran(s);
+	if (s->helper[0] != '\0') {
 		request_forward_failed(
-		    q, failure_name(result->status), result->sent);
+		    q, send_failure_name(result->status), result->sent);
 		return;
 	}
-	if (q->send->last_byte_ms == 0 && q->send->response.code == 0)
-		isolation_note_failed(
-		    q->relay, q->send->server, result->sent, q->send->sent_ms);
-	if (result->sent && result->status == LD_E_CLOSED)
-		request_note_crash(q);
-	note_server_failed(q);
-	request_retry_or_fail(q, failure_name(result->status));
+	send_receive_failure(s, result);
+	request_retry_or_fail(q, send_failure_name(result->status));
 }
 
 const struct ld_http_sink_ops request_sink_ops = {
-    .field = on_field,
+    .field = send_on_field,
     .head = on_head,
     .body = on_body,
     .done = on_done,
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -18,9 +18,19 @@
 	send_cancel(q->send);
 }
 
+uint64_t
+request_end_ms(const struct request *q)
+{
+	const struct relay *r = q->relay;
+
+	return r->stopping && r->stop_ends_ms < q->deadline_ms ? r->stop_ends_ms
+							       : q->deadline_ms;
+}
+
 void
 request_free(struct request *q)
 {
+	move_end(q, "request-ended");
 	send_free(q->send);
 	ld_timer_stop(ld_loop_timers(q->relay->loop), &q->timer);
 	if (q->x != NULL)
@@ -63,22 +73,26 @@
 request_wait_for_retry(struct request *q)
 {
 	uint64_t due = relay_now(q->relay) + RESUME_INTERVAL_MS;
+	uint64_t end = request_end_ms(q);
 
 	q->resume_pending = true;
-	ld_timer_start(ld_loop_timers(q->relay->loop), &q->timer,
-	    due < q->deadline_ms ? due : q->deadline_ms);
+	ld_timer_start(
+	    ld_loop_timers(q->relay->loop), &q->timer, due < end ? due : end);
 }
 
 static void
 resume(struct request *q)
 {
+	struct next_hop to;
+
 	q->resume_pending = false;
-	if (relay_now(q->relay) >= q->deadline_ms) {
-		request_fail(q, "deadline", 0);
+	if (relay_now(q->relay) >= request_end_ms(q)) {
+		request_fail(
+		    q, q->relay->stopping ? "stopping" : "deadline", 0);
 		return;
 	}
 	/* A retry is taken when it can be sent: the budget holds for arrivals. */
-	if (!request_can_move(q)) {
+	if (!request_find_next(q, &to)) {
 		q->resume_retried = true;
 		request_wait_for_retry(q);
 		return;
@@ -92,13 +106,18 @@
 	request_send(q);
 }
 
-/* A stream that finds no other server goes back to one that refused it or was
- * silent, but to none that failed. */
+/* A stream that finds no other server goes back to one that refused it, but to
+ * none that failed or works on it. */
 static void
 set_tried(const struct request *q, struct ld_dispatch_request *d)
 {
+	const struct ld_server *current = q->send->server;
+	bool all = !q->resume_retried && current == NULL;
+
 	for (size_t i = 0; i < q->tried_count; i++)
-		if (!q->resume_retried || (q->tried_failed & 1U << i) != 0)
+		if (all || (q->tried_failed & 1U << i) != 0 ||
+		    (current != NULL &&
+			strcmp(q->tried[i], current->entry.id) == 0))
 			d->tried[d->tried_count++] = q->tried[i];
 }
 
@@ -127,15 +146,15 @@
 }
 
 bool
-request_can_move(struct request *q)
+request_find_next(struct request *q, struct next_hop *to)
 {
-	struct ld_dispatch_choice c = {0};
-	struct mesh_delegate helper;
-
-	if (isolation_is_active(q->relay))
+	*to = (struct next_hop){0};
+	if (isolation_is_active(q->relay)) {
+		to->is_node = true;
 		return request_can_forward(q) &&
-		    mesh_find_helper(q->relay, &helper);
-	return pick_server(q, true, &c) == LD_DISPATCH_SEND;
+		    mesh_find_helper(q->relay, &to->node);
+	}
+	return pick_server(q, true, &to->choice) == LD_DISPATCH_SEND;
 }
 
 void
@@ -182,8 +201,6 @@
 		resume(q);
 		return;
 	}
-	if (send_may_have_run(q->send))
-		q->maybe_ran = true;
 	request_fail(q, "deadline", 0);
 }
 
@@ -336,8 +353,6 @@
 		next = q->next;
 		if (q->response_started)
 			continue;
-		if (send_may_have_run(q->send))
-			q->maybe_ran = true;
 		request_fail(q, why, 0);
 	}
 }
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -57,6 +57,7 @@
 	char group[LD_GROUP_NAME_MAX]; /* "-" for none */
 	uint64_t sent_ms;
 	bool reused; /* it ended on a connection of an earlier send */
+	bool crash_noted; /* see send_note_crash() */
 	uint64_t first_event_ms; /* first event, 0: none */
 	uint64_t last_byte_ms; /* last body bytes, 0: none */
 	uint64_t predicted_ms; /* time to the first event */
@@ -69,6 +70,7 @@
  * struct request - one client request
  * @prev_next: the pointer that points at this request in the list
  * @send: the send in progress, or the last one
+ * @move: a second one beside it, to the server that the request may move to
  */
 struct request {
 	struct request *next;
@@ -90,6 +92,7 @@
 	uint64_t prompt_tokens;
 	struct ld_prompt prompt;
 	struct send *send;
+	struct send *move;
 	/* All sends. */
 	unsigned int sends;
 	unsigned int possible_runs; /* sends that may have run */
@@ -108,7 +111,7 @@
 	uint64_t first_event_ms;
 	uint64_t last_event_ms;
 	uint64_t max_gap_ms;
-	uint64_t next_move_ms; /* see request_leave_silent_group() */
+	uint64_t next_move_ms; /* see move_consider() */
 	struct ld_timer timer;
 	bool resume_pending; /* the timer is set to try to resume */
 	bool resume_retried; /* no server was found for it yet */
@@ -118,13 +121,27 @@
 
 /** request_send() - choose a server and send to it, or end the request */
 void request_send(struct request *q);
-/** request_can_move() - another server, or node if isolated, can take it now */
-bool request_can_move(struct request *q);
+/** struct next_hop - where a request could be sent next */
+struct next_hop {
+	bool is_node; /* else a server */
+	struct mesh_delegate node;
+	struct ld_dispatch_choice choice;
+};
+
+/**
+ * request_find_next() - another server, or node if isolated, can take it now
+ */
+bool request_find_next(struct request *q, struct next_hop *to);
+/**
+ * request_end_ms() - when it is ended: its deadline, or in a stop the end of the
+ * process if that is earlier
+ */
+uint64_t request_end_ms(const struct request *q);
 /**
  * request_wait_for_retry() - resume the stream once a server takes it and the
  * budget has a retry
  *
- * Tries until its deadline or until the client leaves: how long a pause it
+ * Tries until request_end_ms() or until the client leaves: how long a pause it
  * allows is the client's decision.
  */
 void request_wait_for_retry(struct request *q);
@@ -155,6 +172,41 @@
 
 extern const struct ld_http_sink_ops request_sink_ops;
 
+void send_on_field(
+    struct ld_http_sink *sink, struct ld_str name, struct ld_str value);
+/** send_receive_head() - NULL, or why the response can't be used */
+const char *send_receive_head(struct send *s, long code, struct ld_str type);
+bool send_is_event_stream(const struct send *s);
+/** send_note_bytes() - bytes of the body were received */
+void send_note_bytes(struct send *s);
+/** send_note_failed() - the server failed it; it gets the request no more */
+void send_note_failed(struct send *s);
+/** send_note_refused() - the server says that it has not run the request */
+void send_note_refused(struct send *s);
+/** send_receive_failure() - the call ended without a response */
+void send_receive_failure(struct send *s, const struct ld_http_result *result);
+const char *send_failure_name(enum ld_status st);
+/**
+ * request_receive_events() - relay the events received; @q may be freed afterwards
+ */
+void request_receive_events(struct request *q);
+
+/* ---- move.c ---- */
+
+/**
+ * move_consider() - begin a second send if the server of the first is silent and
+ * that is possible now; @q is never freed
+ */
+void move_consider(struct request *q, uint64_t now_ms);
+/** move_end() - end the second send, if any; the first one goes on */
+void move_end(struct request *q, const char *why);
+/**
+ * move_take_over() - the first send has failed: the second takes its place
+ *
+ * Return: false if there is none.
+ */
+bool move_take_over(struct request *q, const char *why);
+
 /* ---- forward.c: sends through other nodes ---- */
 
 /** request_forward() - send to another node; false if there is none */
@@ -166,6 +218,8 @@
  * the next node, or ends the request
  */
 void request_forward_refused(struct request *q);
+/** send_exclude_node() - forward nothing to its node for a while */
+void send_exclude_node(struct send *s);
 /** request_forward_failed() - the send to the other node gave no answer */
 void request_forward_failed(struct request *q, const char *why, bool sent);
 
@@ -175,8 +229,12 @@
 void retry_budgets_free(struct relay *r);
 /** request_may_run_again() - no part of it would come twice */
 bool request_may_run_again(const struct request *q);
-/** request_mark_maybe_ran() - no response; the server may have run it */
-void request_mark_maybe_ran(struct request *q);
+/** request_may_send_again() - within the bounds of a retry but the budget */
+bool request_may_send_again(struct request *q);
+/** request_take_move() - the same of the budget, for a move; takes it */
+bool request_take_move(struct request *q);
+/** send_mark_maybe_ran() - no response; the server may have run it */
+void send_mark_maybe_ran(struct send *s);
 /** request_mark_ran() - the server responded: counts as a run */
 void request_mark_ran(struct request *q);
 /** request_take_retry() - whether a retry is allowed; takes it from the budget */
@@ -185,12 +243,6 @@
 bool request_retry(struct request *q, const char *why);
 /** request_retry_or_fail() - retry or end it; @q may be freed afterwards */
 void request_retry_or_fail(struct request *q, const char *why);
-/**
- * request_leave_silent_group() - retry elsewhere if the group is silent and that
- * is possible now; @q may be freed afterwards
- */
-void request_leave_silent_group(struct request *q, uint64_t now_ms);
-
 /* ---- finish.c ---- */
 
 /** request_fail() - end the request without a server's response; frees @q */
@@ -215,8 +267,8 @@
 bool request_is_quarantined(struct request *q, uint64_t *retry_after_ms);
 /** request_is_on_trial() - it is sent once: it may crash the server */
 bool request_is_on_trial(struct request *q);
-/** request_note_crash() - the server of the send in progress crashed */
-void request_note_crash(struct request *q);
+/** send_note_crash() - its server crashed, or is silent as if it had */
+void send_note_crash(struct send *s);
 /** request_note_event() - an event of the send in progress was received */
 void request_note_event(struct request *q);
 /** request_note_answer() - the answer is complete or has gone on for long */
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -9,10 +9,6 @@
 /* Bound of the sends of one request before its answer begins, whatever their
  * outcome. A begun stream is sent on, but slowly. */
 #define SENDS_MAX 4
-/* A request is moved from a silent group after this time without a byte. */
-#define SILENT_MOVE_MS 500
-/* Interval of the attempts to move one request, ms. */
-#define MOVE_INTERVAL_MS 100
 /* Time that must remain until the deadline for a retry: a connection and a
  * response take several round trips. */
 #define RETRY_MIN_REMAINING_MS 100
@@ -45,9 +41,8 @@
 	return q->retryable && !q->data_without_id;
 }
 
-/* The bounds of a retry other than the budget. */
-static bool
-may_send_again(struct request *q)
+bool
+request_may_send_again(struct request *q)
 {
 	uint64_t retry_after_ms;
 
@@ -55,7 +50,7 @@
 	return !q->helper_in_doubt &&
 	    (q->response_started || q->sends < SENDS_MAX) &&
 	    q->possible_runs < q->max_runs &&
-	    relay_now(q->relay) + RETRY_MIN_REMAINING_MS < q->deadline_ms &&
+	    relay_now(q->relay) + RETRY_MIN_REMAINING_MS < request_end_ms(q) &&
 	    !request_is_on_trial(q) &&
 	    !request_is_quarantined(q, &retry_after_ms);
 }
@@ -75,10 +70,9 @@
 	return ld_retry_try_acquire(b, relay_now(q->relay));
 }
 
-/* A move may end at a server that refuses, and then needs a retry: moves use
- * half of the budget at most. */
-static bool
-take_move_from_budget(struct request *q)
+/* Moves leave half of the budget to requests whose send has failed. */
+bool
+request_take_move(struct request *q)
 {
 	struct ld_retry_budget *b = retry_budget(q->relay, q->service);
 
@@ -99,12 +93,12 @@
 	if (!q->maybe_ran && isolation_is_active(q->relay) &&
 	    request_can_forward(q))
 		return relay_now(q->relay) + RETRY_MIN_REMAINING_MS <
-		    q->deadline_ms;
+		    request_end_ms(q);
 	/* One stream that all servers refuse must not use up the budget. */
 	if (q->sends >= SENDS_MAX &&
 	    relay_now(q->relay) < q->send->sent_ms + RETRY_AFTER_MS)
 		return false;
-	return may_send_again(q) && take_from_budget(q);
+	return request_may_send_again(q) && take_from_budget(q);
 }
 
 /*
@@ -113,11 +107,13 @@
  * with the first token, which takes longer than FIRST_TOKEN_MIN_MS.
  */
 void
-request_mark_maybe_ran(struct request *q)
+send_mark_maybe_ran(struct send *s)
 {
+	struct request *q = s->request;
+
 	q->maybe_ran = true;
-	if (q->model[0] == '\0' || q->send->last_byte_ms > 0 ||
-	    relay_now(q->relay) - q->send->sent_ms >= FIRST_TOKEN_MIN_MS)
+	if (q->model[0] == '\0' || s->last_byte_ms > 0 ||
+	    relay_now(q->relay) - s->sent_ms >= FIRST_TOKEN_MIN_MS)
 		q->possible_runs++;
 }
 
@@ -142,6 +138,8 @@
 bool
 request_retry(struct request *q, const char *why)
 {
+	if (move_take_over(q, why))
+		return true;
 	if (!request_take_retry(q))
 		return false;
 	send_again(q, why);
@@ -155,7 +153,7 @@
 		return;
 	/* The budget may have a retry before the client leaves. */
 	if (q->response_started && request_may_run_again(q) &&
-	    may_send_again(q)) {
+	    request_may_send_again(q)) {
 		request_record_failed_send(q, why, "wait");
 		request_cancel_send(q);
 		request_wait_for_retry(q);
@@ -165,32 +163,6 @@
 	request_fail(q, why, RETRY_AFTER_MS);
 }
 
-/* Silence is no reason to end an answer: without a retry, or without another
- * server that takes it now, the request stays where it is. */
-void
-request_leave_silent_group(struct request *q, uint64_t now)
-{
-	uint64_t since = q->send->last_byte_ms > 0 ? q->send->last_byte_ms
-						   : q->send->sent_ms;
-	bool isolated = isolation_is_active(q->relay);
-	uint64_t retry_after_ms;
-
-	if (q->send->server == NULL || !(q->send->server->silent || isolated) ||
-	    !request_may_run_again(q) || now < since + SILENT_MOVE_MS ||
-	    now < q->next_move_ms || q->possible_runs + 1 >= q->max_runs)
-		return;
-	q->next_move_ms = now + MOVE_INTERVAL_MS;
-	if (!may_send_again(q) || !request_can_move(q) ||
-	    !take_move_from_budget(q))
-		return;
-	request_note_crash(q);
-	/* That may have put its prompt in quarantine: no other server gets it. */
-	if (request_is_quarantined(q, &retry_after_ms))
-		return;
-	request_mark_maybe_ran(q);
-	send_again(q, isolated ? "node-isolated" : "group-silent");
-}
-
 void
 retry_budgets_free(struct relay *r)
 {
--- a/lib/relay/send.c
+++ b/lib/relay/send.c
@@ -71,6 +71,7 @@
 	response_reset(&s->response);
 	ld_sse_reset(&s->events);
 	s->reused = false;
+	s->crash_noted = false;
 	s->last_byte_ms = 0;
 	s->first_event_ms = 0;
 	s->sent_ms = now_ms;
--- a/lib/relay/silent_groups.c
+++ b/lib/relay/silent_groups.c
@@ -148,6 +148,6 @@
 	check_groups(r, now);
 	for (struct request *q = r->requests; q != NULL; q = next) {
 		next = q->next;
-		request_leave_silent_group(q, now);
+		move_consider(q, now);
 	}
 }
--- a/tests/faults/test_planned_stops.c
+++ b/tests/faults/test_planned_stops.c
@@ -323,6 +323,55 @@
 	CU_ASSERT(arrivals > 2);
 }
 
+/* One stream in a stop, whose server falls silent; returns its arrivals. */
+static unsigned int
+play_stream_at_a_silent_server(const struct stops_plan *p, uint64_t silent_ms)
+{
+	struct stops_user *u = open_one(1, false, GRACE_MS);
+	struct stops_request *q;
+	unsigned int arrivals;
+
+	delete_servers(2);
+	q = send_one(u, p);
+	stops_run_for(&one, 300 + p->first_ms);
+	stops_term(&one, 0);
+	for (int i = 0; i < 2; i++)
+		if (one.servers[i].running > 0)
+			one.servers[i].silent_until_ms =
+			    stops_now(&one) + silent_ms;
+	run_until_ended(q);
+	CU_ASSERT_EQUAL(q->at_work, 0);
+	arrivals = q->arrivals;
+	close_one(1, 0);
+	return arrivals;
+}
+
+/* All other servers are full, until its own goes on. */
+static void
+test_stream_stays_at_a_silent_server_until_another_answers(void)
+{
+	struct stops_plan p = steady;
+	unsigned int arrivals = 1;
+
+	p.resume_refusals = 1000;
+	for (int i = 0; i < MOVES_MAX && arrivals == 1; i++)
+		arrivals = play_stream_at_a_silent_server(&p, 1500);
+	CU_ASSERT(arrivals > 1);
+}
+
+/* The other server needs longer for its first event than its own is silent. */
+static void
+test_stream_goes_on_at_its_server_while_another_begins(void)
+{
+	struct stops_plan p = steady;
+	unsigned int arrivals = 1;
+
+	p.first_ms = 800;
+	for (int i = 0; i < MOVES_MAX && arrivals == 1; i++)
+		arrivals = play_stream_at_a_silent_server(&p, 900);
+	CU_ASSERT(arrivals > 1);
+}
+
 /* ---- Seeds ---- */
 
 static uint64_t first_seed = 1, last_seed = 1;
@@ -349,6 +398,10 @@
 		test_silent_server_without_retries_ends_no_stream},
 	    {"a stream waits for a server to go on at",
 		test_stream_waits_for_a_server_to_go_on_at},
+	    {"a stream stays at a silent server until another answers",
+		test_stream_stays_at_a_silent_server_until_another_answers},
+	    {"a stream goes on at its server while another begins",
+		test_stream_goes_on_at_its_server_while_another_begins},
 	    {"end of grace answers what waits at a server",
 		test_end_of_grace_answers_what_waits_at_a_server},
 	    {"a stop takes no request that runs once without the time for it",
