relay: a request of many fields reaches its server with the node's own

What callers saw: a request with over 100 header fields ran without X-Tenant, X-Deadline-Ms and X-Expect-Instance: for nobody, without an end, at any server with that address (UNASKED). Fields of the client behind the hundredth were lost too.

Cause: a send had room for 100 fields, the client's came first, and what didn't fit was left out without a word.

Ruled out: libcurl or the client's listener (with 100 fields all arrive).

Change: the list of fields grows; the node's own come first. All Connection fields of the client count, not the first alone. lib/http appends fields in constant time: curl_slist_append() walks the list for each.

Evidence: tests/faults/test_heads, 16 heads of 1 to 196 fields: on 8 of them arrive incomplete (40 checks fail), now all are whole, in order, with ours.

--- a/lib/http/http_internal.h
+++ b/lib/http/http_internal.h
@@ -47,6 +47,7 @@
 	struct ld_http_call *next_pending;
 	CURL *easy;
 	struct curl_slist *headers;
+	struct curl_slist *last_header;
 	char *body;
 	struct ld_http_sink *sink; /* NULL once the call has ended */
 	struct ld_timer progress_timer;
--- a/lib/http/request.c
+++ b/lib/http/request.c
@@ -38,6 +38,19 @@
 	return CURL_SOCKOPT_OK;
 }
 
+/* curl_slist_append() walks the list to its end. */
+static void
+add_field(struct ld_http_call *c, const char *line)
+{
+	struct curl_slist *field = curl_slist_append(NULL, line);
+
+	if (c->headers == NULL)
+		c->headers = field;
+	else
+		c->last_header->next = field;
+	c->last_header = field;
+}
+
 static void
 set_request_options(struct ld_http_call *c, const struct ld_http_request *rq)
 {
@@ -57,13 +70,13 @@
 		curl_easy_setopt(e, CURLOPT_POSTFIELDS, c->body);
 	}
 	/* Waiting for "100 Continue" would delay the body by a round trip. */
-	c->headers = curl_slist_append(c->headers, "Expect:");
+	add_field(c, "Expect:");
 	if (rq->bare) {
-		c->headers = curl_slist_append(c->headers, "Accept:");
-		c->headers = curl_slist_append(c->headers, "Content-Type:");
+		add_field(c, "Accept:");
+		add_field(c, "Content-Type:");
 	}
 	for (size_t i = 0; rq->headers != NULL && rq->headers[i] != NULL; i++)
-		c->headers = curl_slist_append(c->headers, rq->headers[i]);
+		add_field(c, rq->headers[i]);
 	curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->headers);
 	if (rq->connect_timeout_ms > 0)
 		curl_easy_setopt(
--- a/lib/relay/headers.c
+++ b/lib/relay/headers.c
@@ -1,4 +1,4 @@
-/* Header fields of a send: the client's, except those that this node sets. */
+/* Header fields of a send: those that this node sets, then the client's others. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,18 +7,23 @@
 #include "request_internal.h"
 
 #define VALUE_BYTES 256
+#define HEADERS_MIN 32
 
 static void
 add_header(struct headers *h, const char *name, const char *value)
 {
 	struct ld_buf b = {0};
 
-	if (h->count == HEADERS_MAX)
-		return;
+	/* Room for the NULL at the end as well. */
+	if (h->count + 1 >= h->capacity) {
+		h->capacity = h->capacity > 0 ? 2 * h->capacity : HEADERS_MIN;
+		h->line = ld_realloc(h->line, h->capacity * sizeof(*h->line));
+	}
 	/* libcurl sends an empty field when it is given as "Name;". */
 	ld_buf_printf(&b, *value != '\0' ? "%s: %s" : "%s;%s", name, value);
 	ld_buf_cstr(&b);
 	h->line[h->count++] = b.p;
+	h->line[h->count] = NULL;
 }
 
 static bool
@@ -70,7 +75,17 @@
 	if (has_own_last_event(h->send->request) &&
 	    strcasecmp(d->fields[LD_FIELD_LAST_EVENT], name) == 0)
 		return true;
-	return list_contains(h->connection, name);
+	return list_contains(ld_buf_cstr(&h->connection), name);
+}
+
+/* A client may send several Connection fields; their lists are one. */
+static void
+collect_connection(void *user, const char *name, const char *value)
+{
+	struct headers *h = user;
+
+	if (strcasecmp(name, "Connection") == 0)
+		ld_buf_printf(&h->connection, "%s,", value);
 }
 
 static void
@@ -105,8 +120,6 @@
 	char text[VALUE_BYTES];
 
 	h->send = s;
-	h->connection = ld_exchange_header(q->x, "Connection");
-	ld_exchange_fields(q->x, copy_client_header, h);
 	snprintf(text, sizeof(text), "%llu", (unsigned long long)remaining_ms);
 	add_header(h, d->fields[LD_FIELD_DEADLINE_MS], text);
 	if (s->server != NULL) {
@@ -121,6 +134,8 @@
 		    (unsigned long long)q->last_event_id);
 		add_header(h, d->fields[LD_FIELD_LAST_EVENT], text);
 	}
+	ld_exchange_fields(q->x, collect_connection, h);
+	ld_exchange_fields(q->x, copy_client_header, h);
 }
 
 void
@@ -128,5 +143,7 @@
 {
 	for (size_t i = 0; i < h->count; i++)
 		free(h->line[i]);
-	h->count = 0;
+	free(h->line);
+	ld_buf_free(&h->connection);
+	*h = (struct headers){0};
 }
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -282,14 +282,13 @@
 
 /* ---- headers.c ---- */
 
-#define HEADERS_MAX 100
-
 /** struct headers - header fields of a send; zero-initialise before use */
 struct headers {
 	const struct send *send;
-	const char *connection; /* the client's Connection field, or NULL */
-	char *line[HEADERS_MAX + 1];
+	struct ld_buf connection; /* the client's Connection fields */
+	char **line; /* "Name: value", ended by NULL */
 	size_t count;
+	size_t capacity;
 };
 
 /** headers_build() - the header fields of @s */
--- a/lib/relay/send.c
+++ b/lib/relay/send.c
@@ -101,7 +101,6 @@
 	reset(s, relay_now(r));
 	q->sends++;
 	headers_build(s, &h, remaining_ms);
-	h.line[h.count] = NULL;
 	ld_buf_printf(&url, "http://%s/", address);
 	rq.url = ld_buf_cstr(&url);
 	rq.headers = (const char *const *)h.line;
--- a/tests/faults/ld_raw_server.h
+++ b/tests/faults/ld_raw_server.h
@@ -11,7 +11,7 @@
 
 #define RAW_CONNECTIONS_MAX 64
 #define RAW_PENDING_MAX 16
-#define RAW_REQUEST_BYTES 4096
+#define RAW_REQUEST_BYTES 65536
 #define RAW_BURST_BYTES 65536
 
 /** enum raw_end - what follows the bytes of a step */
