relay: an answer of many fields reaches the client whole

What callers would have seen: an answer with over 64 header fields without those behind, X-Server-Signature among them: a success that counts for nothing. Found in the review, the class of the fields lost in requests.

Cause: the fields kept of a response were bounded by 64, the rest left out.

Evidence: tests/faults/test_heads "many fields of an answer reach the client", 0 to 400 fields: on all answers from 75 fields on arrive without some fields and without the signature; now all are whole.

--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -4,13 +4,12 @@
 
 #include "relay_internal.h"
 
-#define RESPONSE_FIELDS_MAX 64
-
 /** struct response - the part of a server's response received so far */
 struct response {
 	long code;
-	char *fields[2 * RESPONSE_FIELDS_MAX + 1]; /* names and values */
+	char **fields; /* names and values, ended by NULL */
 	size_t field_count;
+	size_t field_capacity;
 	struct ld_buf body;
 	bool has_attempt_id;
 	bool attempt_id_matches;
@@ -41,7 +40,7 @@
  * response_headers() - header fields to relay: names and values in turn, ended
  * by NULL
  */
-const char *const *response_headers(struct response *rsp);
+const char *const *response_headers(const struct response *rsp);
 
 /**
  * struct send - one send of a request to a server or to another node
--- a/lib/relay/response.c
+++ b/lib/relay/response.c
@@ -11,6 +11,7 @@
  * server: no server process runs for an hour. */
 #define RETRY_AFTER_MAX_MS 3600000
 #define MILLI 1000
+#define FIELDS_MIN 16
 
 /* Fields that are not relayed: those that concern one connection only
  * (RFC 9110, 7.6.1), and Content-Length, which is set for each connection. */
@@ -40,6 +41,7 @@
 {
 	for (size_t i = 0; i < 2 * rsp->field_count; i++)
 		free(rsp->fields[i]);
+	free(rsp->fields);
 	ld_buf_free(&rsp->body);
 	*rsp = (struct response){0};
 }
@@ -84,6 +86,25 @@
 	rsp->rate_milli = (uint32_t)milli;
 }
 
+/* lib/http bounds the bytes of a head. */
+static void
+keep_field(struct response *rsp, struct ld_str name, struct ld_str value)
+{
+	char **at;
+
+	if (rsp->field_count == rsp->field_capacity) {
+		rsp->field_capacity = rsp->field_capacity > 0
+		    ? 2 * rsp->field_capacity
+		    : FIELDS_MIN;
+		rsp->fields = ld_realloc(rsp->fields,
+		    (2 * rsp->field_capacity + 1) * sizeof(*rsp->fields));
+	}
+	at = &rsp->fields[2 * rsp->field_count++];
+	at[0] = ld_str_dup(name);
+	at[1] = ld_str_dup(value);
+	at[2] = NULL;
+}
+
 void
 response_add_field(struct response *rsp, const struct ld_dialect *d,
     const char *attempt_id, struct ld_str name, struct ld_str value)
@@ -104,12 +125,8 @@
 		rsp->retry_after_ms = read_retry_after_ms(value);
 	if (is_field(name, d->fields[LD_FIELD_RATE_LIMIT]))
 		read_rate(rsp, value);
-	if (is_connection_field(name) ||
-	    rsp->field_count == RESPONSE_FIELDS_MAX)
-		return;
-	rsp->fields[2 * rsp->field_count] = ld_str_dup(name);
-	rsp->fields[2 * rsp->field_count + 1] = ld_str_dup(value);
-	rsp->field_count++;
+	if (!is_connection_field(name))
+		keep_field(rsp, name, value);
 }
 
 enum response_verdict
@@ -128,8 +145,9 @@
 }
 
 const char *const *
-response_headers(struct response *rsp)
+response_headers(const struct response *rsp)
 {
-	rsp->fields[2 * rsp->field_count] = NULL;
-	return (const char *const *)rsp->fields;
+	static const char *const none[] = {NULL};
+
+	return rsp->fields != NULL ? (const char *const *)rsp->fields : none;
 }
--- a/tests/faults/test_heads.c
+++ b/tests/faults/test_heads.c
@@ -215,6 +215,39 @@
 		check_head(fields, 4000 + ld_rand_below(&dice, 4000));
 }
 
+/* An answer of @fields fields, the signature behind them. */
+static void
+check_answer(unsigned int fields, size_t value_bytes)
+{
+	struct ld_buf text = {0}, head = {0};
+	struct raw_step script[] = {{0, 0, NULL, RAW_KEEP}, {0}};
+	struct answer *a;
+
+	ld_buf_printf(
+	    &text, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n", RELAY_REQUEST_ID);
+	for (unsigned int i = 0; i < fields; i++)
+		add_field(&text, i, value_bytes);
+	ld_buf_printf(
+	    &text, "X-Server-Signature: s\r\nContent-Length: 2\r\n\r\nok");
+	script[0].bytes = ld_buf_cstr(&text);
+	raw_server_play(&raw, script);
+	add_common_fields(&head);
+	ld_buf_printf(&head, "\r\n");
+	a = exchange(ld_buf_str(&head));
+	CU_ASSERT_EQUAL(a->code, 200);
+	CU_ASSERT(got_all(a->text, fields, &text));
+	CU_ASSERT(has_field(a->text, "X-Server-Signature", "s"));
+	ld_buf_free(&text);
+	ld_buf_free(&head);
+}
+
+static void
+test_many_fields_of_an_answer_reach_the_client(void)
+{
+	for (unsigned int fields = 0; fields <= 400; fields += 25)
+		check_answer(fields, 1 + ld_rand_below(&dice, 20));
+}
+
 static void
 test_end(void)
 {
@@ -230,6 +263,8 @@
 	static const struct ld_test_case cases[] = {
 	    {"many fields reach the server, with the node's own",
 		test_many_fields_reach_the_server_with_ours},
+	    {"many fields of an answer reach the client",
+		test_many_fields_of_an_answer_reach_the_client},
 	    {"the relay stops", test_end},
 	    {NULL, NULL},
 	};
