backend: a long Content-Type reaches a plain service whole

What callers would have seen: a call through `lavenderdrift serve` whose Content-Type is longer than 498 bytes reached the service with a part of it.

Cause: a buffer of 512 bytes and snprintf().

Change: the line is built in a buffer that grows.

--- a/lib/backend/service.c
+++ b/lib/backend/service.c
@@ -1,11 +1,9 @@
 /* Calls to plain services. */
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "ld_backend.h"
 
-#define HEADER_BYTES 512
-#define HEADERS_MAX 8
+#define HEADERS_MAX 4 /* three and NULL */
 
 struct ld_service_call {
 	struct ld_http_sink sink;
@@ -56,7 +54,7 @@
 {
 	static const struct ld_http_sink_ops sink_ops = {
 	    .head = on_head, .body = on_body, .done = on_done};
-	char type[HEADER_BYTES], id[HEADER_BYTES], key[HEADER_BYTES];
+	struct ld_buf type = {0}, id = {0}, key = {0};
 	const char *headers[HEADERS_MAX] = {0};
 	struct ld_service_call *c = ld_alloc(sizeof(*c));
 	struct ld_http_request hr = {.method = rq->method};
@@ -64,17 +62,15 @@
 	size_t n = 0;
 
 	ld_buf_printf(&url, "http://%s%s", rq->address, rq->target);
-	snprintf(id, sizeof(id), "X-Request-Id: %s", rq->request_id);
-	headers[n++] = id;
+	ld_buf_printf(&id, "X-Request-Id: %s", rq->request_id);
+	headers[n++] = ld_buf_cstr(&id);
 	if (rq->content_type != NULL) {
-		snprintf(
-		    type, sizeof(type), "Content-Type: %s", rq->content_type);
-		headers[n++] = type;
+		ld_buf_printf(&type, "Content-Type: %s", rq->content_type);
+		headers[n++] = ld_buf_cstr(&type);
 	}
 	if (rq->idempotency_key != NULL) {
-		snprintf(key, sizeof(key), "Idempotency-Key: %s",
-		    rq->idempotency_key);
-		headers[n++] = key;
+		ld_buf_printf(&key, "Idempotency-Key: %s", rq->idempotency_key);
+		headers[n++] = ld_buf_cstr(&key);
 	}
 	hr.url = ld_buf_cstr(&url);
 	hr.headers = headers;
@@ -88,6 +84,9 @@
 	c->owner = owner;
 	c->call = ld_http_start(http, &hr, &c->sink);
 	ld_buf_free(&url);
+	ld_buf_free(&type);
+	ld_buf_free(&id);
+	ld_buf_free(&key);
 	if (c->call == NULL) {
 		service_free(c);
 		return NULL;
