entry: heads within the operators' limits are served, others refused

What callers saw: 431 for requests of some 400 fields within max_header_bytes, no bound at max_header_bytes itself, and a closed connection in place of an answer whose head didn't fit behind that of a large request.

Cause: 32 KB of memory for a connection, of which each field takes 64 bytes beside its text, and nothing kept for the answer. max_header_bytes was read and not used.

Change: 96 KB at the clients' listener, 128 KB at that of the nodes; a head that leaves no room for an answer's of 16 KB, or is over max_header_bytes, gets 431 and a log line. A server's head over 16 KB ends with 502, as it has run. Connections take half of node.memory_mb at most.

Ruled out: memory for any number of fields: 128 MB for 500 kept connections.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -10,7 +10,8 @@
 
 #include "entry_internal.h"
 
-#define CONNECTION_MEMORY_BYTES 32768
+#define CONNECTION_DEFAULT_BYTES 32768
+#define ANSWER_HEAD_DEFAULT_BYTES 2048
 #define SWEEP_INTERVAL_MS 1000
 #define MS_PER_S 1000
 #define LISTEN_BACKLOG 1024
@@ -236,7 +237,7 @@
 	return MHD_start_daemon(flags, 0, NULL, NULL, on_request, e,
 	    MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
 	    e->config.max_connections, MHD_OPTION_CONNECTION_TIMEOUT, idle_s,
-	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, e->config.connection_bytes,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, e,
 	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, e,
 	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, e, MHD_OPTION_EXTERNAL_LOGGER,
@@ -259,6 +260,10 @@
 	e->loop = loop;
 	e->handler = handler;
 	e->config = *config;
+	if (e->config.connection_bytes == 0)
+		e->config.connection_bytes = CONNECTION_DEFAULT_BYTES;
+	if (e->config.max_answer_head_bytes == 0)
+		e->config.max_answer_head_bytes = ANSWER_HEAD_DEFAULT_BYTES;
 	e->listen_fd = -1;
 	e->timer.fn = on_timer;
 	e->sweep.fn = on_sweep;
@@ -298,9 +303,10 @@
 }
 
 void
-ld_listener_set_bounds(struct ld_listener *e, size_t max_body_bytes,
-    uint64_t idle_timeout_ms, uint64_t head_timeout_ms)
+ld_listener_set_bounds(struct ld_listener *e, size_t max_head_bytes,
+    size_t max_body_bytes, uint64_t idle_timeout_ms, uint64_t head_timeout_ms)
 {
+	e->config.max_head_bytes = max_head_bytes;
 	e->config.max_body_bytes = max_body_bytes;
 	e->config.idle_timeout_ms = idle_timeout_ms;
 	e->config.head_timeout_ms = head_timeout_ms;
--- a/lib/entry/exchange.c
+++ b/lib/entry/exchange.c
@@ -12,6 +12,10 @@
  * client receives the answer; beyond it the connection is closed. */
 #define DISCARD_FACTOR 4
 #define STREAM_BLOCK_BYTES 16384
+/* libmicrohttpd's memory for a field beside its name and value, and what it adds
+ * to the head of an answer. */
+#define FIELD_OVERHEAD_BYTES 64
+#define ANSWER_OVERHEAD_BYTES 512
 
 /* ---- Requests ---- */
 
@@ -145,17 +149,58 @@
 	ev_io_start(ld_loop_ev(x->listener->loop), &x->hangup);
 }
 
+/** struct head_size - of the head of a request */
+struct head_size {
+	size_t bytes; /* on the wire, at least */
+	size_t fields;
+};
+
 static void
-answer_too_large(struct ld_exchange *x)
+add_field_size(void *user, const char *name, const char *value)
+{
+	struct head_size *h = user;
+
+	h->bytes += strlen(name) + strlen(":") + strlen(value) + strlen("\r\n");
+	h->fields++;
+}
+
+/* The answer's head needs a part of the connection's memory. */
+static bool
+head_is_too_large(struct ld_exchange *x)
 {
-	struct ld_problem p = {
-	    .code = MHD_HTTP_CONTENT_TOO_LARGE,
-	    .type = "body-too-large",
-	    .title = "The request body is larger than this system takes",
-	    .ran = LD_RAN_NO,
-	};
+	const struct ld_listener_config *c = &x->listener->config;
+	struct head_size h = {0};
+	size_t needed;
 
-	ld_exchange_problem(x, &p);
+	h.bytes = strlen(x->method) + strlen(ld_exchange_target(x)) +
+	    strlen("  HTTP/1.1\r\n\r\n");
+	ld_exchange_fields(x, add_field_size, &h);
+	needed = h.bytes + h.fields * FIELD_OVERHEAD_BYTES +
+	    c->max_answer_head_bytes + ANSWER_OVERHEAD_BYTES;
+	return (c->max_head_bytes > 0 && h.bytes > c->max_head_bytes) ||
+	    needed > c->connection_bytes;
+}
+
+static const struct ld_problem body_too_large = {
+    .code = MHD_HTTP_CONTENT_TOO_LARGE,
+    .type = "body-too-large",
+    .title = "The request body is larger than this system takes",
+    .ran = LD_RAN_NO,
+};
+static const struct ld_problem head_too_large = {
+    .code = MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+    .type = "head-too-large",
+    .title = "The request head is larger than this system takes",
+    .ran = LD_RAN_NO,
+};
+
+static enum MHD_Result
+refuse(struct ld_exchange *x, const struct ld_problem *p)
+{
+	ld_event("entry.refused", "code=%u reason=%s body_bytes=%zu", p->code,
+	    p->type, x->body.len + x->discarded);
+	ld_exchange_problem(x, p);
+	return exchange_queue_response(x);
 }
 
 enum MHD_Result
@@ -164,10 +209,10 @@
 	struct ld_handler *h = x->listener->handler;
 
 	x->connection->deadline_ms = UINT64_MAX;
-	if (x->too_large) {
-		answer_too_large(x);
-		return exchange_queue_response(x);
-	}
+	if (x->too_large)
+		return refuse(x, &body_too_large);
+	if (head_is_too_large(x))
+		return refuse(x, &head_too_large);
 	x->dispatched = true;
 	x->in_handler = true;
 	h->ops->request(h, x);
--- a/lib/entry/ld_entry.h
+++ b/lib/entry/ld_entry.h
@@ -39,10 +39,21 @@
 /** The handler should pause the source of a stream with a larger backlog. */
 #define LD_ENTRY_BACKLOG_BYTES 65536
 
-/** struct ld_listener_config - bounds of one listener */
+/**
+ * struct ld_listener_config - bounds of one listener
+ * @connection_bytes: memory of one connection, which holds the head of its
+ *	request, with 64 bytes more for each field, and that of the answer; 0:
+ *	32,768
+ * @max_answer_head_bytes: of the fields of answers: names, values and four for
+ *	each; 0: 2,048
+ * @max_head_bytes: of a request; 0: what @connection_bytes has room for
+ */
 struct ld_listener_config {
 	const char *host; /* IPv4 address in dotted-decimal form */
 	uint16_t port;
+	size_t connection_bytes;
+	size_t max_answer_head_bytes;
+	size_t max_head_bytes;
 	size_t max_body_bytes;
 	unsigned int max_connections;
 	uint64_t idle_timeout_ms;
@@ -68,8 +79,8 @@
 /** ld_listener_set_closing() - close each connection after its next answer */
 void ld_listener_set_closing(struct ld_listener *e);
 /** ld_listener_set_bounds() - change the bounds of an open listener */
-void ld_listener_set_bounds(struct ld_listener *e, size_t max_body_bytes,
-    uint64_t idle_timeout_ms, uint64_t head_timeout_ms);
+void ld_listener_set_bounds(struct ld_listener *e, size_t max_head_bytes,
+    size_t max_body_bytes, uint64_t idle_timeout_ms, uint64_t head_timeout_ms);
 /** ld_listener_open_exchanges() - requests whose answer isn't fully sent */
 size_t ld_listener_open_exchanges(const struct ld_listener *e);
 size_t ld_listener_connections(const struct ld_listener *e);
--- a/lib/relay/changes_server.c
+++ b/lib/relay/changes_server.c
@@ -17,6 +17,8 @@
 /* A following peer sends its next request well within this time, ms: the wait
  * of an answer, its pause after changes, and a delay under load. */
 #define IN_USE_MS 2000
+/* More than a client has: this node adds fields. */
+#define CONNECTION_BYTES ((size_t)128 * 1024)
 #define BODY_BYTES 64
 /* The nodes of a failure domain, with room for those that start meanwhile. */
 #define CONNECTIONS_MAX 512
@@ -222,7 +224,8 @@
 changes_server_set_bounds(struct relay *r, size_t max_body_bytes,
     uint64_t idle_timeout_ms, uint64_t head_timeout_ms)
 {
-	ld_listener_set_bounds(r->changes_server->listener, max_body_bytes,
+	/* The node that forwards a request has checked its head. */
+	ld_listener_set_bounds(r->changes_server->listener, 0, max_body_bytes,
 	    idle_timeout_ms, head_timeout_ms);
 }
 
@@ -259,6 +262,8 @@
 	struct ld_listener_config c = {
 	    .host = r->settings->entry_listen.host,
 	    .port = (uint16_t)r->settings->peers_port,
+	    .connection_bytes = CONNECTION_BYTES,
+	    .max_answer_head_bytes = RELAY_ANSWER_HEAD_MAX_BYTES,
 	    .max_body_bytes = BODY_BYTES,
 	    .max_connections = CONNECTIONS_MAX,
 	    .idle_timeout_ms = IDLE_MS,
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -101,8 +101,8 @@
 
 	if (b->max_body_bytes > 0 && b->idle_timeout_ms > 0 &&
 	    b->head_timeout_ms > 0) {
-		ld_listener_set_bounds(r->entry, b->max_body_bytes,
-		    b->idle_timeout_ms, b->head_timeout_ms);
+		ld_listener_set_bounds(r->entry, b->max_head_bytes,
+		    b->max_body_bytes, b->idle_timeout_ms, b->head_timeout_ms);
 		changes_server_set_bounds(r, b->max_body_bytes,
 		    b->idle_timeout_ms, b->head_timeout_ms);
 	}
--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -20,6 +20,11 @@
 #define INITIAL_BODY_BYTES ((size_t)16 * 1024 * 1024)
 #define INITIAL_IDLE_MS 15000
 #define INITIAL_HEAD_MS 5000
+/* A head of 16 KB in fields of 15 bytes, and that of the answer. */
+#define CONNECTION_BYTES ((size_t)96 * 1024)
+/* Part of this process's memory for the connections of clients. */
+#define CONNECTIONS_MEMORY_DIVISOR 2
+#define BYTES_PER_MB ((uint64_t)1024 * 1024)
 /* Descriptors reserved for the store, servers, listeners and files. */
 #define RESERVED_DESCRIPTORS 1200ULL
 
@@ -254,10 +259,13 @@
 static unsigned int
 connections_max(const struct ld_relay_settings *s)
 {
-	if (s->max_descriptors > 2 * RESERVED_DESCRIPTORS)
-		return (
-		    unsigned int)(s->max_descriptors - RESERVED_DESCRIPTORS);
-	return (unsigned int)(s->max_descriptors / 2);
+	uint64_t by_memory = s->memory_mb * BYTES_PER_MB /
+	    CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
+	uint64_t n = s->max_descriptors > 2 * RESERVED_DESCRIPTORS
+	    ? s->max_descriptors - RESERVED_DESCRIPTORS
+	    : s->max_descriptors / 2;
+
+	return (unsigned int)(n < by_memory ? n : by_memory);
 }
 
 enum ld_status
@@ -270,6 +278,8 @@
 	struct ld_listener_config config = {
 	    .host = s->entry_listen.host,
 	    .port = s->entry_listen.port,
+	    .connection_bytes = CONNECTION_BYTES,
+	    .max_answer_head_bytes = RELAY_ANSWER_HEAD_MAX_BYTES,
 	    .max_body_bytes = INITIAL_BODY_BYTES,
 	    .max_connections = connections_max(s),
 	    .idle_timeout_ms = INITIAL_IDLE_MS,
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -128,6 +128,8 @@
 {
 	if (response_verdict(&s->response) == RESPONSE_INVALID)
 		return "foreign-answer";
+	if (s->response.head_bytes > RELAY_ANSWER_HEAD_MAX_BYTES)
+		return "head-too-large";
 	/* Any other body can't go on where the stream broke off. */
 	if (s->request->response_started && s->response.code == 200 &&
 	    !is_event_stream_type(type))
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -23,6 +23,9 @@
 /* Parts of prompts in quarantine, written by the leader. */
 #define RELAY_QUARANTINE_PREFIX "lavenderdrift/quarantine/"
 
+/* Largest head of a server's answer that is passed on, bytes. */
+#define RELAY_ANSWER_HEAD_MAX_BYTES ((size_t)16 * 1024)
+
 /* Names the node that forwards a request, and how many runs are left to it. */
 #define RELAY_FORWARDED_FIELD "Relay-Forwarded"
 
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -10,6 +10,7 @@
 	char **fields; /* names and values, ended by NULL */
 	size_t field_count;
 	size_t field_capacity;
+	size_t head_bytes; /* of the fields kept */
 	struct ld_buf body;
 	bool has_attempt_id;
 	bool attempt_id_matches;
--- a/lib/relay/response.c
+++ b/lib/relay/response.c
@@ -99,6 +99,7 @@
 		rsp->fields = ld_realloc(rsp->fields,
 		    (2 * rsp->field_capacity + 1) * sizeof(*rsp->fields));
 	}
+	rsp->head_bytes += name.len + value.len + strlen(": \r\n");
 	at = &rsp->fields[2 * rsp->field_count++];
 	at[0] = ld_str_dup(name);
 	at[1] = ld_str_dup(value);
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -185,6 +185,7 @@
 	struct ld_address store_address;
 	uint64_t max_event_bytes;
 	uint64_t max_descriptors;
+	uint64_t memory_mb;
 	uint64_t processor_permille; /* of node.processor_share */
 	uint64_t revoke_ms;
 	bool strict_revocation;
--- a/lib/settings/relay_table.c
+++ b/lib/settings/relay_table.c
@@ -26,6 +26,8 @@
 	"The whole system starts for the first time."),
     ROUNDED_ROW("node.max_descriptors", UINT, max_descriptors, 256, 1048576,
 	"4096", "File descriptors that this process may open.", LD_ROUND_DOWN),
+    ROUNDED_ROW("node.memory_mb", UINT, memory_mb, 64, 1048576, "512",
+	"Memory that this process may use, MB.", LD_ROUND_DOWN),
     ROUNDED_ROW("node.processor_share", RATIO, processor_permille, 0,
 	RATIO_MAX_PERMILLE, "1",
 	"Cores, or the part of one, that this process may use.", LD_ROUND_DOWN),
--- a/tests/faults/ld_relay_server.c
+++ b/tests/faults/ld_relay_server.c
@@ -138,11 +138,19 @@
 	return prompt != NULL && strstr(prompt, RELAY_CRASHING_PART) != NULL;
 }
 
+static void
+count_extra_field(void *user, const char *name, const char *value)
+{
+	((struct server *)user)->extra_fields += strncmp(name, "X-F", 3) == 0;
+}
+
 static void
 on_request(struct ld_handler *h, struct ld_exchange *x)
 {
 	struct server *s = (struct server *)h;
 
+	s->extra_fields = 0;
+	ld_exchange_fields(x, count_extra_field, s);
 	if (ld_exchange_header(x, "X-Attempt-Id") != NULL)
 		s->arrivals++;
 	else
--- a/tests/faults/ld_relay_server.h
+++ b/tests/faults/ld_relay_server.h
@@ -62,6 +62,7 @@
 	char authorization[32];
 	char last_event[16];
 	char urgency[8];
+	unsigned int extra_fields; /* whose names begin with "X-F" */
 	struct ld_exchange *slow;
 	int slow_event;
 	struct ld_timer timer;
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -13,6 +13,7 @@
 
 /* A step that takes longer than this has failed, ms. */
 #define STEP_LIMIT_MS 15000
+#define FIELDS_MAX 512
 
 struct server servers[SERVERS];
 struct ld_kv_store *store;
@@ -27,6 +28,7 @@
 static char second_path[] = "/tmp/ld_relay_test_XXXXXX";
 static const char *program;
 static uint16_t first_peers;
+static const char *const no_fields[] = {NULL};
 
 /* ---- The loop ---- */
 
@@ -169,16 +171,18 @@
 	c->done = true;
 }
 
-/* @more: one more header field, or NULL */
+/* @more: more header fields, ended by NULL */
 static void
 start_request(struct client *c, const char *address, const char *method,
-    const char *path, const char *key, const char *attempt, const char *more)
+    const char *path, const char *key, const char *attempt,
+    const char *const *more)
 {
 	static const struct ld_http_sink_ops ops = {
 	    .field = on_field, .body = on_body, .done = on_done};
 	char url[128], authorization[64], id[64];
-	const char *headers[] = {
-	    "Host: h", id, "X-Deadline-Ms: 4000", authorization, more, NULL};
+	const char *headers[FIELDS_MAX] = {
+	    "Host: h", id, "X-Deadline-Ms: 4000", authorization};
+	size_t count = 4;
 	struct ld_http_request rq = {.method = method,
 	    .url = url,
 	    .headers = headers,
@@ -187,6 +191,10 @@
 
 	if (strcmp(method, "POST") == 0)
 		rq.body = LD_STR("x=1");
+	for (; *more != NULL; more++) {
+		CU_ASSERT_FATAL(count + 1 < FIELDS_MAX);
+		headers[count++] = *more;
+	}
 	*c = (struct client){.sink = {&ops}};
 	snprintf(url, sizeof(url), "http://%s%s", address, path);
 	snprintf(id, sizeof(id), "X-Attempt-Id: %s", attempt);
@@ -200,21 +208,31 @@
 start_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key)
 {
-	start_request(c, address, method, path, key, RELAY_REQUEST_ID, NULL);
+	start_request(
+	    c, address, method, path, key, RELAY_REQUEST_ID, no_fields);
 }
 
 void
 start_attempt_at(struct client *c, const char *address, const char *method,
     const char *path, const char *attempt)
 {
-	start_request(c, address, method, path, "k1", attempt, NULL);
+	start_request(c, address, method, path, "k1", attempt, no_fields);
 }
 
 void
 start_field_at(struct client *c, const char *address, const char *method,
     const char *path, const char *field)
 {
-	start_request(c, address, method, path, "k1", RELAY_REQUEST_ID, field);
+	const char *const fields[] = {field, NULL};
+
+	start_request(c, address, method, path, "k1", RELAY_REQUEST_ID, fields);
+}
+
+void
+start_fields_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *const *fields)
+{
+	start_request(c, address, method, path, "k1", RELAY_REQUEST_ID, fields);
 }
 
 void
@@ -222,11 +240,11 @@
     const char *path, const char *key, const char *prompt)
 {
 	char parts[128];
+	const char *const fields[] = {prompt != NULL ? parts : NULL, NULL};
 
 	snprintf(parts, sizeof(parts), "X-Prefix-Hash: %s",
 	    prompt != NULL ? prompt : "");
-	start_request(c, address, method, path, key, RELAY_REQUEST_ID,
-	    prompt != NULL ? parts : NULL);
+	start_request(c, address, method, path, key, RELAY_REQUEST_ID, fields);
 }
 
 void
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -103,6 +103,9 @@
 /** start_field_at() - with key k1 and one more header field, "Name: value" */
 void start_field_at(struct client *c, const char *address, const char *method,
     const char *path, const char *field);
+/** start_fields_at() - the same with several, ended by NULL */
+void start_fields_at(struct client *c, const char *address, const char *method,
+    const char *path, const char *const *fields);
 /** start_prompt_at() - the same with the parts of a prompt, NULL for none */
 void start_prompt_at(struct client *c, const char *address, const char *method,
     const char *path, const char *key, const char *prompt);
--- a/tests/faults/test_heads.c
+++ b/tests/faults/test_heads.c
@@ -12,6 +12,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "ld_backend.h"
 #include "ld_raw_server.h"
 #include "ld_relay_session.h"
 
@@ -215,6 +216,21 @@
 		check_head(fields, 4000 + ld_rand_below(&dice, 4000));
 }
 
+/* Any number of fields within the operators' limit of bytes. */
+static void
+test_any_head_within_the_limits_is_served(void)
+{
+	for (unsigned int i = 0; i < ROUNDS; i++) {
+		size_t bytes =
+		    1000 + ld_rand_below(&dice, HEAD_MAX_BYTES - 1000);
+		size_t most = bytes / 14;
+
+		check_head(1 + (unsigned int)ld_rand_below(&dice, most), bytes);
+	}
+	check_head(400, HEAD_MAX_BYTES);
+	check_head(1000, HEAD_MAX_BYTES);
+}
+
 /* An answer of @fields fields, the signature behind them. */
 static void
 check_answer(unsigned int fields, size_t value_bytes)
@@ -248,6 +264,124 @@
 		check_answer(fields, 1 + ld_rand_below(&dice, 20));
 }
 
+/* The server's answer can't be passed on; it has run. */
+static void
+check_refused_answer(void)
+{
+	struct ld_buf head = {0};
+	struct answer *a;
+
+	add_common_fields(&head);
+	ld_buf_printf(&head, "\r\n");
+	a = exchange(ld_buf_str(&head));
+	CU_ASSERT_EQUAL(a->code, 502);
+	ld_buf_free(&head);
+}
+
+/* Beyond the limits: refused, or a server's fault, never less than it was. */
+static void
+test_larger_heads_get_a_clear_refusal(void)
+{
+	struct ld_buf head = {0};
+	struct raw_step script[] = {{0, 0, NULL, RAW_KEEP}, {0}};
+	unsigned int fields = 20;
+	struct answer *a;
+
+	head = draw_head(&fields, 3 * HEAD_MAX_BYTES);
+	while (head.len < HEAD_MAX_BYTES + 1) {
+		ld_buf_free(&head);
+		head = draw_head(&fields, 3 * HEAD_MAX_BYTES);
+	}
+	raw_server_play(&raw, answers_ok);
+	a = exchange(ld_buf_str(&head));
+	CU_ASSERT_EQUAL(a->code, 431);
+	CU_ASSERT_EQUAL(raw.requests, 0);
+	ld_buf_free(&head);
+	head = (struct ld_buf){0};
+	ld_buf_printf(&head,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+	    "X-Server-Signature: s\r\n",
+	    RELAY_REQUEST_ID);
+	for (unsigned int i = 0; i < 40; i++)
+		add_field(&head, i, 1000);
+	ld_buf_printf(&head, "Content-Length: 2\r\n\r\nok");
+	script[0].bytes = ld_buf_cstr(&head);
+	raw_server_play(&raw, script);
+	fields = 1;
+	check_refused_answer();
+	ld_buf_free(&head);
+}
+
+/* The largest heads of both at the same time. */
+static void
+test_the_largest_heads_of_both(void)
+{
+	struct ld_buf head = {0}, text = {0};
+	struct raw_step script[] = {{0, 0, NULL, RAW_KEEP}, {0}};
+	unsigned int fields = 0;
+	struct answer *a;
+
+	/* The relay passes over the server that has just failed. */
+	run_for(1000);
+	ld_buf_printf(&text,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+	    "X-Server-Signature: s\r\n",
+	    RELAY_REQUEST_ID);
+	for (unsigned int i = 0; i < 16; i++)
+		add_field(&text, i, 980);
+	ld_buf_printf(&text, "Content-Length: 2\r\n\r\nok");
+	script[0].bytes = ld_buf_cstr(&text);
+	raw_server_play(&raw, script);
+	add_common_fields(&head);
+	while (head.len + 24 < HEAD_MAX_BYTES)
+		add_field(&head, fields++, 6);
+	ld_buf_printf(&head, "\r\n");
+	a = exchange(ld_buf_str(&head));
+	printf("%u fields, %zu bytes: %d, %zu bytes\n", fields, head.len,
+	    a->code, a->len);
+	CU_ASSERT_EQUAL(a->code, 200);
+	CU_ASSERT(got_all(raw.last_request, fields, &head));
+	CU_ASSERT(got_all(a->text, 16, &text));
+	ld_buf_free(&head);
+	ld_buf_free(&text);
+}
+
+#define LONG_TYPE_BYTES 2000
+
+static void
+on_service_done(void *owner, const struct ld_http_result *r,
+    struct ld_str content_type, struct ld_str body)
+{
+	*(bool *)owner = true;
+}
+
+/* A plain service of `lavenderdrift serve`. */
+static void
+test_a_long_content_type_reaches_a_service_whole(void)
+{
+	static const struct ld_service_ops ops = {.done = on_service_done};
+	struct ld_http *http = ld_http_new(session_loop());
+	char type[LONG_TYPE_BYTES + 1];
+	struct ld_service_request rq = {.address = raw.entry.address,
+	    .method = "POST",
+	    .target = "/",
+	    .content_type = type,
+	    .request_id = "r",
+	    .body = LD_STR("{}"),
+	    .total_timeout_ms = WAIT_MS};
+	bool done = false;
+
+	memset(type, 'a', LONG_TYPE_BYTES);
+	type[LONG_TYPE_BYTES] = '\0';
+	raw_server_play(&raw, answers_ok);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ld_service_start(http, &rq, &ops, &done));
+	for (int ms = 0; ms < WAIT_MS && !done; ms += 2)
+		run_for(2);
+	CU_ASSERT(done);
+	CU_ASSERT(has_field(raw.last_request, "Content-Type", type));
+	ld_http_free(http);
+}
+
 static void
 test_end(void)
 {
@@ -263,8 +397,15 @@
 	static const struct ld_test_case cases[] = {
 	    {"many fields reach the server, with the node's own",
 		test_many_fields_reach_the_server_with_ours},
+	    {"any head within the limits is served",
+		test_any_head_within_the_limits_is_served},
 	    {"many fields of an answer reach the client",
 		test_many_fields_of_an_answer_reach_the_client},
+	    {"larger heads get a clear refusal",
+		test_larger_heads_get_a_clear_refusal},
+	    {"the largest heads of both", test_the_largest_heads_of_both},
+	    {"a long content type reaches a service whole",
+		test_a_long_content_type_reaches_a_service_whole},
 	    {"the relay stops", test_end},
 	    {NULL, NULL},
 	};
--- a/tests/faults/test_nodes_without_servers.c
+++ b/tests/faults/test_nodes_without_servers.c
@@ -294,6 +294,40 @@
 	}
 }
 
+#define MANY_FIELDS 300
+
+static bool
+got_all_fields(const struct server *s)
+{
+	return s->extra_fields == MANY_FIELDS &&
+	    strcmp(s->account, "shop") == 0;
+}
+
+static void
+test_many_fields_arrive_through_a_node(void)
+{
+	static char text[MANY_FIELDS][32];
+	const char *fields[MANY_FIELDS + 1] = {NULL};
+	struct client *c = &clients[0][0];
+	unsigned int got = 0;
+
+	end_doubts();
+	for (int i = 0; i < MANY_FIELDS; i++) {
+		snprintf(text[i], sizeof(text[i]), "X-F%d: value %d", i, i);
+		fields[i] = text[i];
+	}
+	start_fields_at(c, relay_address, "GET", "/look/a", fields);
+	wait_for(c);
+	CU_ASSERT_EQUAL(c->code, 200);
+	for (int i = 0; i < SERVERS; i++)
+		got += got_all_fields(&servers[i]);
+	for (int i = 0; i < MORE_SERVERS; i++)
+		got += got_all_fields(&more[i]);
+	CU_ASSERT_EQUAL(got, 1);
+	ld_buf_free(&c->body);
+	set_all(STREAMS_SLOWLY);
+}
+
 static void
 test_a_helper_that_stops_ends_its_streams(void)
 {
@@ -336,6 +370,8 @@
 		test_bookings_through_a_node_run_at_most_once},
 	    {"errors of servers are no part of a stream",
 		test_errors_of_servers_are_no_part_of_a_stream},
+	    {"many fields arrive through a node",
+		test_many_fields_arrive_through_a_node},
 	    {"a helper that stops ends its streams",
 		test_a_helper_that_stops_ends_its_streams},
 	    {NULL, NULL},
