relay: bound the memory of all bodies together

Cause: one answer was bounded, their sum wasn't; a body was copied for the client; the backlog of a stream kept what was sent until it was empty once.

Change: lib/relay/memory.c counts bodies, events and backlogs, and ends the largest beyond servers.memory_percent of node.memory_mb. Bodies of requests that don't fit are refused. Backlogs are byte queues. servers.max_answer_bytes bounds one answer.

test_raw_server writes bursts at intervals, as 60 senders left the test's own loop no turn. make check builds the released binary as well.

--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,7 @@
 build-tests: $(PROGRAM) $(STANDIN) $(UNIT) $(FAULTS)
 
 check: ## build with sanitizers and run every test
+	@$(MAKE) --no-print-directory build/lavenderdrift
 	@$(MAKE) --no-print-directory SAN=1 build-tests
 	@bash tests/run.sh build/san unit faults
 
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -398,6 +398,34 @@
 	return e->open_exchanges;
 }
 
+size_t
+ld_listener_held_bytes(const struct ld_listener *e)
+{
+	return e->held_bytes;
+}
+
+size_t
+ld_listener_end_largest(struct ld_listener *e)
+{
+	struct connection *largest = NULL;
+	size_t bytes;
+
+	for (struct connection *c = e->connections; c != NULL; c = c->next)
+		if (c->exchange != NULL && c->exchange->ended && !c->expired &&
+		    c->exchange->held_bytes > 0 &&
+		    (largest == NULL ||
+			c->exchange->held_bytes >
+			    largest->exchange->held_bytes))
+			largest = c;
+	if (largest == NULL)
+		return 0;
+	bytes = largest->exchange->held_bytes;
+	largest->expired = true;
+	exchange_hold(largest->exchange, 0, bytes);
+	shutdown(largest->fd, SHUT_RDWR);
+	return bytes;
+}
+
 size_t
 ld_listener_connections(const struct ld_listener *e)
 {
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -35,6 +35,7 @@
 	struct connection *connections;
 	size_t connection_count;
 	size_t open_exchanges;
+	size_t held_bytes; /* see ld_listener_held_bytes() */
 	struct ld_rand rand;
 	int listen_fd; /* -1 while the daemon owns it */
 	struct lingering *lingering; /* closed, with bytes not yet sent */
@@ -59,8 +60,8 @@
 	uint64_t since_ms;
 	struct MHD_Response *response;
 	unsigned int code;
-	struct ld_buf stream; /* bytes for libmicrohttpd to read */
-	size_t stream_sent; /* bytes of stream already read */
+	struct ld_fifo stream; /* bytes for libmicrohttpd to read */
+	size_t held_bytes; /* of bodies, part of the listener's */
 	ev_io hangup;
 	bool dispatched; /* the handler has received the request */
 	bool in_handler;
@@ -70,6 +71,7 @@
 	bool ended; /* the handler no longer uses the exchange */
 	bool aborted; /* close without a whole answer */
 	bool too_large;
+	bool no_memory; /* the body would exceed max_held_bytes */
 	bool backlog_exceeded; /* since client_drained() was last called */
 };
 
@@ -90,6 +92,8 @@
 enum MHD_Result exchange_dispatch(struct ld_exchange *x);
 /** exchange_queue_response() - pass the ready response to libmicrohttpd */
 enum MHD_Result exchange_queue_response(struct ld_exchange *x);
+/** exchange_hold() - @more bytes of bodies are held, @less no longer */
+void exchange_hold(struct ld_exchange *x, size_t more, size_t less);
 /** exchange_notify_gone() - call the handler's client_disconnected() once */
 void exchange_notify_gone(struct ld_exchange *x);
 
--- a/lib/entry/exchange.c
+++ b/lib/entry/exchange.c
@@ -9,6 +9,8 @@
 #include "entry_internal.h"
 
 #define STREAM_BLOCK_BYTES 16384
+/* Bodies are held for as long as their requests take. */
+#define NO_MEMORY_RETRY_MS 1000
 /* libmicrohttpd's memory for a field beside its name and value, and what it adds
  * to the head of an answer. */
 #define FIELD_OVERHEAD_BYTES 64
@@ -45,6 +47,16 @@
 	return x;
 }
 
+void
+exchange_hold(struct ld_exchange *x, size_t more, size_t less)
+{
+	/* Those of a connection that was ended for them are counted no more. */
+	if (less > x->held_bytes)
+		less = x->held_bytes;
+	x->held_bytes += more - less;
+	x->listener->held_bytes += more - less;
+}
+
 static void
 hangup_watch_stop(struct ld_exchange *x)
 {
@@ -67,12 +79,13 @@
 		    (unsigned long long)(ld_loop_now(e->loop) - x->since_ms),
 		    x->body.len + x->discarded);
 	connection_answered(e, x->connection);
+	exchange_hold(x, 0, x->held_bytes);
 	e->open_exchanges--;
 	free(x->method);
 	free(x->path);
 	free(x->target);
 	ld_buf_free(&x->body);
-	ld_buf_free(&x->stream);
+	ld_fifo_free(&x->stream);
 	free(x);
 }
 
@@ -98,14 +111,19 @@
 void
 exchange_add_body(struct ld_exchange *x, const char *p, size_t n)
 {
+	const struct ld_listener *e = x->listener;
+
 	extend_deadline(x);
-	if (!x->too_large &&
-	    x->body.len + n <= x->listener->config.max_body_bytes) {
+	x->too_large |= x->body.len + n > e->config.max_body_bytes;
+	x->no_memory |= e->config.max_held_bytes > 0 &&
+	    e->held_bytes + n > e->config.max_held_bytes;
+	if (!x->too_large && !x->no_memory) {
 		ld_buf_add(&x->body, p, n);
+		exchange_hold(x, n, 0);
 		return;
 	}
-	x->too_large = true;
 	x->discarded += n;
+	exchange_hold(x, 0, x->body.len);
 	ld_buf_free(&x->body);
 }
 
@@ -214,6 +232,14 @@
     .ran = LD_RAN_NO,
 };
 
+static const struct ld_problem no_memory = {
+    .code = MHD_HTTP_SERVICE_UNAVAILABLE,
+    .type = "no-memory",
+    .title = "The bodies of other requests take the memory for this one",
+    .ran = LD_RAN_NO,
+    .retry_after_ms = NO_MEMORY_RETRY_MS,
+};
+
 static enum MHD_Result
 refuse(struct ld_exchange *x, const struct ld_problem *p)
 {
@@ -231,6 +257,8 @@
 	x->connection->deadline_ms = UINT64_MAX;
 	if (x->too_large)
 		return refuse(x, &body_too_large);
+	if (x->no_memory)
+		return refuse(x, &no_memory);
 	if (head_is_too_large(x))
 		return refuse(x, &head_too_large);
 	x->dispatched = true;
@@ -388,6 +416,24 @@
 	r = MHD_create_response_from_buffer(
 	    body.len, (void *)(uintptr_t)body.p, MHD_RESPMEM_MUST_COPY);
 	set_response(x, r, code, content_type);
+	for (; headers != NULL && headers[0] != NULL; headers += 2)
+		MHD_add_response_header(r, headers[0], headers[1]);
+	exchange_hold(x, body.len, 0);
+	x->ended = true;
+	resume(x);
+}
+
+void
+ld_exchange_answer_with(struct ld_exchange *x, unsigned int code,
+    const char *const *headers, struct ld_buf *body)
+{
+	struct MHD_Response *r =
+	    MHD_create_response_from_buffer_with_free_callback(
+		body->len, body->p, free);
+
+	exchange_hold(x, body->cap, 0);
+	*body = (struct ld_buf){0};
+	set_response(x, r, code, NULL);
 	for (; headers != NULL && headers[0] != NULL; headers += 2)
 		MHD_add_response_header(r, headers[0], headers[1]);
 	x->ended = true;
@@ -424,12 +470,9 @@
 	}
 	if (n > max)
 		n = max;
-	memcpy(out, x->stream.p + x->stream_sent, n);
-	x->stream_sent += n;
-	if (x->stream_sent == x->stream.len) {
-		x->stream.len = 0;
-		x->stream_sent = 0;
-	}
+	memcpy(out, ld_fifo_str(&x->stream).p, n);
+	ld_fifo_consume(&x->stream, n);
+	exchange_hold(x, 0, n);
 	notify_drained(x);
 	return (ssize_t)n;
 }
@@ -470,7 +513,8 @@
 ld_exchange_write(struct ld_exchange *x, struct ld_str bytes)
 {
 	assert(x->streaming && !x->ended);
-	ld_buf_adds(&x->stream, bytes);
+	ld_buf_adds(ld_fifo_tail(&x->stream), bytes);
+	exchange_hold(x, bytes.len, 0);
 	if (ld_exchange_backlog(x) > LD_ENTRY_BACKLOG_BYTES)
 		x->backlog_exceeded = true;
 	resume(x);
@@ -479,7 +523,7 @@
 size_t
 ld_exchange_backlog(const struct ld_exchange *x)
 {
-	return x->stream.len - x->stream_sent;
+	return ld_fifo_len(&x->stream);
 }
 
 void
--- a/lib/entry/ld_entry.h
+++ b/lib/entry/ld_entry.h
@@ -55,6 +55,7 @@
 	size_t max_answer_head_bytes;
 	size_t max_head_bytes;
 	size_t max_body_bytes;
+	size_t max_held_bytes; /* see ld_listener_held_bytes(); 0: any */
 	unsigned int max_connections;
 	uint64_t idle_timeout_ms;
 	uint64_t head_timeout_ms;
@@ -84,6 +85,20 @@
 /** ld_listener_open_exchanges() - requests whose answer isn't fully sent */
 size_t ld_listener_open_exchanges(const struct ld_listener *e);
 size_t ld_listener_connections(const struct ld_listener *e);
+/**
+ * ld_listener_held_bytes() - bodies of requests, and of answers that their clients
+ * have not taken yet
+ *
+ * A request whose body would exceed the listener's bound is refused.
+ */
+size_t ld_listener_held_bytes(const struct ld_listener *e);
+/**
+ * ld_listener_end_largest() - close the connection whose client leaves the most
+ * bytes of a whole answer untaken
+ *
+ * Return: these bytes; 0 when there is none.
+ */
+size_t ld_listener_end_largest(struct ld_listener *e);
 /** ld_listener_lingering() - closed connections with bytes not yet sent */
 size_t ld_listener_lingering(const struct ld_listener *e);
 /** ld_listener_free() - closes every connection */
@@ -121,6 +136,11 @@
  */
 void ld_exchange_answer(struct ld_exchange *x, unsigned int code,
     const char *content_type, const char *const *headers, struct ld_str body);
+/**
+ * ld_exchange_answer_with() - the same without a copy of @body, which is emptied
+ */
+void ld_exchange_answer_with(struct ld_exchange *x, unsigned int code,
+    const char *const *headers, struct ld_buf *body);
 /** ld_exchange_begin() - start a streamed answer */
 void ld_exchange_begin(
     struct ld_exchange *x, unsigned int code, const char *content_type);
--- a/lib/metrics/metrics.c
+++ b/lib/metrics/metrics.c
@@ -83,6 +83,8 @@
 	"Answers of servers that were passed on."),
     COUNTER(LD_M_RELAY_BROKEN, "ld_relay_broken_total", "streams",
 	"Streams that ended before their last event."),
+    COUNTER(LD_M_RELAY_MEMORY_ENDED, "ld_relay_memory_ended_total", "answers",
+	"Answers ended as all together took too much memory."),
     COUNTER(LD_M_RELAY_SENDS, "ld_relay_sends_total", "sends",
 	"Requests sent to servers, repeats included."),
     COUNTER(LD_M_RELAY_REPEATS, "ld_relay_repeats_total", "sends",
--- a/lib/relay/changes_server.c
+++ b/lib/relay/changes_server.c
@@ -241,6 +241,12 @@
 	return ld_listener_open_exchanges(r->changes_server->listener);
 }
 
+size_t
+changes_server_held_bytes(const struct relay *r)
+{
+	return ld_listener_held_bytes(r->changes_server->listener);
+}
+
 bool
 changes_server_in_use(const struct relay *r)
 {
@@ -265,6 +271,7 @@
 	    .connection_bytes = CONNECTION_BYTES,
 	    .max_answer_head_bytes = RELAY_ANSWER_HEAD_MAX_BYTES,
 	    .max_body_bytes = BODY_BYTES,
+	    .max_held_bytes = memory_limit_bytes(r),
 	    .max_connections = CONNECTIONS_MAX,
 	    .idle_timeout_ms = IDLE_MS,
 	    .head_timeout_ms = HEAD_MS,
--- a/lib/relay/finish.c
+++ b/lib/relay/finish.c
@@ -95,10 +95,9 @@
 void
 request_relay_response(struct request *q)
 {
-	ld_exchange_answer(end_answered(q),
-	    (unsigned int)q->send->response.code, NULL,
-	    response_headers(&q->send->response),
-	    ld_buf_str(&q->send->response.body));
+	ld_exchange_answer_with(end_answered(q),
+	    (unsigned int)q->send->response.code,
+	    response_headers(&q->send->response), &q->send->response.body);
 	request_free(q);
 }
 
--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -281,6 +281,7 @@
 	    .connection_bytes = CONNECTION_BYTES,
 	    .max_answer_head_bytes = RELAY_ANSWER_HEAD_MAX_BYTES,
 	    .max_body_bytes = INITIAL_BODY_BYTES,
+	    .max_held_bytes = memory_limit_bytes(r),
 	    .max_connections = connections_max(s),
 	    .idle_timeout_ms = INITIAL_IDLE_MS,
 	    .head_timeout_ms = INITIAL_HEAD_MS,
--- a/lib/relay/move.c
+++ b/lib/relay/move.c
@@ -100,12 +100,13 @@
 	struct send *s = (struct send *)sink;
 	struct request *q = s->request;
 
-	send_note_bytes(s);
-	if (!send_is_event_stream(s)) {
-		ld_buf_adds(&s->response.body, bytes);
+	struct relay *r = q->relay;
+
+	if (!send_receive_bytes(s, bytes)) {
+		if (memory_exceeded(r))
+			memory_relieve(r);
 		return;
 	}
-	ld_sse_feed(&s->events, bytes);
 	if (ld_sse_has_event(&s->events)) {
 		keep(q);
 		request_receive_events(q);
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -27,13 +27,6 @@
 		ld_dispatch_full(s->server, relay_now(s->request->relay));
 }
 
-static void
-note_server_answered(struct request *q)
-{
-	if (q->send->server != NULL)
-		ld_dispatch_answered(q->send->server, relay_now(q->relay));
-}
-
 /* The send was answered, but not in a way that can be relayed. */
 static void
 retry_or_fail(struct request *q, const char *why)
@@ -44,6 +37,21 @@
 		request_retry_or_fail(q, why);
 }
 
+void
+send_reject(struct send *s, const char *why)
+{
+	send_mark_maybe_ran(s);
+	send_note_failed(s);
+	retry_or_fail(s->request, why);
+}
+
+static void
+note_server_answered(struct request *q)
+{
+	if (q->send->server != NULL)
+		ld_dispatch_answered(q->send->server, relay_now(q->relay));
+}
+
 void
 send_on_field(
     struct ld_http_sink *sink, struct ld_str name, struct ld_str value)
@@ -55,7 +63,7 @@
 	    &s->response, q->relay->dialect, q->attempt_id, name, value);
 }
 
-void
+static void
 send_note_bytes(struct send *s)
 {
 	struct relay *r = s->request->relay;
@@ -164,11 +172,8 @@
 	const char *fault = send_receive_head(s, code, type);
 
 	/* The connection is closed: what follows on it can't be trusted. */
-	if (fault != NULL) {
-		send_mark_maybe_ran(s);
-		send_note_failed(s);
-		retry_or_fail(s->request, fault);
-	}
+	if (fault != NULL)
+		send_reject(s, fault);
 }
 
 bool
@@ -235,17 +240,30 @@
 	return st == LD_E_TOO_LARGE ? "event-too-large" : NULL;
 }
 
+bool
+send_receive_bytes(struct send *s, struct ld_str bytes)
+{
+	bool is_stream = send_is_event_stream(s);
+
+	send_note_bytes(s);
+	if (is_stream)
+		ld_sse_feed(&s->events, bytes);
+	else
+		ld_buf_adds(&s->response.body, bytes);
+	memory_account(s);
+	return is_stream;
+}
+
 void
 request_receive_events(struct request *q)
 {
 	const char *fault = relay_events(q);
 
 	if (fault != NULL) {
-		send_mark_maybe_ran(q->send);
-		send_note_failed(q->send);
-		retry_or_fail(q, fault);
+		send_reject(q->send, fault);
 		return;
 	}
+	memory_account(q->send);
 	if (ld_exchange_backlog(q->x) > LD_ENTRY_BACKLOG_BYTES)
 		ld_http_pause(q->send->call);
 }
@@ -255,13 +273,12 @@
 {
 	struct send *s = (struct send *)sink;
 
-	send_note_bytes(s);
-	if (!send_is_event_stream(s)) {
-		ld_buf_adds(&s->response.body, bytes);
-		return;
-	}
-	ld_sse_feed(&s->events, bytes);
-	request_receive_events(s->request);
+	struct relay *r = s->request->relay;
+
+	if (send_receive_bytes(s, bytes))
+		request_receive_events(s->request);
+	if (memory_exceeded(r))
+		memory_relieve(r);
 }
 
 static void
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -78,6 +78,8 @@
 	struct ld_servers *servers;
 	struct request *requests;
 	size_t request_count;
+	uint64_t memory_logged_ms; /* see memory_relieve() */
+	size_t send_bytes; /* held of servers' responses, see memory.c */
 	struct service_budget *budgets;
 	struct ld_dispatch_bias prediction_bias;
 	struct ld_rand rand;
@@ -106,6 +108,14 @@
 	ld_metrics_add(r->metrics, id, 1);
 }
 
+/* ---- memory.c ---- */
+
+/** memory_limit_bytes() - for the bodies of requests and answers together */
+size_t memory_limit_bytes(const struct relay *r);
+
+/** memory_held_bytes() - what they take now */
+size_t memory_held_bytes(const struct relay *r);
+
 /* ---- listen.c ---- */
 
 enum ld_status listen_open(struct relay *r);
@@ -274,6 +284,8 @@
 void changes_server_set_closing(struct relay *r);
 /** changes_server_open_exchanges() - see ld_listener_open_exchanges() */
 size_t changes_server_open_exchanges(const struct relay *r);
+/** changes_server_held_bytes() - see ld_listener_held_bytes() */
+size_t changes_server_held_bytes(const struct relay *r);
 /** changes_server_in_use() - a peer sent a request recently */
 bool changes_server_in_use(const struct relay *r);
 
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -64,6 +64,7 @@
 	uint64_t predicted_uncorrected_ms; /* without the learned bias */
 	struct response response;
 	struct ld_sse events; /* received, and not complete */
+	size_t held_bytes; /* of both, part of the relay's: memory.c */
 };
 
 /**
@@ -177,8 +178,8 @@
 /** send_receive_head() - NULL, or why the response can't be used */
 const char *send_receive_head(struct send *s, long code, struct ld_str type);
 bool send_is_event_stream(const struct send *s);
-/** send_note_bytes() - bytes of the body were received */
-void send_note_bytes(struct send *s);
+/** send_receive_bytes() - of the body; true if they are those of a stream */
+bool send_receive_bytes(struct send *s, struct ld_str bytes);
 /** send_note_failed() - the server failed it; it gets the request no more */
 void send_note_failed(struct send *s);
 /** send_note_refused() - the server says that it has not run the request */
@@ -191,6 +192,23 @@
  */
 void request_receive_events(struct request *q);
 
+/**
+ * send_reject() - end a send whose response can't be used; its request may be freed
+ */
+void send_reject(struct send *s, const char *why);
+
+/* ---- memory.c ---- */
+
+/** memory_account() - the buffers of @s have changed */
+void memory_account(struct send *s);
+/**
+ * memory_exceeded() - whether bodies take more than their part of the memory
+ *
+ * If so, memory_relieve() ends the largest; a request may be freed.
+ */
+bool memory_exceeded(const struct relay *r);
+void memory_relieve(struct relay *r);
+
 /* ---- move.c ---- */
 
 /**
--- a/lib/relay/send.c
+++ b/lib/relay/send.c
@@ -8,7 +8,6 @@
 /* Allows a few round trips between failure domains. A lost SYN is retransmitted
  * only after 1 s. */
 #define CONNECT_TIMEOUT_MS 400
-#define RESPONSE_MAX_BYTES ((size_t)16 * 1024 * 1024)
 
 struct send *
 send_new(struct request *q, const struct ld_http_sink_ops *ops)
@@ -42,6 +41,7 @@
 	send_cancel(s);
 	response_reset(&s->response);
 	ld_sse_free(&s->events);
+	memory_account(s);
 	free(s);
 }
 
@@ -70,6 +70,7 @@
 {
 	response_reset(&s->response);
 	ld_sse_reset(&s->events);
+	memory_account(s);
 	s->reused = false;
 	s->crash_noted = false;
 	s->last_byte_ms = 0;
@@ -95,7 +96,7 @@
 	    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
 	    .total_timeout_ms = remaining_ms,
 	    .fresh = !q->retryable,
-	    .max_body = RESPONSE_MAX_BYTES,
+	    .max_body = r->settings->max_answer_bytes,
 	};
 
 	reset(s, relay_now(r));
--- a/lib/relay/usage.c
+++ b/lib/relay/usage.c
@@ -70,7 +70,7 @@
 		return;
 	t = totals_now(r);
 	ld_event("node.usage",
-	    "ms=%llu processor_ms=%llu longest_turn_ms=%llu "
+	    "ms=%llu processor_ms=%llu longest_turn_ms=%llu held_bytes=%zu "
 	    "requests=%llu sends=%llu store_reads=%llu store_writes=%llu "
 	    "store_leases=%llu "
 	    "store_watches=%llu datagrams_in=%llu datagrams_out=%llu "
@@ -79,6 +79,7 @@
 	    (unsigned long long)(now - u->logged_ms),
 	    (unsigned long long)(t.processor_ms - u->logged.processor_ms),
 	    (unsigned long long)ld_loop_take_longest_turn_ms(r->loop),
+	    memory_held_bytes(r),
 	    (unsigned long long)(t.requests - u->logged.requests),
 	    (unsigned long long)(t.sends - u->logged.sends),
 	    (unsigned long long)(t.calls[LD_STORE_READ] -
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -184,6 +184,8 @@
 	uint64_t metrics_port;
 	struct ld_address store_address;
 	uint64_t max_event_bytes;
+	uint64_t max_answer_bytes;
+	uint64_t memory_percent; /* of memory_mb */
 	uint64_t max_descriptors;
 	uint64_t memory_mb;
 	uint64_t processor_permille; /* of node.processor_share */
--- a/tests/faults/ld_raw_server.c
+++ b/tests/faults/ld_raw_server.c
@@ -29,7 +29,7 @@
 
 	drop_pending(c);
 	if (c->repeated != NULL) {
-		ev_io_stop(ld_loop_ev(s->loop), &c->endless);
+		ld_timer_stop(ld_loop_timers(s->loop), &c->endless);
 		s->endless--;
 	}
 	if (reset)
@@ -40,23 +40,26 @@
 }
 
 static void
-on_endless(struct ev_loop *ev, ev_io *io, int events)
+on_endless(struct ld_timer *t, uint64_t now_ms)
 {
 	static char burst[RAW_BURST_BYTES];
-	struct raw_connection *c = io->data;
+	struct raw_connection *c = (struct raw_connection *)((char *)t -
+	    offsetof(struct raw_connection, endless));
 	size_t unit = strlen(c->repeated), n = 0;
 	ssize_t sent;
 
 	/* Whole units, so that any socket may take a part of the bytes. */
 	for (; n + unit <= sizeof(burst); n += unit)
 		memcpy(burst + n, c->repeated, unit);
-	sent = send(io->fd, burst + c->burst_offset, n - c->burst_offset,
+	sent = send(c->io.fd, burst + c->burst_offset, n - c->burst_offset,
 	    MSG_NOSIGNAL | MSG_DONTWAIT);
-	if (sent < 0) {
-		if (errno != EAGAIN)
-			close_connection(c, false);
+	if (sent < 0 && errno != EAGAIN) {
+		close_connection(c, false);
 		return;
 	}
+	ld_timer_after(ld_loop_timers(c->server->loop), t, RAW_BURST_MS);
+	if (sent < 0)
+		return;
 	c->burst_offset = (c->burst_offset + (size_t)sent) % unit;
 	c->endless_bytes += (size_t)sent;
 	if (c->endless_bytes > c->server->endless_bytes)
@@ -68,9 +71,8 @@
 {
 	c->repeated = bytes;
 	c->server->endless++;
-	ev_io_init(&c->endless, on_endless, c->io.fd, EV_WRITE);
-	c->endless.data = c;
-	ev_io_start(ld_loop_ev(c->server->loop), &c->endless);
+	c->endless.fn = on_endless;
+	ld_timer_after(ld_loop_timers(c->server->loop), &c->endless, 0);
 }
 
 static void
--- a/tests/faults/ld_raw_server.h
+++ b/tests/faults/ld_raw_server.h
@@ -13,6 +13,8 @@
 #define RAW_PENDING_MAX 16
 #define RAW_REQUEST_BYTES 65536
 #define RAW_BURST_BYTES 65536
+/* Between two bursts, so that many leave the test its turn, ms. */
+#define RAW_BURST_MS 10
 
 /** enum raw_end - what follows the bytes of a step */
 enum raw_end {
@@ -51,7 +53,7 @@
 	char request[RAW_REQUEST_BYTES];
 	size_t len;
 	struct raw_pending pending[RAW_PENDING_MAX];
-	ev_io endless; /* writes the bytes of a RAW_ENDLESS step */
+	struct ld_timer endless; /* writes the bytes of a RAW_ENDLESS step */
 	const char *repeated; /* these bytes, NULL for none */
 	size_t burst_offset; /* of the next byte within them */
 	size_t endless_bytes; /* written by that step */
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -21,6 +21,7 @@
 char relay_address[32];
 char metrics_address[32];
 char relay_program[4096];
+const char *relay_node_settings = "";
 
 static struct ld_loop *loop;
 static struct ld_http *http;
@@ -345,12 +346,13 @@
 	int fd = mkstemp(path);
 
 	snprintf(text, sizeof(text),
-	    "{\"node\":{\"name\":\"%s\",\"failure_domain\":\"z1\"},"
+	    "{\"node\":{\"name\":\"%s\",\"failure_domain\":\"z1\"%s},"
 	    "\"entry\":{\"listen\":\"127.0.0.1:%u\"},"
 	    "\"readiness\":{\"listen\":\"127.0.0.1:%u\"},"
 	    "\"peers\":{\"port\":%u},\"metrics\":{\"port\":%u},"
 	    "\"store\":{\"address\":\"127.0.0.1:%u\"}}",
-	    name, entry, ld_free_port(), peers, metrics, kv);
+	    name, relay_node_settings, entry, ld_free_port(), peers, metrics,
+	    kv);
 	CU_ASSERT_FATAL(
 	    fd >= 0 && write(fd, text, strlen(text)) == (ssize_t)strlen(text));
 	close(fd);
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -33,6 +33,8 @@
 extern char relay_address[32];
 extern char metrics_address[32];
 
+/** relay_node_settings - more members of "node", such as ",\"memory_mb\":64" */
+extern const char *relay_node_settings;
 /** relay_program - the program beside the test's own, set by relay_test_main() */
 extern char relay_program[4096];
 
