--- a/lib/entry/exchange.c
+++ b/lib/entry/exchange.c
@@ -189,7 +189,7 @@
 
 /** struct head_size - of the head of a request */
 struct head_size {
-	size_t bytes; /* on the wire, at least */
+	size_t bytes; /* of the fields on the wire, at least */
 	size_t fields;
 };
 
@@ -210,11 +210,10 @@
 	struct head_size h = {0};
 	size_t needed;
 
-	h.bytes = strlen(x->method) + strlen(ld_exchange_target(x)) +
-	    strlen("  HTTP/1.1\r\n\r\n");
 	ld_exchange_fields(x, add_field_size, &h);
-	needed = h.bytes + h.fields * FIELD_OVERHEAD_BYTES +
-	    c->max_answer_head_bytes + ANSWER_OVERHEAD_BYTES;
+	needed = strlen(x->method) + strlen(ld_exchange_target(x)) + h.bytes +
+	    h.fields * FIELD_OVERHEAD_BYTES + c->max_answer_head_bytes +
+	    ANSWER_OVERHEAD_BYTES;
 	return (c->max_head_bytes > 0 && h.bytes > c->max_head_bytes) ||
 	    needed > c->connection_bytes;
 }
--- a/lib/entry/ld_entry.h
+++ b/lib/entry/ld_entry.h
@@ -46,7 +46,8 @@
  *	32,768
  * @max_answer_head_bytes: of the fields of answers: names, values and four for
  *	each; 0: 2,048
- * @max_head_bytes: of a request; 0: what @connection_bytes has room for
+ * @max_head_bytes: of the fields of a request; 0: what @connection_bytes has room
+ *	for
  */
 struct ld_listener_config {
 	const char *host; /* IPv4 address in dotted-decimal form */
