--- a/tests/faults/ld_stops.h
+++ b/tests/faults/ld_stops.h
@@ -188,6 +188,8 @@
 
 void stops_user_open(struct stops *s, int relay);
 void stops_users_tick(struct stops *s);
+/** stops_has_waiting() - some user waits for an answer */
+bool stops_has_waiting(const struct stops *s);
 void stops_users_close(struct stops *s);
 /** stops_user_send() - send a request now, on a new connection if need be */
 bool stops_user_send(struct stops_user *u, const struct stops_plan *plan);
--- a/tests/faults/ld_stops_client.c
+++ b/tests/faults/ld_stops_client.c
@@ -416,6 +416,15 @@
 	u->io.data = u;
 }
 
+bool
+stops_has_waiting(const struct stops *s)
+{
+	for (int i = 0; i < s->user_count; i++)
+		if (s->users[i].request != NULL)
+			return true;
+	return false;
+}
+
 void
 stops_users_close(struct stops *s)
 {
--- a/tests/faults/test_config_changes.c
+++ b/tests/faults/test_config_changes.c
@@ -65,15 +65,6 @@
 	kill(pid, SIGCONT);
 }
 
-static bool
-has_waiting(const struct stops *s)
-{
-	for (int i = 0; i < s->user_count; i++)
-		if (s->users[i].request != NULL)
-			return true;
-	return false;
-}
-
 static void
 play(uint64_t seed)
 {
@@ -95,7 +86,7 @@
 	}
 	s.calm = true;
 	until = stops_now(&s) + DRAIN_MS;
-	while (has_waiting(&s) && stops_now(&s) < until)
+	while (stops_has_waiting(&s) && stops_now(&s) < until)
 		stops_run_for(&s, 20);
 	printf("seed %llu: %d configurations, %u requests, %u answered, %u "
 	       "refused, %u cut, %u excused, %u lost\n",
--- a/tests/faults/test_heads.c
+++ b/tests/faults/test_heads.c
@@ -17,7 +17,7 @@
 #include "ld_relay_session.h"
 
 /* max_header_bytes of put_config(). */
-#define HEAD_MAX_BYTES 16384
+#define HEAD_MAX_BYTES ((size_t)16384)
 #define ANSWER_BYTES 65536
 #define WAIT_MS 5000
 #define SEED 54
--- a/tests/faults/test_memory.c
+++ b/tests/faults/test_memory.c
@@ -17,7 +17,7 @@
 
 /* Memory that the relay may use. */
 #define MEMORY_MB 64
-#define KB_PER_MB 1024
+#define KB_PER_MB 1024UL
 #define REQUESTS 60
 #define LOOKUPS 40
 #define LOOKUP_INTERVAL_MS 50
--- a/tests/faults/test_planned_stops.c
+++ b/tests/faults/test_planned_stops.c
@@ -77,15 +77,6 @@
 	}
 }
 
-static bool
-has_waiting(const struct stops *s)
-{
-	for (int i = 0; i < s->user_count; i++)
-		if (s->users[i].request != NULL)
-			return true;
-	return false;
-}
-
 static void
 play(uint64_t seed)
 {
@@ -102,7 +93,7 @@
 	run_and_restart(&s, GRACE_MS + STOPS_AFTER_GRACE_MS);
 	s.calm = true;
 	until = stops_now(&s) + DRAIN_MS;
-	while (has_waiting(&s) && stops_now(&s) < until)
+	while (stops_has_waiting(&s) && stops_now(&s) < until)
 		run_and_restart(&s, 20);
 	printf("seed %llu: %u requests, %u answered, %u refused, %u cut, %u "
 	       "excused, %u lost\n",
--- a/tests/holders_world.h
+++ b/tests/holders_world.h
@@ -307,8 +307,6 @@
 		c->unanswered = true;
 		c->refused = refuses_connections(w, i);
 		c->reaches_ms = 0;
-	} else if (is_cut_from_nodes(&w->s, i, CUT_ONE_WAY)) {
-		c->unanswered = true;
 	} else if (dice < w->faults.late_percent) {
 		c->unanswered = true;
 		c->reaches_ms = now + 200 + below(w, 6000);
@@ -321,6 +319,7 @@
 		again->order = *o;
 		again->reaches_ms = now + 200 + below(w, 6000);
 	}
+	c->unanswered |= is_cut_from_nodes(&w->s, i, CUT_ONE_WAY);
 	if (c->unanswered)
 		c->answered_ms =
 		    now + (c->refused ? STEP_MS : ORDER_TIMEOUT_MS);
--- a/tests/unit/test_kept_connections.c
+++ b/tests/unit/test_kept_connections.c
@@ -20,7 +20,7 @@
 #define MAX_BODY 4000
 /* Longer than all time-outs and the interval of their checks, ms. */
 #define LATE_MS 1800
-#define HALF_BYTES 500
+#define HALF_BYTES ((size_t)500)
 
 /** struct bench - a listener, and one client with a plain socket */
 struct bench {
--- a/tests/unit/test_linear_parsers.c
+++ b/tests/unit/test_linear_parsers.c
@@ -203,7 +203,7 @@
 	enum ld_status st = LD_E_AGAIN;
 
 	memset(text, 'x', sizeof(text));
-	memcpy(text + len - 2, "\n\n: next\n\n", 10);
+	snprintf(text + len - 2, sizeof(text) - len + 2, "\n\n: next\n\n");
 	for (size_t at = 0; at < len + 8 && st == LD_E_AGAIN; at += chunk) {
 		size_t left = len + 8 - at;
 
