--- a/tests/faults/ld_relay_server.c
+++ b/tests/faults/ld_relay_server.c
@@ -111,7 +111,7 @@
 	    (struct server *)((char *)t - offsetof(struct server, crash_timer));
 
 	s->crashes++;
-	if (s->behaviour == DIES_ON_PATH) {
+	if (s->behaviour == DIES_ON_PATH || s->form.stops_listening) {
 		relay_server_kill(s);
 		return;
 	}
@@ -168,10 +168,13 @@
 		return;
 	}
 	if (s->behaviour == CRASHES_ON_PROMPT && has_crashing_part(x)) {
-		begin_events(x);
+		if (!s->form.before_head)
+			begin_events(x);
+		for (int id = 1; id <= s->form.events; id++)
+			write_event(x, id);
 		s->crashing = x;
-		ld_timer_after(
-		    ld_loop_timers(s->loop), &s->crash_timer, CRASH_AFTER_MS);
+		ld_timer_after(ld_loop_timers(s->loop), &s->crash_timer,
+		    CRASH_AFTER_MS + s->form.after_ms);
 		return;
 	}
 	if (s->behaviour == HOLDS ||
--- a/tests/faults/ld_relay_server.h
+++ b/tests/faults/ld_relay_server.h
@@ -42,6 +42,21 @@
 	STREAMS_SLOWLY
 };
 
+/**
+ * struct crash_form - how a server of CRASHES_ON_PROMPT ends
+ * @before_head: before the head of its answer
+ * @events: written after the head
+ * @after_ms: from the last of these until the end
+ * @stops_listening: as a process that ends; else something before it goes on
+ *	listening and closes each connection
+ */
+struct crash_form {
+	bool before_head;
+	int events;
+	uint64_t after_ms;
+	bool stops_listening;
+};
+
 /** struct server - one backend server */
 struct server {
 	struct ld_handler handler; /* first member */
@@ -50,7 +65,9 @@
 	uint16_t port;
 	char address[32];
 	char id[8]; /* id of its entry in the store */
+	int64_t born; /* start of its process in Unix ms, 0: not in its entry */
 	enum behaviour behaviour;
+	struct crash_form form;
 	unsigned int arrivals; /* of clients' requests */
 	unsigned int probes; /* arrivals without an id */
 	unsigned int crashes; /* arrivals that it answered by a crash */
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -53,14 +53,17 @@
 void
 put_entry_in_zone(const struct server *s, const char *zone, int sequence)
 {
-	char key[32], value[256];
+	char key[32], born[48] = "", value[256];
 
 	snprintf(key, sizeof(key), "servers/%s", s->id);
+	if (s->born != 0)
+		snprintf(
+		    born, sizeof(born), ",\"born\":%lld", (long long)s->born);
 	snprintf(value, sizeof(value),
 	    "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":\"%s\","
 	    "\"slots\":6,\"state\":\"ready\",\"version\":\"v1\","
-	    "\"warmup_left_ms\":0,\"sequence\":%d}",
-	    s->address, zone, sequence);
+	    "\"warmup_left_ms\":0,\"sequence\":%d%s}",
+	    s->address, zone, sequence, born);
 	ld_kv_store_put(store, key, value);
 }
 
@@ -336,6 +339,22 @@
 	}
 }
 
+void
+restart_crashed_as_before(void)
+{
+	for (int i = 0; i < SERVERS; i++) {
+		struct server *s = &servers[i];
+
+		if (!s->down)
+			continue;
+		s->born += 1000;
+		relay_server_restart(s);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(s->listener);
+		put_entry(s, 0);
+		s->down = false;
+	}
+}
+
 /* ---- Start and end ---- */
 
 static void
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -125,5 +125,7 @@
 unsigned long relay_counter(const char *name);
 /** restart_crashed() - servers that are down come back under a new id */
 void restart_crashed(void);
+/** restart_crashed_as_before() - the same, under their ids, with a new start */
+void restart_crashed_as_before(void);
 
 #endif
--- /dev/null
+++ b/tests/unit/test_quarantine_hours.c
@@ -0,0 +1,244 @@
+/*
+ * A request that crashes servers comes again for hours, at any node. The users'
+ * bound holds for as long as it comes: no trial, forgotten crash or restarted
+ * node may let it through again and again.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "ld_quarantine.h"
+#include "ld_test.h"
+
+#define NODES_MAX 8
+#define SECOND_MS 1000
+#define MINUTE_MS 60000
+#define HOUR_MS 3600000
+/* The users' bound: so many may reach servers later than this after the crash
+ * that counts, the third by one request or the fifth by one part. */
+#define BOUND_AFTER_MS 4000
+#define BOUND_ARRIVALS 3
+#define BOUND_CRASHES_REQUEST 3
+#define BOUND_CRASHES_PART 5
+
+static struct {
+	struct ld_quarantine *nodes[NODES_MAX];
+	size_t node_count;
+	uint64_t now;
+	uint32_t servers; /* processes so far: each crash ends one */
+	unsigned int crashes;
+	unsigned int bound_crashes;
+	uint64_t bound_from_ms;
+	unsigned int arrivals_after;
+} w;
+
+static void
+on_send(void *user, const struct ld_finding *f)
+{
+	for (size_t i = 0; i < w.node_count; i++)
+		if (&w.nodes[i] != user && w.nodes[i] != NULL)
+			ld_quarantine_receive(w.nodes[i], f, w.now);
+}
+
+static void
+on_changed(
+    void *user, enum ld_quarantine_event e, uint64_t part, uint64_t until_ms)
+{
+}
+
+static void
+start_node(size_t i)
+{
+	static const struct ld_quarantine_ops ops = {on_send, on_changed};
+
+	w.nodes[i] = ld_quarantine_new(&ops, &w.nodes[i], i + 1);
+}
+
+static void
+world_open(size_t nodes, unsigned int bound_crashes)
+{
+	memset(&w, 0, sizeof(w));
+	w.node_count = nodes;
+	w.now = SECOND_MS;
+	w.bound_crashes = bound_crashes;
+	w.bound_from_ms = UINT64_MAX;
+	for (size_t i = 0; i < nodes; i++)
+		start_node(i);
+}
+
+static void
+world_close(void)
+{
+	for (size_t i = 0; i < w.node_count; i++)
+		ld_quarantine_free(w.nodes[i]);
+}
+
+static void
+pass(uint64_t ms)
+{
+	for (uint64_t end = w.now + ms; w.now < end;) {
+		w.now += SECOND_MS;
+		for (size_t i = 0; i < w.node_count; i++)
+			ld_quarantine_tick(w.nodes[i], w.now);
+	}
+}
+
+static struct ld_prompt
+plain_request(const char *target)
+{
+	struct ld_prompt p;
+
+	ld_prompt_from_request(&p,
+	    &(struct ld_request_identity){LD_STR("shop"), LD_STR("GET"),
+		LD_STR("h"), ld_str_c(target), LD_STR("")});
+	return p;
+}
+
+/* @begun: the head of the answer had come. */
+static void
+arrive(size_t node, const struct ld_prompt *p, bool begun)
+{
+	uint64_t until_ms;
+
+	if (ld_quarantine_contains(w.nodes[node], p, w.now, &until_ms)) {
+		CU_ASSERT(until_ms > w.now);
+		return;
+	}
+	w.arrivals_after += w.now >= w.bound_from_ms;
+	if (++w.crashes == w.bound_crashes)
+		w.bound_from_ms = w.now + BOUND_AFTER_MS;
+	ld_quarantine_crashed(w.nodes[node], p, ++w.servers, begun, w.now);
+}
+
+static void
+check_bound(size_t nodes, uint64_t interval_ms, uint64_t ms,
+    const struct ld_prompt *p, bool begun)
+{
+	size_t node = 0;
+
+	world_open(nodes, BOUND_CRASHES_REQUEST);
+	for (uint64_t end = w.now + ms; w.now < end; pass(interval_ms))
+		arrive(node++ % nodes, p, begun);
+	CU_ASSERT(w.crashes >= BOUND_CRASHES_REQUEST);
+	CU_ASSERT(w.arrivals_after <= BOUND_ARRIVALS);
+	if (w.arrivals_after > BOUND_ARRIVALS)
+		printf("every %llu s, %llu minutes: %u reached servers, %u of "
+		       "them late\n",
+		    (unsigned long long)(interval_ms / SECOND_MS),
+		    (unsigned long long)(ms / MINUTE_MS), w.crashes,
+		    w.arrivals_after);
+	world_close();
+}
+
+static void
+test_a_request_is_not_tried_again_and_again(void)
+{
+	struct ld_prompt p = plain_request("/deadly");
+
+	check_bound(8, SECOND_MS, HOUR_MS, &p, true);
+	check_bound(8, SECOND_MS, 4 * HOUR_MS, &p, true);
+}
+
+static void
+test_crashes_far_apart_are_not_forgotten(void)
+{
+	struct ld_prompt p = plain_request("/deadly");
+
+	check_bound(8, 35 * SECOND_MS, 4 * HOUR_MS, &p, true);
+	check_bound(7, 61 * SECOND_MS, 4 * HOUR_MS, &p, true);
+	check_bound(8, 20 * MINUTE_MS, 24 * HOUR_MS, &p, true);
+}
+
+static void
+test_a_prompt_that_crashes_before_the_head_stops(void)
+{
+	struct ld_prompt p = plain_request("/complete");
+
+	p.own = 0x77;
+	p.parts[0] = 0x11;
+	p.part_count = 1;
+	check_bound(8, SECOND_MS, HOUR_MS, &p, false);
+	check_bound(7, 61 * SECOND_MS, 4 * HOUR_MS, &p, false);
+}
+
+/* Each request with the part is new. */
+static void
+check_part(uint64_t interval_ms, uint64_t ms, bool begun)
+{
+	size_t node = 0;
+
+	world_open(8, BOUND_CRASHES_PART);
+	for (uint64_t end = w.now + ms; w.now < end; pass(interval_ms)) {
+		char target[32];
+		struct ld_prompt p;
+
+		snprintf(target, sizeof(target), "/complete/%zu", node);
+		p = plain_request(target);
+		p.parts[0] = 0x11;
+		p.parts[1] = 0xdead;
+		p.part_count = 2;
+		p.own = 1000 + node;
+		arrive(node++ % 8, &p, begun);
+		/* The first part is sound: others with it are answered. */
+		p.part_count = 1;
+		ld_quarantine_answered(w.nodes[node % 8], &p, w.now);
+	}
+	CU_ASSERT(w.arrivals_after <= BOUND_ARRIVALS);
+	world_close();
+}
+
+static void
+test_a_part_is_not_tried_again_and_again(void)
+{
+	check_part(SECOND_MS, 4 * HOUR_MS, true);
+	check_part(35 * SECOND_MS, 4 * HOUR_MS, true);
+	check_part(61 * SECOND_MS, 4 * HOUR_MS, false);
+}
+
+/* More of them than were kept at once before: each is bounded by itself. */
+static void
+test_many_such_requests_at_once_are_all_kept(void)
+{
+	unsigned int reached = 0;
+
+	world_open(2, BOUND_CRASHES_REQUEST);
+	for (unsigned int round = 0; round < 20; round++)
+		for (unsigned int i = 0; i < 150; i++) {
+			char target[32];
+			struct ld_prompt p;
+			uint64_t until_ms;
+
+			snprintf(target, sizeof(target), "/deadly/%u", i);
+			p = plain_request(target);
+			pass(SECOND_MS);
+			if (ld_quarantine_contains(
+				w.nodes[round % 2], &p, w.now, &until_ms))
+				continue;
+			reached++;
+			ld_quarantine_crashed(
+			    w.nodes[round % 2], &p, ++w.servers, true, w.now);
+		}
+	CU_ASSERT(reached <= 150U * (BOUND_CRASHES_REQUEST + BOUND_ARRIVALS));
+	world_close();
+}
+
+int
+main(void)
+{
+	static const struct ld_test_case cases[] = {
+	    {"a request is not tried again and again",
+		test_a_request_is_not_tried_again_and_again},
+	    {"crashes far apart are not forgotten",
+		test_crashes_far_apart_are_not_forgotten},
+	    {"a prompt that crashes before the head stops",
+		test_a_prompt_that_crashes_before_the_head_stops},
+	    {"a part is not tried again and again",
+		test_a_part_is_not_tried_again_and_again},
+	    {"many such requests at once are all kept",
+		test_many_such_requests_at_once_are_all_kept},
+	    {NULL, NULL},
+	};
+
+	if (ld_common_init() != LD_OK)
+		return 2;
+	return ld_test_main("quarantine over hours", cases);
+}
