relay: a request that crashes servers stays refused, in whatever form they end

Cause: the evidence was of parts of prompts and of plain requests, by two paths that saw one form of a crash each; it was dropped when two servers failed within a second, aged away after 60 s and ended with the process; a quarantine ended by time, and each trial was one more crash. The rule has no end.

Change: a fingerprint for each request, a second one with its prompt; each send that is broken off is checked, and counts once the server's process is known to have ended (probe, report, or entry in the store); crashes count until a complete answer and are recorded from the second on; a quarantine ends with an answer or by an operator; two trials in all, claimed in the store.

Ruled out: counting closed connections (resets would quarantine common paths), trials by time, a trial for each version of the servers.

--- a/lib/quarantine/evidence.c
+++ b/lib/quarantine/evidence.c
@@ -4,8 +4,9 @@
 /* Nodes notice one crash at different times; a server takes longer than this to
  * restart. */
 #define SAME_CRASH_MS 2000
-/* Older crashes no longer count. */
-#define CRASH_VALID_MS 60000
+/* The same for a crash of a request: a node may learn from the server's entry that
+ * it has ended, see lib/relay/crash_check.c. */
+#define SAME_CHECKED_CRASH_MS 15000
 /* A part whose answers went on this recently is not suspected: it covers the
  * time in which a failing rack crashes several of its servers. */
 #define SOUND_VALID_MS 3000
@@ -30,20 +31,12 @@
 	return NULL;
 }
 
-static bool
-has_crashes(const struct evidence *e, uint64_t now_ms)
-{
-	return e->crash_count > 0 &&
-	    now_ms < e->crashes[e->crash_count - 1].at_ms + CRASH_VALID_MS;
-}
-
 /* Whether @a is to be replaced rather than @b. */
 static bool
-is_less_useful(
-    const struct evidence *a, const struct evidence *b, uint64_t now_ms)
+is_less_useful(const struct evidence *a, const struct evidence *b)
 {
-	bool a_crashes = has_crashes(a, now_ms);
-	bool b_crashes = has_crashes(b, now_ms);
+	bool a_crashes = a->crash_count > 0;
+	bool b_crashes = b->crash_count > 0;
 
 	return a_crashes != b_crashes ? b_crashes : a->used_ms < b->used_ms;
 }
@@ -57,7 +50,7 @@
 	if (e == NULL) {
 		e = &set[0];
 		for (size_t i = 1; i < EVIDENCE_WAYS; i++)
-			if (is_less_useful(&set[i], e, now_ms))
+			if (is_less_useful(&set[i], e))
 				e = &set[i];
 		*e = (struct evidence){.part = part};
 	}
@@ -92,12 +85,22 @@
 }
 
 static bool
-is_same_crash(const struct crash *a, uint32_t server, uint64_t at_ms)
+is_same_crash(
+    const struct crash *a, uint32_t server, uint64_t at_ms, uint64_t within_ms)
 {
 	uint64_t apart_ms =
 	    a->at_ms > at_ms ? a->at_ms - at_ms : at_ms - a->at_ms;
 
-	return a->server == server && apart_ms < SAME_CRASH_MS;
+	return a->server == server && apart_ms < within_ms;
+}
+
+bool
+evidence_knows_server(const struct evidence *e, uint32_t server)
+{
+	for (size_t i = 0; i < e->crash_count; i++)
+		if (e->crashes[i].server == server)
+			return true;
+	return false;
 }
 
 static void
@@ -115,18 +118,20 @@
 evidence_add_crash(
     struct evidence *e, const struct ld_finding *f, uint64_t now_ms)
 {
+	uint64_t within_ms = f->request == (uint32_t)f->part
+	    ? SAME_CHECKED_CRASH_MS
+	    : SAME_CRASH_MS;
+
 	for (size_t i = e->crash_count; i-- > 0;) {
 		struct crash *c = &e->crashes[i];
 
-		if (is_same_crash(c, f->server, now_ms)) {
+		if (is_same_crash(c, f->server, now_ms, within_ms)) {
 			merge_crash(c, f);
 			return;
 		}
-		if (now_ms >= c->at_ms + CRASH_VALID_MS)
-			remove_crash(e, i);
 	}
 	/* The newest ones are kept. */
-	if (e->crash_count == CRASHES_MAX)
+	if (e->crash_count == LD_CRASHES_MAX)
 		remove_crash(e, 0);
 	e->crashes[e->crash_count++] = (struct crash){.server = f->server,
 	    .request = f->request,
@@ -176,31 +181,62 @@
 }
 
 static bool
-explains(const struct evidence *culprit, const struct crash *c)
+is_same_request(const struct crash *by, const struct crash *c)
 {
-	for (size_t i = 0; i < culprit->crash_count; i++) {
-		const struct crash *by = &culprit->crashes[i];
+	return by->request == c->request;
+}
 
-		if (!is_same_crash(by, c->server, c->at_ms))
-			continue;
-		if (by->request == c->request ? !is_own_part(culprit)
-					      : by->begun && !c->begun)
+/* Whether the culprit's crash @by is the crash @c of another part, too. */
+static bool
+explains(const struct evidence *culprit, const struct crash *by,
+    const struct crash *c)
+{
+	if (!is_same_crash(by, c->server, c->at_ms, SAME_CHECKED_CRASH_MS))
+		return false;
+	return is_same_request(by, c) ? !is_own_part(culprit)
+				      : by->begun && !c->begun;
+}
+
+static bool
+is_explained(const struct evidence *culprit, const struct crash *c)
+{
+	for (size_t i = 0; i < culprit->crash_count; i++)
+		if (explains(culprit, &culprit->crashes[i], c))
 			return true;
-	}
 	return false;
 }
 
+/* A request that crashes servers each time is one witness against a part that it
+ * shares with others, however often it came. */
+static void
+keep_one_of_request(struct evidence *e, const struct evidence *culprit)
+{
+	bool found = false;
+
+	for (size_t i = e->crash_count; i-- > 0;) {
+		if (e->crashes[i].request != culprit->crashes[0].request)
+			continue;
+		if (found)
+			remove_crash(e, i);
+		found = true;
+	}
+}
+
 void
 evidence_explain(struct evidence_table *t, const struct evidence *culprit)
 {
+	bool is_own = is_own_part(culprit);
+
 	for (size_t s = 0; s < EVIDENCE_SETS; s++)
 		for (size_t w = 0; w < EVIDENCE_WAYS; w++) {
 			struct evidence *e = &t->sets[s][w];
 
-			if (e == culprit)
+			if (e == culprit || e->crash_count == 0)
 				continue;
 			for (size_t i = e->crash_count; i-- > 0;)
-				if (explains(culprit, &e->crashes[i]))
+				if (is_explained(culprit, &e->crashes[i]))
 					remove_crash(e, i);
+			if (is_own && !is_own_part(e))
+				keep_one_of_request(e, culprit);
 		}
 }
--- a/lib/quarantine/prompt.c
+++ b/lib/quarantine/prompt.c
@@ -1,4 +1,4 @@
-/* The fingerprint of a request without a prompt; the parts of a prompt as text. */
+/* The fingerprints of a request; the parts of a prompt as text. */
 #include <inttypes.h>
 #include <stdio.h>
 
@@ -8,8 +8,7 @@
 #define PART_BYTES ((size_t)18)
 
 void
-ld_prompt_from_request(
-    struct ld_prompt *p, const struct ld_request_identity *id)
+ld_prompt_set_request(struct ld_prompt *p, const struct ld_request_identity *id)
 {
 	const struct ld_str fields[] = {
 	    id->caller, id->method, id->host, id->target, id->body};
@@ -18,8 +17,13 @@
 	/* Each hash is the seed of the next: the fields can't run together. */
 	for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++)
 		hash = ld_hash64(fields[i], hash);
-	*p =
-	    (struct ld_prompt){.own = hash != 0 ? hash : 1, .is_request = true};
+	p->request = hash != 0 ? hash : 1;
+	if (p->own == 0)
+		return;
+	hash = ld_hash64((struct ld_str){(const char *)p->parts,
+			     p->part_count * sizeof(p->parts[0])},
+	    hash ^ p->own);
+	p->exact = hash != 0 ? hash : 1;
 }
 
 const char *
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -1,36 +1,48 @@
-/* Decides which parts of prompts are quarantined, and for how long. */
+/* Decides which requests and parts of prompts are quarantined, and until when. */
 #include <stdlib.h>
 
 #include "quarantine_internal.h"
 
-/* A quarantine ends for a trial after this time, and at most twice of it, by
- * node; each crash in a trial doubles it, up to the longest. */
-#define QUARANTINE_MS 60000
-#define QUARANTINE_LONGEST_MS 1800000
-/* Crashes of requests that were at servers when the quarantine began: these end
- * within the longest time of a request until its answer begins. */
-#define IN_FLIGHT_MS 10000
-/* A part on trial is remembered for this long. */
-#define TRIAL_MS 3600000
-#define PARTS_MAX 64
+/* When a trial is due: after this time, and at most twice of it, by node. A
+ * quarantine does not end by time: a request that crashes servers comes for as
+ * long as its client runs. The few trials are for what was suspected wrongly, and
+ * are fewer than the crashes that the users allow after the third. */
+#define TRIAL_MS 60000
+#define TRIALS_MAX 2
+/* The same after a trial, which may still be on its way to an answer. */
+#define NEXT_TRIAL_MS 1800000
+/* A trial that is due is claimed by then, ms. */
+#define CLAIM_MS 2000
+/* Retry-After when no trial is left: the time in which operators react, ms. */
+#define LAST_RETRY_MS 1800000
+/* What is in quarantine at most; above this, what was not sent for the longest
+ * time is released. */
+#define PARTS_MAX 256
 /* Interval of repeated findings about one part, ms: several datagrams. */
 #define RESEND_MS 300
+/* A part with crashes is reported as a suspect after this time, ms: an answer on
+ * its way refutes most. */
+#define SUSPECT_AFTER_MS 1000
+/* Suspects reported at once. */
+#define SUSPECTS_MAX 64
 
 /**
- * struct entry - a part in quarantine or on trial
+ * struct entry - a part or a request in quarantine
  * @part: 0: free slot
- * @since_ms: begin of the quarantine
- * @until_ms: end of the quarantine
- * @ms: least duration of the quarantine
- * @on_trial: the end of the quarantine was reported
+ * @used_ms: when a request was last refused for it
+ * @trial_ms: when the next trial is due
+ * @trials: trials that are claimed, by any node
+ * @claiming: a claim by this node is in progress
+ * @granted: a claim by this node has succeeded, and its trial is not sent yet
  * @sent_ms: last sent to the other nodes, 0: never
  */
 struct entry {
 	uint64_t part;
-	uint64_t since_ms;
-	uint64_t until_ms;
-	uint64_t ms;
-	bool on_trial;
+	uint64_t used_ms;
+	uint64_t trial_ms;
+	unsigned int trials;
+	bool claiming;
+	bool granted;
 	uint64_t sent_ms;
 };
 
@@ -39,14 +51,15 @@
 	void *user;
 	uint64_t seed;
 	struct entry entries[PARTS_MAX];
+	size_t entry_count;
 	struct evidence_table evidence;
 };
 
 const char *
 ld_quarantine_event_name(enum ld_quarantine_event e)
 {
-	static const char *const names[] = {"crashes", "relapse", "peer",
-	    "record", "answered", "trial", "withdrawn", "full"};
+	static const char *const names[] = {"crashes", "peer", "record",
+	    "relapse", "trial", "answered", "withdrawn", "replaced"};
 
 	return names[e];
 }
@@ -74,33 +87,39 @@
 static struct entry *
 find_entry(struct ld_quarantine *qn, uint64_t part)
 {
+	if (qn->entry_count == 0 || part == 0)
+		return NULL;
 	for (size_t i = 0; i < PARTS_MAX; i++)
 		if (qn->entries[i].part == part)
 			return &qn->entries[i];
 	return NULL;
 }
 
-static bool
-is_active(const struct entry *e, uint64_t now_ms)
+static void
+release(struct ld_quarantine *qn, struct entry *e, enum ld_quarantine_event why)
 {
-	return e != NULL && e->part != 0 && now_ms < e->until_ms;
+	uint64_t part = e->part;
+
+	*e = (struct entry){0};
+	qn->entry_count--;
+	qn->ops->changed(qn->user, why, part);
 }
 
-/* A free slot, or the one on trial for the longest; NULL if there is none. */
+/* A free slot, or that of the part that was not asked for the longest. */
 static struct entry *
-free_entry(struct ld_quarantine *qn, uint64_t now_ms)
+free_entry(struct ld_quarantine *qn)
 {
-	struct entry *best = NULL;
+	struct entry *best = &qn->entries[0];
 
 	for (size_t i = 0; i < PARTS_MAX; i++) {
 		struct entry *e = &qn->entries[i];
 
 		if (e->part == 0)
 			return e;
-		if (!is_active(e, now_ms) &&
-		    (best == NULL || e->until_ms < best->until_ms))
+		if (e->used_ms < best->used_ms)
 			best = e;
 	}
+	release(qn, best, LD_QUARANTINE_REPLACED);
 	return best;
 }
 
@@ -121,53 +140,31 @@
 	send_finding(qn, LD_FINDING_QUARANTINED, e->part);
 }
 
-/* Starts a quarantine, or starts it anew after a crash in a trial. */
-static void
-start_quarantine(
-    struct ld_quarantine *qn, struct entry *e, uint64_t part, uint64_t now_ms)
+/* A time between @ms and twice of it, that differs between nodes. */
+static uint64_t
+spread(const struct ld_quarantine *qn, uint64_t part, uint64_t ms)
 {
 	struct ld_str bytes = {(const char *)&part, sizeof(part)};
-	uint64_t ms = e->part == part ? 2 * e->ms : QUARANTINE_MS;
 
-	if (ms > QUARANTINE_LONGEST_MS)
-		ms = QUARANTINE_LONGEST_MS;
-	*e = (struct entry){.part = part,
-	    .since_ms = now_ms,
-	    .until_ms = now_ms + ms + ld_hash64(bytes, qn->seed) % ms,
-	    .ms = ms};
+	return ms + ld_hash64(bytes, qn->seed) % ms;
 }
 
-static void
+static struct entry *
 impose(struct ld_quarantine *qn, uint64_t part, enum ld_quarantine_event why,
     uint64_t now_ms)
 {
-	struct entry *e = find_entry(qn, part);
+	struct entry *e = free_entry(qn);
 
-	if (e == NULL)
-		e = free_entry(qn, now_ms);
-	if (e == NULL) {
-		qn->ops->changed(qn->user, LD_QUARANTINE_FULL, part, 0);
-		return;
-	}
-	start_quarantine(qn, e, part, now_ms);
-	qn->ops->changed(qn->user, why, part, e->until_ms);
-	if (why == LD_QUARANTINE_BY_CRASHES || why == LD_QUARANTINE_BY_RELAPSE)
-		announce(qn, e, now_ms);
+	*e = (struct entry){.part = part,
+	    .used_ms = now_ms,
+	    .trial_ms = now_ms + spread(qn, part, TRIAL_MS)};
+	qn->entry_count++;
+	qn->ops->changed(qn->user, why, part);
+	return e;
 }
 
 /* ---- Decisions ---- */
 
-/* A crash with a part that is in quarantine here: of a request in flight, in a
- * trial of another node, or of a node that does not know. */
-static void
-note_crash_in_quarantine(
-    struct ld_quarantine *qn, struct entry *e, uint64_t now_ms)
-{
-	if (now_ms >= e->since_ms + IN_FLIGHT_MS)
-		start_quarantine(qn, e, e->part, now_ms);
-	announce(qn, e, now_ms);
-}
-
 static void
 judge_crash(
     struct ld_quarantine *qn, const struct ld_finding *f, uint64_t now_ms)
@@ -176,21 +173,16 @@
 	struct evidence *v = evidence_use(&qn->evidence, f->part, now_ms);
 
 	evidence_add_crash(v, f, now_ms);
-	/* On a part that was quarantined before, one crash is enough. */
-	if ((e == NULL || f->kind != LD_FINDING_CRASH_BEGUN) &&
-	    !evidence_suffices(v, now_ms)) {
-		if (is_active(e, now_ms))
-			announce(qn, e, now_ms);
+	if (e == NULL && !evidence_suffices(v, now_ms))
 		return;
-	}
 	evidence_explain(&qn->evidence, v);
-	if (is_active(e, now_ms))
-		note_crash_in_quarantine(qn, e, now_ms);
+	/* A crash with what is in quarantine here: of a request in flight, in a
+	 * trial, or of a node that does not know. */
+	if (e != NULL)
+		qn->ops->changed(qn->user, LD_QUARANTINE_RELAPSE, f->part);
 	else
-		impose(qn, f->part,
-		    e != NULL ? LD_QUARANTINE_BY_RELAPSE
-			      : LD_QUARANTINE_BY_CRASHES,
-		    now_ms);
+		e = impose(qn, f->part, LD_QUARANTINE_BY_CRASHES, now_ms);
+	announce(qn, e, now_ms);
 }
 
 /* Tells the other nodes that an answer to a suspected part went on. */
@@ -203,15 +195,6 @@
 	send_finding(qn, LD_FINDING_SOUND, v->part);
 }
 
-static void
-release(struct ld_quarantine *qn, struct entry *e, enum ld_quarantine_event why)
-{
-	uint64_t part = e->part;
-
-	*e = (struct entry){0};
-	qn->ops->changed(qn->user, why, part, 0);
-}
-
 static bool
 release_sound(struct ld_quarantine *qn, uint64_t part)
 {
@@ -222,7 +205,7 @@
 	return e != NULL;
 }
 
-/* ---- Events of this node ---- */
+/* ---- Requests ---- */
 
 static bool
 has_part(const struct ld_prompt *p, uint64_t part)
@@ -233,30 +216,105 @@
 	return p->own == part;
 }
 
+static bool
+is_trial_due(const struct entry *e, uint64_t now_ms)
+{
+	return e->trials < TRIALS_MAX && now_ms >= e->trial_ms;
+}
+
+static uint64_t
+retry_at(const struct ld_quarantine *qn, const struct entry *e, uint64_t now_ms)
+{
+	if (qn->ops->claim_trial == NULL ||
+	    (e->trials == TRIALS_MAX && !e->granted))
+		return now_ms + LAST_RETRY_MS;
+	if (e->granted || is_trial_due(e, now_ms))
+		return now_ms + CLAIM_MS;
+	return e->trial_ms;
+}
+
+static bool
+is_of(const struct entry *e, const struct ld_prompt *p)
+{
+	return e->part != 0 &&
+	    (e->part == p->request || e->part == p->exact ||
+		has_part(p, e->part));
+}
+
 bool
-ld_quarantine_contains(const struct ld_quarantine *qn,
-    const struct ld_prompt *p, uint64_t now_ms, uint64_t *until_ms)
+ld_quarantine_contains(struct ld_quarantine *qn, const struct ld_prompt *p,
+    uint64_t now_ms, uint64_t *retry_ms)
 {
-	for (size_t i = 0; i < PARTS_MAX; i++) {
-		const struct entry *e = &qn->entries[i];
+	bool found = false;
 
-		if (!is_active(e, now_ms) || !has_part(p, e->part))
+	*retry_ms = 0;
+	for (size_t i = 0; qn->entry_count > 0 && i < PARTS_MAX; i++) {
+		struct entry *e = &qn->entries[i];
+		uint64_t at_ms;
+
+		if (!is_of(e, p))
 			continue;
-		*until_ms = e->until_ms;
-		return true;
+		found = true;
+		e->used_ms = now_ms;
+		at_ms = retry_at(qn, e, now_ms);
+		if (at_ms > *retry_ms)
+			*retry_ms = at_ms;
 	}
-	return false;
+	return found;
 }
 
+/* ---- Trials ---- */
+
 bool
-ld_quarantine_is_on_trial(
+ld_quarantine_take_trial(
     struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms)
 {
-	const struct entry *e = find_entry(qn, p->own);
+	bool granted = true;
+
+	if (qn->ops->claim_trial == NULL)
+		return false;
+	for (size_t i = 0; i < PARTS_MAX; i++) {
+		struct entry *e = &qn->entries[i];
+
+		if (!is_of(e, p) || e->granted)
+			continue;
+		granted = false;
+		if (e->claiming || !is_trial_due(e, now_ms))
+			continue;
+		e->claiming = true;
+		qn->ops->claim_trial(qn->user, e->part, e->trials + 1);
+	}
+	for (size_t i = 0; granted && i < PARTS_MAX; i++) {
+		struct entry *e = &qn->entries[i];
+
+		if (!is_of(e, p))
+			continue;
+		e->granted = false;
+		qn->ops->changed(qn->user, LD_QUARANTINE_TRIAL, e->part);
+	}
+	return granted;
+}
+
+void
+ld_quarantine_claimed(struct ld_quarantine *qn, uint64_t part,
+    unsigned int number, enum ld_trial_claim result, uint64_t now_ms)
+{
+	struct entry *e = find_entry(qn, part);
 
-	return p->own != 0 && e != NULL && !is_active(e, now_ms);
+	if (e == NULL)
+		return;
+	e->claiming = false;
+	if (result == LD_TRIAL_FAILED) {
+		e->trial_ms = now_ms + spread(qn, part, TRIAL_MS);
+		return;
+	}
+	e->granted = result == LD_TRIAL_GRANTED;
+	e->trials = number;
+	e->trial_ms = now_ms + spread(qn, part, NEXT_TRIAL_MS);
 }
 
+/* ---- Evidence of this node ---- */
+
 static void
 suspect(struct ld_quarantine *qn, const struct ld_finding *f, uint64_t now_ms)
 {
@@ -278,42 +336,95 @@
 	struct ld_finding f = {
 	    .kind = begun ? LD_FINDING_CRASH_BEGUN : LD_FINDING_CRASH,
 	    .server = server,
-	    .request = (uint32_t)p->own};
+	    .request = (uint32_t)(p->exact != 0 ? p->exact : p->own)};
 
 	for (size_t i = p->part_count; i-- > 0;) {
 		f.part = p->parts[i];
 		suspect(qn, &f, now_ms);
 	}
 	f.part = p->own;
+	f.request = (uint32_t)p->own;
 	if (begun && p->own != 0)
 		suspect(qn, &f, now_ms);
 }
 
 static void
-note_sound(
-    struct ld_quarantine *qn, uint64_t part, bool is_request, uint64_t now_ms)
+suspect_request(struct ld_quarantine *qn, uint64_t fingerprint, uint32_t server,
+    uint64_t now_ms)
+{
+	/* Three suffice, whatever had come of the answers: the crashes are
+	 * certain. */
+	struct ld_finding f = {.kind = LD_FINDING_CRASH_BEGUN,
+	    .part = fingerprint,
+	    .server = server,
+	    .request = (uint32_t)fingerprint};
+
+	if (fingerprint != 0)
+		suspect(qn, &f, now_ms);
+}
+
+/* Requests that differ in their prompts alone may be sound: their answers spare
+ * the fingerprint that they share, and not the exact one. */
+void
+ld_quarantine_request_crashed(struct ld_quarantine *qn,
+    const struct ld_prompt *p, uint32_t server, uint64_t now_ms)
+{
+	suspect_request(qn, p->exact, server, now_ms);
+	suspect_request(qn, p->request, server, now_ms);
+}
+
+static void
+clear_evidence(struct ld_quarantine *qn, struct evidence *v, uint64_t now_ms)
 {
-	struct evidence *v = evidence_use(&qn->evidence, part, now_ms);
 	bool was_suspected = v->crash_count > 0;
 
-	v->is_request = is_request;
 	v->sound_ms = v->own_sound_ms = now_ms;
 	v->crash_count = 0;
-	if (release_sound(qn, part) || was_suspected)
+	if (release_sound(qn, v->part) || was_suspected)
 		contradict(qn, v, now_ms);
 }
 
 void
-ld_quarantine_answered(
+ld_quarantine_went_on(
     struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms)
 {
 	for (size_t i = 0; i < p->part_count; i++)
-		note_sound(qn, p->parts[i], false, now_ms);
+		clear_evidence(qn,
+		    evidence_use(&qn->evidence, p->parts[i], now_ms), now_ms);
 	if (p->own != 0)
-		note_sound(qn, p->own, p->is_request, now_ms);
+		clear_evidence(
+		    qn, evidence_use(&qn->evidence, p->own, now_ms), now_ms);
 }
 
-/* ---- Events of other nodes ---- */
+static void
+note_answer(struct ld_quarantine *qn, uint64_t fingerprint, bool remember,
+    uint64_t now_ms)
+{
+	struct evidence *v = evidence_find(&qn->evidence, fingerprint);
+
+	if (v == NULL && (remember || find_entry(qn, fingerprint) != NULL))
+		v = evidence_use(&qn->evidence, fingerprint, now_ms);
+	if (v == NULL)
+		return;
+	v->is_request |= remember;
+	v->used_ms = now_ms;
+	clear_evidence(qn, v, now_ms);
+}
+
+/* The answer to a request without a prompt is remembered. Of prompts few come
+ * twice, and what is known of them must not replace the rest. */
+void
+ld_quarantine_answered(
+    struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms)
+{
+	ld_quarantine_went_on(qn, p, now_ms);
+	if (p->request != 0)
+		note_answer(qn, p->request, p->own == 0, now_ms);
+	if (p->exact != 0)
+		note_answer(qn, p->exact, false, now_ms);
+}
+
+/* ---- Evidence of other nodes ---- */
 
 static void
 receive_sound(struct ld_quarantine *qn, uint64_t part, uint64_t now_ms)
@@ -347,10 +458,12 @@
 		judge_crash(qn, f, now_ms);
 	else if (evidence_is_refuted(v, now_ms))
 		contradict(qn, v, now_ms);
-	else if (!is_active(find_entry(qn, f->part), now_ms))
-		impose(qn, f->part, LD_QUARANTINE_BY_PEER, now_ms);
+	else if (find_entry(qn, f->part) == NULL)
+		(void)impose(qn, f->part, LD_QUARANTINE_BY_PEER, now_ms);
 }
 
+/* ---- Records ---- */
+
 void
 ld_quarantine_restore(struct ld_quarantine *qn, uint64_t part, uint64_t now_ms)
 {
@@ -359,7 +472,7 @@
 	if (evidence_is_own_sound(v, now_ms) || evidence_is_refuted(v, now_ms))
 		contradict(qn, v, now_ms);
 	else if (!evidence_is_sound(v, now_ms) && find_entry(qn, part) == NULL)
-		impose(qn, part, LD_QUARANTINE_BY_RECORD, now_ms);
+		(void)impose(qn, part, LD_QUARANTINE_BY_RECORD, now_ms);
 }
 
 void
@@ -371,30 +484,84 @@
 		release(qn, e, LD_QUARANTINE_WITHDRAWN);
 }
 
-/* ---- Time ---- */
+void
+ld_quarantine_each(const struct ld_quarantine *qn,
+    void (*fn)(void *user, uint64_t part), void *user)
+{
+	for (size_t i = 0; i < PARTS_MAX; i++)
+		if (qn->entries[i].part != 0)
+			fn(user, qn->entries[i].part);
+}
 
 void
-ld_quarantine_tick(struct ld_quarantine *qn, uint64_t now_ms)
+ld_quarantine_restore_crashes(struct ld_quarantine *qn,
+    const struct ld_finding *crashes, size_t n, uint64_t now_ms)
 {
-	for (size_t i = 0; i < PARTS_MAX; i++) {
-		struct entry *e = &qn->entries[i];
+	for (size_t i = 0; i < n; i++) {
+		struct evidence *v =
+		    evidence_find(&qn->evidence, crashes[i].part);
+
+		if (v != NULL &&
+		    (evidence_is_sound(v, now_ms) ||
+			evidence_knows_server(v, crashes[i].server)))
+			continue;
+		judge_crash(qn, &crashes[i], now_ms);
+	}
+}
+
+static bool
+is_suspect(struct ld_quarantine *qn, const struct evidence *v, uint64_t now_ms)
+{
+	return v->crash_count > 1 && find_entry(qn, v->part) == NULL &&
+	    now_ms >= v->crashes[v->crash_count - 1].at_ms + SUSPECT_AFTER_MS;
+}
+
+/* The newest, in no order; returns their number. */
+static size_t
+newest_suspects(struct ld_quarantine *qn, uint64_t now_ms,
+    const struct evidence *out[SUSPECTS_MAX])
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < EVIDENCE_SETS * EVIDENCE_WAYS; i++) {
+		const struct evidence *v =
+		    &qn->evidence.sets[i / EVIDENCE_WAYS][i % EVIDENCE_WAYS];
+		size_t oldest = 0;
 
-		if (e->part == 0 || is_active(e, now_ms))
+		if (!is_suspect(qn, v, now_ms))
 			continue;
-		if (!e->on_trial)
-			qn->ops->changed(
-			    qn->user, LD_QUARANTINE_TRIAL, e->part, 0);
-		e->on_trial = true;
-		if (now_ms >= e->until_ms + TRIAL_MS)
-			*e = (struct entry){0};
+		if (n < SUSPECTS_MAX) {
+			out[n++] = v;
+			continue;
+		}
+		for (size_t k = 1; k < n; k++)
+			if (out[k]->used_ms < out[oldest]->used_ms)
+				oldest = k;
+		if (out[oldest]->used_ms < v->used_ms)
+			out[oldest] = v;
 	}
+	return n;
 }
 
 void
-ld_quarantine_each(const struct ld_quarantine *qn,
-    void (*fn)(void *user, uint64_t part), void *user)
+ld_quarantine_each_suspect(struct ld_quarantine *qn, uint64_t now_ms,
+    void (*fn)(void *user, const struct ld_finding *crashes, size_t n),
+    void *user)
 {
-	for (size_t i = 0; i < PARTS_MAX; i++)
-		if (qn->entries[i].part != 0)
-			fn(user, qn->entries[i].part);
+	const struct evidence *suspects[SUSPECTS_MAX];
+	size_t n = newest_suspects(qn, now_ms, suspects);
+	struct ld_finding crashes[LD_CRASHES_MAX];
+
+	for (size_t i = 0; i < n; i++) {
+		const struct evidence *v = suspects[i];
+
+		for (size_t k = 0; k < v->crash_count; k++)
+			crashes[k] = (struct ld_finding){
+			    .kind = v->crashes[k].begun ? LD_FINDING_CRASH_BEGUN
+							: LD_FINDING_CRASH,
+			    .part = v->part,
+			    .server = v->crashes[k].server,
+			    .request = v->crashes[k].request};
+		fn(user, crashes, v->crash_count);
+	}
 }
--- a/lib/quarantine/quarantine_internal.h
+++ b/lib/quarantine/quarantine_internal.h
@@ -13,7 +13,6 @@
 /* A request that was answered before is not one that crashes each server: many
  * crashes in a row are needed, as after a new version of the servers. */
 #define WEIGHT_AFTER_ANSWER 50
-#define CRASHES_MAX 10
 /* A shared part is suspected if two requests or more crashed servers: a single
  * one may crash them by its own part. */
 #define REQUESTS_MIN 2
@@ -34,7 +33,8 @@
 /**
  * struct evidence - what is known about one part
  * @part: a shared part, or the own part of a request; 0: free slot
- * @is_request: the fingerprint of a request without a prompt
+ * @is_request: the fingerprint of a request without a prompt, which many may
+ *	send
  * @used_ms: last use, to replace the least recently used
  * @sound_ms: last answer that went on, at any node, 0: none
  * @own_sound_ms: the same at this node
@@ -49,7 +49,7 @@
 	uint64_t sound_ms;
 	uint64_t own_sound_ms;
 	uint64_t contradicted_ms;
-	struct crash crashes[CRASHES_MAX];
+	struct crash crashes[LD_CRASHES_MAX];
 	size_t crash_count;
 };
 
@@ -67,6 +67,8 @@
 /** evidence_use() - find or add, see EVIDENCE_SETS */
 struct evidence *evidence_use(
     struct evidence_table *t, uint64_t part, uint64_t now_ms);
+/** evidence_knows_server() - one of its crashes is of that server */
+bool evidence_knows_server(const struct evidence *e, uint32_t server);
 /** evidence_is_sound() - an answer went on recently; NULL is not sound */
 bool evidence_is_sound(const struct evidence *e, uint64_t now_ms);
 bool evidence_is_own_sound(const struct evidence *e, uint64_t now_ms);
--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -223,7 +223,9 @@
 		leader_records_apply(r->group_records, name, written);
 	} else if (is_below(kv, RELAY_QUARANTINE_PREFIX, &name)) {
 		leader_records_apply(
-		    crashing_requests_records(r), name, written);
+		    crash_records_quarantined(r), name, written);
+	} else if (is_below(kv, RELAY_SUSPECTS_PREFIX, &name)) {
+		leader_records_apply(crash_records_suspects(r), name, written);
 	} else if (ld_str_eq(kv->key, LD_STR(RELAY_CONTROL_KEY))) {
 		snprintf(f->control_holder, sizeof(f->control_holder), "%.*s",
 		    deleted ? 0 : (int)kv->value.len,
@@ -337,7 +339,8 @@
 	f->control_holder[0] = '\0';
 	mesh_snapshot_begin(r);
 	leader_records_snapshot_begin(r->group_records);
-	leader_records_snapshot_begin(crashing_requests_records(r));
+	leader_records_snapshot_begin(crash_records_quarantined(r));
+	leader_records_snapshot_begin(crash_records_suspects(r));
 	changes_server_reset(r, revision);
 	for (size_t i = 0; i < n; i++)
 		if (!is_superseded(f, &kvs[i]))
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -300,7 +300,7 @@
 static long
 survival_code(const struct request *q)
 {
-	return q->prompt.is_request ? 500 : 300;
+	return q->prompt.own == 0 ? 500 : 300;
 }
 
 static void
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -20,8 +20,12 @@
 #define RELAY_NODES_PREFIX "lavenderdrift/nodes/"
 /* Members of each serving group, written by the leader. */
 #define RELAY_GROUPS_PREFIX "lavenderdrift/groups/"
-/* Parts of prompts in quarantine, written by the leader. */
+/* Requests and parts of prompts in quarantine, written by the leader. */
 #define RELAY_QUARANTINE_PREFIX "lavenderdrift/quarantine/"
+/* Crashes of those that are not in quarantine yet, the same. */
+#define RELAY_SUSPECTS_PREFIX "lavenderdrift/suspects/"
+/* Claimed trials: PART-NUMBER, written once by the node that claims it. */
+#define RELAY_TRIALS_PREFIX "lavenderdrift/trials/"
 
 /* Largest head of a server's answer that is passed on, bytes. */
 #define RELAY_ANSWER_HEAD_MAX_BYTES ((size_t)16 * 1024)
@@ -73,6 +77,7 @@
 	struct leader_records *group_records;
 	struct crashing_requests *crashing_requests;
 	struct crash_check *crash_checks; /* in progress */
+	struct crash_records *crash_records;
 	struct isolation *isolation;
 	struct ld_routes *routes; /* NULL before the first read */
 	struct ld_servers *servers;
@@ -414,21 +419,48 @@
 /** crashing_requests_close() - call before the store's client is freed */
 void crashing_requests_close(struct relay *r);
 void crashing_requests_tick(struct relay *r);
-/** crashing_requests_records() - of the parts in quarantine, in the store */
-struct leader_records *crashing_requests_records(struct relay *r);
 /** crashing_requests_receive() - a finding of another node */
 void crashing_requests_receive(struct relay *r, const struct ld_finding *f);
-/** crashing_requests_crashed() - the server of a request without a prompt crashed */
+
+/**
+ * struct crash_suspect - a request that a server broke off
+ * @parts_pending: its prompt's shared parts are to be suspected if the server has
+ *	crashed; else they are already, or the answer had gone on
+ * @begun: see ld_quarantine_crashed()
+ * @at_ms: when it was broken off
+ */
+struct crash_suspect {
+	struct ld_prompt prompt;
+	bool parts_pending;
+	bool begun;
+	uint64_t at_ms;
+};
+
+/** crashing_requests_crashed() - the server of a request has crashed */
 void crashing_requests_crashed(
-    struct relay *r, uint64_t fingerprint, uint32_t server);
+    struct relay *r, const struct crash_suspect *request, uint32_t server);
+
+/* ---- crash_records.c: what is known of them, in the store ---- */
+
+void crash_records_open(struct relay *r, struct ld_quarantine *qn);
+void crash_records_close(struct relay *r);
+void crash_records_tick(struct relay *r);
+/** crash_records_claim() - claim trial @number of @part; the quarantine is told */
+void crash_records_claim(struct relay *r, uint64_t part, unsigned int number);
+/** crash_records_quarantined() - the records of what is in quarantine */
+struct leader_records *crash_records_quarantined(const struct relay *r);
+/** crash_records_suspects() - the records of crashes */
+struct leader_records *crash_records_suspects(const struct relay *r);
 
 /* ---- crash_check.c ---- */
 
 /**
- * crash_check_start() - @s ended a request without an answer
- * @request: its fingerprint; reported as crashing if the server has crashed
+ * crash_check_start() - @s broke off a request
+ * @request: copied; reported to crashing_requests_crashed() if the server has
+ *	crashed
  */
-void crash_check_start(struct relay *r, struct ld_server *s, uint64_t request);
+void crash_check_start(
+    struct relay *r, struct ld_server *s, const struct crash_suspect *request);
 void crash_checks_close(struct relay *r);
 
 /* ---- counts.c ---- */
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -168,7 +168,8 @@
 		request_fail(q, "deadline", 0);
 		return;
 	}
-	if (request_is_quarantined(q, &c.retry_after_ms)) {
+	if (request_is_quarantined(q, &c.retry_after_ms) &&
+	    !request_take_trial(q)) {
 		relay_count(r, LD_M_RELAY_QUARANTINE_REFUSED);
 		request_fail(q, "quarantined", c.retry_after_ms);
 		return;
@@ -247,22 +248,21 @@
 }
 
 static void
-read_prompt_parts(struct request *q)
+read_prompt(struct request *q)
 {
 	const struct ld_dialect *d = q->relay->dialect;
 
 	d->read_prompt(
 	    ld_str_c(ld_exchange_header(q->x, d->fields[LD_FIELD_PROMPT])),
 	    &q->prompt);
-	if (q->prompt.own == 0)
-		ld_prompt_from_request(&q->prompt,
-		    &(struct ld_request_identity){
-			.caller = ld_str_c(q->account),
-			.method = ld_str_c(ld_exchange_method(q->x)),
-			.host = ld_str_c(ld_exchange_header(q->x, "Host")),
-			.target = ld_str_c(ld_exchange_target(q->x)),
-			.body = ld_exchange_body(q->x),
-		    });
+	ld_prompt_set_request(&q->prompt,
+	    &(struct ld_request_identity){
+		.caller = ld_str_c(q->account),
+		.method = ld_str_c(ld_exchange_method(q->x)),
+		.host = ld_str_c(ld_exchange_header(q->x, "Host")),
+		.target = ld_str_c(ld_exchange_target(q->x)),
+		.body = ld_exchange_body(q->x),
+	    });
 }
 
 static char *
@@ -308,7 +308,7 @@
 	q->start_ms = ld_exchange_start_ms(x);
 	q->deadline_ms = request_deadline_ms(r, x, rule);
 	read_prompt_tokens(q);
-	read_prompt_parts(q);
+	read_prompt(q);
 	q->timer.fn = on_timer;
 	q->next = r->requests;
 	q->prev_next = &r->requests;
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -98,7 +98,8 @@
 	unsigned int sends;
 	unsigned int possible_runs; /* sends that may have run */
 	bool maybe_ran;
-	bool answer_went_on; /* see request_note_answer() */
+	bool answer_went_on; /* see ld_quarantine_went_on() */
+	bool is_trial; /* see request_take_trial() */
 	bool forwarded; /* by another node: not forwarded again */
 	bool helper_in_doubt; /* another node may have sent it to a server */
 	unsigned int forwards; /* sends to other nodes */
@@ -283,13 +284,16 @@
  * @retry_after_ms: set to the time until the next trial if so
  */
 bool request_is_quarantined(struct request *q, uint64_t *retry_after_ms);
-/** request_is_on_trial() - it is sent once: it may crash the server */
-bool request_is_on_trial(struct request *q);
-/** send_note_crash() - its server crashed, or is silent as if it had */
+/**
+ * request_take_trial() - whether it is sent although it is quarantined, once: it
+ * may crash the server
+ */
+bool request_take_trial(struct request *q);
+/** send_note_crash() - its server broke it off, or is silent as if it had */
 void send_note_crash(struct send *s);
 /** request_note_event() - an event of the send in progress was received */
 void request_note_event(struct request *q);
-/** request_note_answer() - the answer is complete or has gone on for long */
+/** request_note_answer() - the answer is complete */
 void request_note_answer(struct request *q);
 
 /* ---- counts.c ---- */
--- a/lib/relay/retry.c
+++ b/lib/relay/retry.c
@@ -51,8 +51,7 @@
 	    (q->response_started || q->sends < SENDS_MAX) &&
 	    q->possible_runs < q->max_runs &&
 	    relay_now(q->relay) + RETRY_MIN_REMAINING_MS < request_end_ms(q) &&
-	    !request_is_on_trial(q) &&
-	    !request_is_quarantined(q, &retry_after_ms);
+	    !q->is_trial && !request_is_quarantined(q, &retry_after_ms);
 }
 
 static void
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -92,6 +92,7 @@
  * @remove_at_ms: the entry disappeared around an outage of the store; unless
  *	it reappears, it counts as removed from then on; 0 otherwise
  * @first_seen_ms: when its first entry was read
+ * @first_started_ms: start of the process that wrote it, 0 if not given
  * @refs: reference count; the server isn't freed while it is above 0
  * @active: requests of this process in progress at the server
  * @prefill_done_ms: predicted time at which all prompts sent to it, by any
@@ -127,6 +128,7 @@
 	uint64_t unlisted_ms;
 	uint64_t remove_at_ms;
 	uint64_t first_seen_ms;
+	int64_t first_started_ms;
 	unsigned int refs;
 	unsigned int active;
 	double prefill_done_ms;
@@ -213,6 +215,14 @@
 /** ld_server_is_limited() - a rate that it named is in force */
 bool ld_server_is_limited(const struct ld_server *s, uint64_t now_ms);
 struct ld_server *ld_servers_find(struct ld_servers *t, struct ld_str id);
+/**
+ * ld_server_process_hash() - what nodes call one process of a server in reports
+ * @started_ms: its start in Unix ms, 0 if not known
+ *
+ * Return: id_hash for the first process known under the id, as earlier builds
+ * report all; another value for each later one.
+ */
+uint32_t ld_server_process_hash(const struct ld_server *s, int64_t started_ms);
 /** ld_servers_find_hash() - by id_hash; NULL when there is none */
 struct ld_server *ld_servers_find_hash(struct ld_servers *t, uint32_t id_hash);
 /** ld_servers_first() - first of all servers, which are linked by next */
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -88,6 +88,16 @@
 	return (uint32_t)ld_hash64(id, HASH_SEED);
 }
 
+uint32_t
+ld_server_process_hash(const struct ld_server *s, int64_t started_ms)
+{
+	struct ld_str bytes = {(const char *)&started_ms, sizeof(started_ms)};
+
+	if (started_ms == 0 || started_ms == s->first_started_ms)
+		return s->id_hash;
+	return (uint32_t)ld_hash64(bytes, s->id_hash);
+}
+
 struct ld_server *
 ld_servers_find_hash(struct ld_servers *t, uint32_t id_hash)
 {
@@ -202,8 +212,10 @@
 {
 	struct ld_server *s = ld_servers_find(t, ld_str_c(e->id));
 
-	if (s == NULL)
+	if (s == NULL) {
 		s = server_new(t, ld_str_c(e->id), now_ms);
+		s->first_started_ms = e->started_ms;
+	}
 	/* A restarted server with the same id starts without past failures
 	 * and limits. */
 	if (s->entry.started_ms != e->started_ms) {
