relay, quarantine: findings of the linter

clang-tidy follows the list of claims past its end and refuses a product of two ints as a size. The claims are freed with the list's own order, the table's sizes are size_t. No change of behaviour.

--- a/lib/quarantine/quarantine_internal.h
+++ b/lib/quarantine/quarantine_internal.h
@@ -56,8 +56,8 @@
 /* Set-associative, so that memory is bounded. A slot with crashes is replaced only
  * if all slots of its set have some: requests that were answered come in any
  * number. */
-#define EVIDENCE_SETS 256
-#define EVIDENCE_WAYS 8
+#define EVIDENCE_SETS ((size_t)256)
+#define EVIDENCE_WAYS ((size_t)8)
 
 struct evidence_table {
 	struct evidence sets[EVIDENCE_SETS][EVIDENCE_WAYS];
--- a/lib/relay/crash_records.c
+++ b/lib/relay/crash_records.c
@@ -181,14 +181,13 @@
 /* ---- Trials ---- */
 
 static void
-claim_free(struct trial_claim *c)
+claim_remove(struct trial_claim *c)
 {
 	struct trial_claim **p = &c->relay->crash_records->claims;
 
 	while (*p != c)
 		p = &(*p)->next;
 	*p = c->next;
-	ld_store_cancel(&c->call);
 	free(c);
 }
 
@@ -207,7 +206,7 @@
 	    ld_store_outcome_name(a->outcome));
 	ld_quarantine_claimed(c->relay->crash_records->quarantine, c->part,
 	    c->number, results[a->outcome], relay_now(c->relay));
-	claim_free(c);
+	claim_remove(c);
 }
 
 void
@@ -291,8 +290,11 @@
 {
 	struct crash_records *cr = r->crash_records;
 
-	while (cr->claims != NULL)
-		claim_free(cr->claims);
+	for (struct trial_claim *c = cr->claims, *next; c != NULL; c = next) {
+		next = c->next;
+		ld_store_cancel(&c->call);
+		free(c);
+	}
 	leader_records_free(cr->quarantined);
 	leader_records_free(cr->suspects);
 	free(cr);
