--- a/tests/faults/ld_relay_server.h
+++ b/tests/faults/ld_relay_server.h
@@ -44,17 +44,17 @@
 
 /**
  * struct crash_form - how a server of CRASHES_ON_PROMPT ends
- * @before_head: before the head of its answer
  * @events: written after the head
- * @after_ms: from the last of these until the end
+ * @before_head: before the head of its answer
  * @stops_listening: as a process that ends; else something before it goes on
  *	listening and closes each connection
+ * @after_ms: from the last event until the end
  */
 struct crash_form {
-	bool before_head;
 	int events;
-	uint64_t after_ms;
+	bool before_head;
 	bool stops_listening;
+	uint64_t after_ms;
 };
 
 /** struct server - one backend server */
@@ -62,10 +62,10 @@
 	struct ld_handler handler; /* first member */
 	struct ld_loop *loop;
 	struct ld_listener *listener;
+	int64_t born; /* start of its process in Unix ms, 0: not in its entry */
 	uint16_t port;
 	char address[32];
 	char id[8]; /* id of its entry in the store */
-	int64_t born; /* start of its process in Unix ms, 0: not in its entry */
 	enum behaviour behaviour;
 	struct crash_form form;
 	unsigned int arrivals; /* of clients' requests */
--- a/tests/unit/test_quarantine_hours.c
+++ b/tests/unit/test_quarantine_hours.c
@@ -10,11 +10,10 @@
 #include "ld_test.h"
 
 #define NODES_MAX 8
-#define PARTS_MAX 8
-#define TRIALS_MAX 8
-#define SECOND_MS 1000
-#define MINUTE_MS 60000
-#define HOUR_MS 3600000
+#define CLAIMS_MAX 64
+#define SECOND_MS 1000ULL
+#define MINUTE_MS 60000ULL
+#define HOUR_MS 3600000ULL
 /* The users' bound: so many may reach servers later than this after the crash
  * that counts, the third by one request or the fifth by one part. */
 #define BOUND_AFTER_MS 4000
@@ -30,7 +29,7 @@
 
 static struct {
 	struct ld_quarantine *nodes[NODES_MAX];
-	struct claim claims[PARTS_MAX * TRIALS_MAX];
+	struct claim claims[CLAIMS_MAX];
 	size_t claim_count;
 	struct {
 		struct ld_quarantine *node;
@@ -77,7 +76,7 @@
 		if (w.claims[i].part == c->part &&
 		    w.claims[i].number == c->number)
 			return LD_TRIAL_TAKEN;
-	CU_ASSERT_FATAL(w.claim_count < PARTS_MAX * TRIALS_MAX);
+	CU_ASSERT_FATAL(w.claim_count < CLAIMS_MAX);
 	w.claims[w.claim_count++] = *c;
 	return LD_TRIAL_GRANTED;
 }
@@ -332,7 +331,7 @@
 		arrive(i, &p, true);
 		pass(SECOND_MS);
 	}
-	for (size_t i = 0; i < 4 * 60 && !tried; i++) {
+	for (size_t i = 0; i < 240 && !tried; i++) {
 		CU_ASSERT(ld_quarantine_contains(
 		    w.nodes[i % 4], &p, w.now, &until_ms));
 		tried = ld_quarantine_take_trial(w.nodes[i % 4], &p, w.now);
