allowance, relay: cold servers get no more than they bear

Change: the entry's warmup_left_ms and the service's warmup_per_s start a second limit in lib/allowance, divided among nodes like a limit that a server names; the end of an evacuation starts one, too. After the end the rate rises for 1.5 s. On by warmup_per_s of a service only.

--- a/lib/allowance/allowance.c
+++ b/lib/allowance/allowance.c
@@ -22,6 +22,17 @@
  * EXPIRY_REQUESTS intervals between requests at its rate. */
 #define EXPIRY_MS 10000
 #define EXPIRY_REQUESTS 2
+/* A cold server that begins to take requests gets none of a node for OFFERED_MS:
+ * by then each node knows what all others offer. Without this all nodes send what
+ * fits into a limit that nobody has used. A pause of PAUSE_MS begins anew. */
+#define OFFERED_MS 1000
+#define PAUSE_MS 1000
+/* Requests that may be sent at once to a cold server. */
+#define WARMUP_BURST 3
+/* After the end of a warm-up the rate rises to RAMP_FACTOR times its value within
+ * RAMP_MS, then the limit ends: an idle server would draw the load of others. */
+#define RAMP_MS 1500
+#define RAMP_FACTOR 4
 /* Upper bound of the time between two requests. */
 #define INTERVAL_MAX_US 60000000ULL
 
@@ -78,13 +89,51 @@
 	return now_ms < a->observed_ms + expiry_ms;
 }
 
+/* ---- Warm-up ---- */
+
 bool
-ld_allowance_is_limited(const struct ld_allowance *a, uint64_t now_ms)
+ld_allowance_is_warming_up(const struct ld_allowance *a, uint64_t now_ms)
+{
+	return a != NULL && a->warmup.rate_milli > 0 &&
+	    now_ms < a->warmup.until_ms + RAMP_MS;
+}
+
+static uint32_t
+warmup_rate(const struct ld_warmup *w, uint64_t now_ms)
+{
+	uint64_t since_ms = now_ms > w->until_ms ? now_ms - w->until_ms : 0;
+
+	return w->rate_milli +
+	    (uint32_t)((uint64_t)w->rate_milli * (RAMP_FACTOR - 1) * since_ms /
+		RAMP_MS);
+}
+
+static bool
+names_limit(const struct ld_allowance *a, uint64_t now_ms)
 {
 	return ld_allowance_is_recent(a, now_ms) &&
 	    a->rate_milli != LD_RATE_UNLIMITED;
 }
 
+bool
+ld_allowance_is_limited(const struct ld_allowance *a, uint64_t now_ms)
+{
+	return names_limit(a, now_ms) || ld_allowance_is_warming_up(a, now_ms);
+}
+
+uint32_t
+ld_allowance_rate(const struct ld_allowance *a, uint64_t now_ms)
+{
+	uint32_t rate =
+	    names_limit(a, now_ms) ? a->rate_milli : LD_RATE_UNLIMITED;
+	uint32_t warmup;
+
+	if (!ld_allowance_is_warming_up(a, now_ms))
+		return rate;
+	warmup = warmup_rate(&a->warmup, now_ms);
+	return warmup < rate ? warmup : rate;
+}
+
 /* ---- Use ---- */
 
 /* Requests per 1,000 s, over the last @slots whole slots and the current one. */
@@ -103,9 +152,10 @@
 
 /* Time between two requests at the part @share of the rate. */
 static uint64_t
-interval_us(const struct ld_allowance *a, uint32_t share)
+interval_us(const struct ld_allowance *a, uint32_t share, uint64_t now_ms)
 {
-	uint64_t rate = (uint64_t)a->rate_milli * share / LD_SHARE_WHOLE;
+	uint64_t rate =
+	    (uint64_t)ld_allowance_rate(a, now_ms) * share / LD_SHARE_WHOLE;
 	uint64_t us = rate > 0 ? MILLI * US_PER_S / rate : INTERVAL_MAX_US;
 
 	return us < INTERVAL_MAX_US ? us : INTERVAL_MAX_US;
@@ -116,18 +166,20 @@
     uint32_t n, uint64_t now_ms)
 {
 	ld_window_add(&use->sent, n, now_ms);
-	if (a->rate_milli != LD_RATE_UNLIMITED)
+	if (ld_allowance_is_limited(a, now_ms))
 		ld_window_add(&use->cost_us,
-		    (uint32_t)interval_us(a, a->share) * n, now_ms);
+		    (uint32_t)interval_us(a, a->share, now_ms) * n, now_ms);
 }
 
 static uint64_t
-burst_us(const struct ld_allowance *a)
+burst_us(const struct ld_allowance *a, uint64_t now_ms)
 {
-	uint64_t burst = BURST_MIN * interval_us(a, LD_SHARE_WHOLE);
-	uint64_t cost = interval_us(a, a->share);
+	uint64_t burst = BURST_MIN * interval_us(a, LD_SHARE_WHOLE, now_ms);
+	uint64_t cost = interval_us(a, a->share, now_ms);
 
-	if (burst < BURST_US)
+	if (ld_allowance_is_warming_up(a, now_ms))
+		burst = WARMUP_BURST * interval_us(a, LD_SHARE_WHOLE, now_ms);
+	else if (burst < BURST_US)
 		burst = BURST_US;
 	return burst > cost ? burst : cost;
 }
@@ -141,10 +193,10 @@
 uint64_t
 ld_allowance_wait_ms(struct ld_allowance *a, uint64_t now_ms)
 {
-	uint64_t sum_us = interval_us(a, a->share), wait_us = 0;
-	uint64_t burst = burst_us(a);
+	uint64_t sum_us = interval_us(a, a->share, now_ms), wait_us = 0;
+	uint64_t burst = burst_us(a, now_ms);
 
-	if (a->rate_milli == 0 || a->share == 0)
+	if (ld_allowance_rate(a, now_ms) == 0 || a->share == 0)
 		return INTERVAL_MAX_US / US_PER_MS;
 	for (size_t ago = 0; ago < SLOTS; ago++) {
 		uint64_t since_us =
@@ -165,7 +217,8 @@
 static bool
 is_drawn(struct ld_allowance *a, double random, uint64_t now_ms)
 {
-	double rate = (double)a->rate_milli * a->share / LD_SHARE_WHOLE;
+	double rate =
+	    (double)ld_allowance_rate(a, now_ms) * a->share / LD_SHARE_WHOLE;
 	uint64_t all = offered(&a->own, OFFERED_SLOTS + 1, now_ms) +
 	    offered(&a->others, OFFERED_SLOTS + 1, now_ms);
 	uint64_t own = 1 + offered(&a->own, SLOTS, now_ms);
@@ -177,10 +230,39 @@
 	    random * (double)rate_milli_of(own, SLOTS - 1, now_ms) <= rate;
 }
 
+bool
+ld_allowance_warm_up(struct ld_allowance *a, uint32_t rate_milli,
+    uint64_t until_ms, uint64_t now_ms)
+{
+	bool begins = !ld_allowance_is_warming_up(a, now_ms);
+
+	if (begins || until_ms > a->warmup.until_ms)
+		a->warmup.until_ms = until_ms;
+	a->warmup.rate_milli = rate_milli;
+	if (begins)
+		ld_window_add(
+		    &a->own.cost_us, (uint32_t)burst_us(a, now_ms), now_ms);
+	return begins;
+}
+
+/* Whether the other nodes have reported what they offer to a cold server. */
+static bool
+is_demand_known(struct ld_allowance *a, uint64_t now_ms)
+{
+	struct ld_warmup *w = &a->warmup;
+
+	if (!ld_allowance_is_warming_up(a, now_ms))
+		return true;
+	if (w->offered_ms == 0 || now_ms >= w->offered_ms + PAUSE_MS)
+		w->offered_since_ms = now_ms;
+	w->offered_ms = now_ms;
+	return now_ms >= w->offered_since_ms + OFFERED_MS;
+}
+
 bool
 ld_allowance_admits(struct ld_allowance *a, double random, uint64_t now_ms)
 {
-	return is_drawn(a, random, now_ms) &&
+	return is_demand_known(a, now_ms) && is_drawn(a, random, now_ms) &&
 	    ld_allowance_wait_ms(a, now_ms) == 0;
 }
 
--- a/lib/allowance/ld_allowance.h
+++ b/lib/allowance/ld_allowance.h
@@ -1,5 +1,6 @@
 /*
- * A rate of requests that a server grants to all nodes together.
+ * A rate of requests that a server grants to all nodes together, or that a cold
+ * server takes from them.
  * Source: lib/allowance.
  */
 #ifndef LD_ALLOWANCE_H
@@ -50,10 +51,25 @@
 	struct ld_window denied;
 };
 
+/**
+ * struct ld_warmup - the rate of a server that is cold
+ * @rate_milli: requests per 1,000 s while it is cold, 0: it never was
+ * @until_ms: end of that time; the rate rises for some more
+ * @offered_since_ms, @offered_ms: first and last request of this node that could
+ *	have been sent to it, without a pause
+ */
+struct ld_warmup {
+	uint32_t rate_milli;
+	uint64_t until_ms;
+	uint64_t offered_since_ms;
+	uint64_t offered_ms;
+};
+
 /**
  * struct ld_allowance - the rate that one server grants, and its use
- * @rate_milli: requests per 1,000 s, or LD_RATE_UNLIMITED
+ * @rate_milli: named by the server: requests per 1,000 s, or LD_RATE_UNLIMITED
  * @observed_ms: when the answer that said so was received, by any node
+ * @warmup: a second limit, with the same use
  * @share: part of the rate that may be used, in permille: the part of all nodes
  *	whose requests are counted here
  * @own: requests of this node
@@ -62,6 +78,7 @@
 struct ld_allowance {
 	uint32_t rate_milli;
 	uint64_t observed_ms;
+	struct ld_warmup warmup;
 	uint32_t share;
 	struct ld_allowance_use own;
 	struct ld_allowance_use others;
@@ -78,6 +95,21 @@
  */
 bool ld_allowance_observe(
     struct ld_allowance *a, uint32_t rate_milli, uint64_t at_ms);
+/**
+ * ld_allowance_warm_up() - the server is cold until @until_ms
+ * @rate_milli: requests per 1,000 s that it takes meanwhile, above 0
+ *
+ * Starts with an empty burst: nodes learn of a cold server at the same time, and
+ * of what the others send it some hundred ms later.
+ *
+ * Return: true if it was not cold before.
+ */
+bool ld_allowance_warm_up(struct ld_allowance *a, uint32_t rate_milli,
+    uint64_t until_ms, uint64_t now_ms);
+/** ld_allowance_is_warming_up() - @a: may be NULL */
+bool ld_allowance_is_warming_up(const struct ld_allowance *a, uint64_t now_ms);
+/** ld_allowance_rate() - the rate in force, or LD_RATE_UNLIMITED */
+uint32_t ld_allowance_rate(const struct ld_allowance *a, uint64_t now_ms);
 /** ld_allowance_count_sent() - @n requests were sent; @use is part of @a */
 void ld_allowance_count_sent(struct ld_allowance *a,
     struct ld_allowance_use *use, uint32_t n, uint64_t now_ms);
@@ -89,7 +121,8 @@
  */
 bool ld_allowance_is_limited(const struct ld_allowance *a, uint64_t now_ms);
 /**
- * ld_allowance_is_recent() - its rate was confirmed, or a limit ended, recently
+ * ld_allowance_is_recent() - its rate was confirmed, or a limit that it named
+ * ended, recently
  * @a: may be NULL
  */
 bool ld_allowance_is_recent(const struct ld_allowance *a, uint64_t now_ms);
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -260,7 +260,7 @@
 		uint64_t ms = ld_allowance_wait_ms(a, now_ms);
 		uint64_t denied = ld_allowance_denied(a, BACKLOG_MS, now_ms);
 
-		rate_milli += a->rate_milli;
+		rate_milli += ld_allowance_rate(a, now_ms);
 		wait_ms = ms < wait_ms ? ms : wait_ms;
 		before = denied > before ? denied : before;
 	}
--- a/lib/relay/evacuations.c
+++ b/lib/relay/evacuations.c
@@ -11,6 +11,8 @@
 
 	/* @zone may be the table's own text, which is freed. */
 	ld_event_token(zone, text);
+	if (!evacuated)
+		warmup_note_return(r, zone);
 	if (!ld_servers_set_evacuated(r->servers, zone, evacuated))
 		return;
 	ld_event("zone.evacuation", "zone=%s evacuated=%d revision=%lld", text,
--- a/lib/relay/load_aggregation.c
+++ b/lib/relay/load_aggregation.c
@@ -292,10 +292,16 @@
 	ago = now_ms > heard ? now_ms - heard : 0;
 	l.heard_ago_ms =
 	    ago < MESH_HEARD_AGO_MAX_MS ? (uint32_t)ago : MESH_HEARD_AGO_MAX_MS;
-	l.has_rate = ld_allowance_is_recent(s->allowance, now_ms);
-	if (l.has_rate) {
+	if (ld_allowance_is_recent(s->allowance, now_ms)) {
+		l.has_rate = true;
 		l.rate_milli = s->allowance->rate_milli;
 		l.rate_ago_ms = (uint32_t)(now_ms - s->allowance->observed_ms);
+	} else if (ld_allowance_is_warming_up(s->allowance, now_ms)) {
+		/* Each node reads from the server's entry that it is cold. The
+		 * counts come with a rate only: one that changes nothing. */
+		l.has_rate = true;
+		l.rate_milli = LD_RATE_UNLIMITED;
+		l.rate_ago_ms = UINT32_MAX;
 	}
 	return l;
 }
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -413,6 +413,16 @@
 /** group_records_close() - call before the store's client is freed */
 void group_records_close(struct relay *r);
 
+/* ---- warmup.c: servers that are cold ---- */
+
+/** warmup_note_entry() - an entry of @s was read, which may say that it is cold */
+void warmup_note_entry(struct relay *r, struct ld_server *s);
+/**
+ * warmup_note_return() - the evacuation of @zone ends: its servers may have become
+ * cold before it, which their entries show later
+ */
+void warmup_note_return(struct relay *r, struct ld_str zone);
+
 /* ---- crashing_requests.c: requests that crash the servers they reach ---- */
 
 void crashing_requests_open(struct relay *r);
--- a/lib/relay/server_entries.c
+++ b/lib/relay/server_entries.c
@@ -60,6 +60,7 @@
     const struct ld_store_kv *kv, uint64_t doubt_until_ms)
 {
 	struct ld_server_entry e;
+	struct ld_server *s;
 
 	if (r->dialect->read_server(id, kv->value, &e) != LD_OK) {
 		log_refused(r, id, kv->mod_revision);
@@ -69,8 +70,9 @@
 		return;
 	}
 	*refused_slot(r, id) = 0;
-	log_entry(
-	    ld_servers_put(r->servers, &e, relay_now(r)), kv->mod_revision);
+	s = ld_servers_put(r->servers, &e, relay_now(r));
+	log_entry(s, kv->mod_revision);
+	warmup_note_entry(r, s);
 }
 
 void
--- a/lib/routes/ld_routes.h
+++ b/lib/routes/ld_routes.h
@@ -93,9 +93,15 @@
 	size_t model_count;
 };
 
-/** struct ld_service_spec - a service; no engines if engine.model_count is 0 */
+/**
+ * struct ld_service_spec - a service; no engines if engine.model_count is 0
+ * @warmup_ms: for this time after its start, or a pause, a server is cold
+ * @warmup_rate_milli: requests per 1,000 s that a cold server takes, 0: any
+ */
 struct ld_service_spec {
 	char *name;
+	uint64_t warmup_ms;
+	uint32_t warmup_rate_milli;
 	struct ld_engine_spec engine;
 };
 
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -36,6 +36,7 @@
  * @domain: fabric domain, empty for none
  * @started_ms: start time of the server in Unix ms, 0 if not given
  * @leaving: accepts no new requests
+ * @warmup_left_ms: how much longer it is cold, see ld_server_warm_up()
  * @staged: models whose weights are on the server's host
  * @pace: factor on its times, above 1 if it is slow; 0 if not given
  */
@@ -47,6 +48,7 @@
 	char *domain;
 	int64_t started_ms;
 	bool leaving;
+	uint64_t warmup_left_ms;
 	char **staged;
 	size_t staged_count;
 	struct ld_membership member;
@@ -114,7 +116,8 @@
  *	report to this one
  * @counts: by enum ld_count
  * @load_changed_ms: last change of one of the loads above
- * @allowance: the rate of requests that it grants, NULL until it named one
+ * @allowance: the rate of requests that it takes, NULL until it named one or was
+ *	cold
  */
 struct ld_server {
 	struct ld_server *next;
@@ -212,7 +215,15 @@
  */
 bool ld_server_observe_rate(
     struct ld_server *s, uint32_t rate_milli, uint64_t at_ms);
-/** ld_server_is_limited() - a rate that it named is in force */
+/**
+ * ld_server_warm_up() - @s is cold and takes a lower rate of requests
+ * @rate_milli, @until_ms: as in ld_allowance_warm_up()
+ *
+ * Return: true if it was not cold before.
+ */
+bool ld_server_warm_up(struct ld_server *s, uint32_t rate_milli,
+    uint64_t until_ms, uint64_t now_ms);
+/** ld_server_is_limited() - it named a rate that is in force, or is cold */
 bool ld_server_is_limited(const struct ld_server *s, uint64_t now_ms);
 struct ld_server *ld_servers_find(struct ld_servers *t, struct ld_str id);
 /**
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -317,6 +317,15 @@
 	return ld_allowance_observe(s->allowance, rate_milli, at_ms);
 }
 
+bool
+ld_server_warm_up(struct ld_server *s, uint32_t rate_milli, uint64_t until_ms,
+    uint64_t now_ms)
+{
+	if (s->allowance == NULL)
+		s->allowance = ld_allowance_new();
+	return ld_allowance_warm_up(s->allowance, rate_milli, until_ms, now_ms);
+}
+
 bool
 ld_server_is_limited(const struct ld_server *s, uint64_t now_ms)
 {
--- a/tests/faults/ld_relay_server.h
+++ b/tests/faults/ld_relay_server.h
@@ -63,6 +63,7 @@
 	struct ld_loop *loop;
 	struct ld_listener *listener;
 	int64_t born; /* start of its process in Unix ms, 0: not in its entry */
+	unsigned int warmup_left_ms; /* as its entry says */
 	uint16_t port;
 	char address[32];
 	char id[8]; /* id of its entry in the store */
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -22,6 +22,7 @@
 char metrics_address[32];
 char relay_program[4096];
 const char *relay_node_settings = "";
+const char *relay_service_settings = "";
 
 static struct ld_loop *loop;
 static struct ld_http *http;
@@ -62,8 +63,8 @@
 	snprintf(value, sizeof(value),
 	    "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":\"%s\","
 	    "\"slots\":6,\"state\":\"ready\",\"version\":\"v1\","
-	    "\"warmup_left_ms\":0,\"sequence\":%d%s}",
-	    s->address, zone, sequence, born);
+	    "\"warmup_left_ms\":%u,\"sequence\":%d%s}",
+	    s->address, zone, s->warmup_left_ms, sequence, born);
 	ld_kv_store_put(store, key, value);
 }
 
@@ -135,12 +136,12 @@
 	    "\"streaming\",\"timeout_ms\":5000,\"target_latency_ms\":300,"
 	    "\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,"
 	    "\"anonymous\":false}],"
-	    "\"services\":[{\"name\":\"desk\",\"max_connections\":100}],"
+	    "\"services\":[{\"name\":\"desk\",\"max_connections\":100%s}],"
 	    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,"
 	    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
 	    "\"tenants\":[{\"name\":\"shop\",\"api_keys\":[%s],"
 	    "\"priority\":%s}]}",
-	    version, keys, priority);
+	    version, relay_service_settings, keys, priority);
 	ld_kv_store_put(store, "op/config", text);
 }
 
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -35,6 +35,8 @@
 
 /** relay_node_settings - more members of "node", such as ",\"memory_mb\":64" */
 extern const char *relay_node_settings;
+/** relay_service_settings - the same of the service in the configuration */
+extern const char *relay_service_settings;
 /** relay_program - the program beside the test's own, set by relay_test_main() */
 extern char relay_program[4096];
 
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -20,7 +20,8 @@
     "\"non_idempotent\",\"timeout_ms\":800,\"target_latency_ms\":120,"
     "\"priority\":2,\"service\":\"s2\",\"max_attempts\":1,"
     "\"anonymous\":true}],"
-    "\"services\":[{\"name\":\"s1\",\"max_connections\":404,\"engine\":{"
+    "\"services\":[{\"name\":\"s1\",\"max_connections\":404,\"warmup_s\":3.0,"
+    "\"warmup_per_s\":17.5,\"engine\":{"
     "\"slots\":26,\"stride\":6,\"models\":[{\"name\":\"m0\",\"size\":6,"
     "\"share\":0.67,\"pace\":1.0,\"load_s\":16.0,\"warm_s\":1.6}],"
     "\"step_ms\":6.45,\"per_seq_ms\":0.0967,\"context_per_k\":0.00293,"
@@ -80,6 +81,9 @@
 	CU_ASSERT_STRING_EQUAL(ld_routes_account(r, LD_STR("k2"))->name, "t1");
 	CU_ASSERT_PTR_NULL(ld_routes_account(r, LD_STR("k3")));
 	CU_ASSERT_PTR_NULL(ld_routes_account(r, LD_STR("")));
+	CU_ASSERT_EQUAL(ld_routes_service(r, LD_STR("s1"))->warmup_ms, 3000);
+	CU_ASSERT_EQUAL(
+	    ld_routes_service(r, LD_STR("s1"))->warmup_rate_milli, 17500);
 	e = &ld_routes_service(r, LD_STR("s1"))->engine;
 	CU_ASSERT_EQUAL(e->models[0].load_ms, 16000);
 	CU_ASSERT_EQUAL(e->loads_at_once, 8);
