--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -10,8 +10,6 @@
 #define OVERRUN 1.5
 #define WARMUP_SLACK 5
 #define BOUND ((unsigned int)(WARMUP_PER_S * OVERRUN + WARMUP_SLACK))
-/* What nodes allow together: the same as in lib/relay/warmup.c. */
-#define USED_PER_S (WARMUP_PER_S * 0.7)
 #define GROUPS 20
 #define COLD 6
 #define LOAD_PER_S 440
@@ -44,7 +42,7 @@
 			if (known_ms[n] != fleet.now)
 				continue;
 			(void)ld_server_warm_up(s,
-			    (uint32_t)(USED_PER_S * 1000),
+			    (uint32_t)(WARMUP_PER_S * 1000),
 			    begin_ms + WARMUP_MS + ENTRY_MS, fleet.now);
 		}
 	}
@@ -97,7 +95,7 @@
 		/* Nor is it kept idle, once all nodes know of it. */
 		CU_ASSERT(cut_every > 0 || opened_ms > 0 ||
 		    arrived(i, WARMUP_MS / 2) >=
-			USED_PER_S * WARMUP_MS / 2 / SECOND_MS / 2);
+			WARMUP_PER_S * WARMUP_MS / 2 / SECOND_MS / 2);
 	}
 	fleet_close();
 }
