relay: servers that answer slower than their like may get less

Operators asked for it: servers of one service differ in speed, and some slow down long before they are full; fixed weights don't fit.

Change: lib/pace keeps the ratios of measured to predicted times of each server's last answers at this node; lib/dispatch compares the servers of a service and model, and from 1.5 times the median on, with six recent answers, a server's predicted time grows by that factor. Without answers it returns to 1, and the server is tried again. By the setting servers.learn_pace, off by default.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # libraries to its left, and only those that its README.md lists.
 
 LIBS := common loop http wire catalogue peers admit route booking health \
-	replica store metrics settings backend entry node routes allowance servers groups quarantine \
+	replica store metrics settings backend entry node routes allowance pace servers groups quarantine \
 	dialect dispatch relay
 # Existing library folders, in the order above.
 HAVE := $(foreach l,$(LIBS),$(if $(wildcard lib/$(l)/*.c),$(l)))
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -122,6 +122,15 @@
 	    (double)tokens);
 }
 
+/* The same of this server, which may be slower than the others. */
+static uint64_t
+slow_first_ms(const struct ld_engine_spec *e, const struct ld_server *head,
+    uint64_t prompt_tokens, uint64_t now_ms)
+{
+	return (uint64_t)(head->slowness *
+	    (double)ld_dispatch_first_ms(e, head, prompt_tokens, now_ms));
+}
+
 static bool
 was_tried(const struct ld_dispatch_request *rq, const struct ld_server *s)
 {
@@ -167,7 +176,9 @@
 plain_cost(const struct ld_dispatch_request *rq, const struct ld_server *s,
     double random)
 {
-	return 10.0 * (s->active + s->peer_active) +
+	double waiting = s->active + s->peer_active;
+
+	return 10.0 * (s->slowness * (1 + waiting) - 1) +
 	    (is_remote(rq, s) ? REMOTE_SERVER_COST_MS : 0) + random;
 }
 
@@ -278,8 +289,7 @@
 	uint64_t predicted_ms = 0;
 
 	if (e->model_count > 0) {
-		predicted_ms =
-		    ld_dispatch_first_ms(e, s, rq->prompt_tokens, now_ms);
+		predicted_ms = slow_first_ms(e, s, rq->prompt_tokens, now_ms);
 		cost = group_cost(
 		    rq, s, predicted_ms, now_ms, random > 0 ? random : 0.5);
 	} else {
@@ -339,13 +349,15 @@
 	if (e->model_count == 0)
 		return LD_DISPATCH_SEND;
 	out->predicted_uncorrected_ms =
-	    ld_dispatch_first_ms(e, d.server, rq->prompt_tokens, now_ms);
+	    slow_first_ms(e, d.server, rq->prompt_tokens, now_ms);
 	/* If the drawn group would be late, use the one that is soonest. */
 	if (out->predicted_uncorrected_ms + bias_ms > rq->remaining_ms) {
 		out->server = d.soonest;
 		out->predicted_uncorrected_ms = d.soonest_ms;
 	}
 	out->predicted_ms = out->predicted_uncorrected_ms + bias_ms;
+	out->expected_ms = bias_ms +
+	    ld_dispatch_first_ms(e, out->server, rq->prompt_tokens, now_ms);
 	/* A late answer would use capacity that others need to be in time. */
 	if (out->predicted_ms > rq->remaining_ms) {
 		out->retry_after_ms = out->predicted_ms;
--- a/lib/dispatch/ld_dispatch.h
+++ b/lib/dispatch/ld_dispatch.h
@@ -52,6 +52,7 @@
  *	engines
  * @predicted_uncorrected_ms: the same without @bias_ms of the request
  * @retry_after_ms: after a refusal, time until a retry may succeed
+ * @expected_ms: @predicted_ms of a server that is as fast as the others
  * @candidates: servers that were considered
  */
 struct ld_dispatch_choice {
@@ -59,6 +60,7 @@
 	uint64_t predicted_ms;
 	uint64_t predicted_uncorrected_ms;
 	uint64_t retry_after_ms;
+	uint64_t expected_ms;
 	size_t candidates;
 };
 
@@ -113,6 +115,33 @@
 double ld_dispatch_bias_ms(
     const struct ld_dispatch_bias *b, struct ld_str model);
 
+/* ---- Servers that are slower than others ---- */
+
+#define LD_DISPATCH_USUAL_MAX 64
+
+/** struct ld_dispatch_usual - mean time of the answers of each route */
+struct ld_dispatch_usual {
+	uint64_t route[LD_DISPATCH_USUAL_MAX]; /* hash of the name */
+	double ms[LD_DISPATCH_USUAL_MAX];
+	size_t n;
+};
+
+/**
+ * ld_dispatch_usual_ms() - the mean time of the answers of a route, before
+ * @actual_ms is counted; 0 at first, and for routes beyond
+ * LD_DISPATCH_USUAL_MAX
+ */
+double ld_dispatch_usual_ms(
+    struct ld_dispatch_usual *u, struct ld_str route, double actual_ms);
+/**
+ * ld_dispatch_compare() - set the slowness of each server from its pace and those
+ * of the others of its service and model; call a few times a second
+ * @changed: called for each server that has become slow, or is no longer; NULL:
+ *	not needed
+ */
+void ld_dispatch_compare(struct ld_servers *servers, uint64_t now_ms,
+    void (*changed)(void *user, struct ld_server *s, bool slow), void *user);
+
 /** ld_dispatch_failed() - the server was unreachable or broke off its answer */
 void ld_dispatch_failed(struct ld_server *s, uint64_t now_ms);
 /**
--- a/lib/metrics/metrics.c
+++ b/lib/metrics/metrics.c
@@ -113,6 +113,8 @@
 	"Changes of the rates that servers say they take."),
     COUNTER(LD_M_RELAY_WARMUPS, "ld_relay_warmups_total", "servers",
 	"Servers that were found cold, and limited until they are warm."),
+    COUNTER(LD_M_RELAY_SLOW_SERVERS, "ld_relay_slow_servers_total", "servers",
+	"Servers that were found slower than the others."),
     COUNTER(LD_M_RELAY_QUARANTINES, "ld_relay_quarantines_total", "parts",
 	"Parts of prompts that were quarantined."),
     COUNTER(LD_M_RELAY_QUARANTINE_REFUSED, "ld_relay_quarantine_refused_total",
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -199,6 +199,7 @@
 			    ld_str_c(q->model),
 			    q->send->predicted_uncorrected_ms,
 			    now - q->send->sent_ms);
+		pace_note_first_event(q->send);
 		ld_exchange_begin_with(
 		    q->x, 200, response_headers(&q->send->response));
 	} else if (now - q->last_event_ms > q->max_gap_ms) {
@@ -324,6 +325,7 @@
 	    request_retry(q, "server-error"))
 		return;
 	note_server_answered(q);
+	pace_note_answer(q->send);
 	if (q->send->response.code < survival_code(q))
 		request_note_answer(q);
 	request_relay_response(q);
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -87,6 +87,8 @@
 	size_t send_bytes; /* held of servers' responses, see memory.c */
 	struct service_budget *budgets;
 	struct ld_dispatch_bias prediction_bias;
+	struct ld_dispatch_usual usual;
+	uint64_t compared_ms; /* see pace.c */
 	struct ld_rand rand;
 	uint64_t silence_checked_ms; /* last check of the groups' streams */
 	uint64_t start_ms; /* of the process */
@@ -413,6 +415,11 @@
 /** group_records_close() - call before the store's client is freed */
 void group_records_close(struct relay *r);
 
+/* ---- pace.c: how fast each server answers ---- */
+
+/** pace_tick() - compare the servers */
+void pace_tick(struct relay *r);
+
 /* ---- warmup.c: servers that are cold ---- */
 
 /** warmup_note_entry() - an entry of @s was read, which may say that it is cold */
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -62,6 +62,7 @@
 	uint64_t last_byte_ms; /* last body bytes, 0: none */
 	uint64_t predicted_ms; /* time to the first event */
 	uint64_t predicted_uncorrected_ms; /* without the learned bias */
+	uint64_t expected_ms; /* of a server as fast as the others */
 	struct response response;
 	struct ld_sse events; /* received, and not complete */
 	size_t held_bytes; /* of both, part of the relay's: memory.c */
@@ -296,6 +297,13 @@
 /** request_note_answer() - the answer is complete */
 void request_note_answer(struct request *q);
 
+/* ---- pace.c ---- */
+
+/** pace_note_first_event() - the first event of a send has arrived */
+void pace_note_first_event(const struct send *s);
+/** pace_note_answer() - the answer of a service without engines is complete */
+void pace_note_answer(const struct send *s);
+
 /* ---- counts.c ---- */
 
 void counts_request_ended(const struct request *q, const char *outcome);
--- a/lib/relay/send.c
+++ b/lib/relay/send.c
@@ -124,6 +124,7 @@
 	snprintf(s->server_id, sizeof(s->server_id), "%s", to->entry.id);
 	s->predicted_ms = c->predicted_ms;
 	s->predicted_uncorrected_ms = c->predicted_uncorrected_ms;
+	s->expected_ms = c->expected_ms;
 	counts_send_started(s);
 	to->refs++;
 	to->active++;
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -182,6 +182,7 @@
 	isolation_tick(r);
 	usage_tick(r);
 	server_limits_tick(r);
+	pace_tick(r);
 	check_stop(p);
 	ld_timer_after(ld_loop_timers(r->loop), t, TICK_MS);
 }
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -7,6 +7,7 @@
 
 #include "ld_allowance.h"
 #include "ld_common.h"
+#include "ld_pace.h"
 
 /** enum ld_member_state - state of a server in its group, as it reports it */
 enum ld_member_state {
@@ -116,6 +117,9 @@
  *	report to this one
  * @counts: by enum ld_count
  * @load_changed_ms: last change of one of the loads above
+ * @pace: how long its answers to this process take, against what was predicted
+ * @slowness: that against the other servers of its service and model, 1 if none
+ *	is known; see ld_dispatch_compare()
  * @allowance: the rate of requests that it takes, NULL until it named one or was
  *	cold
  */
@@ -149,6 +153,8 @@
 	uint64_t source_last_byte_ms;
 	struct ld_shared_count counts[LD_COUNT_KINDS];
 	uint64_t load_changed_ms;
+	struct ld_pace pace;
+	double slowness;
 	struct ld_allowance *allowance;
 };
 
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -126,6 +126,7 @@
 
 	s->id_hash = hash_id(id);
 	s->first_seen_ms = now_ms;
+	s->slowness = 1;
 	s->next = t->first;
 	t->first = s;
 	t->count++;
@@ -224,6 +225,8 @@
 		s->reported_leaving = false;
 		ld_allowance_free(s->allowance);
 		s->allowance = NULL;
+		ld_pace_reset(&s->pace);
+		s->slowness = 1;
 	}
 	ld_server_entry_fini(&s->entry);
 	s->entry = *e;
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -186,6 +186,7 @@
 	uint64_t max_event_bytes;
 	uint64_t max_answer_bytes;
 	uint64_t memory_percent; /* of memory_mb */
+	bool learn_pace;
 	uint64_t max_descriptors;
 	uint64_t memory_mb;
 	uint64_t processor_permille; /* of node.processor_share */
--- a/lib/settings/relay_table.c
+++ b/lib/settings/relay_table.c
@@ -52,6 +52,8 @@
 	"16777216", "Longest answer of a server, bytes."),
     ROW("servers.memory_percent", UINT, memory_percent, 5, 50, "25",
 	"Part of node.memory_mb for bodies of requests and answers, percent."),
+    ROW("servers.learn_pace", BOOL, learn_pace, 0, 0, "false",
+	"Servers that answer slower than others of their service get less."),
     ROW("bounds.strict_revocation", BOOL, strict_revocation, 0, 0, "true",
 	"A key that was taken away must not serve after bounds.revoke_ms."),
     ROUNDED_ROW("bounds.revoke_ms", UINT, revoke_ms, 0, HOUR_MS, "5000",
--- a/tests/faults/ld_relay_server.h
+++ b/tests/faults/ld_relay_server.h
@@ -62,17 +62,17 @@
 	struct ld_handler handler; /* first member */
 	struct ld_loop *loop;
 	struct ld_listener *listener;
+	struct crash_form form;
 	int64_t born; /* start of its process in Unix ms, 0: not in its entry */
-	unsigned int warmup_left_ms; /* as its entry says */
 	uint16_t port;
+	bool down; /* crashed, until it is restarted */
 	char address[32];
 	char id[8]; /* id of its entry in the store */
 	enum behaviour behaviour;
-	struct crash_form form;
+	unsigned int warmup_left_ms; /* as its entry says */
 	unsigned int arrivals; /* of clients' requests */
 	unsigned int probes; /* arrivals without an id */
 	unsigned int crashes; /* arrivals that it answered by a crash */
-	bool down; /* crashed, until it is restarted */
 	struct ld_exchange *crashing; /* its head was sent */
 	struct ld_timer crash_timer;
 	/* Values from the last request, empty if absent. */
@@ -81,8 +81,8 @@
 	char last_event[16];
 	char urgency[8];
 	unsigned int extra_fields; /* whose names begin with "X-F" */
-	struct ld_exchange *slow;
 	int slow_event;
+	struct ld_exchange *slow;
 	struct ld_timer timer;
 };
 
