relay: the second crash of a request is in the store at once

Cause, from the relay's log: what is known of crashes was written in the rhythm of the records, up to 3.5 s later, and the relay was killed before.

Change: the node that sees the second or a further crash of a request writes the record itself; only parts that requests share wait a second for an answer.

--- a/lib/quarantine/ld_quarantine.h
+++ b/lib/quarantine/ld_quarantine.h
@@ -199,6 +199,14 @@
  */
 void ld_quarantine_restore_crashes(struct ld_quarantine *qn,
     const struct ld_finding *crashes, size_t n, uint64_t now_ms);
+/**
+ * ld_quarantine_suspect_crashes() - the crashes of one part, if it has two or more
+ * and is not in quarantine
+ *
+ * Return: their number, 0 if it is no suspect.
+ */
+size_t ld_quarantine_suspect_crashes(struct ld_quarantine *qn, uint64_t part,
+    uint64_t now_ms, struct ld_finding out[LD_CRASHES_MAX]);
 /**
  * ld_quarantine_each_suspect() - call @fn with the crashes of each part that has
  * two or more, is not in quarantine, and was not answered since; of the newest of
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -20,8 +20,8 @@
 #define PARTS_MAX 256
 /* Interval of repeated findings about one part, ms: several datagrams. */
 #define RESEND_MS 300
-/* A part with crashes is reported as a suspect after this time, ms: an answer on
- * its way refutes most. */
+/* A part that requests share is reported as a suspect after this time, ms: an
+ * answer on its way refutes most. */
 #define SUSPECT_AFTER_MS 1000
 /* Suspects reported at once. */
 #define SUSPECTS_MAX 64
@@ -512,8 +512,36 @@
 static bool
 is_suspect(struct ld_quarantine *qn, const struct evidence *v, uint64_t now_ms)
 {
-	return v->crash_count > 1 && find_entry(qn, v->part) == NULL &&
-	    now_ms >= v->crashes[v->crash_count - 1].at_ms + SUSPECT_AFTER_MS;
+	const struct crash *last;
+
+	if (v->crash_count < 2 || find_entry(qn, v->part) != NULL)
+		return false;
+	last = &v->crashes[v->crash_count - 1];
+	return last->request == (uint32_t)v->part ||
+	    now_ms >= last->at_ms + SUSPECT_AFTER_MS;
+}
+
+static size_t
+copy_crashes(const struct evidence *v, struct ld_finding out[LD_CRASHES_MAX])
+{
+	for (size_t i = 0; i < v->crash_count; i++)
+		out[i] = (struct ld_finding){.kind = v->crashes[i].begun
+			? LD_FINDING_CRASH_BEGUN
+			: LD_FINDING_CRASH,
+		    .part = v->part,
+		    .server = v->crashes[i].server,
+		    .request = v->crashes[i].request};
+	return v->crash_count;
+}
+
+size_t
+ld_quarantine_suspect_crashes(struct ld_quarantine *qn, uint64_t part,
+    uint64_t now_ms, struct ld_finding out[LD_CRASHES_MAX])
+{
+	const struct evidence *v = evidence_find(&qn->evidence, part);
+
+	return v != NULL && is_suspect(qn, v, now_ms) ? copy_crashes(v, out)
+						      : 0;
 }
 
 /* The newest, in no order; returns their number. */
@@ -552,16 +580,6 @@
 	size_t n = newest_suspects(qn, now_ms, suspects);
 	struct ld_finding crashes[LD_CRASHES_MAX];
 
-	for (size_t i = 0; i < n; i++) {
-		const struct evidence *v = suspects[i];
-
-		for (size_t k = 0; k < v->crash_count; k++)
-			crashes[k] = (struct ld_finding){
-			    .kind = v->crashes[k].begun ? LD_FINDING_CRASH_BEGUN
-							: LD_FINDING_CRASH,
-			    .part = v->part,
-			    .server = v->crashes[k].server,
-			    .request = v->crashes[k].request};
-		fn(user, crashes, v->crash_count);
-	}
+	for (size_t i = 0; i < n; i++)
+		fn(user, crashes, copy_crashes(suspects[i], crashes));
 }
--- a/lib/relay/crash_records.c
+++ b/lib/relay/crash_records.c
@@ -107,6 +107,18 @@
 	leader_records_want(user, name, &list);
 }
 
+/* The node that sees a crash writes it at once: it may be the next to be stopped. */
+void
+crash_records_note_crash(struct relay *r, uint64_t part)
+{
+	struct ld_finding crashes[LD_CRASHES_MAX];
+	size_t n = ld_quarantine_suspect_crashes(
+	    r->crash_records->quarantine, part, relay_now(r), crashes);
+
+	if (n > 0)
+		want_suspect(r->crash_records->suspects, crashes, n);
+}
+
 static bool
 each_suspect(struct leader_records *rs)
 {
--- a/lib/relay/crashing_requests.c
+++ b/lib/relay/crashing_requests.c
@@ -87,6 +87,9 @@
 		ld_quarantine_crashed(
 		    qn, &request->prompt, server, request->begun, now);
 	ld_quarantine_request_crashed(qn, &request->prompt, server, now);
+	crash_records_note_crash(r, request->prompt.request);
+	if (request->prompt.exact != 0)
+		crash_records_note_crash(r, request->prompt.exact);
 }
 
 void
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -462,6 +462,8 @@
 void crash_records_open(struct relay *r, struct ld_quarantine *qn);
 void crash_records_close(struct relay *r);
 void crash_records_tick(struct relay *r);
+/** crash_records_note_crash() - this node has seen a further crash of @part */
+void crash_records_note_crash(struct relay *r, uint64_t part);
 /** crash_records_claim() - claim trial @number of @part; the quarantine is told */
 void crash_records_claim(struct relay *r, uint64_t part, unsigned int number);
 /** crash_records_quarantined() - the records of what is in quarantine */
