review: keys that were taken away serve at a relay that starts

A relay that starts reads a copy of the store that may be seconds old and takes its first poll without events for a proof that the copy is current (review/6); after a return of the store from an older copy it takes that copy for current (review/7).

--- /dev/null
+++ b/review/common-2/run-case.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# run-case.sh FOLDER - starts the case in that folder, from the root of the project
+set -u
+name=$(basename "$1")
+here=$(cd "$1" && pwd) || exit 2
+cd "$here/../.." || exit 2
+[ -x "build/review-2/case-$name" ] && [ -x target/lavenderdrift ] || exit 2
+LOGS=$(mktemp -d) || exit 2
+export LOGS
+RECORD=$here/record.txt
+export RECORD
+"build/review-2/case-$name"
+code=$?
+[ -n "${KEEP_LOGS:-}" ] && echo "$LOGS" || rm -rf "$LOGS"
+exit $code
