--- a/review/common-2/world.c
+++ b/review/common-2/world.c
@@ -903,13 +903,32 @@
 
 /* ---- Relays ---- */
 
+/* Below the ports that the kernel gives to connections: none of these takes the
+ * port while its relay is down. */
 static uint16_t
 free_port(void)
 {
-	uint16_t port;
-
-	close(bind_loopback(&port));
-	return port;
+	static unsigned int next;
+
+	if (next == 0)
+		next = (unsigned int)(randombytes_uniform(10000));
+	for (int i = 0; i < 10000; i++) {
+		struct sockaddr_in a = {.sin_family = AF_INET};
+		unsigned int port = 20000 + (next++ % 10000);
+		int tcp = socket(AF_INET, SOCK_STREAM, 0);
+		int udp = socket(AF_INET, SOCK_DGRAM, 0);
+		bool ok;
+
+		a.sin_port = htons((uint16_t)port);
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		ok = bind(tcp, (struct sockaddr *)&a, sizeof(a)) == 0 &&
+		    bind(udp, (struct sockaddr *)&a, sizeof(a)) == 0;
+		close(tcp);
+		close(udp);
+		if (ok)
+			return (uint16_t)port;
+	}
+	world_cannot_run("no free port");
 }
 
 static void
