--- a/review/common-2/world.c
+++ b/review/common-2/world.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -978,6 +979,8 @@
 	write_settings(r, s, initial, settings);
 	r->pid = fork();
 	if (r->pid == 0) {
+		/* It ends with this process, however that ends. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		if (freopen(log, "a", stdout) == NULL ||
 		    dup2(1, 2) < 0)
 			_exit(127);
