--- a/review/common-2/run-case.sh
+++ b/review/common-2/run-case.sh
@@ -9,7 +9,10 @@
 export LOGS
 RECORD=$here/record.txt
 export RECORD
-"build/review-2/case-$name"
+"build/review-2/case-$name" &
+case=$!
+trap 'kill "$case" 2>/dev/null; wait "$case"; rm -rf "$LOGS"; exit 2' TERM INT
+wait "$case"
 code=$?
 [ -n "${KEEP_LOGS:-}" ] && echo "$LOGS" || rm -rf "$LOGS"
 exit $code
