--- a/lib/groups/groups.c
+++ b/lib/groups/groups.c
@@ -7,8 +7,8 @@
 
 /* How long no group uses a server that refused an order, ms. */
 #define AVOID_AFTER_REFUSAL_MS 1000
-/* How long no group uses a server that did not answer an order, ms: twice the
- * longest time after which an unanswered order may still be executed. */
+/* How long no group uses a server that did not answer an order, ms: it may be cut
+ * off, and another is chosen for the next group. */
 #define AVOID_AFTER_SILENCE_MS 3000
 
 /* Alarms within this time of a member's last probe don't probe it again, ms. */
@@ -56,6 +56,12 @@
 	return names[r];
 }
 
+void
+ld_groups_set_fenced(struct ld_groups *g, bool fenced)
+{
+	g->fenced = fenced;
+}
+
 struct ld_groups *
 ld_groups_new(uint64_t now_ms, bool initial, uint64_t stall_ms)
 {
@@ -281,14 +287,16 @@
 }
 
 static void
-on_join_result(
-    struct group *gr, const struct ld_order *o, enum ld_order_result r)
+on_join_result(struct group *gr, const struct ld_order *o,
+    enum ld_order_result r, uint64_t now_ms)
 {
 	struct member *m = find_member(gr, o->server);
 
-	if (m == NULL || gr->phase != PHASE_FORMING)
+	if (m == NULL)
 		return;
-	m->accepted = r == LD_ORDER_DONE || r == LD_ORDER_BEGUN;
+	pending_result(&m->joins, r, now_ms);
+	if (gr->phase == PHASE_FORMING)
+		m->accepted = r == LD_ORDER_DONE || r == LD_ORDER_BEGUN;
 }
 
 bool
@@ -308,15 +316,19 @@
 		info->avoid_until_ms = now_ms + AVOID_AFTER_SILENCE_MS;
 	else if (info != NULL && r != LD_ORDER_DONE && r != LD_ORDER_BEGUN)
 		info->avoid_until_ms = now_ms + AVOID_AFTER_REFUSAL_MS;
+	if (info != NULL)
+		info->has_order_count = false;
 	/* A later order of this lease may have overtaken it. */
 	if (r == LD_ORDER_FENCED && (info == NULL || o->token >= info->token))
 		return false;
 	if (gr == NULL)
 		return true;
 	if (o->type == LD_ORDER_JOIN)
-		on_join_result(gr, o, r);
+		on_join_result(gr, o, r, now_ms);
+	if (o->type == LD_ORDER_OPEN)
+		pending_result(&gr->opens, r, now_ms);
 	if (o->type == LD_ORDER_LEAVE)
-		closing_on_left(gr, o->server, r, now_ms);
+		closing_on_left(gr, o, r, now_ms);
 	return true;
 }
 
@@ -334,6 +346,10 @@
 	}
 	info->failed_probes = 0;
 	info->answered_ms = now_ms;
+	info->has_order_count =
+	    report->has_order_count && report->member.group == NULL;
+	info->order_count = report->order_count;
+	info->reported_ms = now_ms;
 	info->reported_epoch = report->member.epoch;
 	snprintf(info->reported_group, sizeof(info->reported_group), "%s",
 	    report->member.group != NULL ? report->member.group : "");
--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -28,14 +28,32 @@
 	PHASE_RETIRED /* kept for a while so that it isn't adopted again */
 };
 
+/**
+ * struct pending_orders - orders of one kind to one server that it may yet carry
+ * out
+ * @awaited: orders whose result isn't known
+ * @until_ms: end of the time in which it may carry out one without an answer
+ * @token: of the last one, 0 if a previous leader sent it
+ * @fence: highest token of a later order that the server has answered
+ */
+struct pending_orders {
+	unsigned int awaited;
+	uint64_t until_ms;
+	int64_t token;
+	int64_t fence;
+};
+
 /** struct member - a server in a group */
 struct member {
 	char id[LD_GROUP_NAME_MAX];
-	bool accepted; /* the last order to join was accepted */
+	struct pending_orders joins;
+	bool accepted; /* this leader's last order to join was accepted */
 	uint64_t ordered_ms; /* time of the last order to join, 0 for none */
 	unsigned int tries; /* orders to join that were sent */
 	uint64_t dismissed_ms; /* last order to leave, 0 for none */
 	bool left; /* it answered that order */
+	uint64_t left_ms; /* when it did */
+	uint64_t out_since_ms; /* not PRESENCE_OUT before, 0: isn't */
 };
 
 /** struct group - one group */
@@ -53,9 +71,10 @@
 	uint64_t drain_ms; /* while closing: time for requests to finish */
 	bool drain_ordered; /* the last order to the head was to drain */
 	bool head_left;
+	bool held; /* the head has left, but may yet open again */
+	struct pending_orders opens; /* to the head */
 	bool head_silent; /* no answer to the order to leave */
 	bool head_unreachable; /* nothing listened at the head's address */
-	uint64_t still_since_ms; /* a member has left by then, 0: none */
 	bool forgotten; /* retired, to be adopted again if it returns */
 	size_t member_count;
 	struct member members[LD_GROUP_SIZE_MAX];
@@ -79,6 +98,13 @@
 	char reported_group[LD_GROUP_NAME_MAX];
 	int64_t reported_epoch;
 	int64_t token; /* of the last order to it */
+	/* Orders that it has accepted, by a report in which it is in no group. */
+	bool has_order_count;
+	int64_t order_count;
+	uint64_t reported_ms;
+	uint64_t
+	    doubt_pass; /* last mark_pass that found it PRESENCE_DOUBTFUL */
+	uint64_t doubt_since_ms;
 };
 
 /** struct tick - inputs of one ld_groups_tick() */
@@ -104,6 +130,7 @@
 	uint64_t lead_ms;
 	uint64_t started_ms;
 	uint64_t stall_ms;
+	bool fenced;
 	int64_t last_epoch;
 	struct group *groups;
 	struct server_info *infos;
@@ -170,13 +197,64 @@
 /** lifecycle_close() - close a group in service, with time to drain */
 void lifecycle_close(const struct tick *s, struct group *gr, const char *why);
 
+/* ---- pending_orders.c ---- */
+
+/** pending_sent() - an order of that kind is sent */
+void pending_sent(struct pending_orders *p, int64_t token);
+/** pending_result() - the result of one of them is known */
+void pending_result(
+    struct pending_orders *p, enum ld_order_result r, uint64_t now_ms);
+/** pending_fence() - the server has answered another order with @token */
+void pending_fence(struct pending_orders *p, int64_t token);
+/** pending_join() - member @i may yet be put back into the group */
+bool pending_join(const struct tick *s, const struct group *gr, size_t i);
+/** pending_reopening() - a head that has left may yet join and open again */
+bool pending_reopening(const struct tick *s, const struct group *gr);
+/** pending_inherited() - servers may yet carry out orders of previous leaders */
+bool pending_inherited(const struct tick *s);
+/** pending_inherit() - account for the orders of previous leaders */
+void pending_inherit(const struct tick *s, struct group *gr);
+/**
+ * pending_refuses_group() - member @i has joined a later group
+ *
+ * A server refuses to join a group of an earlier epoch than its own.
+ */
+bool pending_refuses_group(
+    const struct tick *s, const struct group *gr, size_t i);
+/**
+ * pending_doubt() - mark a server that may be put back into a group
+ * @since_ms: when it left
+ */
+void pending_doubt(
+    const struct tick *s, const struct ld_server *v, uint64_t since_ms);
+/** pending_in_doubt() - marked in the latest placing_mark_grouped() */
+bool pending_in_doubt(const struct tick *s, const struct server_info *info);
+/**
+ * pending_is_confirmed() - not in doubt, or in no group by a report since
+ *
+ * Requests a probe if there is no such report.
+ */
+bool pending_is_confirmed(const struct tick *s, struct server_info *info);
+
 /* ---- closing.c ---- */
 
 /** closing_step() - retires the group once its head certainly doesn't serve */
 void closing_step(const struct tick *s, struct group *gr);
 /** closing_on_left() - process the result of an order to leave */
-void closing_on_left(struct group *gr, const char *server,
+void closing_on_left(struct group *gr, const struct ld_order *o,
     enum ld_order_result r, uint64_t now_ms);
+/** enum presence - whether a member of a closing group is still in it */
+enum presence {
+	PRESENCE_IN,
+	PRESENCE_DOUBTFUL, /* has left, but may be put back */
+	PRESENCE_OUT
+};
+
+/** closing_presence() - of member @i; @since_ms: when it left */
+enum presence closing_presence(
+    const struct tick *s, const struct group *gr, size_t i, uint64_t *since_ms);
+/** closing_head_returned() - an entry since the group ended shows its head open */
+bool closing_head_returned(const struct tick *s, const struct group *gr);
 
 /* ---- placing.c ---- */
 
--- a/lib/groups/ld_groups.h
+++ b/lib/groups/ld_groups.h
@@ -31,6 +31,8 @@
  *	seen: those of earlier leases, and earlier ones of this lease that
  *	arrive late. The next lease has a higher revision.
  * @shed: LD_ORDER_CLOSE drops queued requests instead of finishing them
+ * @conditional: the server refuses the order unless it has accepted exactly
+ *	@order_count orders since its start
  */
 struct ld_order {
 	enum ld_order_type type;
@@ -42,6 +44,8 @@
 	int64_t fence;
 	int64_t token;
 	bool shed;
+	bool conditional;
+	int64_t order_count;
 	size_t member_count;
 	char members[LD_GROUP_SIZE_MAX][LD_GROUP_NAME_MAX];
 };
@@ -67,7 +71,8 @@
 
 /**
  * struct ld_group_change - a state change of a group, for the log
- * @what: "forming", "open", "closing", "retired", "adopted", "member-lost"
+ * @what: "forming", "open", "closing", "held", "retired", "adopted",
+ *	"member-lost"
  */
 struct ld_group_change {
 	const char *what;
@@ -88,6 +93,13 @@
 struct ld_groups *ld_groups_new(
     uint64_t now_ms, bool initial, uint64_t stall_ms);
 void ld_groups_free(struct ld_groups *g);
+/**
+ * ld_groups_set_fenced() - whether servers refuse orders with an outdated token
+ *
+ * False at first: an order without an answer may then be carried out after newer
+ * ones, and the servers that it concerns are free only once it can't be.
+ */
+void ld_groups_set_fenced(struct ld_groups *g, bool fenced);
 
 /**
  * ld_groups_acquire_delay_ms() - delay before trying to acquire a free control
--- a/lib/groups/lifecycle.c
+++ b/lib/groups/lifecycle.c
@@ -118,10 +118,9 @@
 	}
 	gr->next = s->g->groups;
 	s->g->groups = gr;
-	for (size_t i = 0; i < gr->member_count; i++) {
-		gr->members[i].accepted = true;
+	pending_inherit(s, gr);
+	for (size_t i = 0; i < gr->member_count; i++)
 		gr->members[i].ordered_ms = s->now_ms;
-	}
 	if (!complete)
 		group_set_phase(gr, PHASE_CLOSING, s->now_ms);
 	else if (head_is_open(s, gr))
@@ -154,9 +153,9 @@
 {
 	gr->drain_ms = drain_ms;
 	gr->head_left = false;
+	gr->held = false;
 	gr->head_silent = false;
 	gr->head_unreachable = false;
-	gr->still_since_ms = 0;
 	group_set_phase(gr, PHASE_CLOSING, s->now_ms);
 	change_add(s->g, "closing", gr, server, why);
 }
@@ -182,10 +181,17 @@
     const struct tick *s, struct group *gr, size_t i, const struct ld_server *v)
 {
 	struct member *m = &gr->members[i];
+	struct server_info *info = server_info_get(s->g, v);
+	struct ld_order *o;
 
-	order_add(s->g, LD_ORDER_JOIN, v, gr);
+	if (!pending_is_confirmed(s, info))
+		return;
+	o = order_add(s->g, LD_ORDER_JOIN, v, gr);
+	o->conditional = pending_in_doubt(s, info);
+	o->order_count = info->order_count;
+	pending_sent(&m->joins, o->token);
 	/* From now on the server's entry shows the weights on its host. */
-	server_info_get(s->g, v)->stage_ordered_ms = 0;
+	info->stage_ordered_ms = 0;
 	m->ordered_ms = s->now_ms;
 	m->tries++;
 }
@@ -199,6 +205,44 @@
 	    (st == LD_MEMBER_READY || st == LD_MEMBER_OPEN);
 }
 
+/*
+ * A previous leader may have ordered the members into later groups, and an order
+ * without an answer may be carried out once the head is open. Servers that check
+ * fences refuse it after they have answered this leader; the others are ordered
+ * into a group of this leader, whose epoch is higher.
+ */
+static void
+step_adopted_ready(const struct tick *s, struct group *gr)
+{
+	size_t accepted = 0;
+
+	if (pending_inherited(s)) {
+		close_group(s, gr, "",
+		    "its members may have orders of a previous leader", 0);
+		return;
+	}
+	if (!s->g->fenced) {
+		group_set_phase(gr, PHASE_OPENING, s->now_ms);
+		return;
+	}
+	for (size_t i = 0; i < gr->member_count; i++) {
+		struct member *m = &gr->members[i];
+
+		accepted += m->accepted;
+		if (m->accepted ||
+		    (m->tries != 0 &&
+			s->now_ms < m->ordered_ms + ORDER_RETRY_MS))
+			continue;
+		if (m->tries >= JOIN_TRIES_MAX) {
+			close_group(s, gr, m->id, "a member did not answer", 0);
+			return;
+		}
+		order_join(s, gr, i, member_server(s, gr, i));
+	}
+	if (accepted == gr->member_count)
+		group_set_phase(gr, PHASE_OPENING, s->now_ms);
+}
+
 static void
 step_forming(const struct tick *s, struct group *gr)
 {
@@ -233,7 +277,9 @@
 		}
 		order_join(s, gr, i, v);
 	}
-	if (ready == gr->member_count)
+	if (ready == gr->member_count && gr->adopted && !head_is_open(s, gr))
+		step_adopted_ready(s, gr);
+	else if (ready == gr->member_count)
 		group_set_phase(gr, PHASE_OPENING, s->now_ms);
 	else if (s->now_ms > gr->phase_since_ms + join_limit_ms(s, gr))
 		close_group(s, gr, "", "members were not ready in time", 0);
@@ -277,7 +323,8 @@
 	}
 	if (gr->ordered_ms != 0 && s->now_ms < gr->ordered_ms + ORDER_RETRY_MS)
 		return;
-	order_add(s->g, LD_ORDER_OPEN, head, gr);
+	pending_sent(
+	    &gr->opens, order_add(s->g, LD_ORDER_OPEN, head, gr)->token);
 	gr->ordered_ms = s->now_ms;
 }
 
@@ -377,6 +424,9 @@
 		closing_step(s, gr);
 		break;
 	case PHASE_RETIRED:
+		if (closing_head_returned(s, gr))
+			close_group(s, gr, gr->members[0].id,
+			    "its head has opened again", 0);
 		break;
 	}
 }
--- a/lib/groups/placing.c
+++ b/lib/groups/placing.c
@@ -40,20 +40,32 @@
 }
 
 /* Includes members of closing groups, whose head may still serve. */
+static void
+mark_member(const struct tick *s, const struct group *gr, size_t i)
+{
+	const struct ld_server *v = member_server(s, gr, i);
+	enum presence p = PRESENCE_IN;
+	uint64_t since_ms = 0;
+
+	if (v == NULL)
+		return;
+	if (gr->phase == PHASE_CLOSING)
+		p = closing_presence(s, gr, i, &since_ms);
+	if (p == PRESENCE_IN)
+		server_info_get(s->g, v)->grouped_pass = s->g->mark_pass;
+	else if (p == PRESENCE_DOUBTFUL)
+		pending_doubt(s, v, since_ms);
+}
+
 void
 placing_mark_grouped(const struct tick *s)
 {
-	uint64_t pass = ++s->g->mark_pass;
-
+	s->g->mark_pass++;
 	for (const struct group *gr = s->g->groups; gr != NULL; gr = gr->next) {
 		if (gr->phase == PHASE_RETIRED)
 			continue;
-		for (size_t i = 0; i < gr->member_count; i++) {
-			const struct ld_server *v = member_server(s, gr, i);
-
-			if (v != NULL && !gr->members[i].left)
-				server_info_get(s->g, v)->grouped_pass = pass;
-		}
+		for (size_t i = 0; i < gr->member_count; i++)
+			mark_member(s, gr, i);
 	}
 }
 
@@ -78,7 +90,7 @@
 		return false;
 	info = server_info_get(s->g, v);
 	return info->grouped_pass != s->g->mark_pass && answers(s, info) &&
-	    s->now_ms >= info->avoid_until_ms;
+	    s->now_ms >= info->avoid_until_ms && pending_is_confirmed(s, info);
 }
 
 bool
--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -104,11 +104,13 @@
 
 	ld_event("order.end",
 	    "order=%s server=%s group=%s epoch=%lld fence=%lld token=%lld "
-	    "result=%s code=%ld ms=%llu",
+	    "expected=%lld result=%s code=%ld ms=%llu",
 	    ld_order_name(e->order.type), e->order.server, e->order.group,
 	    (long long)e->order.epoch, (long long)e->order.fence,
-	    (long long)e->order.token, ld_order_result_name(outcome),
-	    result->code, (unsigned long long)result->ms);
+	    (long long)e->order.token,
+	    e->order.conditional ? (long long)e->order.order_count : -1LL,
+	    ld_order_result_name(outcome), result->code,
+	    (unsigned long long)result->ms);
 	keep_lease = ld_groups_on_order_result(
 	    c->groups, &e->order, outcome, relay_now(r));
 	call_free(e);
@@ -315,6 +317,7 @@
 	c->relay = r;
 	c->groups = ld_groups_new(
 	    relay_now(r), r->settings->initial, r->settings->stall_ms);
+	ld_groups_set_fenced(c->groups, r->settings->fencing_required);
 	r->control = c;
 }
 
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -40,6 +40,7 @@
  * @warmup_left_ms: how much longer it is cold, see ld_server_warm_up()
  * @staged: models whose weights are on the server's host
  * @pace: factor on its times, above 1 if it is slow; 0 if not given
+ * @has_order_count, @order_count: of a report: orders accepted since its start
  */
 struct ld_server_entry {
 	char *id;
@@ -54,6 +55,8 @@
 	size_t staged_count;
 	struct ld_membership member;
 	double pace;
+	bool has_order_count;
+	int64_t order_count;
 };
 
 void ld_server_entry_fini(struct ld_server_entry *e);
@@ -88,6 +91,8 @@
  * @group_hash: hash of the name and epoch of its group, 0 for none
  * @ready_ranks: of a head: bit set of the ranks whose members are ready, see
  *	ld_servers_group_complete()
+ * @member_since_ms: when an entry that gives its present group and state was first
+ *	read
  * @listed: the server has an entry
  * @evacuated: the operators evacuate its failure domain: it gets no requests,
  *	orders or probes
@@ -130,6 +135,7 @@
 	struct ld_server_entry entry;
 	uint64_t group_hash;
 	uint64_t ready_ranks;
+	uint64_t member_since_ms;
 	bool listed;
 	bool evacuated;
 	uint64_t unlisted_ms;
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -228,6 +228,9 @@
 		ld_pace_reset(&s->pace);
 		s->slowness = 1;
 	}
+	if (s->entry.member.state != e->member.state ||
+	    s->group_hash != group_hash(&e->member))
+		s->member_since_ms = now_ms;
 	ld_server_entry_fini(&s->entry);
 	s->entry = *e;
 	s->group_hash = group_hash(&s->entry.member);
--- a/lib/settings/ld_settings.h
+++ b/lib/settings/ld_settings.h
@@ -196,6 +196,7 @@
 	uint64_t grace_ms;
 	uint64_t config_apply_ms;
 	uint64_t stall_ms;
+	bool fencing_required;
 	uint64_t repeat_permille; /* of bounds.repeat_ratio */
 	uint64_t repeat_extra;
 	uint64_t repeat_window_ms;
--- a/lib/settings/relay_table.c
+++ b/lib/settings/relay_table.c
@@ -70,6 +70,8 @@
     ROUNDED_ROW("bounds.stall_ms", UINT, stall_ms, 0, HOUR_MS, "6000",
 	"A head whose group stands still is broken after so long, ms.",
 	LD_ROUND_UP),
+    ROW("bounds.fencing_required", BOOL, fencing_required, 0, 0, "false",
+	"Servers refuse an order with a lower fencing token than they know."),
     ROUNDED_ROW("bounds.repeat_ratio", RATIO, repeat_permille, 0,
 	RATIO_MAX_PERMILLE, "0.2",
 	"Repeats of a service by all nodes, as a part of its requests.",
--- a/tests/groups_world.h
+++ b/tests/groups_world.h
@@ -115,6 +115,7 @@
 	    .models = w->models,
 	    .model_count = 2};
 	w->g = ld_groups_new(w->now, true, STALL_MS);
+	ld_groups_set_fenced(w->g, true);
 	w->t = ld_servers_new();
 	for (int i = 0; i < SERVERS; i++)
 		put(w, i, LD_MEMBER_NONE, NULL, 0, 0, NULL);
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -273,6 +273,12 @@
 	CU_ASSERT_DOUBLE_EQUAL(e.pace, 3.1, 0.001);
 	CU_ASSERT_EQUAL(e.member.epoch, 9);
 	CU_ASSERT_EQUAL(e.member.state, LD_MEMBER_OPEN);
+	CU_ASSERT(e.has_order_count);
+	CU_ASSERT_EQUAL(e.order_count, 2);
+	ld_server_entry_fini(&e);
+	CU_ASSERT_EQUAL(
+	    dialect()->read_report(LD_STR("{\"pace\":1}"), &e), LD_OK);
+	CU_ASSERT(!e.has_order_count);
 	ld_server_entry_fini(&e);
 	CU_ASSERT_EQUAL(
 	    dialect()->read_report(LD_STR("<html>"), &e), LD_E_PROTOCOL);
@@ -297,6 +303,15 @@
 	    "{\"operation\":\"join\",\"fencing_token\":3,\"group\":\"m0/5\","
 	    "\"epoch\":5,\"model\":\"m0\",\"members\":[\"i-1\",\"i-2\"]}");
 	b.len = 0;
+	o.conditional = true;
+	o.order_count = 7;
+	dialect()->encode_order(&o, &b);
+	CU_ASSERT_STRING_EQUAL(ld_buf_cstr(&b),
+	    "{\"operation\":\"join\",\"fencing_token\":3,\"expected\":7,"
+	    "\"group\":\"m0/5\",\"epoch\":5,\"model\":\"m0\","
+	    "\"members\":[\"i-1\",\"i-2\"]}");
+	o.conditional = false;
+	b.len = 0;
 	o.type = LD_ORDER_STAGE;
 	dialect()->encode_order(&o, &b);
 	CU_ASSERT_STRING_EQUAL(ld_buf_cstr(&b),
--- a/tests/unit/test_groups_exclusive.c
+++ b/tests/unit/test_groups_exclusive.c
@@ -108,6 +108,33 @@
 	run_seeds("late", 6, 11, small_sizes, &f, 10);
 }
 
+/*
+ * Where servers check no fencing token, a join and an open that got no answer
+ * open a head again that has left its group, up to 12 s later: its members are
+ * not free before that, whichever node holds the lease.
+ */
+static void
+test_late_orders_without_fencing(void)
+{
+	static const struct faults calm = {.crash_ms = 400,
+	    .late_percent = 35,
+	    .lost_percent = 5,
+	    .follower_age_ms = 2000,
+	    .catch_up_ms = 500,
+	    .holder_age_ms = 300,
+	    .late_max_ms = 12000,
+	    .unfenced = true};
+	struct faults f = calm;
+
+	run_seeds("unfenced", 6, 11, small_sizes, &f, 10);
+	f.store_cut_ms = 1000;
+	f.cut_ms = 2000;
+	f.partition_ms = 6000;
+	run_seeds("unfenced, cut", 6, 11, small_sizes, &f, 10);
+	f.kill_ms = f.freeze_ms = f.resign_ms = 10000;
+	run_seeds("unfenced, holders", 6, 11, small_sizes, &f, 10);
+}
+
 /* Whatever a side of a partition sees: a head may be open on the other. */
 static void
 test_partitions(void)
@@ -145,6 +172,7 @@
 	    {"holders in turn, 66 servers", test_holders_small},
 	    {"servers cut off from all nodes", test_servers_cut_off},
 	    {"orders carried out late", test_orders_carried_out_late},
+	    {"late orders without fencing", test_late_orders_without_fencing},
 	    {"a refused connection is not the end of a head", test_partitions},
 	    {"crashes alone", test_crashes_alone},
 	    {NULL, NULL},
--- a/tests/unit/test_groups_late.c
+++ b/tests/unit/test_groups_late.c
@@ -93,6 +93,7 @@
 		struct world w;
 
 		world_open(&w);
+		ld_groups_set_fenced(w.g, false);
 		late = (struct late){.ignores_epochs = ignores_epochs};
 		ld_rand_seed(&late.rand, seed);
 		w.take_order = take_order_late;
@@ -151,10 +152,80 @@
 	CU_ASSERT(count_unsafe_joins(true) > 0);
 }
 
+/** struct reopening - a group whose head gets its first orders late */
+static struct reopening {
+	char head[LD_GROUP_NAME_MAX];
+	struct ld_order join;
+	struct ld_order open;
+	bool has_join;
+	bool has_open;
+} reopening;
+
+static void
+take_first_orders_late(struct world *w, const struct ld_order *o)
+{
+	bool to_head = strcmp(o->model, LARGE) == 0 &&
+	    (o->type == LD_ORDER_JOIN ? strcmp(o->members[0], o->server) == 0
+				      : strcmp(o->server, reopening.head) == 0);
+
+	if (to_head && o->type == LD_ORDER_JOIN && !reopening.has_join) {
+		memcpy(reopening.head, o->server, sizeof(reopening.head));
+		reopening.join = *o;
+		reopening.has_join = true;
+	} else if (to_head && o->type == LD_ORDER_OPEN && !reopening.has_open) {
+		reopening.open = *o;
+		reopening.has_open = true;
+	} else {
+		carry_out_unfenced(w, o);
+		return;
+	}
+	ld_groups_on_order_result(w->g, o, LD_ORDER_SILENT, w->now);
+}
+
+/* Review/8: a head that has left its group is put back and opened by its first
+ * orders, while the other members are still in it. */
+static void
+test_late_orders_open_a_head_again(void)
+{
+	struct world w;
+	int lost;
+
+	reopening = (struct reopening){0};
+	late = (struct late){0};
+	world_open(&w);
+	ld_groups_set_fenced(w.g, false);
+	/* One model, and no server is left over. */
+	w.spec.model_count = 1;
+	for (int i = 6; i < SERVERS; i++)
+		unlist(&w, i);
+	w.take_order = take_first_orders_late;
+	ld_groups_lead(w.g, 3, w.now);
+	run(&w, true, 5000);
+	CU_ASSERT_FATAL(reopening.has_join && reopening.has_open);
+	CU_ASSERT_EQUAL(count_open(&w, LARGE), 1);
+	lost = member_of(&w, LARGE, 1);
+	raise_alarm(&w, lost);
+	w.dead[lost] = true;
+	run(&w, true, 1000);
+	CU_ASSERT_EQUAL(count_open(&w, LARGE), 0);
+	/* Carried out one after the other before the holder sees any entry. */
+	carry_out_unfenced(&w, &reopening.join);
+	carry_out_unfenced(&w, &reopening.open);
+	w.dead[lost] = false;
+	late.epoch_seen[lost] = 0;
+	put(&w, lost, LD_MEMBER_NONE, NULL, 0, 0, NULL);
+	run(&w, true, 20000);
+	CU_ASSERT_EQUAL(w.unsafe_joins, 0);
+	CU_ASSERT_EQUAL(count_open(&w, LARGE), 1);
+	world_close(&w);
+}
+
 int
 main(void)
 {
 	static const struct ld_test_case cases[] = {
+	    {"late orders open a head again",
+		test_late_orders_open_a_head_again},
 	    {"late orders without fences", test_late_orders_without_fences},
 	    {NULL, NULL},
 	};
