--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -235,17 +235,6 @@
 		sink->ops->done(sink, &r);
 }
 
-/* libcurl takes 101 for the end of the head, and a connection that ends within a
- * head for the end of the response. */
-static enum ld_status
-status_without_head(const struct ld_http_call *c)
-{
-	long code = 0;
-
-	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &code);
-	return code == 101 ? LD_E_PROTOCOL : LD_E_CLOSED;
-}
-
 static enum ld_status
 status_from_curl(const struct ld_http_call *c, CURLcode code)
 {
@@ -253,7 +242,9 @@
 		return c->failure;
 	switch (code) {
 	case CURLE_OK:
-		return c->head_seen ? LD_OK : status_without_head(c);
+		/* A connection that ends within a head is the end of the response
+		 * to libcurl. */
+		return c->head_seen ? LD_OK : LD_E_CLOSED;
 	case CURLE_COULDNT_CONNECT:
 	case CURLE_COULDNT_RESOLVE_HOST:
 		return LD_E_UNAVAILABLE;
--- a/lib/http/response.c
+++ b/lib/http/response.c
@@ -13,6 +13,12 @@
  * line and no body byte. More of them mean chunk framing without end.
  */
 #define EMPTY_READS_MAX 200
+/* Status codes of a response, RFC 9110, section 15. Below are interim ones, except
+ * 101: no call asks for another protocol. */
+#define CODE_INTERIM_MIN 100
+#define CODE_SWITCHING_PROTOCOLS 101
+#define CODE_MIN 200
+#define CODE_MAX 599
 
 static void
 report_head(struct ld_http_call *c)
@@ -49,6 +55,13 @@
 	c->sink->ops->field(c->sink, name, value);
 }
 
+static bool
+is_interim(long code)
+{
+	return code >= CODE_INTERIM_MIN && code < CODE_MIN &&
+	    code != CODE_SWITCHING_PROTOCOLS;
+}
+
 /* Called for each header line; an empty line ends the head. */
 static size_t
 on_header(char *p, size_t size, size_t n, void *user)
@@ -65,13 +78,18 @@
 		return 0;
 	}
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &code);
+	if (!is_interim(code) && (code < CODE_MIN || code > CODE_MAX)) {
+		c->failure = LD_E_PROTOCOL;
+		return 0;
+	}
 	if (size * n > 2) {
 		/* Lines after the head are trailers: counted, not reported. */
-		if (code >= 200 && !c->head_seen && c->sink->ops->field != NULL)
+		if (code >= CODE_MIN && !c->head_seen &&
+		    c->sink->ops->field != NULL)
 			report_field(c, p, size * n);
 		return c->ended ? 0 : n;
 	}
-	if (code >= 200)
+	if (code >= CODE_MIN)
 		report_head(c);
 	return c->ended ? 0 : n;
 }
--- a/tests/faults/test_cut_heads.c
+++ b/tests/faults/test_cut_heads.c
@@ -1,4 +1,5 @@
-/* Servers that end their connection in the middle of the head of an answer. */
+/* Servers whose answers have a broken head: cut off, or with a status code that a
+ * response can't have. */
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -33,6 +34,13 @@
 static const char *const heads[] = {
     WITH_LENGTH, WITHOUT_LENGTH, CHUNKED, INTERIM};
 #define HEADS (sizeof(heads) / sizeof(heads[0]))
+/* Status lines, without their end. */
+static const char *const no_status[] = {"HTTP/1.1 000 OK", "HTTP/1.1 000",
+    "HTTP/1.1 0 OK", "HTTP/1.1 099 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 20x OK",
+    "HTTP/1.1 2000 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 OK",
+    "HTTP/1.1 999 OK",
+    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 000 OK"};
+#define NO_STATUS (sizeof(no_status) / sizeof(no_status[0]))
 
 static struct raw_server server;
 static struct second_relay other;
@@ -162,6 +170,58 @@
 	check_each_byte(true, RAW_RESET);
 }
 
+/* The answer @whole with another status line. */
+static const char *
+with_status_line(const char *line, const char *whole)
+{
+	static char bytes[HEAD_MAX];
+
+	snprintf(bytes, sizeof(bytes), "%s%s", line, strstr(whole, "\r\n"));
+	return bytes;
+}
+
+static void
+check_no_status(struct ld_loop *loop, struct ld_http *http, const char *line)
+{
+	static struct raw_step script[2];
+	struct caller c;
+
+	script[0] = (struct raw_step){
+	    0, 0, with_status_line(line, WITH_LENGTH "body"), RAW_KEEP};
+	raw_server_play(&server, script);
+	c = play(loop, http);
+	CU_ASSERT_NOT_EQUAL(c.result.status, LD_OK);
+	CU_ASSERT_NOT_EQUAL(c.result.status, LD_E_TIMEOUT);
+	CU_ASSERT_FALSE(c.head);
+	CU_ASSERT_EQUAL(c.bytes, 0);
+	CU_ASSERT_TRUE(c.result.sent);
+	if (c.head || c.bytes > 0)
+		printf("\"%s\" is an answer\n", line);
+}
+
+/* Seen elsewhere: a client got an answer whose status was 000. */
+static void
+test_a_status_out_of_range_is_no_answer(void)
+{
+	static const struct raw_step whole[] = {
+	    {0, 0, WITH_LENGTH "body", RAW_KEEP}, {0}};
+	struct ld_loop *loop = ld_loop_new();
+	struct ld_http *http = ld_http_new(loop);
+
+	memset(&server, 0, sizeof(server));
+	raw_server_open(&server, loop, "s-1");
+	for (size_t i = 0; i < NO_STATUS; i++) {
+		check_no_status(loop, http, no_status[i]);
+		raw_server_play(&server, whole);
+		CU_ASSERT_EQUAL(play(loop, http).result.status, LD_OK);
+		/* The same on the connection that is kept since. */
+		check_no_status(loop, http, no_status[i]);
+	}
+	raw_server_close(&server);
+	ld_http_free(http);
+	ld_loop_free(loop);
+}
+
 /* ---- Through a relay ---- */
 
 /* Lists the server under @count new ids, of which the relay has no doubts. */
@@ -221,6 +281,45 @@
 	check_fails("POST", "/events/a", STREAM, strlen(STREAM) - 1);
 }
 
+static void
+test_a_client_gets_no_status_out_of_range(void)
+{
+	for (size_t i = 0; i < NO_STATUS; i++) {
+		char head[HEAD_MAX];
+
+		snprintf(head, sizeof(head), "%s",
+		    with_status_line(no_status[i], WITH_LENGTH "body"));
+		check_fails("GET", "/look/a", head, strlen(head));
+		check_fails("POST", "/book/a", head, strlen(head));
+		snprintf(head, sizeof(head), "%s",
+		    with_status_line(no_status[i], STREAM EVENT("1")));
+		check_fails("POST", "/events/a", head, strlen(head));
+	}
+}
+
+/* A stream that was moved to a server with such an answer ends as broken off. */
+static void
+test_a_begun_stream_does_not_go_on_with_such_a_status(void)
+{
+	for (size_t i = 0; i < NO_STATUS; i++) {
+		static struct raw_step script[3];
+		struct client c;
+
+		script[0] = (struct raw_step){
+		    0, 0, STREAM EVENT("1") EVENT("2"), RAW_RESET};
+		script[1] = (struct raw_step){1, 0,
+		    with_status_line(no_status[i], STREAM EVENT("3")),
+		    RAW_CLOSE};
+		list_anew(2);
+		raw_server_play(&server, script);
+		c = call("POST", "/events/a", "k1");
+		CU_ASSERT_EQUAL(c.code, 200);
+		CU_ASSERT_NOT_EQUAL(c.status, LD_OK);
+		CU_ASSERT_PTR_NULL(strstr(ld_buf_cstr(&c.body), "e3"));
+		ld_buf_free(&c.body);
+	}
+}
+
 /* The resumed stream of the next server is cut in its head. */
 static void
 test_a_begun_stream_does_not_end_with_a_cut_head(void)
@@ -306,6 +405,19 @@
 		CU_ASSERT(relay_counter("ld_relay_forwarded_total") > before);
 		ld_buf_free(&c.body);
 	}
+	for (size_t i = 0; i < NO_STATUS; i += NO_STATUS / 2) {
+		const char *bytes =
+		    with_status_line(no_status[i], WITH_LENGTH "body");
+		struct client c;
+
+		press(DOUBT_MS);
+		play_cut(bytes, strlen(bytes), RAW_CLOSE);
+		c = call("POST", "/book/a", "k1");
+		CU_ASSERT_EQUAL(c.code, 502);
+		CU_ASSERT_FALSE(c.is_signed);
+		CU_ASSERT_EQUAL(server.requests, 1);
+		ld_buf_free(&c.body);
+	}
 	close_second_relay(&other);
 	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
 	run_for(5000);
@@ -321,8 +433,14 @@
 		test_a_head_cut_at_any_byte_is_no_answer},
 	    {"the same on a kept connection",
 		test_the_same_on_a_kept_connection},
+	    {"a status out of range is no answer",
+		test_a_status_out_of_range_is_no_answer},
 	    {"a client gets no success for a cut head",
 		test_a_client_gets_no_success_for_a_cut_head},
+	    {"a client gets no status out of range",
+		test_a_client_gets_no_status_out_of_range},
+	    {"a begun stream does not go on with such a status",
+		test_a_begun_stream_does_not_go_on_with_such_a_status},
 	    {"a begun stream does not end with a cut head",
 		test_a_begun_stream_does_not_end_with_a_cut_head},
 	    {"a cut head behind another node is no success",
