--- a/lib/relay/control.c
+++ b/lib/relay/control.c
@@ -205,6 +205,9 @@
 	    .method = "POST",
 	    .connect_timeout_ms = ORDER_TIMEOUT_MS,
 	    .total_timeout_ms = ORDER_TIMEOUT_MS,
+	    /* An extra answer to an earlier request may arrive on a kept
+	     * connection. */
+	    .fresh = true,
 	};
 
 	e->is_order = true;
--- a/tests/faults/test_repeated_answers.c
+++ b/tests/faults/test_repeated_answers.c
@@ -19,6 +19,8 @@
 #define DOUBT_MS 600
 /* How long the server runs a request: longer than it is doubted, ms. */
 #define RUNS_MS 900
+/* A relay takes the control lease, and orders a free server into a group, ms. */
+#define ORDER_WITHIN_MS 15000
 
 static struct raw_server faulty;
 
@@ -144,6 +146,44 @@
 	run_for(DOUBT_MS);
 }
 
+/* Review/7: a copy was taken for the answer to an order, which the server carried
+ * out late. */
+static void
+test_orders_use_connections_of_their_own(void)
+{
+	static const struct raw_step script[] = {
+	    {0, 0, ANSWER("a1", "body"), RAW_KEEP},
+	    {1, 0, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n",
+		RAW_KEEP},
+	    {0},
+	};
+	char value[512];
+
+	raw_server_play(&faulty, script);
+	check_attempt("/look/a", "a1", 200, "body");
+	CU_ASSERT_EQUAL(faulty.requests, 1);
+	faulty.connections = 0;
+	relay_service_settings =
+	    ",\"engine\":{\"slots\":6,\"step_ms\":6,\"per_seq_ms\":0.1,"
+	    "\"read_per_s\":56000,\"chunk\":512,\"stride\":6,"
+	    "\"loads_per_s\":100,\"loads_at_once\":10,\"usual\":{\"answer\":9},"
+	    "\"models\":[{\"name\":\"m0\",\"size\":1,\"share\":1,"
+	    "\"pace\":1,\"load_s\":1,\"warm_s\":1}]}";
+	snprintf(value, sizeof(value),
+	    "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":\"z1\","
+	    "\"slots\":6,\"state\":\"ready\",\"version\":\"v1\","
+	    "\"warmup_left_ms\":0,\"sequence\":1,\"domain\":\"d1\"}",
+	    faulty.entry.address);
+	ld_kv_store_put(store, "servers/f-1", value);
+	put_config(90, "\"k1\"", "1");
+	for (int ms = 0; ms < ORDER_WITHIN_MS && faulty.requests < 3; ms += 10)
+		run_for(10);
+	CU_ASSERT_FATAL(faulty.requests >= 3);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(faulty.last_request, "POST /lavenderdrift/order "));
+	CU_ASSERT_EQUAL(faulty.connections, faulty.requests - 1);
+}
+
 static void
 test_end(void)
 {
@@ -167,6 +207,8 @@
 		test_an_answer_after_a_copy_is_not_the_next_requests},
 	    {"requests that run once use connections of their own",
 		test_requests_that_run_once_use_connections_of_their_own},
+	    {"orders use connections of their own",
+		test_orders_use_connections_of_their_own},
 	    {"the relay stops", test_end},
 	    {NULL, NULL},
 	};
