--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -83,6 +83,7 @@
 	int64_t era; /* of the store, as last read */
 	/* Writes lost with an older copy are repeated until then, 0: none. */
 	uint64_t era_doubt_until_ms;
+	int64_t restored_revision; /* of the first copy in @era, 0: at start */
 	bool reread_pending; /* after that time */
 };
 
@@ -293,6 +294,7 @@
 	f->era = ld_store_era_of(revision);
 	if (!f->loaded || f->era <= before)
 		return;
+	f->restored_revision = revision;
 	f->era_doubt_until_ms = relay_now(r) + ENTRY_REWRITE_MS;
 	f->doubt_until_ms = f->era_doubt_until_ms;
 	f->reread_pending = true;
@@ -433,6 +435,12 @@
 	return feed_age_ms(r) <= feed_key_validity_ms(r);
 }
 
+int64_t
+feed_restored_revision(const struct relay *r)
+{
+	return r->feed->restored_revision;
+}
+
 int64_t
 feed_revision(const struct relay *r)
 {
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -251,6 +251,13 @@
  * copy, UINT64_MAX: always
  */
 uint64_t feed_key_validity_ms(const struct relay *r);
+/**
+ * feed_restored_revision() - of the first read since the store was restored from an
+ * older copy, 0 if that didn't happen in this process's time
+ *
+ * What was written by then may be of the older copy.
+ */
+int64_t feed_restored_revision(const struct relay *r);
 /** feed_revision() - revision up to which all changes were applied, 0: none */
 int64_t feed_revision(const struct relay *r);
 /** feed_can_delegate() - peers may follow the store through this node */
--- a/lib/relay/server_entries.c
+++ b/lib/relay/server_entries.c
@@ -37,6 +37,21 @@
 	    ld_event_token(id, text), (long long)revision, why);
 }
 
+static void
+log_outdated(const struct ld_server *s, const struct ld_server_entry *e,
+    int64_t revision)
+{
+	char text[LD_EVENT_TOKEN_BYTES];
+
+	ld_event("server.entry_outdated",
+	    "server=%s listed=%d started_ms=%lld heartbeats=%llu "
+	    "known_started_ms=%lld known_heartbeats=%llu revision=%lld",
+	    ld_event_token(ld_str_c(s->entry.id), text), s->listed,
+	    (long long)e->started_ms, (unsigned long long)e->heartbeats,
+	    (long long)s->entry.started_ms,
+	    (unsigned long long)s->entry.heartbeats, (long long)revision);
+}
+
 static void
 log_entry(const struct ld_server *s, int64_t revision)
 {
@@ -44,7 +59,7 @@
 
 	ld_event("server.entry",
 	    "server=%s state=%s service=%s domain=%s group=%s epoch=%lld "
-	    "rank=%u member=%s staged=%s revision=%lld",
+	    "rank=%u member=%s staged=%s heartbeats=%llu revision=%lld",
 	    ld_event_token(ld_str_c(s->entry.id), text),
 	    s->entry.leaving ? "leaving" : "ready", s->entry.service,
 	    s->entry.domain != NULL ? s->entry.domain : "-",
@@ -52,7 +67,23 @@
 	    (long long)s->entry.member.epoch, s->entry.member.rank,
 	    ld_member_state_name(s->entry.member.state),
 	    s->entry.staged_count > 0 ? s->entry.staged[0] : "-",
-	    (long long)revision);
+	    (unsigned long long)s->entry.heartbeats, (long long)revision);
+}
+
+/*
+ * An entry that is older than the last one read, as in a store that was restored
+ * from an older copy. Several writes may have the same count of heartbeats: of
+ * these the copy has the older one, unless it was written after the return.
+ */
+static bool
+is_outdated(const struct relay *r, const struct ld_server *s,
+    const struct ld_server_entry *e, int64_t revision)
+{
+	int order = ld_server_entry_compare(e, &s->entry);
+
+	return order < 0 ||
+	    (order == 0 && e->started_ms != 0 &&
+		revision <= feed_restored_revision(r));
 }
 
 void
@@ -70,6 +101,12 @@
 		return;
 	}
 	*refused_slot(r, id) = 0;
+	s = ld_servers_find(r->servers, id);
+	if (s != NULL && is_outdated(r, s, &e, kv->mod_revision)) {
+		log_outdated(s, &e, kv->mod_revision);
+		ld_server_entry_fini(&e);
+		return;
+	}
 	s = ld_servers_put(r->servers, &e, relay_now(r));
 	log_entry(s, kv->mod_revision);
 	warmup_note_entry(r, s);
--- a/lib/servers/ld_servers.h
+++ b/lib/servers/ld_servers.h
@@ -36,6 +36,7 @@
  * @zone: failure domain
  * @domain: fabric domain, empty for none
  * @started_ms: start time of the server in Unix ms, 0 if not given
+ * @heartbeats: of an entry: rises with each heartbeat of one process
  * @leaving: accepts no new requests
  * @warmup_left_ms: how much longer it is cold, see ld_server_warm_up()
  * @staged: models whose weights are on the server's host
@@ -49,6 +50,7 @@
 	char *zone;
 	char *domain;
 	int64_t started_ms;
+	uint64_t heartbeats;
 	bool leaving;
 	uint64_t warmup_left_ms;
 	char **staged;
@@ -60,6 +62,14 @@
 };
 
 void ld_server_entry_fini(struct ld_server_entry *e);
+/**
+ * ld_server_entry_compare() - which of two entries of a server was written later
+ *
+ * Return: below 0 if @a was written before @b, above 0 if after it; 0 if that isn't
+ * known: between two heartbeats, or without the start of a process.
+ */
+int ld_server_entry_compare(
+    const struct ld_server_entry *a, const struct ld_server_entry *b);
 
 /** enum ld_count - what nodes count for each server and tell each other */
 enum ld_count {
--- a/lib/servers/servers.c
+++ b/lib/servers/servers.c
@@ -50,6 +50,18 @@
 	*e = (struct ld_server_entry){0};
 }
 
+int
+ld_server_entry_compare(
+    const struct ld_server_entry *a, const struct ld_server_entry *b)
+{
+	if (a->started_ms == 0 || b->started_ms == 0)
+		return 0;
+	if (a->started_ms != b->started_ms)
+		return a->started_ms < b->started_ms ? -1 : 1;
+	return (a->heartbeats > b->heartbeats) -
+	    (a->heartbeats < b->heartbeats);
+}
+
 static void
 server_free(struct ld_server *s)
 {
--- a/tests/faults/test_store_era.c
+++ b/tests/faults/test_store_era.c
@@ -19,6 +19,8 @@
 #define LEASE_MS 2000
 /* Entries that were lost are written again within this, ms. */
 #define ENTRIES_BACK_MS 2100
+/* Start of a server's process, Unix ms. */
+#define BORN_MS 1796500000000LL
 
 static char program[512];
 
@@ -135,6 +137,71 @@
 	CU_ASSERT_EQUAL(servers[1].arrivals, 0);
 }
 
+/* Requests that reach the second server while both are asked for @for_ms. */
+static unsigned int
+arrivals_at_second(uint64_t for_ms)
+{
+	set_servers(SERVES, SERVES);
+	for (uint64_t ms = 0; ms < for_ms; ms += 50) {
+		CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+		run_for(50);
+	}
+	return servers[1].arrivals;
+}
+
+/* Review/5: a server whose entry was removed is not listed again by an older
+ * copy, but by its next heartbeat. */
+static void
+test_a_removed_server_is_not_listed_again(void)
+{
+	set_up();
+	servers[1].born = BORN_MS;
+	put_entry(&servers[1], 1005);
+	run_for(TOLD_MS);
+	ld_kv_store_mark(store);
+	ld_kv_store_delete(store, "servers/i-1");
+	run_for(TOLD_MS);
+	ld_kv_store_return_older(store);
+	CU_ASSERT_EQUAL(arrivals_at_second(ENTRIES_BACK_MS + 2 * REREAD_MS), 0);
+	put_entry(&servers[1], 1006);
+	run_for(TOLD_MS);
+	CU_ASSERT(arrivals_at_second(REREAD_MS) > 0);
+}
+
+static void
+put_draining(int sequence)
+{
+	char value[256];
+
+	snprintf(value, sizeof(value),
+	    "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":\"z1\","
+	    "\"slots\":6,\"state\":\"draining\",\"version\":\"v1\","
+	    "\"warmup_left_ms\":0,\"sequence\":%d,\"born\":%lld}",
+	    servers[1].address, sequence, (long long)BORN_MS);
+	ld_kv_store_put(store, "servers/i-1", value);
+}
+
+/* Review/6: what a server had written before the entry in the older copy was
+ * taken for its state once the time for writing it again was over. */
+static void
+test_an_older_entry_is_never_applied(void)
+{
+	set_up();
+	servers[1].born = BORN_MS;
+	put_entry(&servers[1], 1011);
+	run_for(TOLD_MS);
+	ld_kv_store_mark(store);
+	put_draining(1012);
+	run_for(TOLD_MS);
+	ld_kv_store_return_older(store);
+	CU_ASSERT_EQUAL(arrivals_at_second(ENTRIES_BACK_MS + 2 * REREAD_MS), 0);
+	/* Another process under the same id. */
+	servers[1].born = BORN_MS + 1;
+	put_entry(&servers[1], 1);
+	run_for(TOLD_MS);
+	CU_ASSERT(arrivals_at_second(REREAD_MS) > 0);
+}
+
 /* The node's own entry is written again, and control has no new holder while a
  * lease of the earlier era may still be relied on. */
 static void
@@ -177,6 +244,10 @@
 	    {"revisions are given out again",
 		test_revisions_are_given_out_again},
 	    {"entries that are missing", test_entries_that_are_missing},
+	    {"a removed server is not listed again",
+		test_a_removed_server_is_not_listed_again},
+	    {"an older entry is never applied",
+		test_an_older_entry_is_never_applied},
 	    {"own keys are written again", test_own_keys_are_written_again},
 	    {NULL, NULL},
 	};
