--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -83,6 +83,8 @@
 	int64_t era; /* of the store, as last read */
 	/* Writes lost with an older copy are repeated until then, 0: none. */
 	uint64_t era_doubt_until_ms;
+	/* This process has started, maybe on an older copy; 0: certainly not. */
+	uint64_t start_doubt_until_ms;
 	int64_t restored_revision; /* of the first copy in @era, 0: at start */
 	bool reread_pending; /* after that time */
 };
@@ -227,6 +229,8 @@
 		    crash_records_quarantined(r), name, written);
 	} else if (is_below(kv, RELAY_SUSPECTS_PREFIX, &name)) {
 		leader_records_apply(crash_records_suspects(r), name, written);
+	} else if (ld_str_eq(kv->key, LD_STR(RELAY_ERA_KEY))) {
+		era_record_apply(r, written);
 	} else if (ld_str_eq(kv->key, LD_STR(RELAY_CONTROL_KEY))) {
 		snprintf(f->control_holder, sizeof(f->control_holder), "%.*s",
 		    deleted ? 0 : (int)kv->value.len,
@@ -313,6 +317,17 @@
 	return relay_now(f->relay) < f->era_doubt_until_ms;
 }
 
+/*
+ * A process that starts may have read an older copy, whose configuration has keys
+ * that were taken away since, unless the record of the store's era says otherwise.
+ */
+static bool
+is_in_start_doubt(const struct feed *f)
+{
+	return relay_now(f->relay) < f->start_doubt_until_ms &&
+	    !era_record_confirms(f->relay);
+}
+
 /* An older copy of the store has an outdated entry of a listed server: the
  * local one is newer. */
 static bool
@@ -339,6 +354,7 @@
 	note_regained(f);
 	note_era(f, revision, n);
 	f->control_holder[0] = '\0';
+	era_record_apply(r, NULL);
 	mesh_snapshot_begin(r);
 	leader_records_snapshot_begin(r->group_records);
 	leader_records_snapshot_begin(crash_records_quarantined(r));
@@ -403,6 +419,10 @@
 	if (!f->loaded && !f->relay->settings->initial &&
 	    f->doubt_until_ms == 0)
 		f->doubt_until_ms = relay_now(f->relay) + ENTRY_REWRITE_MS;
+	if (!f->loaded && !f->relay->settings->initial &&
+	    ld_store_era(f->relay->store) != 0)
+		f->start_doubt_until_ms =
+		    relay_now(f->relay) + ENTRY_REWRITE_MS;
 	f->loaded = true;
 }
 
@@ -432,6 +452,8 @@
 bool
 feed_keys_current(const struct relay *r)
 {
+	if (r->settings->strict_revocation && is_in_start_doubt(r->feed))
+		return false;
 	return feed_age_ms(r) <= feed_key_validity_ms(r);
 }
 
@@ -509,6 +531,9 @@
 	ld_store_set_poll(r->store, watch_wait_ms(r), watch_pause_ms(r),
 	    mesh_has_aggregator(r) ? BACKOFF_FOLLOWER_MAX_MS : BACKOFF_MAX_MS);
 	ld_servers_sweep(r->servers, relay_now(r));
+	if (feed_is_settled(r) && !is_in_start_doubt(r->feed) &&
+	    !is_in_era_doubt(r->feed))
+		era_record_tick(r);
 	if (r->feed->reread_pending && !is_in_era_doubt(r->feed)) {
 		r->feed->reread_pending = false;
 		ld_store_watch_reread(&r->feed->watch);
@@ -564,6 +589,7 @@
 	f->watch.ops = &ops;
 	r->feed = f;
 	server_entries_open(r);
+	era_record_open(r);
 	group_records_open(r);
 	crashing_requests_open(r);
 	ld_store_watch_start(r->store, &f->watch, LD_STR(""), true);
@@ -573,6 +599,7 @@
 feed_close(struct relay *r)
 {
 	ld_store_watch_stop(&r->feed->watch);
+	era_record_close(r);
 	server_entries_close(r);
 	group_records_close(r);
 	crashing_requests_close(r);
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -20,6 +20,8 @@
 #define RELAY_NODES_PREFIX "lavenderdrift/nodes/"
 /* Members of each serving group, written by the leader. */
 #define RELAY_GROUPS_PREFIX "lavenderdrift/groups/"
+/* The store's era, once what was lost with an older copy is written again. */
+#define RELAY_ERA_KEY "lavenderdrift/era"
 /* Requests and parts of prompts in quarantine, written by the leader. */
 #define RELAY_QUARANTINE_PREFIX "lavenderdrift/quarantine/"
 /* Crashes of those that are not in quarantine yet, the same. */
@@ -35,6 +37,7 @@
 
 struct control;
 struct counts;
+struct era_record;
 struct feed;
 struct follow;
 struct isolation;
@@ -68,6 +71,7 @@
 	struct ld_handler entry_handler;
 	struct ready *ready;
 	struct feed *feed;
+	struct era_record *era_record;
 	struct server_entries *server_entries;
 	struct leader *leader;
 	struct control *control;
@@ -251,6 +255,19 @@
  * copy, UINT64_MAX: always
  */
 uint64_t feed_key_validity_ms(const struct relay *r);
+/* ---- era_record.c ---- */
+
+void era_record_open(struct relay *r);
+void era_record_close(struct relay *r);
+/** era_record_apply() - the record as read; NULL: there is none */
+void era_record_apply(struct relay *r, const struct ld_store_kv *kv);
+/** era_record_confirms() - it names the era of the store's last answer */
+bool era_record_confirms(const struct relay *r);
+/** era_record_tick() - called while nothing of the store is in doubt */
+void era_record_tick(struct relay *r);
+
+/* ---- feed.c ---- */
+
 /**
  * feed_restored_revision() - of the first read since the store was restored from an
  * older copy, 0 if that didn't happen in this process's time
--- a/tests/faults/test_store_era.c
+++ b/tests/faults/test_store_era.c
@@ -5,12 +5,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <time.h>
 
 #include "ld_relay_session.h"
 
 #define NODE_KEY "lavenderdrift/nodes/n1"
 #define CONTROL_KEY "lavenderdrift/control"
+#define ERA_KEY "lavenderdrift/era"
 /* Changes reach a relay within this, ms: a watch time-out, a pause, a call. */
 #define TOLD_MS 1500
 /* A store that answers again is read within this, ms. */
@@ -202,6 +204,60 @@
 	CU_ASSERT(arrivals_at_second(REREAD_MS) > 0);
 }
 
+static void
+kill_relay(void)
+{
+	kill(relay, SIGKILL);
+	waitpid(relay, NULL, 0);
+}
+
+/* A relay that starts again serves as soon as it has read the store, if that has
+ * settled in its era. */
+static void
+test_a_relay_that_starts_serves_soon(void)
+{
+	uint64_t from;
+
+	set_up();
+	ld_kv_store_delete(store, ERA_KEY);
+	for (int i = 0; i < 300 && !ld_kv_store_has(store, ERA_KEY); i++)
+		run_for(50);
+	CU_ASSERT_FATAL(ld_kv_store_has(store, ERA_KEY));
+	kill_relay();
+	start_relay();
+	from = now_ms();
+	wait_until_serving();
+	CU_ASSERT(now_ms() - from < ENTRIES_BACK_MS);
+}
+
+/* Review/9: a relay that started right after the store's return accepted a key that
+ * was taken away after the copy. */
+static void
+test_a_relay_that_starts_on_an_older_copy_accepts_no_keys(void)
+{
+	long code;
+
+	set_up();
+	ld_kv_store_mark(store);
+	set_key("k2");
+	run_for(TOLD_MS);
+	kill_relay();
+	ld_kv_store_return_older(store);
+	start_relay();
+	for (int ms = 0; ms < LEASE_MS / 2; ms += 20) {
+		code = code_of("GET", "/look/a", "k1");
+		CU_ASSERT(code == 0 || code == 503);
+		run_for(20);
+	}
+	put_config(version, "\"k2\"", "null");
+	do {
+		run_for(20);
+		code = code_of("GET", "/look/a", "k1");
+		CU_ASSERT(code == 401 || code == 503);
+	} while (code == 503);
+	check_keys("k2", "k1", 200);
+}
+
 /* The node's own entry is written again, and control has no new holder while a
  * lease of the earlier era may still be relied on. */
 static void
@@ -248,6 +304,10 @@
 		test_a_removed_server_is_not_listed_again},
 	    {"an older entry is never applied",
 		test_an_older_entry_is_never_applied},
+	    {"a relay that starts serves soon",
+		test_a_relay_that_starts_serves_soon},
+	    {"a relay that starts on an older copy accepts no keys",
+		test_a_relay_that_starts_on_an_older_copy_accepts_no_keys},
 	    {"own keys are written again", test_own_keys_are_written_again},
 	    {NULL, NULL},
 	};
