--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -71,6 +71,7 @@
 	bool ended; /* the handler no longer uses the exchange */
 	bool aborted; /* close without a whole answer */
 	bool too_large;
+	bool last; /* the connection closes after the answer */
 	bool no_memory; /* the body would exceed max_held_bytes */
 	bool backlog_exceeded; /* since client_drained() was last called */
 };
--- a/lib/entry/exchange.c
+++ b/lib/entry/exchange.c
@@ -1,5 +1,6 @@
 /* One request and its answer. */
 #include <assert.h>
+#include <ctype.h>
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -218,6 +219,42 @@
 	    needed > c->connection_bytes;
 }
 
+/* libmicrohttpd passes on names with spaces, and a bare CR within a value: another
+ * reader takes them for other fields, such as a length (RFC 9112, 5.1 and 2.2). */
+static bool
+is_token(const char *name)
+{
+	for (; *name != '\0'; name++)
+		if (!isalnum((unsigned char)*name) &&
+		    strchr("!#$%&'*+-.^_`|~", *name) == NULL)
+			return false;
+	return true;
+}
+
+static void
+find_malformed_field(void *user, const char *name, const char *value)
+{
+	bool *found = user;
+
+	*found |= name[0] == '\0' || !is_token(name) ||
+	    strpbrk(value, "\r\n") != NULL;
+}
+
+static bool
+has_malformed_field(struct ld_exchange *x)
+{
+	bool found = false;
+
+	ld_exchange_fields(x, find_malformed_field, &found);
+	return found;
+}
+
+static const struct ld_problem malformed_field = {
+    .code = MHD_HTTP_BAD_REQUEST,
+    .type = "malformed-field",
+    .title = "A header field of the request is malformed",
+    .ran = LD_RAN_NO,
+};
 static const struct ld_problem body_too_large = {
     .code = MHD_HTTP_CONTENT_TOO_LARGE,
     .type = "body-too-large",
@@ -254,6 +291,11 @@
 	struct ld_handler *h = x->listener->handler;
 
 	x->connection->deadline_ms = UINT64_MAX;
+	/* It isn't known where the request ends: what follows isn't read. */
+	if (has_malformed_field(x)) {
+		x->last = true;
+		return refuse(x, &malformed_field);
+	}
 	if (x->too_large)
 		return refuse(x, &body_too_large);
 	if (x->no_memory)
@@ -402,7 +444,7 @@
 	if (!x->listener->config.no_request_id)
 		MHD_add_response_header(r, "X-Request-Id", x->id);
 	/* A listener that stopped listening closes its open connections. */
-	if (x->listener->listen_fd >= 0 || x->listener->closing)
+	if (x->last || x->listener->listen_fd >= 0 || x->listener->closing)
 		MHD_add_response_header(r, "Connection", "close");
 }
 
--- a/tests/faults/test_heads.c
+++ b/tests/faults/test_heads.c
@@ -382,6 +382,46 @@
 	ld_http_free(http);
 }
 
+/* Seen in a review: "Content-Length : N" was no length, and the body was run as
+ * another request. RFC 9112, section 5.1: 400. */
+static void
+test_malformed_fields_are_refused(void)
+{
+	static const char inner[] =
+	    "POST /book/b HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: inner\r\n"
+	    "Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n";
+	static const char *const fields[] = {"Content-Length : %zu",
+	    "Content-Length\t: %zu", "Transfer-Encoding : chunked",
+	    "X-Tenant : other", "X A: b", "X(A): b", "X-A: b\rX-Tenant: other"};
+	static const struct raw_step script[] = {
+	    {0, 0,
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: outer\r\n"
+		"X-Server-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+		RAW_KEEP},
+	    {0}};
+
+	for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+		struct ld_buf head = {0};
+		const struct answer *a;
+
+		raw_server_play(&raw, script);
+		ld_buf_printf(&head,
+		    "POST /book/a HTTP/1.1\r\nHost: h\r\n"
+		    "X-Attempt-Id: outer\r\nAuthorization: Bearer k1\r\n");
+		ld_buf_printf(&head, fields[i], strlen(inner));
+		ld_buf_printf(&head, "\r\n\r\n%s", inner);
+		a = exchange(ld_buf_str(&head));
+		CU_ASSERT_EQUAL(a->code, 400);
+		/* One answer, and the connection ends. */
+		CU_ASSERT_PTR_NULL(strstr(a->text + 1, "HTTP/1.1 "));
+		CU_ASSERT_EQUAL(raw.requests, 0);
+		if (a->code != 400)
+			printf("\"%s\": code %d, %u requests sent\n", fields[i],
+			    a->code, raw.requests);
+		ld_buf_free(&head);
+	}
+}
+
 static void
 test_end(void)
 {
@@ -406,6 +446,7 @@
 	    {"the largest heads of both", test_the_largest_heads_of_both},
 	    {"a long content type reaches a service whole",
 		test_a_long_content_type_reaches_a_service_whole},
+	    {"malformed fields are refused", test_malformed_fields_are_refused},
 	    {"the relay stops", test_end},
 	    {NULL, NULL},
 	};
