--- a/lib/groups/closing.c
+++ b/lib/groups/closing.c
@@ -1,9 +1,10 @@
 /*
  * End of a group: its members become free once its head certainly doesn't serve,
- * and no order without an answer can make it serve again. A head that gives no answer, or refuses connections, may be on the other side of
- * a partition and open. Each other member is then ordered to leave; as soon as one
- * has left, the group stands still, and after the engines' stall time its head is
- * broken and all are free.
+ * and no order without an answer can make it serve again. A head that gives no
+ * answer, or refuses connections, may be on the other side of a partition and open.
+ * Each other member is then ordered to leave; as soon as one has left, the group
+ * stands still, and after the engines' stall time its head is broken and all are
+ * free.
  */
 #include <string.h>
 
--- a/lib/groups/groups_internal.h
+++ b/lib/groups/groups_internal.h
@@ -98,12 +98,10 @@
 	char reported_group[LD_GROUP_NAME_MAX];
 	int64_t reported_epoch;
 	int64_t token; /* of the last order to it */
-	/* Orders that it has accepted, by a report in which it is in no group. */
-	bool has_order_count;
-	int64_t order_count;
+	bool has_order_count; /* since a report in which it is in no group */
+	int64_t order_count; /* orders that it has accepted, by that report */
 	uint64_t reported_ms;
-	uint64_t
-	    doubt_pass; /* last mark_pass that found it PRESENCE_DOUBTFUL */
+	uint64_t doubt_pass; /* last mark_pass that found it doubtful */
 	uint64_t doubt_since_ms;
 };
 
@@ -130,7 +128,7 @@
 	uint64_t lead_ms;
 	uint64_t started_ms;
 	uint64_t stall_ms;
-	bool fenced;
+	bool fenced; /* servers refuse orders with an outdated token */
 	int64_t last_epoch;
 	struct group *groups;
 	struct server_info *infos;
