tests: planned stops: servers are deleted after the doubt of a start

Cause: a relay that has just started keeps servers whose entries vanish for 2.1 s after its first read, since it can't rule out an outage. The tests deleted four of six servers 1.5 s after the start and sent 0.5 s later. The relay's log has server.doubt with until_ms=641 at the deletion, so it still sent to i-3, which is not made silent: the stream ended there and was played again.

The servers are now deleted 2.5 s later. The checks are the same.

--- a/tests/faults/test_planned_stops.c
+++ b/tests/faults/test_planned_stops.c
@@ -19,6 +19,7 @@
 #define WARM_UP_ONE_MS 1500
 #define RESTART_MS 300
 #define START_MS 300
+#define START_DOUBT_MS 2500
 /* Until the last deadline has passed. */
 #define DRAIN_MS 10500
 
@@ -266,12 +267,14 @@
 	close_one(1, 0);
 }
 
-/* Leaves only the first @n servers. */
+/* Leaves only the first @n servers. A relay that has just started still sends to
+ * servers whose entries vanish, as after an outage of the store. */
 static void
 delete_servers(int n)
 {
 	char key[32];
 
+	stops_run_for(&one, START_DOUBT_MS);
 	for (int i = n; i < STOPS_SERVERS; i++) {
 		snprintf(key, sizeof(key), "servers/%s", one.servers[i].id);
 		ld_kv_store_delete(one.store, key);
