--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -423,6 +423,10 @@
 	    ld_store_era(f->relay->store) != 0)
 		f->start_doubt_until_ms =
 		    relay_now(f->relay) + ENTRY_REWRITE_MS;
+	if (!f->loaded)
+		ld_event("store.current", "revision=%lld ms=%llu",
+		    (long long)feed_revision(f->relay),
+		    (unsigned long long)(relay_now(f->relay) - f->opened_ms));
 	f->loaded = true;
 }
 
@@ -583,6 +587,8 @@
 	s.backoff_max_ms = BACKOFF_MAX_MS;
 	s.calls_per_s = CALLS_PER_S;
 	s.calls_burst = CALLS_BURST;
+	/* At the start of the whole system, hundreds of nodes read at once. */
+	s.confirm_prefix = r->settings->initial ? NULL : RELAY_ERA_KEY;
 	r->store = ld_store_new(r->loop, r->store_http, &s, r->dialect->codec);
 	f->relay = r;
 	f->opened_ms = relay_now(r);
--- a/lib/store/ld_store.h
+++ b/lib/store/ld_store.h
@@ -135,6 +135,9 @@
  *	poll returns several changes at once
  * @backoff_min_ms, @backoff_max_ms: exponential back-off after failures
  * @calls_per_s, @calls_burst: token bucket for the calls of this node
+ * @confirm_prefix: prefix of a few keys, which are read to learn the store's
+ *	revision after a replica has served the first read of a watch; NULL: such
+ *	a watch is current once its first poll has ended
  * @seed: of the random numbers; 0 seeds from the operating system
  */
 struct ld_store_settings {
@@ -151,6 +154,7 @@
 	uint64_t backoff_max_ms;
 	uint64_t calls_per_s;
 	uint64_t calls_burst;
+	const char *confirm_prefix;
 	uint64_t seed;
 };
 
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -93,6 +93,9 @@
 	s->settings.endpoints = NULL;
 	s->prefix = ld_strdup(settings->prefix);
 	s->settings.prefix = s->prefix;
+	if (settings->confirm_prefix != NULL)
+		s->confirm_prefix = ld_strdup(settings->confirm_prefix);
+	s->settings.confirm_prefix = s->confirm_prefix;
 	if (settings->seed != 0)
 		ld_rand_seed(&s->rand, settings->seed);
 	else
@@ -119,6 +122,7 @@
 		free(s->endpoints[i]);
 	free(s->endpoints);
 	free(s->prefix);
+	free(s->confirm_prefix);
 	free(s);
 }
 
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -32,6 +32,7 @@
 	struct ld_store_settings settings;
 	char **endpoints;
 	char *prefix;
+	char *confirm_prefix; /* or NULL */
 	size_t endpoint; /* index of the endpoint in use */
 	struct ld_rand rand;
 	struct backoff backoff;
@@ -121,6 +122,34 @@
 bool store_settle_step(const struct store_request *r,
     const struct ld_store_answer *read, struct ld_store_answer *out);
 
+/* ---- confirm.c: whether data of a replica is current ---- */
+
+/**
+ * struct store_confirmation - zero-initialise
+ * @answered: set before the start; the store's revision has become known
+ */
+struct store_confirmation {
+	struct ld_store_call call; /* first member */
+	struct ld_store *store;
+	void (*answered)(struct store_confirmation *c);
+	bool pending;
+	int64_t revision; /* of the store at the read, 0: not known yet */
+	uint64_t start_ms; /* of the last read */
+	uint64_t next_ms; /* earliest start of the next one */
+};
+
+/** store_confirmation_begin() - a replica has served data, maybe old */
+void store_confirmation_begin(struct store_confirmation *c, struct ld_store *s);
+/** store_confirmation_continue() - read again if the last read has failed */
+void store_confirmation_continue(struct store_confirmation *c);
+/**
+ * store_confirmation_check() - whether data with all changes up to @revision is
+ * current as of the read, or none is pending
+ */
+bool store_confirmation_check(struct store_confirmation *c, int64_t revision);
+/** store_confirmation_stop() - nothing is to be confirmed any more */
+void store_confirmation_stop(struct store_confirmation *c);
+
 /* ---- Live list: parsing and version checks, without sockets ---- */
 
 /** struct live_doc - a parsed live list; owns its strings */
--- a/lib/store/watch.c
+++ b/lib/store/watch.c
@@ -35,6 +35,7 @@
 	uint64_t stream_start_ms;
 	uint64_t poll_wait_ms; /* of the poll in progress */
 	int64_t revision; /* all changes up to it were delivered */
+	struct store_confirmation confirmation;
 	bool from_replica; /* any replica may serve the read in progress */
 	bool catching_up; /* use short polls until one succeeds */
 	bool current_reads_only; /* set after a stale read or a failed poll */
@@ -169,6 +170,30 @@
 
 /* ---- Polled watches: one call per poll ---- */
 
+/* All changes up to @since_ms were delivered, unless the first read was of a
+ * replica and isn't confirmed yet. May stop the watch. */
+static void
+report_current(struct store_watch *w, uint64_t since_ms)
+{
+	struct ld_store_watch *owner = w->owner;
+
+	if (!store_confirmation_check(&w->confirmation, w->revision)) {
+		store_confirmation_continue(&w->confirmation);
+		return;
+	}
+	if (owner->ops->current != NULL)
+		owner->ops->current(owner, since_ms);
+}
+
+static void
+on_confirmation(struct store_confirmation *c)
+{
+	struct store_watch *w = (struct store_watch *)((char *)c -
+	    offsetof(struct store_watch, confirmation));
+
+	report_current(w, c->start_ms);
+}
+
 /* False when the owner stopped the watch in the meantime. */
 static bool
 apply_changes(struct store_watch *w, const struct ld_store_changes *c)
@@ -179,8 +204,7 @@
 		return false;
 	if (c->revision > w->revision)
 		w->revision = c->revision;
-	if (owner->ops->current != NULL)
-		owner->ops->current(owner, c->current_ms);
+	report_current(w, c->current_ms);
 	return !is_stopped(owner, w);
 }
 
@@ -395,8 +419,12 @@
 	if (is_stopped(owner, w))
 		return;
 	/* The age of replica data is known only after the first poll. */
-	if (owner->ops->current != NULL && !w->from_replica)
-		owner->ops->current(owner, w->read_start_ms);
+	if (w->from_replica) {
+		store_confirmation_begin(&w->confirmation, w->store);
+	} else {
+		store_confirmation_stop(&w->confirmation);
+		report_current(w, w->read_start_ms);
+	}
 	if (is_stopped(owner, w))
 		return;
 	if (is_polled(w)) {
@@ -475,6 +503,7 @@
 	w->prefix = prefix;
 	w->read.done = on_read;
 	w->timer.fn = on_timer;
+	w->confirmation.answered = on_confirmation;
 	w->backoff = s->backoff;
 	w->backoff.failures = 0;
 	owner->state = w;
@@ -568,6 +597,7 @@
 	owner->state = NULL;
 	ld_timer_stop(ld_loop_timers(w->store->loop), &w->timer);
 	ld_store_cancel(&w->read);
+	store_confirmation_stop(&w->confirmation);
 	cancel_stream(w);
 	ld_fifo_free(&w->received);
 	free(w->key);
--- a/tests/faults/ld_kv_store.c
+++ b/tests/faults/ld_kv_store.c
@@ -57,6 +57,7 @@
 	int64_t older_revision;
 	struct watch *watches;
 	bool silent;
+	bool muted; /* watches receive no events */
 	json_t *copy; /* answer to serializable reads, or NULL */
 	unsigned int copy_reads;
 };
@@ -127,7 +128,11 @@
 end_watch(struct ld_kv_store *s, struct watch *w)
 {
 	ld_exchange_set_user_data(w->x, NULL);
-	if (w->after < s->oldest || w->after > s->revision)
+	if (s->muted)
+		answer(s, w->x, 200,
+		    json_pack(
+			"{s:[], s:I}", "events", "at", (json_int_t)w->after));
+	else if (w->after < s->oldest || w->after > s->revision)
 		answer(s, w->x, 410, json_object());
 	else
 		answer(s, w->x, 200,
@@ -146,8 +151,9 @@
 	while (*p != NULL && !s->silent) {
 		struct watch *w = *p;
 
-		if (w->after == s->revision && w->after >= s->oldest &&
-		    now < w->until_ms) {
+		if (now < w->until_ms &&
+		    (s->muted ||
+			(w->after == s->revision && w->after >= s->oldest))) {
 			p = &w->next;
 			continue;
 		}
@@ -464,6 +470,12 @@
 	s->silent = silent;
 }
 
+void
+ld_kv_store_mute(struct ld_kv_store *s, bool muted)
+{
+	s->muted = muted;
+}
+
 void
 ld_kv_store_forget(struct ld_kv_store *s)
 {
--- a/tests/faults/ld_kv_store.h
+++ b/tests/faults/ld_kv_store.h
@@ -14,6 +14,8 @@
 void ld_kv_store_delete(struct ld_kv_store *s, const char *key);
 /** ld_kv_store_silence() - accept requests without answering, or resume */
 void ld_kv_store_silence(struct ld_kv_store *s, bool silent);
+/** ld_kv_store_mute() - watches end after their wait without events, or no longer */
+void ld_kv_store_mute(struct ld_kv_store *s, bool muted);
 /** ld_kv_store_forget() - drop the history: watches get 410 once */
 void ld_kv_store_forget(struct ld_kv_store *s);
 /** ld_kv_store_mark() - save the state for ld_kv_store_return_older() */
--- a/tests/faults/test_relay.c
+++ b/tests/faults/test_relay.c
@@ -449,6 +449,38 @@
 	CU_ASSERT_EQUAL(waitpid(relay, &status, WNOHANG), relay);
 }
 
+/*
+ * A node that started while watches received nothing took an old copy for current,
+ * and accepted a key that had been taken away.
+ */
+static void
+test_a_start_while_watches_receive_nothing(void)
+{
+	long code;
+	int status = 0;
+
+	put_config(30, "\"k1\"", "null");
+	ld_kv_store_keep_copy(store);
+	put_config(31, "\"k2\"", "null");
+	set_servers(SERVES, SERVES);
+	ld_kv_store_mute(store, true);
+	start_relay();
+	for (int ms = 0; ms < 1000; ms += 20) {
+		CU_ASSERT_NOT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+		run_for(20);
+	}
+	ld_kv_store_mute(store, false);
+	do {
+		run_for(20);
+		code = code_of("GET", "/look/a", "k1");
+		CU_ASSERT_NOT_EQUAL(code, 200);
+	} while (code != 401);
+	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k2"), 200);
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, &status, WNOHANG), relay);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -475,6 +507,8 @@
 	    {"a stop under load", test_a_stop_under_load},
 	    {"nobody reads the log", test_nobody_reads_the_log},
 	    {"a start from an old copy", test_a_start_from_an_old_copy},
+	    {"a start while watches receive nothing",
+		test_a_start_while_watches_receive_nothing},
 	    {NULL, NULL},
 	};
 
