mesh: a reload hands over the node's name at once

Cause: the load aggregation keeps a pointer to the name in the settings. A reload frees these at once; the pointer was renewed with the next tick, up to 100 ms later.

Change: mesh_apply_settings() is called where the settings are replaced. Other strings of the settings are copied or read through the relay each time.

--- a/lib/relay/mesh.c
+++ b/lib/relay/mesh.c
@@ -65,6 +65,13 @@
 	agg_finding(&r->mesh->aggregation, f, relay_now(r));
 }
 
+void
+mesh_apply_settings(struct relay *r)
+{
+	r->mesh->aggregation.name = r->settings->name;
+	r->mesh->aggregation.from_nodes = r->settings->follow_from_nodes;
+}
+
 void
 mesh_tick(struct relay *r)
 {
@@ -75,9 +82,6 @@
 		return;
 	mesh_drop_unlisted(r);
 	m->aggregation.can_delegate = feed_can_delegate(r);
-	/* Settings may have been reloaded. */
-	m->aggregation.name = r->settings->name;
-	m->aggregation.from_nodes = r->settings->follow_from_nodes;
 	agg_tick(&m->aggregation, relay_now(r));
 }
 
@@ -203,15 +207,14 @@
 
 	m->aggregation = (struct load_aggregation){
 	    .ops = &ops,
-	    .name = s->name,
 	    .domain = agg_domain(ld_str_c(s->failure_domain)),
 	    .processor_permille = s->processor_permille,
-	    .from_nodes = s->follow_from_nodes,
 	    .servers = r->servers,
 	};
 	m->relay = r;
 	m->entry.relay = r;
 	r->mesh = m;
+	mesh_apply_settings(r);
 	m->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	at.sin_port = htons((uint16_t)s->peers_port);
 	inet_pton(AF_INET, s->entry_listen.host, &at.sin_addr);
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -380,6 +380,8 @@
 enum ld_status mesh_open(struct relay *r);
 void mesh_close(struct relay *r);
 void mesh_tick(struct relay *r);
+/** mesh_apply_settings() - @r->settings was replaced, and the old one freed */
+void mesh_apply_settings(struct relay *r);
 /**
  * mesh_peer_put() - the store has an entry for @name; this node's own is
  * ignored
--- a/lib/relay/serve.c
+++ b/lib/relay/serve.c
@@ -64,6 +64,7 @@
 	if (ld_relay_settings_load(r->file, &loaded, &faults) == LD_OK) {
 		ld_relay_settings_free(r->settings);
 		r->settings = loaded;
+		mesh_apply_settings(r);
 		ld_event("settings.applied", "why=%s", why);
 		log_adjusted_settings(loaded);
 	} else {
--- a/tests/faults/test_follow.c
+++ b/tests/faults/test_follow.c
@@ -1,7 +1,7 @@
 /* Three relays of one failure domain: one watches the store, the others follow
  * it, and go back to the store when it fails. */
+#include <signal.h>
 #include <stdio.h>
-#include <string.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -300,6 +300,25 @@
 		CU_ASSERT_EQUAL(code_of(i, s.key_count - 1), 200);
 }
 
+/* Seen with 17 relays: after a reload the old name of the node was read, which had
+ * been freed. */
+static void
+test_settings_are_reloaded(void)
+{
+	int status = 0;
+
+	for (int k = 0; k < 10; k++) {
+		for (int i = 0; i < SOAK_RELAYS; i++)
+			if (!ld_ended(s.relays[i].proc, &status))
+				kill(s.relays[i].proc->pid, SIGHUP);
+		run_for(130);
+	}
+	for (int i = 0; i < SOAK_RELAYS; i++) {
+		CU_ASSERT_FALSE(ld_ended(s.relays[i].proc, &status));
+		CU_ASSERT_EQUAL(code_of(i, s.key_count - 1), 200);
+	}
+}
+
 static void
 test_the_delegate_is_killed(void)
 {
@@ -333,6 +352,7 @@
 	    {"an entry vanishes in an outage",
 		test_an_entry_vanishes_in_an_outage},
 	    {"entries lapse in an outage", test_entries_lapse_in_an_outage},
+	    {"settings are reloaded", test_settings_are_reloaded},
 	    {"the delegate is killed", test_the_delegate_is_killed},
 	    {NULL, NULL},
 	};
