--- a/tests/faults/test_cut_heads.c
+++ b/tests/faults/test_cut_heads.c
@@ -8,6 +8,7 @@
 #include "ld_raw_server.h"
 #include "ld_relay_session.h"
 #include "ld_session.h"
+#include "ld_store.h"
 
 #define NAMED "X-Attempt-Id: " RELAY_REQUEST_ID "\r\n"
 #define SIGNED "HTTP/1.1 200 OK\r\n" NAMED "X-Server-Signature: s\r\n"
@@ -18,6 +19,9 @@
 #define INTERIM "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" WITH_LENGTH
 #define STREAM SIGNED "Content-Type: text/event-stream\r\n\r\n"
 #define EVENT(id) "id: " id "\ndata: e" id "\n\n"
+#define STORE_ANSWER                                    \
+	"HTTP/1.1 200 OK\r\nContent-Length: 53\r\n\r\n" \
+	"{\"header\":{\"cluster_id\":\"7\",\"revision\":\"5\"},\"kvs\":[]}"
 #define HEAD_MAX 512
 #define TIMEOUT_MS 2000
 /* At the relay, each case takes some hundred ms: only every so many bytes. */
@@ -222,6 +226,68 @@
 	ld_loop_free(loop);
 }
 
+/* ---- The client of the store ---- */
+
+/** struct store_caller - one read */
+struct store_caller {
+	struct ld_store_call call; /* first member */
+	enum ld_status status;
+	bool done;
+};
+
+static void
+on_store_answer(struct ld_store_call *call, const struct ld_store_answer *a)
+{
+	struct store_caller *c = (struct store_caller *)call;
+
+	c->status = a->status;
+	c->done = true;
+}
+
+/* A read of a store that answers with @line and a sound body. */
+static enum ld_status
+read_store(struct ld_loop *loop, const char *line)
+{
+	static struct raw_step script[2];
+	const char *endpoint = server.entry.address;
+	struct ld_store_settings settings = ld_store_defaults();
+	struct ld_http *http = ld_http_new(loop);
+	struct store_caller c = {.call = {.done = on_store_answer}};
+	struct ld_store *s;
+
+	script[0] = (struct raw_step){
+	    0, 0, with_status_line(line, STORE_ANSWER), RAW_KEEP};
+	raw_server_play(&server, script);
+	settings.endpoints = &endpoint;
+	settings.n_endpoints = 1;
+	s = ld_store_new(loop, http, &settings, NULL);
+	ld_store_read(s, &c.call, LD_STR("k"));
+	for (int i = 0; i < TIMEOUT_MS && !c.done; i++)
+		ld_loop_run_for(loop, 1);
+	CU_ASSERT(c.done);
+	ld_store_free(s);
+	ld_http_free(http);
+	return c.status;
+}
+
+/* A store in trouble answers no call with a status that a response can't have. */
+static void
+test_a_status_out_of_range_is_no_answer_of_the_store(void)
+{
+	struct ld_loop *loop = ld_loop_new();
+	enum ld_status st;
+
+	memset(&server, 0, sizeof(server));
+	raw_server_open(&server, loop, "s-1");
+	CU_ASSERT_EQUAL(read_store(loop, "HTTP/1.1 200 OK"), LD_E_NOT_FOUND);
+	for (size_t i = 0; i < NO_STATUS; i++) {
+		st = read_store(loop, no_status[i]);
+		CU_ASSERT(st != LD_OK && st != LD_E_NOT_FOUND);
+	}
+	raw_server_close(&server);
+	ld_loop_free(loop);
+}
+
 /* ---- Through a relay ---- */
 
 /* Lists the server under @count new ids, of which the relay has no doubts. */
@@ -435,6 +501,8 @@
 		test_the_same_on_a_kept_connection},
 	    {"a status out of range is no answer",
 		test_a_status_out_of_range_is_no_answer},
+	    {"a status out of range is no answer of the store",
+		test_a_status_out_of_range_is_no_answer_of_the_store},
 	    {"a client gets no success for a cut head",
 		test_a_client_gets_no_success_for_a_cut_head},
 	    {"a client gets no status out of range",
