--- a/programs/commands.h
+++ b/programs/commands.h
@@ -12,6 +12,7 @@
 int command_relay(int argc, char **argv);
 int command_explain(int argc, char **argv);
 int command_check_settings(int argc, char **argv);
+int command_check_config(int argc, char **argv);
 int command_status(int argc, char **argv);
 int command_drain(int argc, char **argv);
 int command_counters(int argc, char **argv);
--- a/programs/main.c
+++ b/programs/main.c
@@ -21,6 +21,8 @@
     {"relay", command_relay, "run one relay on the users' machines"},
     {"explain", command_explain, "tell the story of a request from logs"},
     {"check-settings", command_check_settings, "check a settings file"},
+    {"check-config", command_check_config,
+	"check a configuration before it is written"},
     {"status", command_status, "show nodes and what they know"},
     {"catalogue", command_catalogue, "show and edit the catalogue"},
     {"drain", command_drain, "have nodes finish and stop"},
--- a/tests/faults/ld_kv_store.c
+++ b/tests/faults/ld_kv_store.c
@@ -352,6 +352,22 @@
 	    "has_more", 0, "at", (json_int_t)s->revision);
 }
 
+static void
+answer_key(struct ld_kv_store *s, struct ld_exchange *x)
+{
+	const char *key = strstr(ld_exchange_target(x), "key=");
+	const struct item *it = key != NULL ? find(s, key + 4) : NULL;
+	json_t *o;
+
+	if (it == NULL || it->deleted) {
+		answer(s, x, 404, json_object());
+		return;
+	}
+	o = item_json(it);
+	json_object_set_new(o, "at", json_integer((json_int_t)s->revision));
+	answer(s, x, 200, o);
+}
+
 static void
 on_request(struct ld_handler *h, struct ld_exchange *x)
 {
@@ -365,7 +381,9 @@
 	    query_number(x, "serializable=") == 1) {
 		s->copy_reads++;
 		answer(s, x, 200, json_incref(s->copy));
-	} else if (is_call(x, CALL "range"))
+	} else if (is_call(x, CALL "key"))
+		answer_key(s, x);
+	else if (is_call(x, CALL "range"))
 		answer(s, x, 200, range_json(s));
 	else if (strcmp(ld_exchange_method(x), "DELETE") == 0) {
 		end_lease(s,
