--- a/tests/faults/ld_kv_store.c
+++ b/tests/faults/ld_kv_store.c
@@ -58,6 +58,7 @@
 	struct watch *watches;
 	bool silent;
 	bool muted; /* watches receive no events */
+	bool reads_refused; /* but serializable ones */
 	json_t *copy; /* answer to serializable reads, or NULL */
 	unsigned int copy_reads;
 };
@@ -294,6 +295,12 @@
 	return ld_str_starts(ld_str_c(ld_exchange_path(x)), ld_str_c(name));
 }
 
+static bool
+is_read(struct ld_exchange *x)
+{
+	return is_call(x, CALL "key") || is_call(x, CALL "range");
+}
+
 static void
 grant_lease(struct ld_kv_store *s, struct ld_exchange *x, uint64_t ttl_ms)
 {
@@ -381,7 +388,10 @@
 	    query_number(x, "serializable=") == 1) {
 		s->copy_reads++;
 		answer(s, x, 200, json_incref(s->copy));
-	} else if (is_call(x, CALL "key"))
+	} else if (is_read(x) && s->reads_refused &&
+	    query_number(x, "serializable=") != 1)
+		answer(s, x, 503, json_object());
+	else if (is_call(x, CALL "key"))
 		answer_key(s, x);
 	else if (is_call(x, CALL "range"))
 		answer(s, x, 200, range_json(s));
@@ -494,6 +504,12 @@
 	s->muted = muted;
 }
 
+void
+ld_kv_store_refuse_reads(struct ld_kv_store *s, bool refused)
+{
+	s->reads_refused = refused;
+}
+
 void
 ld_kv_store_forget(struct ld_kv_store *s)
 {
--- a/tests/faults/test_relay.c
+++ b/tests/faults/test_relay.c
@@ -10,6 +10,9 @@
 
 /* ---- Tests, in this order, on one relay ---- */
 
+/* The store serves reads again, and the relay asks for one, within this, ms. */
+#define STORE_BACK_MS 2000
+
 static void
 test_answers_are_passed_on(void)
 {
@@ -481,6 +484,33 @@
 	CU_ASSERT_EQUAL(waitpid(relay, &status, WNOHANG), relay);
 }
 
+/* Without a linearizable read a starting node can't know that its copy is current;
+ * it is ready soon after one is served. */
+static void
+test_a_start_while_reads_are_refused(void)
+{
+	int status = 0;
+	long code = 0;
+
+	set_servers(SERVES, SERVES);
+	ld_kv_store_keep_copy(store);
+	ld_kv_store_refuse_reads(store, true);
+	start_relay();
+	for (int ms = 0; ms < 1000; ms += 20) {
+		CU_ASSERT_NOT_EQUAL(code_of("GET", "/look/a", "k2"), 200);
+		run_for(20);
+	}
+	ld_kv_store_refuse_reads(store, false);
+	for (int ms = 0; ms < STORE_BACK_MS && code != 200; ms += 20) {
+		run_for(20);
+		code = code_of("GET", "/look/a", "k2");
+	}
+	CU_ASSERT_EQUAL(code, 200);
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, &status, WNOHANG), relay);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -509,6 +539,8 @@
 	    {"a start from an old copy", test_a_start_from_an_old_copy},
 	    {"a start while watches receive nothing",
 		test_a_start_while_watches_receive_nothing},
+	    {"a start while reads are refused",
+		test_a_start_while_reads_are_refused},
 	    {NULL, NULL},
 	};
 
