routes: findings name their entry in full

The names of routes and accounts were cut at a fixed number of bytes, which may split a character: such a finding was missing from the output in JSON.

--- a/lib/routes/check.c
+++ b/lib/routes/check.c
@@ -8,7 +8,6 @@
 
 #include "ld_routes_check.h"
 
-#define WHERE_BYTES 256
 /* Rounding of shares that were written with few digits. */
 #define SHARES_SLACK 0.01
 
@@ -62,11 +61,12 @@
 }
 
 static void
-describe_rule(const struct ld_routes *r, size_t i, char out[WHERE_BYTES])
+describe_rule(const struct ld_routes *r, size_t i, struct ld_buf *out)
 {
 	const struct ld_route_rule *rule = &r->rules[i];
 
-	snprintf(out, WHERE_BYTES, "route %zu (%.60s %.60s%.100s)", i,
+	out->len = 0;
+	ld_buf_printf(out, "route %zu (%s %s%s)", i,
 	    rule->name != NULL ? rule->name : "-", rule->host, rule->prefix);
 }
 
@@ -75,7 +75,7 @@
 find_hidden_rules(const struct ld_routes *r, struct ld_routes_findings *f)
 {
 	struct ordered_rule *v = ld_alloc((r->rule_count + 1) * sizeof(*v));
-	char where[WHERE_BYTES];
+	struct ld_buf where = {0};
 
 	for (size_t i = 0; i < r->rule_count; i++)
 		v[i] = (struct ordered_rule){&r->rules[i], i};
@@ -86,12 +86,13 @@
 		if (strcasecmp(a->host, b->host) != 0 ||
 		    strcmp(a->prefix, b->prefix) != 0)
 			continue;
-		describe_rule(r, v[i - 1].index, where);
-		ld_routes_find(f, true, "route-hidden", where,
+		describe_rule(r, v[i - 1].index, &where);
+		ld_routes_find(f, true, "route-hidden", ld_buf_cstr(&where),
 		    "never matches: route %zu has the same host and prefix",
 		    v[i].index);
 	}
 	free(v);
+	ld_buf_free(&where);
 }
 
 static void
@@ -149,22 +150,23 @@
 check_rule(const struct ld_routes *r, size_t i, struct ld_routes_findings *f)
 {
 	const struct ld_route_rule *rule = &r->rules[i];
-	char where[WHERE_BYTES];
+	struct ld_buf where = {0};
 
-	describe_rule(r, i, where);
+	describe_rule(r, i, &where);
 	if (rule->prefix[0] != '\0' && rule->prefix[0] != '/')
-		ld_routes_find(f, true, "prefix-unmatched", where,
+		ld_routes_find(f, true, "prefix-unmatched", ld_buf_cstr(&where),
 		    "never matches: its prefix doesn't begin with /");
 	if (rule->attempts > 1 && rule->kind != LD_KIND_IDEMPOTENT &&
 	    !(rule->kind == LD_KIND_STREAM && rule->resumable))
-		ld_routes_find(f, true, "attempts-unused", where,
+		ld_routes_find(f, true, "attempts-unused", ld_buf_cstr(&where),
 		    "%u attempts on a route whose requests run at most once",
 		    rule->attempts);
 	if (rule->resumable && rule->kind != LD_KIND_STREAM)
-		ld_routes_find(f, true, "resumable-unused", where,
+		ld_routes_find(f, true, "resumable-unused", ld_buf_cstr(&where),
 		    "resumable, but no route of streams");
-	check_times(rule, where, f);
-	check_shares(r, rule, where, f);
+	check_times(rule, ld_buf_cstr(&where), f);
+	check_shares(r, rule, ld_buf_cstr(&where), f);
+	ld_buf_free(&where);
 }
 
 /* ---- Services ---- */
@@ -204,16 +206,18 @@
 check_service(const struct ld_routes *r, const struct ld_service_spec *s,
     struct ld_routes_findings *f)
 {
-	char where[WHERE_BYTES];
+	struct ld_buf where = {0};
 
-	snprintf(where, sizeof(where), "service %.200s", s->name);
+	where.len = 0;
+	ld_buf_printf(&where, "service %s", s->name);
 	if (ld_routes_service(r, ld_str_c(s->name)) != s)
-		ld_routes_find(f, true, "service-hidden", where,
+		ld_routes_find(f, true, "service-hidden", ld_buf_cstr(&where),
 		    "is listed before: this one has no effect");
 	else if (!has_route(r, s->name))
-		ld_routes_find(f, true, "service-without-route", where,
-		    "no route leads to it");
-	check_models(&s->engine, where, f);
+		ld_routes_find(f, true, "service-without-route",
+		    ld_buf_cstr(&where), "no route leads to it");
+	check_models(&s->engine, ld_buf_cstr(&where), f);
+	ld_buf_free(&where);
 }
 
 /* ---- Client accounts and limits ---- */
@@ -232,7 +236,7 @@
 static void
 find_repeated_keys(const struct ld_routes *r, struct ld_routes_findings *f)
 {
-	char where[WHERE_BYTES];
+	struct ld_buf where = {0};
 
 	for (size_t i = 1; i < r->key_count; i++) {
 		const struct ld_account_key *a = &r->keys[i - 1];
@@ -240,36 +244,39 @@
 
 		if (a->hash != b->hash || strcmp(a->key, b->key) != 0)
 			continue;
-		snprintf(where, sizeof(where), "account %.200s",
-		    r->accounts[b->account].name);
-		ld_routes_find(f, true, "key-repeated", where,
+		where.len = 0;
+		ld_buf_printf(
+		    &where, "account %s", r->accounts[b->account].name);
+		ld_routes_find(f, true, "key-repeated", ld_buf_cstr(&where),
 		    "one of its keys is listed twice, also for account %s",
 		    r->accounts[a->account].name);
 	}
+	ld_buf_free(&where);
 }
 
 static void
 check_accounts(const struct ld_routes *r, struct ld_routes_findings *f)
 {
-	char where[WHERE_BYTES];
+	struct ld_buf where = {0};
 
 	for (size_t i = 0; i < r->account_count; i++) {
 		if (count_keys(r, i) > 0)
 			continue;
-		snprintf(where, sizeof(where), "account %.200s",
-		    r->accounts[i].name);
-		ld_routes_find(
-		    f, true, "account-without-key", where, "has no key");
+		where.len = 0;
+		ld_buf_printf(&where, "account %s", r->accounts[i].name);
+		ld_routes_find(f, true, "account-without-key",
+		    ld_buf_cstr(&where), "has no key");
 	}
 	find_repeated_keys(r, f);
 	for (size_t i = 0; i < r->rule_count && r->account_count == 0; i++) {
 		if (r->rules[i].anonymous)
 			continue;
-		describe_rule(r, i, where);
-		ld_routes_find(f, true, "route-open", where,
+		describe_rule(r, i, &where);
+		ld_routes_find(f, true, "route-open", ld_buf_cstr(&where),
 		    "needs a key, but without any account all requests are "
 		    "accepted");
 	}
+	ld_buf_free(&where);
 }
 
 static void
--- a/lib/routes/compare.c
+++ b/lib/routes/compare.c
@@ -1,11 +1,9 @@
 /* What changes between two configurations. */
 #include <stdio.h>
 #include <string.h>
-#include <strings.h>
 
 #include "ld_routes_check.h"
 
-#define WHERE_BYTES 256
 #define MEMBERS_BYTES 128
 
 /* ---- Routes ---- */
@@ -21,9 +19,10 @@
 }
 
 static void
-describe_rule(const struct ld_route_rule *rule, char out[WHERE_BYTES])
+describe_rule(const struct ld_route_rule *rule, struct ld_buf *out)
 {
-	snprintf(out, WHERE_BYTES, "route %.60s (%.60s%.100s)",
+	out->len = 0;
+	ld_buf_printf(out, "route %s (%s%s)",
 	    rule->name != NULL ? rule->name : "-", rule->host, rule->prefix);
 }
 
@@ -89,33 +88,37 @@
 compare_rules(const struct ld_routes *before, const struct ld_routes *after,
     struct ld_routes_findings *f)
 {
-	char where[WHERE_BYTES], members[MEMBERS_BYTES];
+	struct ld_buf where = {0};
+	char members[MEMBERS_BYTES];
 
 	for (size_t i = 0; i < before->rule_count; i++) {
 		const struct ld_route_rule *a = &before->rules[i], *b;
 
 		if (find_rule(before, a) != a)
 			continue;
-		describe_rule(a, where);
+		describe_rule(a, &where);
 		b = find_rule(after, a);
 		if (b == NULL) {
-			note_removed_rule(after, a, where, f);
+			note_removed_rule(after, a, ld_buf_cstr(&where), f);
 			continue;
 		}
 		list_changed_members(a, b, members);
 		if (members[0] != '\0')
-			ld_routes_find(
-			    f, false, "route-changed", where, "%s", members);
+			ld_routes_find(f, false, "route-changed",
+			    ld_buf_cstr(&where), "%s", members);
 		if (a->anonymous && !b->anonymous && after->account_count > 0)
-			ld_routes_find(f, true, "route-closed", where,
+			ld_routes_find(f, true, "route-closed",
+			    ld_buf_cstr(&where),
 			    "needs a key now: requests without one get 401");
 	}
 	for (size_t i = 0; i < after->rule_count; i++) {
 		if (find_rule(before, &after->rules[i]) != NULL)
 			continue;
-		describe_rule(&after->rules[i], where);
-		ld_routes_find(f, false, "route-added", where, "added");
+		describe_rule(&after->rules[i], &where);
+		ld_routes_find(
+		    f, false, "route-added", ld_buf_cstr(&where), "added");
 	}
+	ld_buf_free(&where);
 }
 
 /* ---- Services ---- */
@@ -124,16 +127,18 @@
 note_missing_services(const struct ld_routes *of, const struct ld_routes *in,
     const char *code, const char *what, struct ld_routes_findings *f)
 {
-	char where[WHERE_BYTES];
+	struct ld_buf where = {0};
 
 	for (size_t i = 0; i < of->service_count; i++) {
 		const char *name = of->services[i].name;
 
 		if (ld_routes_service(in, ld_str_c(name)) != NULL)
 			continue;
-		snprintf(where, sizeof(where), "service %.200s", name);
-		ld_routes_find(f, false, code, where, "%s", what);
+		where.len = 0;
+		ld_buf_printf(&where, "service %s", name);
+		ld_routes_find(f, false, code, ld_buf_cstr(&where), "%s", what);
 	}
+	ld_buf_free(&where);
 }
 
 /* ---- Client accounts ---- */
@@ -177,28 +182,32 @@
 compare_accounts(const struct ld_routes *before, const struct ld_routes *after,
     struct ld_routes_findings *f)
 {
-	char where[WHERE_BYTES];
+	struct ld_buf where = {0};
 
 	for (size_t i = 0; i < before->account_count; i++) {
 		const struct ld_account *a = &before->accounts[i], *b;
 
-		snprintf(where, sizeof(where), "account %.200s", a->name);
+		where.len = 0;
+		ld_buf_printf(&where, "account %s", a->name);
 		b = find_account(after, a->name);
 		if (b == NULL)
-			ld_routes_find(
-			    f, false, "account-removed", where, "removed");
+			ld_routes_find(f, false, "account-removed",
+			    ld_buf_cstr(&where), "removed");
 		else if (a->priority != b->priority)
-			ld_routes_find(f, false, "account-changed", where,
-			    "priority %d, before %d", b->priority, a->priority);
-		compare_keys(before, i, after, where, f);
+			ld_routes_find(f, false, "account-changed",
+			    ld_buf_cstr(&where), "priority %d, before %d",
+			    b->priority, a->priority);
+		compare_keys(before, i, after, ld_buf_cstr(&where), f);
 	}
 	for (size_t i = 0; i < after->account_count; i++) {
 		if (find_account(before, after->accounts[i].name) != NULL)
 			continue;
-		snprintf(where, sizeof(where), "account %.200s",
-		    after->accounts[i].name);
-		ld_routes_find(f, false, "account-added", where, "added");
+		where.len = 0;
+		ld_buf_printf(&where, "account %s", after->accounts[i].name);
+		ld_routes_find(
+		    f, false, "account-added", ld_buf_cstr(&where), "added");
 	}
+	ld_buf_free(&where);
 }
 
 void
