entry: a request that is read while the listener closes doesn't abort the process

What operators saw: nothing yet; a run of the tests beside too much load ended test_http_resends with SIGABRT in MHD_stop_daemon(). A relay could end so at a stop, for a request for changes of another node in the last millisecond.

Cause: closing resumes what waits and runs libmicrohttpd once more; a request that this turn reads was suspended again, which libmicrohttpd doesn't allow when it is stopped.

Change: while a listener closes, a request that would wait is ended as if its client had gone.

--- a/lib/entry/exchange.c
+++ b/lib/entry/exchange.c
@@ -142,11 +142,17 @@
 
 /* ---- Suspended connections ---- */
 
-static void
+/* Returns false when the listener closes: then nothing would resume it. */
+static bool
 suspend(struct ld_exchange *x)
 {
+	if (x->listener->freeing) {
+		exchange_notify_gone(x);
+		return false;
+	}
 	x->suspended = true;
 	MHD_suspend_connection(x->mhd);
+	return true;
 }
 
 static void
@@ -312,8 +318,7 @@
 		hangup_watch_start(x);
 	if (x->response != NULL)
 		return exchange_queue_response(x);
-	suspend(x);
-	return MHD_YES;
+	return suspend(x) ? MHD_YES : MHD_NO;
 }
 
 enum MHD_Result
@@ -505,10 +510,8 @@
 		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (n == 0 && x->ended)
 		return MHD_CONTENT_READER_END_OF_STREAM;
-	if (n == 0) {
-		suspend(x);
-		return 0;
-	}
+	if (n == 0)
+		return suspend(x) ? 0 : MHD_CONTENT_READER_END_WITH_ERROR;
 	if (n > max)
 		n = max;
 	memcpy(out, ld_fifo_str(&x->stream).p, n);
--- a/tests/unit/test_entry.c
+++ b/tests/unit/test_entry.c
@@ -1,7 +1,12 @@
 /* The HTTP listener and client on one event loop, and the SSE parser. */
+#include <arpa/inet.h>
 #include <ev.h>
+#include <netinet/in.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "ld_backend.h"
 #include "ld_entry.h"
@@ -208,6 +213,42 @@
 	bench_close();
 }
 
+/* A request that was read while the listener closed ended the process. */
+static void
+check_request_beside_close(const char *path)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(PORT)};
+	char text[96];
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int n = snprintf(
+	    text, sizeof(text), "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path);
+
+	bench_open();
+	inet_pton(AF_INET, HOST, &a.sin_addr);
+	CU_ASSERT_EQUAL_FATAL(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+	for (int i = 0; i < 50; i++) {
+		ev_run(ld_loop_ev(bench->loop), EVRUN_NOWAIT);
+		usleep(1000);
+	}
+	CU_ASSERT_EQUAL(ld_listener_connections(bench->listener), 1);
+	CU_ASSERT_EQUAL(send(fd, text, (size_t)n, MSG_NOSIGNAL), n);
+	usleep(10000);
+	ld_listener_free(bench->listener);
+	bench->listener = NULL;
+	CU_ASSERT_EQUAL(bench->requests, 1);
+	CU_ASSERT_EQUAL(bench->gone, 1);
+	CU_ASSERT_PTR_NULL(bench->open);
+	close(fd);
+	bench_close();
+}
+
+static void
+test_request_beside_the_close(void)
+{
+	check_request_beside_close("/never");
+	check_request_beside_close("/stream");
+}
+
 static void
 test_large_body_is_refused(void)
 {
@@ -299,6 +340,7 @@
 		test_call_starts_inside_a_callback},
 	    {"a hang-up is noticed while waiting",
 		test_hang_up_is_noticed_while_waiting},
+	    {"a request beside the close", test_request_beside_the_close},
 	    {"a large body is refused", test_large_body_is_refused},
 	    {"no listener: surely not sent",
 		test_no_listener_is_surely_not_sent},
