tests: wait until a stream has reached its server, not 50 ms

The first then changed what the servers do before the stream existed, and all its further checks failed.

Both wait up to 2 s for the request; what is checked is as before.

--- a/tests/faults/test_endless_answers.c
+++ b/tests/faults/test_endless_answers.c
@@ -10,6 +10,8 @@
 #include "ld_raw_server.h"
 #include "ld_relay_session.h"
 
+/* A request reaches a server within this on a busy machine, ms. */
+#define BEGUN_MS 2000
 #define STREAM_HEAD                                          \
 	"HTTP/1.1 200 OK\r\nX-Attempt-Id: " RELAY_REQUEST_ID \
 	"\r\nX-Server-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -93,7 +95,8 @@
 	raw_server_play(&raw, script);
 	list_servers(&raw.entry, false);
 	start_at(c, relay_address, "POST", path, "k1");
-	run_for(50);
+	for (int ms = 0; ms < BEGUN_MS && raw.requests == 0; ms += 5)
+		run_for(5);
 	CU_ASSERT_EQUAL(raw.requests, 1);
 	run_lookups(lookups);
 	for (size_t i = 0; i < LOOKUPS; i++) {
--- a/tests/faults/test_nodes_without_servers.c
+++ b/tests/faults/test_nodes_without_servers.c
@@ -210,6 +210,8 @@
 	ld_buf_free(&c->body);
 }
 
+/* A stream reaches a server within this on a busy machine, ms. */
+#define BEGUN_MS 2000
 #define EVENTS_3 "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
 
 /* Ends a relay's doubts about servers, and earns retries, ms. */
@@ -245,7 +247,8 @@
 	before = all_arrivals();
 	set_all(CUTS_STREAM);
 	start_at(c, relay_address, "POST", "/events/a", "k1");
-	run_for(50);
+	for (int ms = 0; ms < BEGUN_MS && streams_open() == 0; ms += 5)
+		run_for(5);
 	CU_ASSERT_EQUAL(streams_open(), 1);
 	for (int i = 0; i < SERVERS; i++)
 		if (servers[i].slow == NULL)
