tests: run.sh names the failed cases once more at the end

Of a run with 714 passed, 1 failed they held the programs after test_follow, all passed: the failed one could not be told.

Change: before the counts, run.sh prints each failed program with its failed cases and checks, or its last lines if it names none, six lines at most.

Measured: with a program of one passed and one failed case and with test_explain on an empty build folder, the last lines name both.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -11,6 +11,7 @@
 passed=0
 failed=0
 known=0
+failed_names=""
 export ASAN_OPTIONS="detect_leaks=1:abort_on_error=0"
 export UBSAN_OPTIONS="print_stacktrace=1"
 dir=$(mktemp -d)
@@ -50,6 +51,8 @@
 			echo "KNOWN RED $name"
 			known=$((known + f))
 			f=0
+		else
+			failed_names="$failed_names $name"
 		fi
 	fi
 	printf '%-32s %s passed, %s failed\n' "$name" "$p" "$f"
@@ -57,6 +60,15 @@
 	failed=$((failed + f))
 }
 
+# The failed cases and checks of a program; its last lines if it names none.
+print_failures() {
+	echo "FAILED $1, status $(cat "$dir/$1.status")"
+	lines=$(grep -E 'had failures:|^ +[0-9]+\. .* - |ERROR: |runtime error' \
+	    "$dir/$1.out")
+	[ -n "$lines" ] || lines=$(tail -n 4 "$dir/$1.out")
+	echo "$lines" | cut -c 1-160 | head -n 6
+}
+
 # Programs share no port or file, so several run concurrently.
 names=""
 running=0
@@ -98,6 +110,10 @@
 for name in $names; do
 	count_one "$name"
 done
+# Once more at the end, for a log that is cut to its last lines.
+for name in $failed_names; do
+	print_failures "$name"
+done
 [ "$known" -eq 0 ] || echo "$known known red, see KNOWN-RED.txt"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
