tests: wait until the relay has applied what was written to the store

Cause: test_cut_heads, test_broken_streams and test_unframed_answers gave the relay 150 ms to learn of a server that they list. A relay pauses for 150 ms between two watches, and the stand-in of the store looks at watches every 20 ms: an entry that is written right after a watch has ended is known up to 170 ms later. The entries before it in the log of a failed run met an open watch, and came within 5 to 14 ms; the relay's own write of the era record shifts the pause.

Timeline, from the relay's log of a failed run: 908.871 s a watch ends with store.era_record; 908.891 the test lists c-36; 909.041 request.refused code=503 reason=no-server; 909.042 server.entry server=c-36.

Ruled out: a doubt about the server or a crash check (the server was not in the relay's copy), processes that are short of time (the log shows the pause alone).

Change: the stand-in knows whether a watch goes on after the newest write of the test, so that its client has the event; wait_until_applied() waits for that. test_relay waits the same way for configurations and entries. No check is changed.

--- a/tests/faults/ld_kv_store.c
+++ b/tests/faults/ld_kv_store.c
@@ -56,6 +56,8 @@
 	size_t older_count;
 	int64_t older_revision;
 	struct watch *watches;
+	int64_t written; /* revision of the newest write of the test */
+	int64_t followed; /* a watch goes on after this revision */
 	bool silent;
 	bool muted; /* watches receive no events */
 	bool reads_refused; /* but serializable ones */
@@ -203,6 +205,8 @@
 	w->until_ms = ld_loop_now(s->loop) + query_number(x, "wait_ms=");
 	w->next = s->watches;
 	s->watches = w;
+	if (w->after > s->followed)
+		s->followed = w->after;
 	ld_exchange_set_user_data(x, w);
 }
 
@@ -484,12 +488,20 @@
 ld_kv_store_put(struct ld_kv_store *s, const char *key, const char *value)
 {
 	write_item(s, key, value, 0);
+	s->written = s->revision;
 }
 
 void
 ld_kv_store_delete(struct ld_kv_store *s, const char *key)
 {
 	write_item(s, key, NULL, 0);
+	s->written = s->revision;
+}
+
+bool
+ld_kv_store_is_followed(const struct ld_kv_store *s)
+{
+	return s->followed >= s->written;
 }
 
 void
@@ -567,5 +579,7 @@
 	copy_items(s->older, s->older_count, s->items);
 	s->count = s->older_count;
 	s->revision = s->older_revision;
+	s->written = s->revision;
+	s->followed = 0;
 	s->era++;
 }
--- a/tests/faults/ld_kv_store.h
+++ b/tests/faults/ld_kv_store.h
@@ -35,6 +35,13 @@
 unsigned int ld_kv_store_copy_reads(const struct ld_kv_store *s);
 /** ld_kv_store_has() - whether a key exists */
 bool ld_kv_store_has(const struct ld_kv_store *s, const char *key);
+/**
+ * ld_kv_store_is_followed() - the newest write of the test has been received
+ *
+ * True once a watch goes on after that write: its client has the event. Meant for
+ * a store with one watching process.
+ */
+bool ld_kv_store_is_followed(const struct ld_kv_store *s);
 /** ld_kv_store_expire_leases() - leases that aren't renewed end */
 void ld_kv_store_expire_leases(struct ld_kv_store *s);
 /** ld_kv_store_value() - the value of a key, NULL if it doesn't exist */
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -478,6 +478,15 @@
 	CU_FAIL_FATAL("the relay does not serve");
 }
 
+void
+wait_until_applied(void)
+{
+	for (int ms = 0; ms < STEP_LIMIT_MS && !ld_kv_store_is_followed(store);
+	     ms += 5)
+		run_for(5);
+	CU_ASSERT_FATAL(ld_kv_store_is_followed(store));
+}
+
 void
 open_all(const char *binary)
 {
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -75,6 +75,8 @@
 struct ld_loop *session_loop(void);
 void run_for(uint64_t ms);
 void wait_until_serving(void);
+/** wait_until_applied() - the relay has applied all that the test wrote */
+void wait_until_applied(void);
 
 /** set_servers() - set their behaviour; resets the arrival counts */
 void set_servers(enum behaviour first, enum behaviour second);
--- a/tests/faults/test_broken_streams.c
+++ b/tests/faults/test_broken_streams.c
@@ -19,7 +19,6 @@
 #define TEXT_LENGTH "Content-Length: 16\r\n\r\n"
 #define CUT_AFTER_MS 50
 /* The relay knows new entries after this time, ms. */
-#define LISTED_MS 150
 /* At least as many as allow three retries. */
 #define REQUESTS_BEFORE 24
 
@@ -60,7 +59,7 @@
 		snprintf(entry->id, sizeof(entry->id), "f-%u", number + 2);
 		put_entry(entry, 0);
 	}
-	run_for(LISTED_MS);
+	wait_until_applied();
 }
 
 /* A stream of @first that breaks off as in @end, and @next for each later
--- a/tests/faults/test_cut_heads.c
+++ b/tests/faults/test_cut_heads.c
@@ -26,7 +26,6 @@
 #define TIMEOUT_MS 2000
 /* At the relay, each case takes some hundred ms: only every so many bytes. */
 #define STRIDE 13
-#define LISTED_MS 150
 #define SETTLED_MS 2600
 #define SERVER_IDS 3
 /* A node is isolated, or no longer, after this time, ms. */
@@ -307,7 +306,7 @@
 		snprintf(s.id, sizeof(s.id), "c-%u", number + i);
 		put_entry(&s, 0);
 	}
-	run_for(LISTED_MS);
+	wait_until_applied();
 }
 
 static void
--- a/tests/faults/test_relay.c
+++ b/tests/faults/test_relay.c
@@ -210,19 +210,19 @@
 
 	set_servers(SERVES, SERVES);
 	put_config(5, "\"k2\"", "null");
-	run_for(600);
+	wait_until_applied();
 	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 401);
 	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k2"), 200);
 	/* An older or malformed configuration changes nothing. */
 	put_config(4, "\"k1\"", "null");
-	run_for(600);
+	wait_until_applied();
 	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 401);
 	ld_kv_store_put(store, "op/config", "{\"version\":6");
-	run_for(600);
+	wait_until_applied();
 	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k2"), 200);
 	ld_kv_store_forget(store);
 	put_config(7, "\"k1\"", "12");
-	run_for(1500);
+	wait_until_applied();
 	set_servers(SERVES, SERVES);
 	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
 	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k2"), 401);
@@ -243,7 +243,7 @@
 	ld_kv_store_put(store, "lavenderdrift/groups/m0/6", "");
 	ld_kv_store_put(store, "lavenderdrift/groups/m0/7", "7 m0 desk i-8");
 	ld_kv_store_delete(store, "servers/i-0");
-	run_for(600);
+	wait_until_applied();
 	for (int i = 0; i < 5; i++)
 		CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
 	CU_ASSERT_EQUAL(servers[0].arrivals, 0);
@@ -292,12 +292,12 @@
 {
 	set_servers(LEAVES, SERVES);
 	put_entry(&servers[0], 2);
-	run_for(600);
+	wait_until_applied();
 	for (int i = 0; i < 30; i++)
 		CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
 	CU_ASSERT_EQUAL(servers[0].arrivals, 1);
 	put_entry(&servers[0], 3);
-	run_for(600);
+	wait_until_applied();
 	for (int i = 0; i < 30; i++)
 		CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
 	CU_ASSERT_EQUAL(servers[0].arrivals, 1);
--- a/tests/faults/test_unframed_answers.c
+++ b/tests/faults/test_unframed_answers.c
@@ -15,7 +15,6 @@
 #define END_AFTER_MS 100
 
 /* The relay knows a new entry after this time, ms. */
-#define LISTED_MS 150
 
 static struct raw_server unframed;
 
@@ -99,7 +98,7 @@
 	snprintf(
 	    unframed.entry.id, sizeof(unframed.entry.id), "u-%u", ++number);
 	put_entry(&unframed.entry, 0);
-	run_for(LISTED_MS);
+	wait_until_applied();
 }
 
 /* The server goes on in a protocol that was not asked for. */
