tests: a pause is timed by the clock, a stream by its arrival

Cause: the case "a server that asks for a pause" of test_relay counted 100 ms for each turn, although a turn also holds a request: on a busy machine its last requests came after the pause had ended. test_nodes_without_servers took a stream for begun after 150 ms.

Change: the requests go on until 300 ms before the pause ends, by the clock; the streams are waited for, as in another case of the test.

--- a/tests/faults/test_nodes_without_servers.c
+++ b/tests/faults/test_nodes_without_servers.c
@@ -190,6 +190,17 @@
 	return n;
 }
 
+/* A stream reaches a server within this on a busy machine, ms. */
+#define BEGUN_MS 2000
+
+static void
+wait_for_stream(void)
+{
+	for (int ms = 0; ms < BEGUN_MS && streams_open() == 0; ms += 5)
+		run_for(5);
+	CU_ASSERT_EQUAL(streams_open(), 1);
+}
+
 /* Through both relays, while the first is cut. */
 static void
 test_close_of_a_client_reaches_the_server(void)
@@ -201,8 +212,7 @@
 	press(STABLE_MS, percent);
 	set_all(STREAMS_SLOWLY);
 	start_at(c, relay_address, "POST", "/events/a", "k1");
-	run_for(150);
-	CU_ASSERT_EQUAL(streams_open(), 1);
+	wait_for_stream();
 	ld_http_cancel(c->call);
 	/* The stream would last for 600 ms; the users' bound is 500 ms. */
 	run_for(200);
@@ -210,8 +220,6 @@
 	ld_buf_free(&c->body);
 }
 
-/* A stream reaches a server within this on a busy machine, ms. */
-#define BEGUN_MS 2000
 #define EVENTS_3 "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
 
 /* Ends a relay's doubts about servers, and earns retries, ms. */
@@ -247,9 +255,7 @@
 	before = all_arrivals();
 	set_all(CUTS_STREAM);
 	start_at(c, relay_address, "POST", "/events/a", "k1");
-	for (int ms = 0; ms < BEGUN_MS && streams_open() == 0; ms += 5)
-		run_for(5);
-	CU_ASSERT_EQUAL(streams_open(), 1);
+	wait_for_stream();
 	for (int i = 0; i < SERVERS; i++)
 		if (servers[i].slow == NULL)
 			servers[i].behaviour = next;
@@ -338,7 +344,7 @@
 	int status;
 
 	start_at(c, relay_address, "POST", "/events/a", "k1");
-	run_for(150);
+	wait_for_stream();
 	CU_ASSERT_EQUAL(kill(b.pid, SIGTERM), 0);
 	wait_for(c);
 	CU_ASSERT(c->code == 200 && c->status == LD_OK && c->is_signed);
--- a/tests/faults/test_relay.c
+++ b/tests/faults/test_relay.c
@@ -308,19 +308,21 @@
 test_a_server_that_asks_for_a_pause(void)
 {
 	struct client c;
+	uint64_t paused_ms;
 
 	set_servers(SERVES, ASKS_FOR_A_PAUSE);
+	paused_ms = ld_loop_now(session_loop());
 	c = call("GET", "/look/a", "k1");
 	CU_ASSERT_EQUAL(c.code, 503);
 	CU_ASSERT_EQUAL(servers[1].arrivals, 1);
 	ld_buf_free(&c.body);
-	for (int ms = 0; ms < RELAY_PAUSE_MS - 300; ms += 100) {
-		run_for(100);
+	while (ld_loop_now(session_loop()) < paused_ms + RELAY_PAUSE_MS - 300) {
 		c = call("GET", "/look/a", "k1");
 		CU_ASSERT_EQUAL(c.code, 503);
 		CU_ASSERT(c.retry_after_s > 0);
 		CU_ASSERT(c.retry_after_s * 1000 <= RELAY_PAUSE_MS);
 		ld_buf_free(&c.body);
+		run_for(100);
 	}
 	CU_ASSERT_EQUAL(servers[1].arrivals, 1);
 	run_for(600);
