--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -391,6 +391,10 @@
 static void
 on_changes(struct ld_store_watch *w, const struct ld_store_changes *changes)
 {
+	if (changes->more)
+		ld_event("store.page", "events=%zu revision=%lld age_ms=%lld",
+		    changes->n, (long long)changes->revision,
+		    (long long)feed_age_ms(feed_of(w)->relay));
 	changes_server_add(feed_of(w)->relay, changes);
 }
 
--- a/lib/store/ld_store.h
+++ b/lib/store/ld_store.h
@@ -274,7 +274,10 @@
  * @after: the changes follow on this revision: a watch that has received all
  *	changes up to it may apply these
  * @revision: with these, all changes up to this revision have been received
- * @current_ms: the store had no further change at this time (the loop's clock)
+ * @current_ms: the store had no further change at this time (the loop's clock);
+ *	unknown when @more
+ * @more: further changes may have been made before the response; the watch asks
+ *	for them at once
  */
 struct ld_store_changes {
 	int64_t after;
@@ -282,6 +285,7 @@
 	const struct ld_store_event *events;
 	size_t n;
 	uint64_t current_ms;
+	bool more;
 };
 
 /**
--- a/lib/store/ld_store_codec.h
+++ b/lib/store/ld_store_codec.h
@@ -80,6 +80,9 @@
  *	and its revisions never decrease
  * @decode_line: decode one line of a streamed watch; NULL: watches are polled,
  *	one call per poll
+ * @page_events: a response to a poll that holds this many events or more may be
+ *	the first page of the changes; 0: responses always hold all changes
+ * @page_bytes: the same for the size of its body, bytes; 0: no such limit
  *
  * The decoders return LD_OK or LD_E_PROTOCOL; the caller frees @out in both
  * cases.
@@ -93,6 +96,8 @@
 	enum ld_status (*decode_line)(
 	    struct ld_str line, struct ld_store_decoded *out);
 	const char *era_field;
+	size_t page_events;
+	size_t page_bytes;
 };
 
 struct ld_store_codec {
--- a/lib/store/watch.c
+++ b/lib/store/watch.c
@@ -13,8 +13,9 @@
 #define LINE_MAX_BYTES ((size_t)4 * 1024 * 1024)
 /* Renewals are spread over the last 1/5 of the interval. */
 #define RENEW_JITTER_DIVISOR 5
-/* Wait of the first poll after a read from a replica or after a failure, ms. It
- * is short, to find out soon which changes were missed, if any. */
+/* Wait of the first poll after a read from a replica, after a failure or after a
+ * page of changes, ms. It is short, to find out soon which changes were missed,
+ * if any. */
 #define CATCH_UP_WAIT_MS 10
 
 struct store_watch {
@@ -204,7 +205,8 @@
 		return false;
 	if (c->revision > w->revision)
 		w->revision = c->revision;
-	report_current(w, c->current_ms);
+	if (!c->more)
+		report_current(w, c->current_ms);
 	return !is_stopped(owner, w);
 }
 
@@ -240,8 +242,21 @@
 	return w->stream_start_ms + waited;
 }
 
+/* Whether the response may be a page of the changes, and not the last one. */
+static bool
+is_page(
+    const struct store_watch *w, const struct ld_store_decoded *d, size_t bytes)
+{
+	const struct ld_store_codec_ops *codec = w->store->codec->ops;
+
+	return (codec->page_events > 0 && d->n >= codec->page_events) ||
+	    (codec->page_bytes > 0 && d->n > 0 && bytes >= codec->page_bytes);
+}
+
+/* @bytes: size of the body */
 static void
-on_poll_response(struct store_watch *w, struct ld_store_decoded *d)
+on_poll_response(
+    struct store_watch *w, struct ld_store_decoded *d, size_t bytes)
 {
 	struct ld_store_watch *owner = w->owner;
 	struct ld_store_changes changes = {
@@ -250,9 +265,11 @@
 	    .events = d->events,
 	    .n = d->n,
 	    .current_ms = poll_current_ms(w, d),
+	    .more = is_page(w, d, bytes),
 	};
+	bool pauses = d->n > 0 && !changes.more;
 
-	w->catching_up = false;
+	w->catching_up = changes.more;
 	store_strip_prefix(w->store, d);
 	if (!apply_changes(w, &changes))
 		return;
@@ -260,7 +277,7 @@
 	if (owner->ops->changes != NULL)
 		owner->ops->changes(owner, &changes);
 	if (!is_stopped(owner, w))
-		start_timer(w, d->n > 0 ? w->store->settings.poll_pause_ms : 0);
+		start_timer(w, pauses ? w->store->settings.poll_pause_ms : 0);
 }
 
 /* Whether the watch's revision is of an earlier era than the store's. */
@@ -286,6 +303,7 @@
 	struct ld_store_op op = poll_op(w, ld_str_c(w->key));
 	struct ld_store_decoded d = {0};
 	enum ld_status st = result->status;
+	size_t bytes = ld_fifo_len(&w->received);
 
 	/* A failed connection gives no information about the era. */
 	if (result->status == LD_OK)
@@ -307,7 +325,7 @@
 		st = store_check_response(w->store, &d, w->revision);
 	ld_fifo_reset(&w->received);
 	if (st == LD_OK) {
-		on_poll_response(w, &d);
+		on_poll_response(w, &d, bytes);
 	} else {
 		w->polling = !needs_reread(st);
 		w->current_reads_only = true;
--- a/tests/faults/ld_kv_store.c
+++ b/tests/faults/ld_kv_store.c
@@ -60,6 +60,7 @@
 	int64_t followed; /* a watch goes on after this revision */
 	bool silent;
 	bool muted; /* watches receive no events */
+	size_t page; /* most events in an answer to a watch, 0: all */
 	bool reads_refused; /* but serializable ones */
 	json_t *copy; /* answer to serializable reads, or NULL */
 	unsigned int copy_reads;
@@ -114,19 +115,59 @@
 }
 
 static json_t *
-items_since(const struct ld_kv_store *s, int64_t after, bool deleted_too)
+items_json(const struct ld_kv_store *s)
 {
 	json_t *list = json_array();
 
 	for (size_t i = 0; i < s->count; i++)
-		if (s->items[i].revision > after &&
-		    (deleted_too || !s->items[i].deleted))
+		if (!s->items[i].deleted)
 			json_array_append_new(list, item_json(&s->items[i]));
 	return list;
 }
 
 /* ---- Watches ---- */
 
+static int
+by_revision(const void *a, const void *b)
+{
+	const struct item *left = *(const struct item *const *)a;
+	const struct item *right = *(const struct item *const *)b;
+
+	return left->revision < right->revision ? -1 : 1;
+}
+
+/* The first changes after @after; *at: to continue from. */
+static json_t *
+page_since(const struct ld_kv_store *s, int64_t after, int64_t *at)
+{
+	const struct item *changed[ITEMS_MAX];
+	json_t *list = json_array();
+	size_t n = 0;
+
+	for (size_t i = 0; i < s->count; i++)
+		if (s->items[i].revision > after)
+			changed[n++] = &s->items[i];
+	qsort(changed, n, sizeof(changed[0]), by_revision);
+	*at = s->revision;
+	if (s->page > 0 && n > s->page) {
+		n = s->page;
+		*at = changed[n - 1]->revision;
+	}
+	for (size_t i = 0; i < n; i++)
+		json_array_append_new(list, item_json(changed[i]));
+	return list;
+}
+
+static void
+answer_page(const struct ld_kv_store *s, struct watch *w)
+{
+	int64_t at;
+	json_t *events = page_since(s, w->after, &at);
+
+	answer(s, w->x, 200,
+	    json_pack("{s:o, s:I}", "events", events, "at", (json_int_t)at));
+}
+
 static void
 end_watch(struct ld_kv_store *s, struct watch *w)
 {
@@ -138,10 +179,7 @@
 	else if (w->after < s->oldest || w->after > s->revision)
 		answer(s, w->x, 410, json_object());
 	else
-		answer(s, w->x, 200,
-		    json_pack("{s:o, s:I}", "events",
-			items_since(s, w->after, true), "at",
-			(json_int_t)s->revision));
+		answer_page(s, w);
 	free(w);
 }
 
@@ -359,8 +397,8 @@
 static json_t *
 range_json(const struct ld_kv_store *s)
 {
-	return json_pack("{s:o, s:b, s:I}", "items", items_since(s, 0, false),
-	    "has_more", 0, "at", (json_int_t)s->revision);
+	return json_pack("{s:o, s:b, s:I}", "items", items_json(s), "has_more",
+	    0, "at", (json_int_t)s->revision);
 }
 
 static void
@@ -516,6 +554,12 @@
 	s->muted = muted;
 }
 
+void
+ld_kv_store_page_watches(struct ld_kv_store *s, size_t most)
+{
+	s->page = most;
+}
+
 void
 ld_kv_store_refuse_reads(struct ld_kv_store *s, bool refused)
 {
--- a/tests/faults/ld_kv_store.h
+++ b/tests/faults/ld_kv_store.h
@@ -16,6 +16,8 @@
 void ld_kv_store_silence(struct ld_kv_store *s, bool silent);
 /** ld_kv_store_mute() - watches end after their wait without events, or no longer */
 void ld_kv_store_mute(struct ld_kv_store *s, bool muted);
+/** ld_kv_store_page_watches() - an answer to a watch holds @most events; 0: all */
+void ld_kv_store_page_watches(struct ld_kv_store *s, size_t most);
 /** ld_kv_store_refuse_reads() - answer 503 to all but serializable reads */
 void ld_kv_store_refuse_reads(struct ld_kv_store *s, bool refused);
 /** ld_kv_store_forget() - drop the history: watches get 410 once */
--- a/tests/faults/test_relay.c
+++ b/tests/faults/test_relay.c
@@ -486,6 +486,57 @@
 	CU_ASSERT_EQUAL(waitpid(relay, &status, WNOHANG), relay);
 }
 
+/* More changes than an answer to a watch holds, and how many that is. */
+#define WRITTEN_MEANWHILE 1100
+#define WATCH_PAGE 500
+
+static void
+write_keys(unsigned int n)
+{
+	char key[32];
+
+	for (unsigned int i = 0; i < n; i++) {
+		snprintf(key, sizeof(key), "other/%u", i);
+		ld_kv_store_put(store, key, "x");
+	}
+}
+
+/*
+ * A node that came back to the store took the first page of the changes for all,
+ * and accepted a key whose removal was on a later page.
+ */
+static void
+test_changes_on_several_pages(void)
+{
+	long code;
+	int status = 0;
+
+	set_servers(SERVES, SERVES);
+	put_config(40, "\"k1\"", "null");
+	start_relay();
+	wait_until_serving();
+	ld_kv_store_page_watches(store, WATCH_PAGE);
+	ld_kv_store_silence(store, true);
+	do {
+		run_for(100);
+		code = code_of("GET", "/look/a", "k1");
+	} while (code == 200);
+	CU_ASSERT_EQUAL(code, 503);
+	write_keys(WRITTEN_MEANWHILE);
+	put_config(41, "\"k2\"", "null");
+	ld_kv_store_silence(store, false);
+	do {
+		code = code_of("GET", "/look/a", "k1");
+		CU_ASSERT_NOT_EQUAL(code, 200);
+		run_for(1);
+	} while (code != 401);
+	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k2"), 200);
+	ld_kv_store_page_watches(store, 0);
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, &status, WNOHANG), relay);
+}
+
 /* Without a linearizable read a starting node can't know that its copy is current;
  * it is ready soon after one is served. */
 static void
@@ -541,6 +592,7 @@
 	    {"a start from an old copy", test_a_start_from_an_old_copy},
 	    {"a start while watches receive nothing",
 		test_a_start_while_watches_receive_nothing},
+	    {"changes on several pages", test_changes_on_several_pages},
 	    {"a start while reads are refused",
 		test_a_start_while_reads_are_refused},
 	    {NULL, NULL},
--- a/tests/unit/test_follow.c
+++ b/tests/unit/test_follow.c
@@ -26,7 +26,7 @@
 		.lease = 7},
 	    .deleted = value == NULL,
 	};
-	struct ld_store_changes c = {after, revision, &e, 1, 0};
+	struct ld_store_changes c = {after, revision, &e, 1, 0, false};
 
 	change_log_append(k, &c);
 }
