--- a/lib/relay/feed.c
+++ b/lib/relay/feed.c
@@ -21,6 +21,9 @@
 #define WATCH_PAUSE_HOLDER_MS 40
 #define WATCH_PAUSE_MIN_MS 150
 #define WATCH_PAUSE_PER_NODE_MS 20
+/* Pause between pages of changes, for each node: after an outage all nodes read
+ * them, of some 150 kB each, over a store's link of 1 Gbit/s, ms. */
+#define PAGE_PAUSE_PER_NODE_MS 2
 /* While all nodes start for the first time each node's entry is a change, and
  * followers are about to find their delegates, ms. */
 #define WATCH_PAUSE_STARTUP_MS 800
@@ -168,6 +171,15 @@
 	return ms < bound ? ms : bound;
 }
 
+/* The holder of control and the nodes that others follow are to catch up first. */
+static uint64_t
+page_pause_ms(const struct relay *r)
+{
+	if (leader_holds(r) || changes_server_in_use(r))
+		return 0;
+	return mesh_node_count(r) * PAGE_PAUSE_PER_NODE_MS;
+}
+
 static uint64_t
 watch_wait_ms(const struct relay *r)
 {
@@ -533,11 +545,19 @@
 void
 feed_tick(struct relay *r)
 {
+	struct ld_store_poll poll;
+
 	if (relay_now(r) < r->feed->next_sweep_ms)
 		return;
 	r->feed->next_sweep_ms = relay_now(r) + SWEEP_MS;
-	ld_store_set_poll(r->store, watch_wait_ms(r), watch_pause_ms(r),
-	    mesh_has_aggregator(r) ? BACKOFF_FOLLOWER_MAX_MS : BACKOFF_MAX_MS);
+	poll = (struct ld_store_poll){
+	    .wait_ms = watch_wait_ms(r),
+	    .pause_ms = watch_pause_ms(r),
+	    .page_pause_ms = page_pause_ms(r),
+	    .retry_max_ms = mesh_has_aggregator(r) ? BACKOFF_FOLLOWER_MAX_MS
+						   : BACKOFF_MAX_MS,
+	};
+	ld_store_set_poll(r->store, &poll);
 	ld_servers_sweep(r->servers, relay_now(r));
 	if (feed_is_settled(r) && !is_in_start_doubt(r->feed) &&
 	    !is_in_era_doubt(r->feed))
--- a/lib/store/ld_store.h
+++ b/lib/store/ld_store.h
@@ -133,6 +133,8 @@
  * @poll_timeout_ms: time limit of one poll beyond @poll_wait_ms
  * @poll_pause_ms: delay after a poll that returned changes, so that the next
  *	poll returns several changes at once
+ * @page_pause_ms: the same after a poll that may have returned only the first
+ *	changes
  * @backoff_min_ms, @backoff_max_ms: exponential back-off after failures
  * @calls_per_s, @calls_burst: token bucket for the calls of this node
  * @confirm_prefix: prefix of a few keys, which are read to learn the store's
@@ -150,6 +152,7 @@
 	uint64_t poll_wait_ms;
 	uint64_t poll_timeout_ms;
 	uint64_t poll_pause_ms;
+	uint64_t page_pause_ms;
 	uint64_t backoff_min_ms;
 	uint64_t backoff_max_ms;
 	uint64_t calls_per_s;
@@ -189,11 +192,18 @@
 /** ld_store_free() - cancel all calls; watches must be stopped already */
 void ld_store_free(struct ld_store *s);
 /**
- * ld_store_set_poll() - change poll_wait_ms and poll_pause_ms of the settings
- * @retry_max_ms: longest back-off of a polled watch
+ * struct ld_store_poll - how watches are polled from now on
+ * @wait_ms, @pause_ms, @page_pause_ms: as in the settings
+ * @retry_max_ms: longest back-off after a failure
  */
-void ld_store_set_poll(struct ld_store *s, uint64_t wait_ms, uint64_t pause_ms,
-    uint64_t retry_max_ms);
+struct ld_store_poll {
+	uint64_t wait_ms;
+	uint64_t pause_ms;
+	uint64_t page_pause_ms;
+	uint64_t retry_max_ms;
+};
+
+void ld_store_set_poll(struct ld_store *s, const struct ld_store_poll *poll);
 const struct ld_store_counters *ld_store_counters(const struct ld_store *s);
 /** ld_store_era() - highest era seen, 0 for a store without eras */
 int64_t ld_store_era(const struct ld_store *s);
@@ -295,8 +305,8 @@
  * @change: one key that changed after the snapshot; when @deleted, only key and
  *	mod_revision are set
  * @lost: the read or the stream failed; retried after a back-off
- * @current: all changes that the store had made by @since_ms (the loop's clock)
- *	have been delivered; may be NULL
+ * @current: all changes that the store had made by @since_ms (the loop's clock;
+ *	0: unknown, more are to come) have been delivered; may be NULL
  * @changes: the changes of one response to a polled watch, after @change was
  *	called for each of them; may be NULL
  */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -127,12 +127,12 @@
 }
 
 void
-ld_store_set_poll(struct ld_store *s, uint64_t wait_ms, uint64_t pause_ms,
-    uint64_t retry_max_ms)
+ld_store_set_poll(struct ld_store *s, const struct ld_store_poll *poll)
 {
-	s->poll_retry_max_ms = retry_max_ms;
-	s->settings.poll_wait_ms = wait_ms;
-	s->settings.poll_pause_ms = pause_ms;
+	s->poll_retry_max_ms = poll->retry_max_ms;
+	s->settings.poll_wait_ms = poll->wait_ms;
+	s->settings.poll_pause_ms = poll->pause_ms;
+	s->settings.page_pause_ms = poll->page_pause_ms;
 }
 
 const struct ld_store_counters *
--- a/lib/store/watch.c
+++ b/lib/store/watch.c
@@ -205,8 +205,7 @@
 		return false;
 	if (c->revision > w->revision)
 		w->revision = c->revision;
-	if (!c->more)
-		report_current(w, c->current_ms);
+	report_current(w, c->more ? 0 : c->current_ms);
 	return !is_stopped(owner, w);
 }
 
@@ -267,8 +266,10 @@
 	    .current_ms = poll_current_ms(w, d),
 	    .more = is_page(w, d, bytes),
 	};
-	bool pauses = d->n > 0 && !changes.more;
+	uint64_t pause_ms = d->n > 0 ? w->store->settings.poll_pause_ms : 0;
 
+	if (changes.more)
+		pause_ms = w->store->settings.page_pause_ms;
 	w->catching_up = changes.more;
 	store_strip_prefix(w->store, d);
 	if (!apply_changes(w, &changes))
@@ -277,7 +278,7 @@
 	if (owner->ops->changes != NULL)
 		owner->ops->changes(owner, &changes);
 	if (!is_stopped(owner, w))
-		start_timer(w, pauses ? w->store->settings.poll_pause_ms : 0);
+		start_timer(w, pause_ms);
 }
 
 /* Whether the watch's revision is of an earlier era than the store's. */
