--- a/tests/faults/ld_kv_store.c
+++ b/tests/faults/ld_kv_store.c
@@ -140,7 +140,7 @@
 static json_t *
 page_since(const struct ld_kv_store *s, int64_t after, int64_t *at)
 {
-	const struct item *changed[ITEMS_MAX];
+	const struct item *changed[ITEMS_MAX] = {NULL};
 	json_t *list = json_array();
 	size_t n = 0;
 
