store, relay: comments and pages say when further pages are requested

Change: comments, declarations in another order, pages. No statement is changed.

Measured: the product built before and after compared section by section (.text, .rodata); check-format, test_pages 30 and test_logs 70 passed.

--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -231,6 +231,17 @@
 void server_entries_remove(struct relay *r, struct ld_str id, const char *why,
     uint64_t doubt_until_ms);
 
+/* ---- era_record.c ---- */
+
+void era_record_open(struct relay *r);
+void era_record_close(struct relay *r);
+/** era_record_apply() - the record as read; NULL: there is none */
+void era_record_apply(struct relay *r, const struct ld_store_kv *kv);
+/** era_record_confirms() - it names the era of the store's last answer */
+bool era_record_confirms(const struct relay *r);
+/** era_record_tick() - called while nothing of the store is in doubt */
+void era_record_tick(struct relay *r);
+
 /* ---- feed.c ---- */
 
 void feed_open(struct relay *r);
@@ -255,19 +266,6 @@
  * copy, UINT64_MAX: always
  */
 uint64_t feed_key_validity_ms(const struct relay *r);
-/* ---- era_record.c ---- */
-
-void era_record_open(struct relay *r);
-void era_record_close(struct relay *r);
-/** era_record_apply() - the record as read; NULL: there is none */
-void era_record_apply(struct relay *r, const struct ld_store_kv *kv);
-/** era_record_confirms() - it names the era of the store's last answer */
-bool era_record_confirms(const struct relay *r);
-/** era_record_tick() - called while nothing of the store is in doubt */
-void era_record_tick(struct relay *r);
-
-/* ---- feed.c ---- */
-
 /**
  * feed_restored_revision() - of the first read since the store was restored from an
  * older copy, 0 if that didn't happen in this process's time
--- a/lib/store/ld_store.h
+++ b/lib/store/ld_store.h
@@ -203,6 +203,7 @@
 	uint64_t retry_max_ms;
 };
 
+/** ld_store_set_poll() - for all watches, from their next poll or failure on */
 void ld_store_set_poll(struct ld_store *s, const struct ld_store_poll *poll);
 const struct ld_store_counters *ld_store_counters(const struct ld_store *s);
 /** ld_store_era() - highest era seen, 0 for a store without eras */
@@ -287,7 +288,7 @@
  * @current_ms: the store had no further change at this time (the loop's clock);
  *	unknown when @more
  * @more: further changes may have been made before the response; the watch asks
- *	for them at once
+ *	for them after page_pause_ms
  */
 struct ld_store_changes {
 	int64_t after;
