--- a/review/common-3/world.c
+++ b/review/common-3/world.c
@@ -320,33 +320,28 @@
 	return fd;
 }
 
-static int
-port_of(int fd)
-{
-	struct sockaddr_in a;
-	socklen_t len = sizeof(a);
-
-	getsockname(fd, (struct sockaddr *)&a, &len);
-	return ntohs(a.sin_port);
-}
+/* Below the ports that the system gives to outgoing connections: one that is closed
+ * for a while must not be taken by another. */
+#define PORT_MIN 18000
+#define PORT_MAX 31000
 
 static int
 free_port(void)
 {
-	static int used[512], n;
+	static int next;
 
-	for (;;) {
-		int fd = listen_on(0), port, i;
+	if (next == 0)
+		next = PORT_MIN + (int)(getpid() * 131L % (PORT_MAX - PORT_MIN));
+	for (int i = 0; i < PORT_MAX - PORT_MIN; i++) {
+		int port = next, fd = listen_on(port);
 
+		next = next + 1 < PORT_MAX ? next + 1 : PORT_MIN;
 		if (fd < 0)
-			could_not_run("no free port");
-		port = port_of(fd);
+			continue;
 		close(fd);
-		for (i = 0; i < n && used[i] != port; i++)
-			;
-		if (i == n && n < 512)
-			return used[n++] = port;
+		return port;
 	}
+	could_not_run("no free port");
 }
 
 static void
