relay: log lines name the node through which a send went

A request that another node answered ended with a status that could be a server's or that node's own: request.end and send.failed named the last server alone.

--- a/lib/relay/finish.c
+++ b/lib/relay/finish.c
@@ -31,7 +31,7 @@
 	    "id=%s outcome=%s code=%ld why=%s ms=%llu first_ms=%lld "
 	    "predicted_ms=%llu gap_ms=%llu sends=%u maybe_ran=%d service=%s "
 	    "model=%s prompt=%llu parts=%s request=%llx account=%s "
-	    "last_server=%s",
+	    "last_server=%s node=%s",
 	    ld_event_token(ld_str_c(q->attempt_id), id), outcome, code, why,
 	    (unsigned long long)(now - q->start_ms),
 	    q->first_event_ms > 0 ? (long long)(q->first_event_ms - q->start_ms)
@@ -41,7 +41,7 @@
 	    q->service, q->model, (unsigned long long)q->prompt_tokens,
 	    ld_prompt_text(&q->prompt, parts),
 	    (unsigned long long)q->prompt.request, q->account,
-	    send_server_id(q->send));
+	    send_server_id(q->send), send_helper(q->send));
 }
 
 /* Detaches the exchange from the request, for the final response. */
@@ -119,10 +119,12 @@
 
 	counts_send_ended(q->send, why);
 	ld_event("send.failed",
-	    "id=%s server=%s why=%s code=%ld ms=%llu next=%s last_event=%lld "
-	    "parts=%s request=%llx fresh=%d reused=%d peers_heard_ago_ms=%lld",
+	    "id=%s server=%s node=%s why=%s code=%ld ms=%llu next=%s "
+	    "last_event=%lld parts=%s request=%llx fresh=%d reused=%d "
+	    "peers_heard_ago_ms=%lld",
 	    ld_event_token(ld_str_c(q->attempt_id), id),
-	    send_server_id(q->send), why, q->send->response.code,
+	    send_server_id(q->send), send_helper(q->send), why,
+	    q->send->response.code,
 	    (unsigned long long)(relay_now(q->relay) - q->send->sent_ms), next,
 	    (long long)q->last_event_id, ld_prompt_text(&q->prompt, parts),
 	    (unsigned long long)q->prompt.request, !q->retryable,
--- a/lib/relay/move.c
+++ b/lib/relay/move.c
@@ -23,8 +23,7 @@
 	ld_event("move.end",
 	    "id=%s server=%s node=%s result=%s why=%s code=%ld ms=%llu",
 	    ld_event_token(ld_str_c(q->attempt_id), id), send_server_id(s),
-	    s->helper[0] != '\0' ? s->helper : "-", result, why,
-	    s->response.code,
+	    send_helper(s), result, why, s->response.code,
 	    (unsigned long long)(relay_now(q->relay) - s->sent_ms));
 }
 
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -168,6 +168,8 @@
 void send_cancel(struct send *s);
 /** send_server_id() - id of the last server, "-" for none, for the log */
 const char *send_server_id(const struct send *s);
+/** send_helper() - the node that it goes through, "-" for none, for the log */
+const char *send_helper(const struct send *s);
 /** send_may_have_run() - in progress, and the server may have received it */
 bool send_may_have_run(const struct send *s);
 
--- a/lib/relay/send.c
+++ b/lib/relay/send.c
@@ -57,6 +57,12 @@
 	return s->call != NULL && ld_http_maybe_sent(s->call);
 }
 
+const char *
+send_helper(const struct send *s)
+{
+	return s->helper[0] != '\0' ? s->helper : "-";
+}
+
 /* Methods with a body send Content-Length also when it is empty. */
 static bool
 has_body(const char *method)
