--- a/lib/entry/exchange.c
+++ b/lib/entry/exchange.c
@@ -285,9 +285,14 @@
 static enum MHD_Result
 refuse(struct ld_exchange *x, const struct ld_problem *p)
 {
+	struct ld_handler *h = x->listener->handler;
+
 	ld_event("entry.refused", "code=%u reason=%s body_bytes=%zu", p->code,
 	    p->type, x->body.len + x->discarded);
-	ld_exchange_problem(x, p);
+	if (h->ops->refused != NULL)
+		h->ops->refused(h, x, p);
+	else
+		ld_exchange_problem(x, p);
 	return exchange_queue_response(x);
 }
 
--- a/lib/entry/ld_entry.h
+++ b/lib/entry/ld_entry.h
@@ -12,6 +12,7 @@
 struct ld_listener;
 struct ld_exchange;
 struct ld_handler;
+struct ld_problem;
 
 /**
  * struct ld_handler_ops - callbacks of a request handler
@@ -23,12 +24,16 @@
  *	has ended.
  * @client_drained: the backlog of a stream has exceeded LD_ENTRY_BACKLOG_BYTES
  *	and is down to half of it; may be NULL
+ * @refused: the listener refuses a request that @request does not receive; the
+ *	handler answers it before it returns. NULL: ld_exchange_problem()
  */
 struct ld_handler_ops {
 	void (*request)(struct ld_handler *h, struct ld_exchange *x);
 	void (*client_disconnected)(
 	    struct ld_handler *h, struct ld_exchange *x);
 	void (*client_drained)(struct ld_handler *h, struct ld_exchange *x);
+	void (*refused)(struct ld_handler *h, struct ld_exchange *x,
+	    const struct ld_problem *why);
 };
 
 /** struct ld_handler - embedded as the first member of a handler's state */
--- a/lib/relay/changes_server.c
+++ b/lib/relay/changes_server.c
@@ -168,6 +168,19 @@
 	s->waiting = a;
 }
 
+/* The node that forwards a request has checked it against the limits. */
+static void
+on_refused(
+    struct ld_handler *h, struct ld_exchange *x, const struct ld_problem *why)
+{
+	struct changes_server *s = (struct changes_server *)h;
+
+	if (listen_is_forwarded(x))
+		listen_refuse_here(s->relay, x, why->type, why->retry_after_ms);
+	else
+		ld_exchange_problem(x, why);
+}
+
 static void
 on_gone(struct ld_handler *h, struct ld_exchange *x)
 {
@@ -263,7 +276,8 @@
 {
 	static const struct ld_handler_ops ops = {.request = on_request,
 	    .client_disconnected = on_gone,
-	    .client_drained = on_drained};
+	    .client_drained = on_drained,
+	    .refused = on_refused};
 	struct changes_server *s = ld_alloc(sizeof(*s));
 	struct ld_listener_config c = {
 	    .host = r->settings->entry_listen.host,
--- a/lib/relay/forward.c
+++ b/lib/relay/forward.c
@@ -12,7 +12,6 @@
 #define EXCLUDE_MS 2000
 /* Retry-After of a request that no node can send to a server, ms. */
 #define RETRY_AFTER_MS 400
-#define CODE_OTHER_NODE 421
 
 bool
 request_can_forward(const struct request *q)
@@ -59,7 +58,7 @@
 
 	if (move_take_over(q, "node-refused"))
 		return;
-	if (q->send->response.code == CODE_OTHER_NODE) {
+	if (q->send->response.code == RELAY_CODE_OTHER_NODE) {
 		try_next(q, "node-refused");
 		return;
 	}
--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -13,8 +13,6 @@
 /* Retry-After of a node that is shutting down: another node can take the
  * request at once. */
 #define STOPPING_RETRY_MS 20
-/* Status to the node that forwards a request: another node may take it. */
-#define CODE_OTHER_NODE 421
 /* Limits until the first configuration is loaded: larger than any that
  * operators have set so far. */
 #define INITIAL_BODY_BYTES ((size_t)16 * 1024 * 1024)
@@ -62,6 +60,16 @@
 	ld_exchange_answer(x, code, NULL, headers, ld_str_c(reason));
 }
 
+void
+listen_refuse_here(struct relay *r, struct ld_exchange *x, const char *reason,
+    uint64_t retry_after_ms)
+{
+	unsigned int code =
+	    listen_is_forwarded(x) ? RELAY_CODE_OTHER_NODE : 503;
+
+	listen_refuse(r, x, code, reason, retry_after_ms);
+}
+
 /* ---- Framing ---- */
 
 /** struct framing - counts of the header fields that framing depends on */
@@ -135,17 +143,6 @@
 	    request_deadline_ms(r, x, rule) > r->stop_ends_ms;
 }
 
-/* Another node can take the request at once. */
-static void
-refuse_stopping(
-    struct relay *r, struct ld_exchange *x, const struct request_routing *facts)
-{
-	if (facts->forwarded)
-		listen_refuse(r, x, CODE_OTHER_NODE, "stopping", 0);
-	else
-		listen_refuse(r, x, 503, "stopping", STOPPING_RETRY_MS);
-}
-
 static void
 accept_request(
     struct relay *r, struct ld_exchange *x, struct request_routing facts)
@@ -156,7 +153,7 @@
 		return;
 	}
 	if (r->refusing) {
-		refuse_stopping(r, x, &facts);
+		listen_refuse_here(r, x, "stopping", STOPPING_RETRY_MS);
 		return;
 	}
 	if (r->routes == NULL) {
@@ -170,7 +167,7 @@
 		return;
 	}
 	if (is_too_late_to_run_once(r, x, facts.rule)) {
-		refuse_stopping(r, x, &facts);
+		listen_refuse_here(r, x, "stopping", STOPPING_RETRY_MS);
 		return;
 	}
 	if (!facts.rule->anonymous && r->routes->account_count > 0) {
@@ -227,13 +224,13 @@
 	struct request_routing facts = {.forwarded = true};
 
 	if (!mesh_is_node_address(r, ld_exchange_sender(x)))
-		listen_refuse(r, x, CODE_OTHER_NODE, "unknown-node", 0);
+		listen_refuse_here(r, x, "unknown-node", 0);
 	else if (!listen_read_forwarded(
 		     ld_exchange_header(x, RELAY_FORWARDED_FIELD),
 		     &facts.runs_left))
-		listen_refuse(r, x, CODE_OTHER_NODE, "unknown-version", 0);
+		listen_refuse_here(r, x, "unknown-version", 0);
 	else if (isolation_is_active(r))
-		listen_refuse(r, x, CODE_OTHER_NODE, "isolated", 0);
+		listen_refuse_here(r, x, "isolated", 0);
 	else
 		accept_request(r, x, facts);
 }
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -145,13 +145,25 @@
 	return NULL;
 }
 
+/* Whether it can only be a server's answer that a node passes on, see
+ * RELAY_CODE_OTHER_NODE. */
+static bool
+node_passes_on(const struct response *rsp)
+{
+	return rsp->code < 500 && rsp->code != RELAY_CODE_OTHER_NODE &&
+	    !rsp->not_run;
+}
+
 const char *
 send_receive_head(struct send *s, long code, struct ld_str type)
 {
 	const struct request *q = s->request;
 
 	s->response.code = code;
-	if (s->server != NULL) {
+	if (s->server == NULL) {
+		s->response.needs_attempt_id =
+		    node_passes_on(&s->response) && q->attempt_id[0] != '\0';
+	} else {
 		bool new_connection = ld_http_is_new_connection(s->call);
 
 		isolation_note_heard(q->relay);
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -51,6 +51,17 @@
 struct changes_server;
 struct usage;
 
+/*
+ * The answers of a node to which a request is forwarded. Three kinds:
+ * - a server's, passed on. It echoes the attempt's id.
+ * - RELAY_CODE_OTHER_NODE: this node does not take the request, for a reason of its
+ *   own. It has not run; the next node may take it.
+ * - any other with LD_FIELD_NOT_EXECUTED, or a 5xx: it ends the request. No server has
+ *   run it in the first case, one may have in the second.
+ * What is none of these says nothing about the request, as no answer does.
+ */
+#define RELAY_CODE_OTHER_NODE 421
+
 /** struct service_budget - retry budget of one service */
 struct service_budget {
 	struct service_budget *next;
@@ -141,9 +152,20 @@
  * Return: false if it is of an unknown version.
  */
 bool listen_read_forwarded(const char *value, uint32_t *runs_left);
-/** listen_refuse() - answer locally: status, reason, when to retry */
+/**
+ * listen_refuse() - refuse the request: status, reason, when to retry
+ *
+ * Other nodes would refuse it as well.
+ */
 void listen_refuse(struct relay *r, struct ld_exchange *x, unsigned int code,
     const char *reason, uint64_t retry_after_ms);
+/**
+ * listen_refuse_here() - refuse it for the state of this node; another may take it
+ *
+ * A client gets 503, a node that forwards it RELAY_CODE_OTHER_NODE.
+ */
+void listen_refuse_here(struct relay *r, struct ld_exchange *x,
+    const char *reason, uint64_t retry_after_ms);
 
 /* ---- request.c ---- */
 
--- a/tests/faults/ld_relay_session.c
+++ b/tests/faults/ld_relay_session.c
@@ -20,6 +20,9 @@
 pid_t relay;
 char relay_address[32];
 char metrics_address[32];
+char peers_address[32];
+unsigned int relay_max_body_bytes = 65536;
+struct ld_str relay_request_body = {"x=1", 3};
 char relay_program[4096];
 const char *relay_node_settings = "";
 const char *relay_service_settings = "";
@@ -137,11 +140,12 @@
 	    "\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,"
 	    "\"anonymous\":false}],"
 	    "\"services\":[{\"name\":\"desk\",\"max_connections\":100%s}],"
-	    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,"
+	    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":%u,"
 	    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
 	    "\"tenants\":[{\"name\":\"shop\",\"api_keys\":[%s],"
 	    "\"priority\":%s}]}",
-	    version, relay_service_settings, keys, priority);
+	    version, relay_service_settings, relay_max_body_bytes, keys,
+	    priority);
 	ld_kv_store_put(store, "op/config", text);
 }
 
@@ -154,6 +158,7 @@
 	char text[32];
 
 	c->is_signed |= ld_str_eq(name, LD_STR("X-Server-Signature"));
+	c->not_run |= ld_str_eq(name, LD_STR("X-Not-Executed"));
 	if (!ld_str_eq(name, LD_STR("Retry-After")))
 		return;
 	snprintf(text, sizeof(text), "%.*s", LD_FMT(value));
@@ -195,7 +200,7 @@
 	    .total_timeout_ms = STEP_LIMIT_MS};
 
 	if (strcmp(method, "POST") == 0)
-		rq.body = LD_STR("x=1");
+		rq.body = relay_request_body;
 	for (; *more != NULL; more++) {
 		CU_ASSERT_FATAL(count + 1 < FIELDS_MAX);
 		headers[count++] = *more;
@@ -502,6 +507,8 @@
 	snprintf(
 	    metrics_address, sizeof(metrics_address), "127.0.0.1:%u", metrics);
 	first_peers = ld_free_port();
+	snprintf(
+	    peers_address, sizeof(peers_address), "127.0.0.1:%u", first_peers);
 	write_settings(settings_path, "n1", entry, metrics, first_peers, kv);
 	put_config(1, "\"k1\",\"k2\"", "null");
 	for (int i = 0; i < SERVERS; i++)
--- a/tests/faults/ld_relay_session.h
+++ b/tests/faults/ld_relay_session.h
@@ -25,6 +25,7 @@
 	enum ld_status status;
 	bool done;
 	bool is_signed;
+	bool not_run; /* the answer says that no server ran it */
 };
 
 extern struct server servers[SERVERS];
@@ -32,6 +33,12 @@
 extern pid_t relay;
 extern char relay_address[32];
 extern char metrics_address[32];
+/** peers_address - where the relay listens for other nodes */
+extern char peers_address[32];
+/** relay_max_body_bytes - the bound in the configuration */
+extern unsigned int relay_max_body_bytes;
+/** relay_request_body - of the next requests with a body */
+extern struct ld_str relay_request_body;
 
 /** relay_node_settings - more members of "node", such as ",\"memory_mb\":64" */
 extern const char *relay_node_settings;
--- /dev/null
+++ b/tests/faults/test_helper_refusals.c
@@ -0,0 +1,96 @@
+/*
+ * What a relay answers to a request that another node forwards, if it can't take it:
+ * that it has not run, and that another node may.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "ld_relay_session.h"
+
+#define CODE_OTHER_NODE 421
+#define LARGE_BODY 600
+#define FORWARDED "Relay-Forwarded: n2 1"
+
+/* The node that forwards: its address is that of this test. */
+static void
+list_forwarding_node(void)
+{
+	ld_kv_store_put(store, "lavenderdrift/nodes/n2", "127.0.0.1:9 250 z1");
+}
+
+/* Sends it as the other node would; the body is freed. */
+static struct client
+forward(const char *method, const char *path)
+{
+	struct client c;
+
+	start_field_at(&c, peers_address, method, path, FORWARDED);
+	wait_for(&c);
+	ld_buf_free(&c.body);
+	return c;
+}
+
+static void
+check_other_node(const char *method, const char *path)
+{
+	struct client c = forward(method, path);
+
+	CU_ASSERT_EQUAL(c.code, CODE_OTHER_NODE);
+	CU_ASSERT(c.not_run);
+}
+
+static void
+wait_until_listening(void)
+{
+	for (int i = 0; i < 100; i++) {
+		if (forward("GET", "/look/a").code != 0)
+			return;
+		run_for(50);
+	}
+	CU_FAIL_FATAL("the relay does not listen");
+}
+
+/* Its listener has the limits of a start, which are none of the operators'. */
+static void
+test_without_a_configuration_a_large_body_is_not_denied(void)
+{
+	static char body[LARGE_BODY];
+
+	open_all(relay_program);
+	ld_kv_store_silence(store, true);
+	list_forwarding_node();
+	wait_until_listening();
+	memset(body, 'x', sizeof(body));
+	relay_request_body = (struct ld_str){body, sizeof(body)};
+	check_other_node("POST", "/book/a");
+	check_other_node("POST", "/events/a");
+	relay_request_body = LD_STR("x=1");
+	ld_kv_store_silence(store, false);
+}
+
+static void
+test_forwarded_requests_are_served(void)
+{
+	wait_until_serving();
+	CU_ASSERT_EQUAL(forward("GET", "/look/a").code, 200);
+	CU_ASSERT_EQUAL(forward("POST", "/book/a").code, 200);
+	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
+	run_for(5000);
+	CU_ASSERT_EQUAL(waitpid(relay, NULL, WNOHANG), relay);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct ld_test_case cases[] = {
+	    {"without a configuration a large body is not denied",
+		test_without_a_configuration_a_large_body_is_not_denied},
+	    {"forwarded requests are served",
+		test_forwarded_requests_are_served},
+	    {NULL, NULL},
+	};
+
+	return relay_test_main(argv, "helper_refusals", cases);
+}
--- a/tests/faults/test_nodes_without_servers.c
+++ b/tests/faults/test_nodes_without_servers.c
@@ -303,6 +303,46 @@
 	}
 }
 
+#define LARGE_BODY 600
+#define SMALL_LIMIT 100
+#define BOOKINGS 20
+
+static void
+set_limit_at_helper(unsigned int bytes, int version)
+{
+	struct ld_kv_store *first = store;
+
+	relay_max_body_bytes = bytes;
+	store = b.store;
+	put_config(version, "\"k1\",\"k2\"", "null");
+	wait_until_applied();
+	store = first;
+}
+
+/* The helper's listener refuses what the cut relay has accepted by another
+ * configuration: a client must not be denied a proper request for it. */
+static void
+test_a_limit_of_the_helper_denies_nothing(void)
+{
+	static char body[LARGE_BODY];
+	unsigned int denied = 0;
+	unsigned long forwarded;
+
+	end_doubts();
+	set_limit_at_helper(SMALL_LIMIT, 2);
+	forwarded = relay_counter("ld_relay_forwarded_total");
+	memset(body, 'x', sizeof(body));
+	relay_request_body = (struct ld_str){body, sizeof(body)};
+	for (int i = 0; i < BOOKINGS; i++)
+		denied += code_of("POST", "/book/a", "k1") < 500;
+	relay_request_body = LD_STR("x=1");
+	CU_ASSERT_EQUAL(denied, 0);
+	CU_ASSERT(relay_counter("ld_relay_forwarded_total") > forwarded);
+	set_limit_at_helper(LARGE_BODY, 3);
+	/* The relay excludes a node that refuses. */
+	run_for(STABLE_MS);
+}
+
 #define MANY_FIELDS 300
 
 static bool
@@ -379,6 +419,8 @@
 		test_bookings_through_a_node_run_at_most_once},
 	    {"errors of servers are no part of a stream",
 		test_errors_of_servers_are_no_part_of_a_stream},
+	    {"a limit of the helper denies nothing",
+		test_a_limit_of_the_helper_denies_nothing},
 	    {"many fields arrive through a node",
 		test_many_fields_arrive_through_a_node},
 	    {"a helper that stops ends its streams",
