--- a/lib/dialect/ld_dialect.h
+++ b/lib/dialect/ld_dialect.h
@@ -70,6 +70,7 @@
 	    struct ld_str id, struct ld_str value, struct ld_server_entry *out);
 	enum ld_status (*read_report)(
 	    struct ld_str body, struct ld_server_entry *out);
+	/* @out is overwritten; ld_prompt_fini() frees it. */
 	void (*read_prompt)(struct ld_str value, struct ld_prompt *out);
 	void (*encode_order)(const struct ld_order *o, struct ld_buf *out);
 };
--- a/lib/quarantine/ld_quarantine.h
+++ b/lib/quarantine/ld_quarantine.h
@@ -9,28 +9,31 @@
 
 /* ---- Prompts ---- */
 
-/** Shared parts of a prompt that are considered; further ones are ignored. */
-#define LD_PROMPT_PARTS_MAX 32
 /** Bytes for the text of ld_prompt_text() */
 #define LD_PROMPT_TEXT_BYTES 160
 
 /**
  * struct ld_prompt - what a request is known by: its fingerprint, and the parts of
  * its prompt if it has one, by their hashes
- * @parts: those that other requests may share, in their order
+ * @parts: those that other requests may share, in their order; NULL or allocated
  * @own: the last part, which belongs to the request or its session alone; 0:
  *	the request has no prompt
  * @request: fingerprint of the request, 0: unknown
  * @exact: fingerprint of the request and its prompt, 0: the request has none
  */
 struct ld_prompt {
-	uint64_t parts[LD_PROMPT_PARTS_MAX];
+	uint64_t *parts;
 	size_t part_count;
 	uint64_t own;
 	uint64_t request;
 	uint64_t exact;
 };
 
+/** ld_prompt_fini() - free the parts */
+void ld_prompt_fini(struct ld_prompt *p);
+/** ld_prompt_copy() - a copy with parts of its own; free it with ld_prompt_fini() */
+struct ld_prompt ld_prompt_copy(const struct ld_prompt *p);
+
 /**
  * struct ld_request_identity - what makes two requests the same
  * @caller: the client account, empty for anonymous ones
@@ -56,7 +59,8 @@
  * ld_prompt_text() - the prompt as one value of a log line
  *
  * Return: @out: the shared parts, separated by commas, and the own one after a
- * slash; "-" if the prompt is unknown.
+ * slash; "-" if the prompt is unknown. Of many parts the first ones are named, and
+ * "+N" stands for N others.
  */
 const char *ld_prompt_text(
     const struct ld_prompt *p, char out[LD_PROMPT_TEXT_BYTES]);
@@ -161,9 +165,13 @@
  * @server: hash of the server's id and start
  * @begun: the head of the answer was received, and no event; only then is the
  *	prompt's own part suspected
+ *
+ * Return: how many shared parts are suspected. Those that were answered recently are
+ * not, and of the rest a bounded number is: those with earlier crashes, and some of
+ * the others, chosen anew for each prompt.
  */
-void ld_quarantine_crashed(struct ld_quarantine *qn, const struct ld_prompt *p,
-    uint32_t server, bool begun, uint64_t now_ms);
+size_t ld_quarantine_crashed(struct ld_quarantine *qn,
+    const struct ld_prompt *p, uint32_t server, bool begun, uint64_t now_ms);
 /**
  * ld_quarantine_request_crashed() - a server is known to have crashed while it
  * had this request, at any time before the end of its answer
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -1,5 +1,6 @@
 /* Decides which requests and parts of prompts are quarantined, and until when. */
 #include <stdlib.h>
+#include <string.h>
 
 #include "quarantine_internal.h"
 
@@ -25,6 +26,13 @@
 #define SUSPECT_AFTER_MS 1000
 /* Suspects reported at once. */
 #define SUSPECTS_MAX 64
+/* Of one prompt: shared parts that are suspected of one crash, and those that an
+ * answer adds to the table. Sound prompts, and crashes by other causes, come with any
+ * number of parts, which must not replace what is known of other callers' requests. */
+#define PROMPT_SUSPECTS_MAX ((size_t)64)
+#define PROMPT_SOUND_MAX ((size_t)64)
+/* Bits of the set that tells most parts from those in quarantine. */
+#define FILTER_BITS ((size_t)8192)
 
 /**
  * struct entry - a part or a request in quarantine
@@ -52,6 +60,7 @@
 	uint64_t seed;
 	struct entry entries[PARTS_MAX];
 	size_t entry_count;
+	uint64_t filter[FILTER_BITS / 64]; /* of the parts of all entries */
 	struct evidence_table evidence;
 };
 
@@ -84,10 +93,35 @@
 
 /* ---- Entries ---- */
 
+static void
+filter_add(struct ld_quarantine *qn, uint64_t part)
+{
+	size_t bit = part % FILTER_BITS;
+
+	qn->filter[bit / 64] |= UINT64_C(1) << bit % 64;
+}
+
+static void
+filter_rebuild(struct ld_quarantine *qn)
+{
+	memset(qn->filter, 0, sizeof(qn->filter));
+	for (size_t i = 0; i < PARTS_MAX; i++)
+		if (qn->entries[i].part != 0)
+			filter_add(qn, qn->entries[i].part);
+}
+
+static bool
+filter_has(const struct ld_quarantine *qn, uint64_t part)
+{
+	size_t bit = part % FILTER_BITS;
+
+	return (qn->filter[bit / 64] >> bit % 64 & 1) != 0;
+}
+
 static struct entry *
 find_entry(struct ld_quarantine *qn, uint64_t part)
 {
-	if (qn->entry_count == 0 || part == 0)
+	if (part == 0 || !filter_has(qn, part))
 		return NULL;
 	for (size_t i = 0; i < PARTS_MAX; i++)
 		if (qn->entries[i].part == part)
@@ -102,6 +136,7 @@
 
 	*e = (struct entry){0};
 	qn->entry_count--;
+	filter_rebuild(qn);
 	qn->ops->changed(qn->user, why, part);
 }
 
@@ -159,6 +194,7 @@
 	    .used_ms = now_ms,
 	    .trial_ms = now_ms + spread(qn, part, TRIAL_MS)};
 	qn->entry_count++;
+	filter_add(qn, part);
 	qn->ops->changed(qn->user, why, part);
 	return e;
 }
@@ -207,13 +243,23 @@
 
 /* ---- Requests ---- */
 
-static bool
-has_part(const struct ld_prompt *p, uint64_t part)
+/* The entry of one of the identities of a request, from number *@i on, which is
+ * advanced past it; NULL if there is no further one. */
+static struct entry *
+next_entry_of(struct ld_quarantine *qn, const struct ld_prompt *p, size_t *i)
 {
-	for (size_t i = 0; i < p->part_count; i++)
-		if (p->parts[i] == part)
-			return true;
-	return p->own == part;
+	const uint64_t single[] = {p->request, p->exact, p->own};
+	const size_t singles = sizeof(single) / sizeof(single[0]);
+	struct entry *e = NULL;
+
+	while (
+	    qn->entry_count > 0 && e == NULL && *i < singles + p->part_count) {
+		size_t k = (*i)++;
+
+		e = find_entry(
+		    qn, k < singles ? single[k] : p->parts[k - singles]);
+	}
+	return e;
 }
 
 static bool
@@ -233,30 +279,20 @@
 	return e->trial_ms;
 }
 
-static bool
-is_of(const struct entry *e, const struct ld_prompt *p)
-{
-	return e->part != 0 &&
-	    (e->part == p->request || e->part == p->exact ||
-		has_part(p, e->part));
-}
-
 bool
 ld_quarantine_contains(struct ld_quarantine *qn, const struct ld_prompt *p,
     uint64_t now_ms, uint64_t *retry_ms)
 {
+	struct entry *e;
 	bool found = false;
+	size_t i = 0;
 
 	*retry_ms = 0;
-	for (size_t i = 0; qn->entry_count > 0 && i < PARTS_MAX; i++) {
-		struct entry *e = &qn->entries[i];
-		uint64_t at_ms;
+	while ((e = next_entry_of(qn, p, &i)) != NULL) {
+		uint64_t at_ms = retry_at(qn, e, now_ms);
 
-		if (!is_of(e, p))
-			continue;
 		found = true;
 		e->used_ms = now_ms;
-		at_ms = retry_at(qn, e, now_ms);
 		if (at_ms > *retry_ms)
 			*retry_ms = at_ms;
 	}
@@ -270,13 +306,13 @@
     struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms)
 {
 	bool granted = true;
+	struct entry *e;
+	size_t i = 0;
 
 	if (qn->ops->claim_trial == NULL)
 		return false;
-	for (size_t i = 0; i < PARTS_MAX; i++) {
-		struct entry *e = &qn->entries[i];
-
-		if (!is_of(e, p) || e->granted)
+	while ((e = next_entry_of(qn, p, &i)) != NULL) {
+		if (e->granted)
 			continue;
 		granted = false;
 		if (e->claiming || !is_trial_due(e, now_ms))
@@ -284,10 +320,10 @@
 		e->claiming = true;
 		qn->ops->claim_trial(qn->user, e->part, e->trials + 1);
 	}
-	for (size_t i = 0; granted && i < PARTS_MAX; i++) {
-		struct entry *e = &qn->entries[i];
-
-		if (!is_of(e, p))
+	i = 0;
+	while (granted && (e = next_entry_of(qn, p, &i)) != NULL) {
+		/* A prompt may have a part twice. */
+		if (!e->granted)
 			continue;
 		e->granted = false;
 		qn->ops->changed(qn->user, LD_QUARANTINE_TRIAL, e->part);
@@ -324,12 +360,31 @@
 	judge_crash(qn, f, now_ms);
 }
 
+/* Neither answered recently nor with a crash. */
+static bool
+is_unknown(struct ld_quarantine *qn, uint64_t part, uint64_t now_ms)
+{
+	const struct evidence *v = evidence_find(&qn->evidence, part);
+
+	return v == NULL ||
+	    (v->crash_count == 0 && !evidence_is_sound(v, now_ms));
+}
+
+/* Whether number @k of @unknown parts is among those that are suspected. Another
+ * prompt begins at another one, so that each place has its turn. */
+static bool
+is_chosen(const struct ld_prompt *p, size_t k, size_t unknown)
+{
+	return unknown <= PROMPT_SUSPECTS_MAX ||
+	    (k + p->own % unknown) % unknown < PROMPT_SUSPECTS_MAX;
+}
+
 /*
  * From the last shared part to the first: the last ones are shared by the fewest
  * other requests, and one that is quarantined explains the crash. The own part
  * is suspected only of a request that had begun, as each request has one.
  */
-void
+size_t
 ld_quarantine_crashed(struct ld_quarantine *qn, const struct ld_prompt *p,
     uint32_t server, bool begun, uint64_t now_ms)
 {
@@ -337,15 +392,26 @@
 	    .kind = begun ? LD_FINDING_CRASH_BEGUN : LD_FINDING_CRASH,
 	    .server = server,
 	    .request = (uint32_t)(p->exact != 0 ? p->exact : p->own)};
+	size_t unknown = 0, k = 0, suspected = 0;
 
+	for (size_t i = 0; i < p->part_count; i++)
+		unknown += is_unknown(qn, p->parts[i], now_ms);
 	for (size_t i = p->part_count; i-- > 0;) {
 		f.part = p->parts[i];
+		if (evidence_is_sound(
+			evidence_find(&qn->evidence, f.part), now_ms))
+			continue;
+		if (is_unknown(qn, f.part, now_ms) &&
+		    !is_chosen(p, k++, unknown))
+			continue;
+		suspected++;
 		suspect(qn, &f, now_ms);
 	}
 	f.part = p->own;
 	f.request = (uint32_t)p->own;
 	if (begun && p->own != 0)
 		suspect(qn, &f, now_ms);
+	return suspected;
 }
 
 static void
@@ -388,9 +454,17 @@
 ld_quarantine_went_on(
     struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms)
 {
-	for (size_t i = 0; i < p->part_count; i++)
-		clear_evidence(qn,
-		    evidence_use(&qn->evidence, p->parts[i], now_ms), now_ms);
+	size_t added = 0;
+
+	for (size_t i = p->part_count; i-- > 0;) {
+		bool is_new = evidence_find(&qn->evidence, p->parts[i]) == NULL;
+
+		added += is_new;
+		if (!is_new || added <= PROMPT_SOUND_MAX)
+			clear_evidence(qn,
+			    evidence_use(&qn->evidence, p->parts[i], now_ms),
+			    now_ms);
+	}
 	if (p->own != 0)
 		clear_evidence(
 		    qn, evidence_use(&qn->evidence, p->own, now_ms), now_ms);
--- a/lib/relay/crash_check.c
+++ b/lib/relay/crash_check.c
@@ -66,9 +66,27 @@
 	size_t request_count;
 };
 
+/* Its parts are kept only if they are still to be suspected. */
+static struct crash_suspect
+suspect_copy(const struct crash_suspect *s)
+{
+	struct crash_suspect copy = *s;
+
+	if (s->parts_pending) {
+		copy.prompt = ld_prompt_copy(&s->prompt);
+	} else {
+		copy.prompt.parts = NULL;
+		copy.prompt.part_count = 0;
+	}
+	return copy;
+}
+
 static void
 check_free(struct crash_check *c)
 {
+	for (size_t i = 0; i < c->request_count; i++)
+		ld_prompt_fini(&c->requests[i].prompt);
+
 	*c->link = c->next;
 	if (c->next != NULL)
 		c->next->link = c->link;
@@ -111,6 +129,8 @@
 		if (heard_ms <= c->requests[i].at_ms + HEARD_AFTER_MS &&
 		    now < c->requests[i].at_ms + ENTRY_WAIT_MS)
 			c->requests[kept++] = c->requests[i];
+		else
+			ld_prompt_fini(&c->requests[i].prompt);
 	c->request_count = kept;
 }
 
@@ -321,7 +341,7 @@
 		    c != NULL ? c->request_count : 0);
 		return;
 	}
-	c->requests[c->request_count++] = *request;
+	c->requests[c->request_count++] = suspect_copy(request);
 	if (c->request_count > 1 && c->step != CHECK_ENTRY)
 		return;
 	/* An evacuated server gets no calls at all, and a node that reaches no
--- a/lib/relay/crashing_requests.c
+++ b/lib/relay/crashing_requests.c
@@ -49,6 +49,7 @@
 	struct request *q = s->request;
 	struct relay *r = q->relay;
 	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
+	size_t suspected = 0;
 	struct crash_suspect suspect = {.prompt = q->prompt,
 	    .begun = s->response.code == 200 && s->first_event_ms == 0,
 	    .at_ms = relay_now(r)};
@@ -59,15 +60,16 @@
 	if (q->prompt.own != 0 && !q->answer_went_on) {
 		suspect.parts_pending = isolation_is_suspected(r);
 		relay_count(r, LD_M_RELAY_CRASH_SUSPECTS);
+		if (!suspect.parts_pending)
+			suspected = ld_quarantine_crashed(
+			    r->crashing_requests->quarantine, &q->prompt,
+			    s->server->id_hash, suspect.begun, relay_now(r));
 		ld_event("prompt.suspected",
-		    "id=%s server=%s begun=%d pending=%d parts=%s",
+		    "id=%s server=%s begun=%d pending=%d suspected=%zu "
+		    "parts=%s",
 		    ld_event_token(ld_str_c(q->attempt_id), id),
 		    s->server->entry.id, suspect.begun, suspect.parts_pending,
-		    ld_prompt_text(&q->prompt, parts));
-		if (!suspect.parts_pending)
-			ld_quarantine_crashed(r->crashing_requests->quarantine,
-			    &q->prompt, s->server->id_hash, suspect.begun,
-			    relay_now(r));
+		    suspected, ld_prompt_text(&q->prompt, parts));
 	}
 	crash_check_start(r, s->server, &suspect);
 }
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -41,6 +41,7 @@
 	q->relay->request_count--;
 	for (size_t i = 0; i < q->tried_count; i++)
 		free(q->tried[i]);
+	ld_prompt_fini(&q->prompt);
 	free(q->attempt_id);
 	free(q->route);
 	free(q->account);
--- a/tests/faults/test_crashing_prompts.c
+++ b/tests/faults/test_crashing_prompts.c
@@ -46,6 +46,34 @@
 	CU_ASSERT(crashes() <= CRASHES_FREE + ARRIVALS_AFTER);
 }
 
+#define TURNS 200
+
+/* As in a conversation of many turns, which all prompts share. */
+static void
+test_a_part_behind_many_others_stops_reaching_servers(void)
+{
+	unsigned int before = crashes();
+	struct ld_buf turns = {0}, prompt = {0};
+
+	for (int i = 0; i < TURNS; i++)
+		ld_buf_printf(&turns, "c%03x:40,", i);
+	for (int i = 0; i < ROUNDS; i++) {
+		prompt.len = 0;
+		ld_buf_printf(&prompt, "%s" RELAY_CRASHING_PART "3:100,d%x:20",
+		    ld_buf_cstr(&turns), 0x100 + i);
+		CU_ASSERT_NOT_EQUAL(code_of_prompt(ld_buf_cstr(&prompt)), 200);
+		restart_crashed();
+		run_for(ENTRY_MS);
+		prompt.len = 0;
+		ld_buf_printf(
+		    &prompt, "%s5%x:20", ld_buf_cstr(&turns), 0x100 + i);
+		CU_ASSERT_EQUAL(code_of_prompt(ld_buf_cstr(&prompt)), 200);
+	}
+	CU_ASSERT(crashes() - before <= CRASHES_FREE + ARRIVALS_AFTER);
+	ld_buf_free(&turns);
+	ld_buf_free(&prompt);
+}
+
 /* Clients send one prompt again and again; what it shares with others is sound. */
 static void
 test_one_prompt_stops_reaching_servers(void)
@@ -140,6 +168,8 @@
 	static const struct ld_test_case cases[] = {
 	    {"one part stops reaching servers",
 		test_one_part_stops_reaching_servers},
+	    {"a part behind many others stops reaching servers",
+		test_a_part_behind_many_others_stops_reaching_servers},
 	    {"one prompt stops reaching servers",
 		test_one_prompt_stops_reaching_servers},
 	    {"it is refused with a time to come back",
