--- a/lib/quarantine/ld_quarantine.h
+++ b/lib/quarantine/ld_quarantine.h
@@ -187,6 +187,12 @@
 /** ld_quarantine_answered() - an answer to this request is complete */
 void ld_quarantine_answered(
     struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms);
+/**
+ * ld_quarantine_survived() - a crash that was reported with this request was none: its
+ * server goes on
+ */
+void ld_quarantine_survived(
+    struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms);
 /** ld_quarantine_receive() - a finding of another node */
 void ld_quarantine_receive(
     struct ld_quarantine *qn, const struct ld_finding *f, uint64_t now_ms);
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -498,6 +498,26 @@
 		note_answer(qn, p->exact, false, now_ms);
 }
 
+static void
+note_survived(struct ld_quarantine *qn, uint64_t part, uint64_t now_ms)
+{
+	struct evidence *v = evidence_find(&qn->evidence, part);
+
+	if (v != NULL && part != 0)
+		clear_evidence(qn, v, now_ms);
+}
+
+void
+ld_quarantine_survived(
+    struct ld_quarantine *qn, const struct ld_prompt *p, uint64_t now_ms)
+{
+	note_survived(qn, p->request, now_ms);
+	note_survived(qn, p->exact, now_ms);
+	note_survived(qn, p->own, now_ms);
+	for (size_t i = 0; i < p->part_count; i++)
+		note_survived(qn, p->parts[i], now_ms);
+}
+
 /* ---- Evidence of other nodes ---- */
 
 static void
--- a/lib/relay/crash_check.c
+++ b/lib/relay/crash_check.c
@@ -1,9 +1,11 @@
 /*
- * Checks whether a server that broke off requests has crashed. A process that has
- * ended doesn't listen any more, or another one has its address; one that only
- * reset the connections answers a probe. Where a probe decides nothing, as behind
- * something that goes on listening, the server's entry does: it disappears, or
- * names a later start.
+ * Checks whether a server that broke off requests, or left them without an answer,
+ * has crashed. A process that has ended doesn't listen any more, or another one has
+ * its address; one that only reset the connections, or is slow, answers a probe.
+ * Where a probe decides nothing, as behind something that goes on listening, the
+ * server's entry does: it disappears, or names a later start. A machine that has
+ * stopped answers no probe; after a while that is taken for a crash, until the same
+ * process answers again.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -25,8 +27,16 @@
  * count as one, see lib/quarantine. */
 #define ENTRY_WAIT_MS 12000
 #define ENTRY_INTERVAL_MS 200
-/* Servers that are checked at once. */
+/* A busy server is heard within this time, which spares the probe, ms. */
+#define SILENCE_MS 500
+/* Interval of the probes of a server that doesn't answer them, ms. */
+#define SILENT_PROBE_INTERVAL_MS 1000
+/* Sound servers pause for a second or so: one that is silent for this long counts
+ * as crashed, ms. */
+#define SILENT_CRASH_MS 3000
+/* Servers that are checked at once, and those of them for silence alone. */
 #define CHECKS_MAX 64
+#define SILENT_CHECKS_MAX 32
 /* Requests of one server that are kept until it is checked. */
 #define REQUESTS_MAX 64
 #define REPORT_MAX_BYTES 65536
@@ -37,17 +47,27 @@
 
 /** enum check_step - what the check waits for */
 enum check_step {
+	CHECK_SILENCE, /* bytes of a server that left requests unanswered */
 	CHECK_PROBES, /* the answer to a probe, or the next probe */
 	CHECK_REPORTS, /* nothing listens: what other nodes hear */
 	CHECK_ENTRY /* a change of the server's entry */
 };
 
+/** enum check_verdict - what a check has shown of the process */
+enum check_verdict {
+	PROCESS_ENDED,
+	PROCESS_ALIVE,
+	PROCESS_UNKNOWN
+};
+
 /**
- * struct crash_check - the check of one server
+ * struct crash_check - the check of one process of a server
  * @server: referenced
- * @born_ms: start of the process that broke off the requests, 0: unknown
+ * @born_ms: start of that process, 0: unknown
  * @probes: sent so far
- * @start_ms: when the server broke off the first request
+ * @probed_ms: start of the last one
+ * @unanswered: it got no answer, and its connection wasn't refused or closed
+ * @start_ms: when the first request was noted
  */
 struct crash_check {
 	struct ld_http_sink sink; /* first member */
@@ -60,6 +80,8 @@
 	struct ld_timer timer;
 	enum check_step step;
 	unsigned int probes;
+	uint64_t probed_ms;
+	bool unanswered;
 	uint64_t start_ms;
 	struct ld_buf body; /* of the answer to the probe */
 	struct crash_suspect requests[REQUESTS_MAX];
@@ -98,39 +120,71 @@
 	free(c);
 }
 
+static void start_probes(struct crash_check *c);
+
 static void
-finish(struct crash_check *c, bool crashed, const char *why)
+report_ended(struct crash_check *c, struct crash_suspect *request)
+{
+	if (!request->reported)
+		crashing_requests_crashed(c->relay, request,
+		    ld_server_process_hash(c->server, c->born_ms));
+	request->reported = true;
+}
+
+static void
+report_alive(struct crash_check *c, struct crash_suspect *request)
+{
+	if (request->reported)
+		crashing_requests_survived(c->relay, request);
+	request->reported = false;
+}
+
+static void
+finish(struct crash_check *c, enum check_verdict verdict, const char *why)
 {
 	ld_event("server.checked",
 	    "server=%s crashed=%d why=%s probes=%u requests=%zu ms=%llu",
-	    c->server->entry.id, crashed, why, c->probes, c->request_count,
+	    c->server->entry.id, verdict == PROCESS_ENDED, why, c->probes,
+	    c->request_count,
 	    (unsigned long long)(relay_now(c->relay) - c->start_ms));
-	for (size_t i = 0; crashed && i < c->request_count; i++)
-		crashing_requests_crashed(c->relay, &c->requests[i],
-		    ld_server_process_hash(c->server, c->born_ms));
+	for (size_t i = 0; i < c->request_count; i++)
+		if (verdict == PROCESS_ENDED)
+			report_ended(c, &c->requests[i]);
+		else if (verdict == PROCESS_ALIVE)
+			report_alive(c, &c->requests[i]);
 	check_free(c);
 }
 
 /* ---- The server's entry ---- */
 
-/* Drops requests that the process did not end with: some node has received bytes of
- * it since, or its entry is still there. */
+/* When some node has last received bytes of the server. */
+static uint64_t
+heard_ms(const struct ld_server *s)
+{
+	return s->last_byte_ms > s->peer_last_byte_ms ? s->last_byte_ms
+						      : s->peer_last_byte_ms;
+}
+
+/* Drops requests that were noted too long ago, and, unless the bytes may be those
+ * of a new process, those that the process did not end with: it was heard since. */
 static void
 drop_refuted(struct crash_check *c)
 {
-	const struct ld_server *s = c->server;
-	uint64_t now = relay_now(c->relay);
-	uint64_t heard_ms = s->last_byte_ms > s->peer_last_byte_ms
-	    ? s->last_byte_ms
-	    : s->peer_last_byte_ms;
+	uint64_t heard = heard_ms(c->server), now = relay_now(c->relay);
 	size_t kept = 0;
 
-	for (size_t i = 0; i < c->request_count; i++)
-		if (heard_ms <= c->requests[i].at_ms + HEARD_AFTER_MS &&
-		    now < c->requests[i].at_ms + ENTRY_WAIT_MS)
-			c->requests[kept++] = c->requests[i];
+	for (size_t i = 0; i < c->request_count; i++) {
+		struct crash_suspect *s = &c->requests[i];
+		bool alive =
+		    !c->unanswered && heard > s->at_ms + HEARD_AFTER_MS;
+
+		if (alive)
+			report_alive(c, s);
+		if (alive || now >= s->at_ms + ENTRY_WAIT_MS)
+			ld_prompt_fini(&s->prompt);
 		else
-			ld_prompt_fini(&c->requests[i].prompt);
+			c->requests[kept++] = *s;
+	}
 	c->request_count = kept;
 }
 
@@ -140,21 +194,71 @@
 	return c->born_ms != 0 && born_ms != 0 && born_ms != c->born_ms;
 }
 
+/* This node reaches no server, or the server is still heard by others. */
+static bool
+is_cut_off(const struct crash_check *c)
+{
+	return isolation_is_active(c->relay) ||
+	    c->server->peer_last_byte_ms > c->start_ms + HEARD_AFTER_MS;
+}
+
+/* An evacuated server gets no calls at all, and a node that reaches no server
+ * learns nothing by a probe. */
+static bool
+may_probe(const struct crash_check *c)
+{
+	return !c->server->evacuated && !isolation_is_active(c->relay);
+}
+
+/* Requests for which the server has been silent for too long. */
+static void
+report_silent(struct crash_check *c)
+{
+	const struct relay *r = c->relay;
+	uint64_t since = heard_ms(c->server);
+
+	if (isolation_is_suspected(r) || is_cut_off(c))
+		return;
+	if (since < r->on_time_since_ms)
+		since = r->on_time_since_ms;
+	for (size_t i = 0; i < c->request_count; i++) {
+		struct crash_suspect *s = &c->requests[i];
+
+		if (relay_now(r) >= since + SILENT_CRASH_MS &&
+		    relay_now(r) >= s->quiet_ms + SILENT_CRASH_MS)
+			report_ended(c, s);
+	}
+}
+
 static void
 look_at_entry(struct crash_check *c)
 {
+	uint64_t now = relay_now(c->relay);
+
 	if (is_restarted(c, c->server->entry.started_ms)) {
-		finish(c, true, "restarted");
+		finish(c, PROCESS_ENDED, "restarted");
 		return;
 	}
 	drop_refuted(c);
-	if (c->request_count == 0)
-		finish(c, false, "still-there");
-	else if (!c->server->listed)
-		finish(c, true, "entry-gone");
-	else
-		ld_timer_after(ld_loop_timers(c->relay->loop), &c->timer,
-		    ENTRY_INTERVAL_MS);
+	if (c->request_count == 0) {
+		finish(c, PROCESS_UNKNOWN, "still-there");
+		return;
+	}
+	/* The process goes on, or another one has begun. */
+	if (c->unanswered && may_probe(c) &&
+	    (heard_ms(c->server) > c->probed_ms ||
+		now >= c->probed_ms + SILENT_PROBE_INTERVAL_MS)) {
+		start_probes(c);
+		return;
+	}
+	if (!c->server->listed) {
+		finish(c, PROCESS_ENDED, "entry-gone");
+		return;
+	}
+	if (c->unanswered)
+		report_silent(c);
+	ld_timer_after(
+	    ld_loop_timers(c->relay->loop), &c->timer, ENTRY_INTERVAL_MS);
 }
 
 static void
@@ -189,6 +293,7 @@
 	rq.url = ld_buf_cstr(&url);
 	headers[0] = ld_buf_cstr(&expect);
 	c->probes++;
+	c->probed_ms = relay_now(r);
 	ld_buf_free(&c->body);
 	relay_count(r, LD_M_RELAY_PROBES);
 	server_limits_count_call(r, s);
@@ -196,7 +301,7 @@
 	ld_buf_free(&url);
 	ld_buf_free(&expect);
 	if (c->call == NULL)
-		finish(c, false, "bad-address");
+		finish(c, PROCESS_UNKNOWN, "bad-address");
 }
 
 static void
@@ -205,6 +310,7 @@
 	ld_timer_stop(ld_loop_timers(c->relay->loop), &c->timer);
 	c->step = CHECK_PROBES;
 	c->probes = 0;
+	c->unanswered = false;
 	probe(c);
 }
 
@@ -214,21 +320,13 @@
 note_not_listening(struct crash_check *c)
 {
 	if (!isolation_is_suspected(c->relay)) {
-		finish(c, true, "not-listening");
+		finish(c, PROCESS_ENDED, "not-listening");
 		return;
 	}
 	c->step = CHECK_REPORTS;
 	ld_timer_after(ld_loop_timers(c->relay->loop), &c->timer, REPORTS_MS);
 }
 
-/* This node reaches no server, or the server is still heard by others. */
-static bool
-is_cut_off(const struct crash_check *c)
-{
-	return isolation_is_active(c->relay) ||
-	    c->server->peer_last_byte_ms > c->start_ms + HEARD_AFTER_MS;
-}
-
 /* The start that the report names, 0 if it names none. */
 static int64_t
 reported_start(struct crash_check *c)
@@ -251,12 +349,12 @@
 	if (code == CODE_OTHER_SERVER)
 		note_not_listening(c);
 	else if (is_restarted(c, born_ms))
-		finish(c, true, "restarted");
+		finish(c, PROCESS_ENDED, "restarted");
 	/* It may be a process that is back already. */
 	else if (code >= CODE_PROXY_MIN || (c->born_ms != 0 && born_ms == 0))
 		wait_for_entry(c);
 	else
-		finish(c, false, "listening");
+		finish(c, PROCESS_ALIVE, "listening");
 }
 
 static void
@@ -278,28 +376,65 @@
 	else if (result->status == LD_E_CLOSED && c->probes < PROBES_MAX)
 		ld_timer_after(
 		    ld_loop_timers(c->relay->loop), &c->timer, AGAIN_MS);
+	else {
+		c->unanswered = result->status == LD_E_TIMEOUT ||
+		    result->status == LD_E_UNAVAILABLE;
+		wait_for_entry(c);
+	}
+}
+
+/* ---- Silence ---- */
+
+static void
+begin_probes(struct crash_check *c)
+{
+	if (is_restarted(c, c->server->entry.started_ms))
+		finish(c, PROCESS_ENDED, "restarted");
+	else if (may_probe(c))
+		start_probes(c);
 	else
 		wait_for_entry(c);
 }
 
+/* The server has had time for a byte of any answer. */
+static void
+end_silence(struct crash_check *c)
+{
+	uint64_t heard = heard_ms(c->server);
+	size_t kept = 0;
+
+	for (size_t i = 0; i < c->request_count; i++)
+		if (heard <= c->requests[i].at_ms)
+			c->requests[kept++] = c->requests[i];
+		else
+			ld_prompt_fini(&c->requests[i].prompt);
+	c->request_count = kept;
+	if (kept > 0)
+		begin_probes(c);
+	else
+		check_free(c);
+}
+
 static void
 on_timer(struct ld_timer *t, uint64_t now_ms)
 {
 	struct crash_check *c = (struct crash_check *)((char *)t -
 	    offsetof(struct crash_check, timer));
 
-	if (c->step == CHECK_PROBES)
+	if (c->step == CHECK_SILENCE)
+		end_silence(c);
+	else if (c->step == CHECK_PROBES)
 		probe(c);
 	else if (c->step == CHECK_ENTRY || is_cut_off(c))
 		wait_for_entry(c);
 	else
-		finish(c, true, "not-heard");
+		finish(c, PROCESS_ENDED, "not-heard");
 }
 
 /* ---- Start and end ---- */
 
 static struct crash_check *
-check_new(struct relay *r, struct ld_server *s)
+check_new(struct relay *r, struct ld_server *s, int64_t born_ms)
 {
 	static const struct ld_http_sink_ops ops = {
 	    .body = on_body, .done = on_done};
@@ -310,7 +445,7 @@
 	c->start_ms = relay_now(r);
 	c->timer.fn = on_timer;
 	c->server = s;
-	c->born_ms = s->entry.started_ms;
+	c->born_ms = born_ms;
 	s->refs++;
 	c->next = r->crash_checks;
 	c->link = &r->crash_checks;
@@ -320,36 +455,65 @@
 	return c;
 }
 
+/* The check of that process, or a new one; NULL if there are too many. */
+static struct crash_check *
+find_check(
+    struct relay *r, struct ld_server *s, const struct crash_suspect *request)
+{
+	size_t n = 0, max = request->is_silent ? SILENT_CHECKS_MAX : CHECKS_MAX;
+	struct crash_check *c;
+
+	for (c = r->crash_checks; c != NULL; c = c->next, n++)
+		if (c->server == s && c->born_ms == request->born_ms)
+			return c;
+	return n < max ? check_new(r, s, request->born_ms) : NULL;
+}
+
+/* A request that is silent for long, and then ends, is noted twice. */
+static bool
+note_again(struct crash_check *c, const struct crash_suspect *request)
+{
+	for (size_t i = 0; request->is_silent && i < c->request_count; i++) {
+		struct crash_suspect *s = &c->requests[i];
+
+		if (s->prompt.request != request->prompt.request ||
+		    s->prompt.exact != request->prompt.exact)
+			continue;
+		s->at_ms = request->at_ms;
+		s->quiet_ms = request->quiet_ms;
+		return true;
+	}
+	return false;
+}
+
 void
 crash_check_start(
     struct relay *r, struct ld_server *s, const struct crash_suspect *request)
 {
 	struct crash_check *c;
-	size_t n = 0;
 
 	/* A planned stop cuts what takes longer than the server serves on; some
 	 * servers only remove their entry before it. */
-	if (s->entry.leaving || !s->listed)
+	if (s->entry.leaving || (!s->listed && !request->is_silent))
+		return;
+	c = find_check(r, s, request);
+	if (c != NULL && note_again(c, request))
 		return;
-	for (c = r->crash_checks; c != NULL && c->server != s; c = c->next)
-		n++;
-	if (c == NULL && n < CHECKS_MAX)
-		c = check_new(r, s);
 	if (c == NULL || c->request_count == REQUESTS_MAX) {
-		ld_event("server.unchecked",
-		    "server=%s checks=%zu requests=%zu", s->entry.id, n,
+		ld_event("server.unchecked", "server=%s silent=%d requests=%zu",
+		    s->entry.id, request->is_silent,
 		    c != NULL ? c->request_count : 0);
 		return;
 	}
 	c->requests[c->request_count++] = suspect_copy(request);
-	if (c->request_count > 1 && c->step != CHECK_ENTRY)
+	if (request->is_silent && c->request_count == 1) {
+		c->step = CHECK_SILENCE;
+		ld_timer_after(ld_loop_timers(r->loop), &c->timer, SILENCE_MS);
 		return;
-	/* An evacuated server gets no calls at all, and a node that reaches no
-	 * server learns nothing by a probe. */
-	if (s->evacuated || isolation_is_active(r))
-		wait_for_entry(c);
-	else
-		start_probes(c);
+	}
+	if (c->request_count == 1 || c->step == CHECK_ENTRY ||
+	    (c->step == CHECK_SILENCE && !request->is_silent))
+		begin_probes(c);
 }
 
 void
--- a/lib/relay/crashing_requests.c
+++ b/lib/relay/crashing_requests.c
@@ -10,6 +10,12 @@
 /* After this time from its first event an answer was not begun by a crash: other
  * requests with the parts of its prompt are sound, ms. */
 #define SOUND_AFTER_MS 300
+/* A request in progress is checked after this time without a byte of its server, and
+ * again after the interval, ms. */
+#define SILENCE_NOTE_MS 1000
+#define SILENCE_NOTE_INTERVAL_MS 3000
+/* A send that had bytes this recently when it was cancelled is not silent, ms. */
+#define ABANDONED_SILENT_MS 100
 
 struct crashing_requests {
 	struct ld_quarantine *quarantine;
@@ -41,6 +47,23 @@
 	return q->is_trial;
 }
 
+/* Last byte of its answer, or when it was sent. */
+static uint64_t
+quiet_since_ms(const struct send *s)
+{
+	return s->last_byte_ms > s->sent_ms ? s->last_byte_ms : s->sent_ms;
+}
+
+static struct crash_suspect
+suspect_of(const struct send *s)
+{
+	return (struct crash_suspect){.prompt = s->request->prompt,
+	    .begun = s->response.code == 200 && s->first_event_ms == 0,
+	    .born_ms = s->born_ms,
+	    .at_ms = relay_now(s->request->relay),
+	    .quiet_ms = quiet_since_ms(s)};
+}
+
 /* The parts of its prompt are suspected at once, unless this node may be the one
  * that fails; the request itself once its server is known to have crashed. */
 void
@@ -50,9 +73,7 @@
 	struct relay *r = q->relay;
 	char id[LD_EVENT_TOKEN_BYTES], parts[LD_PROMPT_TEXT_BYTES];
 	size_t suspected = 0;
-	struct crash_suspect suspect = {.prompt = q->prompt,
-	    .begun = s->response.code == 200 && s->first_event_ms == 0,
-	    .at_ms = relay_now(r)};
+	struct crash_suspect suspect = suspect_of(s);
 
 	if (s->server == NULL || s->crash_noted)
 		return;
@@ -74,6 +95,56 @@
 	crash_check_start(r, s->server, &suspect);
 }
 
+/* An answer whose head has come, but for a stream, shows that the server goes on. A
+ * node that reaches no server hears none. */
+static bool
+may_be_silent(const struct send *s, bool sent)
+{
+	return sent && s->server != NULL && !s->crash_noted &&
+	    (s->response.code == 0 || send_is_event_stream(s)) &&
+	    !isolation_is_active(s->request->relay);
+}
+
+static void
+check_silence(struct send *s)
+{
+	struct request *q = s->request;
+	struct crash_suspect suspect = suspect_of(s);
+
+	suspect.is_silent = true;
+	suspect.parts_pending = q->prompt.own != 0 && !q->answer_went_on;
+	s->silence_noted_ms = suspect.at_ms;
+	crash_check_start(q->relay, s->server, &suspect);
+}
+
+void
+send_note_silence(struct send *s)
+{
+	const struct relay *r = s->request->relay;
+	uint64_t now = relay_now(r), since = quiet_since_ms(s);
+
+	if (!may_be_silent(s, send_may_have_run(s)) ||
+	    now < s->silence_noted_ms + SILENCE_NOTE_INTERVAL_MS)
+		return;
+	if (since < s->server->last_byte_ms)
+		since = s->server->last_byte_ms;
+	if (since < s->server->peer_last_byte_ms)
+		since = s->server->peer_last_byte_ms;
+	if (since < r->on_time_since_ms)
+		since = r->on_time_since_ms;
+	if (now >= since + SILENCE_NOTE_MS)
+		check_silence(s);
+}
+
+void
+send_note_abandoned(struct send *s, bool sent)
+{
+	if (may_be_silent(s, sent) &&
+	    relay_now(s->request->relay) >=
+		quiet_since_ms(s) + ABANDONED_SILENT_MS)
+		check_silence(s);
+}
+
 void
 crashing_requests_crashed(
     struct relay *r, const struct crash_suspect *request, uint32_t server)
@@ -94,6 +165,16 @@
 		crash_records_note_crash(r, request->prompt.exact);
 }
 
+void
+crashing_requests_survived(struct relay *r, const struct crash_suspect *request)
+{
+	ld_event("request.survived", "request=%llx after_ms=%llu",
+	    (unsigned long long)request->prompt.request,
+	    (unsigned long long)(relay_now(r) - request->at_ms));
+	ld_quarantine_survived(
+	    r->crashing_requests->quarantine, &request->prompt, relay_now(r));
+}
+
 void
 request_note_answer(struct request *q)
 {
--- a/lib/relay/receive.c
+++ b/lib/relay/receive.c
@@ -395,6 +395,8 @@
 		    q->relay, s->server, result->sent, s->sent_ms);
 	if (result->sent && result->status == LD_E_CLOSED)
 		send_note_crash(s);
+	else if (result->status == LD_E_TIMEOUT)
+		send_note_abandoned(s, result->sent);
 	send_note_failed(s);
 }
 
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -486,22 +486,35 @@
 void crashing_requests_receive(struct relay *r, const struct ld_finding *f);
 
 /**
- * struct crash_suspect - a request that a server broke off
+ * struct crash_suspect - a request that a server broke off or left unanswered
  * @parts_pending: its prompt's shared parts are to be suspected if the server has
  *	crashed; else they are already, or the answer had gone on
  * @begun: see ld_quarantine_crashed()
- * @at_ms: when it was broken off
+ * @is_silent: its connection hung, and was not closed by the server
+ * @reported: to crashing_requests_crashed()
+ * @born_ms: start of the server's process when the request was sent, 0: unknown
+ * @at_ms: when it was broken off, or its silence was noted
+ * @quiet_ms: last byte of its answer, or when it was sent
  */
 struct crash_suspect {
 	struct ld_prompt prompt;
 	bool parts_pending;
 	bool begun;
+	bool is_silent;
+	bool reported;
+	int64_t born_ms;
 	uint64_t at_ms;
+	uint64_t quiet_ms;
 };
 
 /** crashing_requests_crashed() - the server of a request has crashed */
 void crashing_requests_crashed(
     struct relay *r, const struct crash_suspect *request, uint32_t server);
+/**
+ * crashing_requests_survived() - it has not, as was reported: its process answers
+ */
+void crashing_requests_survived(
+    struct relay *r, const struct crash_suspect *request);
 
 /* ---- crash_records.c: what is known of them, in the store ---- */
 
@@ -520,7 +533,7 @@
 /* ---- crash_check.c ---- */
 
 /**
- * crash_check_start() - @s broke off a request
+ * crash_check_start() - @s broke off a request, or is silent
  * @request: copied; reported to crashing_requests_crashed() if the server has
  *	crashed
  */
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -58,6 +58,8 @@
 	uint64_t sent_ms;
 	bool reused; /* it ended on a connection of an earlier send */
 	bool crash_noted; /* see send_note_crash() */
+	uint64_t silence_noted_ms; /* see send_note_silence(), 0: never */
+	int64_t born_ms; /* start of the server as known then, 0: unknown */
 	uint64_t first_event_ms; /* first event, 0: none */
 	uint64_t last_byte_ms; /* last body bytes, 0: none */
 	uint64_t predicted_ms; /* time to the first event */
@@ -294,6 +296,17 @@
 bool request_take_trial(struct request *q);
 /** send_note_crash() - its server broke it off, or is silent as if it had */
 void send_note_crash(struct send *s);
+/**
+ * send_note_silence() - check whether its server has crashed if it, and the server,
+ * have been silent for a while
+ */
+void send_note_silence(struct send *s);
+/**
+ * send_note_abandoned() - the same of a send that ends without an answer at its
+ * deadline, or before, after less time
+ * @sent: the server may have received it
+ */
+void send_note_abandoned(struct send *s, bool sent);
 /** request_note_event() - an event of the send in progress was received */
 void request_note_event(struct request *q);
 /** request_note_answer() - the answer is complete */
--- a/lib/relay/send.c
+++ b/lib/relay/send.c
@@ -23,8 +23,10 @@
 void
 send_cancel(struct send *s)
 {
-	if (s->call != NULL)
+	if (s->call != NULL) {
+		send_note_abandoned(s, send_may_have_run(s));
 		ld_http_cancel(s->call);
+	}
 	s->call = NULL;
 	s->helper[0] = '\0';
 	if (s->server == NULL)
@@ -79,6 +81,7 @@
 	memory_account(s);
 	s->reused = false;
 	s->crash_noted = false;
+	s->silence_noted_ms = 0;
 	s->last_byte_ms = 0;
 	s->first_event_ms = 0;
 	s->sent_ms = now_ms;
@@ -127,6 +130,7 @@
 	uint64_t now = relay_now(q->relay);
 
 	s->server = to;
+	s->born_ms = to->entry.started_ms;
 	snprintf(s->server_id, sizeof(s->server_id), "%s", to->entry.id);
 	s->predicted_ms = c->predicted_ms;
 	s->predicted_uncorrected_ms = c->predicted_uncorrected_ms;
--- a/lib/relay/silent_groups.c
+++ b/lib/relay/silent_groups.c
@@ -148,6 +148,7 @@
 	check_groups(r, now);
 	for (struct request *q = r->requests; q != NULL; q = next) {
 		next = q->next;
+		send_note_silence(q->send);
 		move_consider(q, now);
 	}
 }
--- a/tests/faults/ld_relay_server.c
+++ b/tests/faults/ld_relay_server.c
@@ -111,6 +111,11 @@
 	    (struct server *)((char *)t - offsetof(struct server, crash_timer));
 
 	s->crashes++;
+	if (s->behaviour == FALLS_SILENT) {
+		relay_server_freeze(s);
+		s->down = true;
+		return;
+	}
 	if (s->behaviour == DIES_ON_PATH || s->form.stops_listening) {
 		relay_server_kill(s);
 		return;
@@ -144,11 +149,60 @@
 	((struct server *)user)->extra_fields += strncmp(name, "X-F", 3) == 0;
 }
 
+static bool
+is_deadly(struct ld_exchange *x)
+{
+	return strstr(ld_exchange_path(x), RELAY_DEADLY_PATH) != NULL;
+}
+
+static void
+hold(struct server *s, struct ld_exchange *x)
+{
+	if (s->held_count < RELAY_HELD_MAX)
+		s->held[s->held_count++] = x;
+}
+
+/* Whether the request crashes the server, or is held. */
+static bool
+leave_unanswered(struct server *s, struct ld_exchange *x)
+{
+	if (s->behaviour == CRASHES_ON_PROMPT && has_crashing_part(x)) {
+		if (!s->form.before_head)
+			begin_events(x);
+		for (int id = 1; id <= s->form.events; id++)
+			write_event(x, id);
+		s->crashing = x;
+		ld_timer_after(ld_loop_timers(s->loop), &s->crash_timer,
+		    CRASH_AFTER_MS + s->form.after_ms);
+		return true;
+	}
+	if (s->behaviour == FALLS_SILENT &&
+	    (is_deadly(x) || has_crashing_part(x))) {
+		hold(s, x);
+		ld_timer_after(
+		    ld_loop_timers(s->loop), &s->crash_timer, CRASH_AFTER_MS);
+		return true;
+	}
+	if (s->behaviour == HOLDS ||
+	    (s->behaviour == DIES_ON_PATH && is_deadly(x))) {
+		s->crashing = x;
+		if (s->behaviour == DIES_ON_PATH)
+			ld_timer_after(ld_loop_timers(s->loop), &s->crash_timer,
+			    CRASH_AFTER_MS);
+		return true;
+	}
+	return false;
+}
+
 static void
 on_request(struct ld_handler *h, struct ld_exchange *x)
 {
 	struct server *s = (struct server *)h;
 
+	if (s->silent) {
+		hold(s, x);
+		return;
+	}
 	s->extra_fields = 0;
 	ld_exchange_fields(x, count_extra_field, s);
 	if (ld_exchange_header(x, "X-Attempt-Id") != NULL)
@@ -167,25 +221,8 @@
 		answer(x, 421, RELAY_REQUEST_ID, false);
 		return;
 	}
-	if (s->behaviour == CRASHES_ON_PROMPT && has_crashing_part(x)) {
-		if (!s->form.before_head)
-			begin_events(x);
-		for (int id = 1; id <= s->form.events; id++)
-			write_event(x, id);
-		s->crashing = x;
-		ld_timer_after(ld_loop_timers(s->loop), &s->crash_timer,
-		    CRASH_AFTER_MS + s->form.after_ms);
+	if (leave_unanswered(s, x))
 		return;
-	}
-	if (s->behaviour == HOLDS ||
-	    (s->behaviour == DIES_ON_PATH &&
-		strstr(ld_exchange_path(x), RELAY_DEADLY_PATH) != NULL)) {
-		s->crashing = x;
-		if (s->behaviour == DIES_ON_PATH)
-			ld_timer_after(ld_loop_timers(s->loop), &s->crash_timer,
-			    CRASH_AFTER_MS);
-		return;
-	}
 	switch (s->behaviour) {
 	case FAILS:
 		answer(x, 500, RELAY_REQUEST_ID, true);
@@ -228,6 +265,23 @@
 	s->slow = NULL;
 	if (s->crashing == x)
 		s->crashing = NULL;
+	for (unsigned int i = 0; i < s->held_count; i++)
+		if (s->held[i] == x)
+			s->held[i] = s->held[--s->held_count];
+}
+
+void
+relay_server_freeze(struct server *s)
+{
+	s->silent = true;
+}
+
+void
+relay_server_wake(struct server *s)
+{
+	s->silent = false;
+	while (s->held_count > 0)
+		on_request(&s->handler, s->held[--s->held_count]);
 }
 
 void
@@ -235,6 +289,8 @@
 {
 	ld_listener_free(s->listener);
 	s->listener = NULL;
+	s->silent = false;
+	s->held_count = 0;
 	s->crashing = NULL;
 	s->slow = NULL;
 	s->down = true;
@@ -256,6 +312,8 @@
 void
 relay_server_restart(struct server *s)
 {
+	if (s->silent)
+		relay_server_kill(s);
 	if (s->listener == NULL)
 		(void)start_listening(s);
 }
--- a/tests/faults/ld_relay_server.h
+++ b/tests/faults/ld_relay_server.h
@@ -36,6 +36,7 @@
 	BREAKS_OFF, /* closes the connection without an answer */
 	ANSWERS_ANOTHER, /* the answer names another request */
 	CRASHES_ON_PROMPT, /* soon after the head, if the prompt has the part */
+	FALLS_SILENT, /* on the path or the part, its machine stops: see @held */
 	DIES_ON_PATH, /* its process ends soon after RELAY_DEADLY_PATH arrived */
 	HOLDS, /* doesn't answer */
 	CUTS_STREAM, /* in the middle of the fourth event */
@@ -57,7 +58,14 @@
 	uint64_t after_ms;
 };
 
-/** struct server - one backend server */
+/** Requests that a silent server holds; further ones are left unanswered. */
+#define RELAY_HELD_MAX 64
+
+/**
+ * struct server - one backend server
+ * @silent: its machine has stopped: connections hang, and nothing is answered
+ * @held: what it received meanwhile
+ */
 struct server {
 	struct ld_handler handler; /* first member */
 	struct ld_loop *loop;
@@ -66,6 +74,9 @@
 	int64_t born; /* start of its process in Unix ms, 0: not in its entry */
 	uint16_t port;
 	bool down; /* crashed, until it is restarted */
+	bool silent;
+	struct ld_exchange *held[RELAY_HELD_MAX];
+	unsigned int held_count;
 	char address[32];
 	char id[8]; /* id of its entry in the store */
 	enum behaviour behaviour;
@@ -89,7 +100,11 @@
 /** relay_server_kill() - close all connections and stop listening, as a process
  * that ends */
 void relay_server_kill(struct server *s);
-/** relay_server_restart() - listen again if it was killed */
+/** relay_server_freeze() - fall silent, until relay_server_wake() */
+void relay_server_freeze(struct server *s);
+/** relay_server_wake() - go on with what it holds */
+void relay_server_wake(struct server *s);
+/** relay_server_restart() - listen again if it was killed or is silent */
 void relay_server_restart(struct server *s);
 /** relay_server_open() - listen on 127.0.0.1 */
 enum ld_status relay_server_open(
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -19,7 +19,7 @@
 # Concurrent test programs: most spend their time waiting for timers.
 AT_ONCE=6
 # Programs that take a minute or more start first.
-LONGEST="test_booking_once test_relay_soak test_config_changes test_memory test_kept_connections test_relay test_catalogue_fleet test_admit_fleet"
+LONGEST="test_silent_crashes test_booking_once test_relay_soak test_config_changes test_memory test_kept_connections test_relay test_catalogue_fleet test_admit_fleet"
 
 is_known_red() {
 	[ -f KNOWN-RED.txt ] && grep -q "^$1 " KNOWN-RED.txt
