--- a/lib/relay/finish.c
+++ b/lib/relay/finish.c
@@ -55,6 +55,13 @@
 	return x;
 }
 
+/* Another node may be able to run what this one can't. */
+static bool
+is_fault_of_node(const struct relay *r)
+{
+	return r->refusing || isolation_is_active(r);
+}
+
 /*
  * 503 guarantees that no server ran the request, so it is sent only when none
  * can have done so. 502 and 504 leave open whether it ran.
@@ -81,7 +88,11 @@
 		code = 504;
 	relay_count(q->relay, LD_M_FAILED);
 	request_record_end(q, "failed", code, why);
-	listen_refuse(q->relay, x, code, why, code == 503 ? retry_after_ms : 0);
+	if (code == 503 && is_fault_of_node(q->relay))
+		listen_refuse_here(q->relay, x, why, retry_after_ms);
+	else
+		listen_refuse(
+		    q->relay, x, code, why, code == 503 ? retry_after_ms : 0);
 	request_free(q);
 }
 
--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -157,7 +157,7 @@
 		return;
 	}
 	if (r->routes == NULL) {
-		listen_refuse(r, x, 503, "no-config", NOT_READY_RETRY_MS);
+		listen_refuse_here(r, x, "no-config", NOT_READY_RETRY_MS);
 		return;
 	}
 	facts.rule = ld_routes_match(
@@ -172,8 +172,8 @@
 	}
 	if (!facts.rule->anonymous && r->routes->account_count > 0) {
 		if (!feed_keys_current(r)) {
-			listen_refuse(
-			    r, x, 503, "keys-outdated", NOT_READY_RETRY_MS);
+			listen_refuse_here(
+			    r, x, "keys-outdated", NOT_READY_RETRY_MS);
 			return;
 		}
 		facts.account =
--- a/tests/faults/test_helper_refusals.c
+++ b/tests/faults/test_helper_refusals.c
@@ -11,6 +11,8 @@
 
 #define CODE_OTHER_NODE 421
 #define LARGE_BODY 600
+/* Longer than keys are accepted without the store. */
+#define KEYS_OUTDATED_MS 6000
 #define FORWARDED "Relay-Forwarded: n2 1"
 
 /* The node that forwards: its address is that of this test. */
@@ -67,6 +69,7 @@
 	check_other_node("POST", "/book/a");
 	check_other_node("POST", "/events/a");
 	relay_request_body = LD_STR("x=1");
+	check_other_node("GET", "/look/a");
 	ld_kv_store_silence(store, false);
 }
 
@@ -76,6 +79,28 @@
 	wait_until_serving();
 	CU_ASSERT_EQUAL(forward("GET", "/look/a").code, 200);
 	CU_ASSERT_EQUAL(forward("POST", "/book/a").code, 200);
+}
+
+/* As of a node that the store turns away, or that is cut off from it; a client is
+ * told when to come back. */
+static void
+test_outdated_keys_are_no_refusal_for_other_nodes(void)
+{
+	struct client c;
+
+	ld_kv_store_silence(store, true);
+	run_for(KEYS_OUTDATED_MS);
+	check_other_node("GET", "/look/a");
+	check_other_node("POST", "/book/a");
+	check_other_node("POST", "/events/a");
+	CU_ASSERT_EQUAL(forward("GET", "/open/a").code, 200);
+	c = call("GET", "/look/a", "k1");
+	CU_ASSERT_EQUAL(c.code, 503);
+	CU_ASSERT(c.retry_after_s > 0);
+	ld_buf_free(&c.body);
+	ld_kv_store_silence(store, false);
+	wait_until_serving();
+	CU_ASSERT_EQUAL(forward("GET", "/look/a").code, 200);
 	CU_ASSERT_EQUAL(kill(relay, SIGTERM), 0);
 	run_for(5000);
 	CU_ASSERT_EQUAL(waitpid(relay, NULL, WNOHANG), relay);
@@ -89,6 +114,8 @@
 		test_without_a_configuration_a_large_body_is_not_denied},
 	    {"forwarded requests are served",
 		test_forwarded_requests_are_served},
+	    {"outdated keys are no refusal for other nodes",
+		test_outdated_keys_are_no_refusal_for_other_nodes},
 	    {NULL, NULL},
 	};
 
