--- a/lib/relay/headers.c
+++ b/lib/relay/headers.c
@@ -125,8 +125,9 @@
 	if (s->server != NULL) {
 		add_server_fields(h);
 	} else {
-		snprintf(text, sizeof(text), "%s %u", q->relay->settings->name,
-		    q->max_runs - q->possible_runs);
+		snprintf(text, sizeof(text), "%s %u config=%lld",
+		    q->relay->settings->name, q->max_runs - q->possible_runs,
+		    (long long)q->config);
 		add_header(h, RELAY_FORWARDED_FIELD, text);
 	}
 	if (has_own_last_event(q)) {
--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -160,6 +160,11 @@
 		listen_refuse_here(r, x, "no-config", NOT_READY_RETRY_MS);
 		return;
 	}
+	/* By an older one it might run at another service, or be denied. */
+	if (r->routes->version < facts.mark.config) {
+		listen_refuse_here(r, x, "config-outdated", NOT_READY_RETRY_MS);
+		return;
+	}
 	facts.rule = ld_routes_match(
 	    r->routes, request_host(x), ld_str_c(ld_exchange_path(x)));
 	if (facts.rule == NULL) {
@@ -203,18 +208,34 @@
 	return ld_exchange_header(x, RELAY_FORWARDED_FIELD) != NULL;
 }
 
+/* The version in "config=VERSION", alone or before further words. */
+static int64_t
+read_config_word(const char *words)
+{
+	static const char name[] = "config=";
+	long long n;
+	char *end;
+
+	if (strncmp(words, name, sizeof(name) - 1) != 0)
+		return 0;
+	n = strtoll(words + sizeof(name) - 1, &end, 10);
+	return (*end == '\0' || *end == ' ') && n > 0 ? n : 0;
+}
+
 bool
-listen_read_forwarded(const char *value, uint32_t *runs_left)
+listen_read_forwarded(const char *value, struct forwarded_mark *out)
 {
 	const char *runs = strchr(value, ' ');
 	char *end;
 
-	*runs_left = 1;
+	*out = (struct forwarded_mark){.runs_left = 1};
 	if (runs == NULL)
 		return *value != '\0';
 	if (*++runs < '0' || *runs > '9')
 		return false;
-	*runs_left = (uint32_t)strtoul(runs, &end, 10);
+	out->runs_left = (uint32_t)strtoul(runs, &end, 10);
+	if (*end == ' ')
+		out->config = read_config_word(end + 1);
 	return *end == '\0' || *end == ' ';
 }
 
@@ -226,8 +247,7 @@
 	if (!mesh_is_node_address(r, ld_exchange_sender(x)))
 		listen_refuse_here(r, x, "unknown-node", 0);
 	else if (!listen_read_forwarded(
-		     ld_exchange_header(x, RELAY_FORWARDED_FIELD),
-		     &facts.runs_left))
+		     ld_exchange_header(x, RELAY_FORWARDED_FIELD), &facts.mark))
 		listen_refuse_here(r, x, "unknown-version", 0);
 	else if (isolation_is_active(r))
 		listen_refuse_here(r, x, "isolated", 0);
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -32,7 +32,8 @@
 /* Largest head of a server's answer that is passed on, bytes. */
 #define RELAY_ANSWER_HEAD_MAX_BYTES ((size_t)16 * 1024)
 
-/* Names the node that forwards a request, and how many runs are left to it. */
+/* Names the node that forwards a request, how many runs are left to it, and the
+ * configuration by which it was accepted. */
 #define RELAY_FORWARDED_FIELD "Relay-Forwarded"
 
 struct control;
@@ -146,12 +147,22 @@
 /** listen_is_forwarded() - the request was marked by the node that forwards it */
 bool listen_is_forwarded(struct ld_exchange *x);
 /**
- * listen_read_forwarded() - read the mark: "NODE RUNS", behind which later
- * versions may add words
+ * struct forwarded_mark - what the node that forwards a request says of it
+ * @runs_left: of the bound on its runs
+ * @config: version of the configuration by which it was accepted, 0: not said
+ */
+struct forwarded_mark {
+	uint32_t runs_left;
+	int64_t config;
+};
+
+/**
+ * listen_read_forwarded() - read the mark: "NODE RUNS config=VERSION", behind which
+ * later versions may add words; earlier ones send less
  *
  * Return: false if it is of an unknown version.
  */
-bool listen_read_forwarded(const char *value, uint32_t *runs_left);
+bool listen_read_forwarded(const char *value, struct forwarded_mark *out);
 /**
  * listen_refuse() - refuse the request: status, reason, when to retry
  *
@@ -175,7 +186,7 @@
 	const struct ld_account *account; /* NULL on an anonymous route */
 	struct ld_str service;
 	bool forwarded; /* by another node */
-	uint32_t runs_left; /* if so: of the bound on its runs */
+	struct forwarded_mark mark; /* if so */
 };
 
 /** request_kind_may_repeat() - requests of the route may run more than once */
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -302,6 +302,7 @@
 	q->priority = request_priority(facts, r->dialect->priority_last);
 	q->service = ld_str_dup(facts->service);
 	q->kind = rule->kind;
+	q->config = r->routes->version;
 	q->retryable = request_kind_may_repeat(rule);
 	q->max_runs = rule->attempts > 0 ? rule->attempts : 1;
 	q->objective_ms = rule->objective_ms;
@@ -323,8 +324,8 @@
 	if (!q->forwarded)
 		ld_retry_count_request(
 		    retry_budget(r, q->service), relay_now(r));
-	else if (facts->runs_left < q->max_runs)
-		q->max_runs = facts->runs_left;
+	else if (facts->mark.runs_left < q->max_runs)
+		q->max_runs = facts->mark.runs_left;
 	ld_timer_start(ld_loop_timers(r->loop), &q->timer, q->deadline_ms);
 	request_send(q);
 }
--- a/lib/relay/request_internal.h
+++ b/lib/relay/request_internal.h
@@ -89,6 +89,7 @@
 	uint32_t priority; /* of the account if it has one, else of the route */
 	enum ld_request_kind kind;
 	bool retryable; /* it may run more than once */
+	int64_t config; /* version of the configuration that accepted it */
 	uint32_t max_runs; /* bound of possible_runs */
 	uint64_t start_ms;
 	uint64_t deadline_ms; /* the request fails then */
--- a/tests/faults/test_helper_refusals.c
+++ b/tests/faults/test_helper_refusals.c
@@ -14,6 +14,7 @@
 /* Longer than keys are accepted without the store. */
 #define KEYS_OUTDATED_MS 6000
 #define FORWARDED "Relay-Forwarded: n2 1"
+#define FORWARDED_BY_2 "Relay-Forwarded: n2 1 config=2"
 
 /* The node that forwards: its address is that of this test. */
 static void
@@ -24,25 +25,35 @@
 
 /* Sends it as the other node would; the body is freed. */
 static struct client
-forward(const char *method, const char *path)
+forward_with(const char *mark, const char *method, const char *path)
 {
 	struct client c;
 
-	start_field_at(&c, peers_address, method, path, FORWARDED);
+	start_field_at(&c, peers_address, method, path, mark);
 	wait_for(&c);
 	ld_buf_free(&c.body);
 	return c;
 }
 
-static void
-check_other_node(const char *method, const char *path)
+static struct client
+forward(const char *method, const char *path)
 {
-	struct client c = forward(method, path);
+	return forward_with(FORWARDED, method, path);
+}
 
+static void
+check_is_other_node(struct client c)
+{
 	CU_ASSERT_EQUAL(c.code, CODE_OTHER_NODE);
 	CU_ASSERT(c.not_run);
 }
 
+static void
+check_other_node(const char *method, const char *path)
+{
+	check_is_other_node(forward(method, path));
+}
+
 static void
 wait_until_listening(void)
 {
@@ -81,6 +92,28 @@
 	CU_ASSERT_EQUAL(forward("POST", "/book/a").code, 200);
 }
 
+/* The node that forwards has accepted the request by a later configuration, which may
+ * name another service for it. */
+static void
+test_an_older_configuration_runs_nothing(void)
+{
+	unsigned int before = arrivals();
+
+	check_is_other_node(forward_with(FORWARDED_BY_2, "POST", "/book/a"));
+	check_is_other_node(forward_with(FORWARDED_BY_2, "GET", "/look/a"));
+	check_is_other_node(forward_with(FORWARDED_BY_2, "GET", "/none/a"));
+	CU_ASSERT_EQUAL(arrivals(), before);
+	put_config(2, "\"k1\",\"k2\"", "null");
+	wait_until_applied();
+	CU_ASSERT_EQUAL(
+	    forward_with(FORWARDED_BY_2, "POST", "/book/a").code, 200);
+	/* A later one here is in force. */
+	put_config(3, "\"k1\",\"k2\"", "null");
+	wait_until_applied();
+	CU_ASSERT_EQUAL(
+	    forward_with(FORWARDED_BY_2, "POST", "/book/a").code, 200);
+}
+
 /* As of a node that the store turns away, or that is cut off from it; a client is
  * told when to come back. */
 static void
@@ -114,6 +147,8 @@
 		test_without_a_configuration_a_large_body_is_not_denied},
 	    {"forwarded requests are served",
 		test_forwarded_requests_are_served},
+	    {"an older configuration runs nothing",
+		test_an_older_configuration_runs_nothing},
 	    {"outdated keys are no refusal for other nodes",
 		test_outdated_keys_are_no_refusal_for_other_nodes},
 	    {NULL, NULL},
--- a/tests/unit/test_upgrade_later.c
+++ b/tests/unit/test_upgrade_later.c
@@ -233,26 +233,33 @@
 		const char *value;
 		bool known;
 		uint32_t runs;
+		int64_t config;
 	} rows[] = {
-	    {"n1 2", true, 2}, /* 49fd21d */
-	    {"n1 0", true, 0},
-	    {"n1", true, 1},
-	    {"n1 2 later", true, 2},
-	    {"n1 2 more=1 9", true, 2},
-	    {"n1 v2 3", false, 0},
-	    {"n1 2x", false, 0},
-	    {"n1 -1", false, 0},
-	    {"n1 ", false, 0},
-	    {"", false, 0},
+	    {"n1 2", true, 2, 0}, /* 49fd21d */
+	    {"n1 0", true, 0, 0},
+	    {"n1", true, 1, 0},
+	    {"n1 2 later", true, 2, 0},
+	    {"n1 2 more=1 9", true, 2, 0},
+	    {"n1 2 config=17", true, 2, 17},
+	    {"n1 2 config=17 more=1", true, 2, 17},
+	    {"n1 2 config=", true, 2, 0},
+	    {"n1 2 config=1x", true, 2, 0},
+	    {"n1 v2 3", false, 0, 0},
+	    {"n1 2x", false, 0, 0},
+	    {"n1 -1", false, 0, 0},
+	    {"n1 ", false, 0, 0},
+	    {"", false, 0, 0},
 	};
 
 	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-		uint32_t runs = 0;
-		bool known = listen_read_forwarded(rows[i].value, &runs);
+		struct forwarded_mark mark = {0};
+		bool known = listen_read_forwarded(rows[i].value, &mark);
 
 		CU_ASSERT_EQUAL(known, rows[i].known);
-		if (rows[i].known)
-			CU_ASSERT_EQUAL(runs, rows[i].runs);
+		if (!rows[i].known)
+			continue;
+		CU_ASSERT_EQUAL(mark.runs_left, rows[i].runs);
+		CU_ASSERT_EQUAL(mark.config, rows[i].config);
 	}
 }
 
