--- a/lib/relay/forward.c
+++ b/lib/relay/forward.c
@@ -7,7 +7,7 @@
 
 /* Nodes that one request is sent to at most. */
 #define FORWARDS_MAX 4
-/* A node that refused because it is isolated or stopping, or that could not be
+/* A node that refused for its own state without Retry-After, or that could not be
  * reached, gets no further requests for this time, ms. */
 #define EXCLUDE_MS 2000
 /* Retry-After of a request that no node can send to a server, ms. */
@@ -38,8 +38,10 @@
 send_exclude_node(struct send *s)
 {
 	struct relay *r = s->request->relay;
+	uint64_t ms = s->response.retry_after_ms;
 
-	mesh_exclude_helper(r, s->helper, relay_now(r) + EXCLUDE_MS);
+	mesh_exclude_helper(
+	    r, s->helper, relay_now(r) + (ms > 0 ? ms : EXCLUDE_MS));
 }
 
 static void
--- a/lib/relay/listen.c
+++ b/lib/relay/listen.c
@@ -10,6 +10,9 @@
 /* Retry-After of a node without a configuration or with outdated keys: reading
  * the store takes a few round trips. */
 #define NOT_READY_RETRY_MS 300
+/* The same to a node that has a later configuration: it reaches most nodes within this
+ * time. */
+#define CONFIG_LAG_MS 100
 /* Retry-After of a node that is shutting down: another node can take the
  * request at once. */
 #define STOPPING_RETRY_MS 20
@@ -64,10 +67,10 @@
 listen_refuse_here(struct relay *r, struct ld_exchange *x, const char *reason,
     uint64_t retry_after_ms)
 {
-	unsigned int code =
-	    listen_is_forwarded(x) ? RELAY_CODE_OTHER_NODE : 503;
-
-	listen_refuse(r, x, code, reason, retry_after_ms);
+	if (listen_is_forwarded(x))
+		listen_refuse(r, x, RELAY_CODE_OTHER_NODE, reason, 0);
+	else
+		listen_refuse(r, x, 503, reason, retry_after_ms);
 }
 
 /* ---- Framing ---- */
@@ -162,7 +165,8 @@
 	}
 	/* By an older one it might run at another service, or be denied. */
 	if (r->routes->version < facts.mark.config) {
-		listen_refuse_here(r, x, "config-outdated", NOT_READY_RETRY_MS);
+		listen_refuse(r, x, RELAY_CODE_OTHER_NODE, "config-outdated",
+		    CONFIG_LAG_MS);
 		return;
 	}
 	facts.rule = ld_routes_match(
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -56,7 +56,8 @@
  * The answers of a node to which a request is forwarded. Three kinds:
  * - a server's, passed on. It echoes the attempt's id.
  * - RELAY_CODE_OTHER_NODE: this node does not take the request, for a reason of its
- *   own. It has not run; the next node may take it.
+ *   own. It has not run; the next node may take it. Retry-After: for how long this
+ *   one takes none; else for some seconds.
  * - any other with LD_FIELD_NOT_EXECUTED, or a 5xx: it ends the request. No server has
  *   run it in the first case, one may have in the second.
  * What is none of these says nothing about the request, as no answer does.
@@ -173,7 +174,7 @@
 /**
  * listen_refuse_here() - refuse it for the state of this node; another may take it
  *
- * A client gets 503, a node that forwards it RELAY_CODE_OTHER_NODE.
+ * A client gets 503 and Retry-After, a node that forwards it RELAY_CODE_OTHER_NODE.
  */
 void listen_refuse_here(struct relay *r, struct ld_exchange *x,
     const char *reason, uint64_t retry_after_ms);
--- a/tests/faults/test_nodes_without_servers.c
+++ b/tests/faults/test_nodes_without_servers.c
@@ -343,6 +343,33 @@
 	run_for(STABLE_MS);
 }
 
+static void
+configure(struct ld_kv_store *in, int version)
+{
+	struct ld_kv_store *first = store;
+
+	store = in;
+	put_config(version, "\"k1\",\"k2\"", "null");
+	wait_until_applied();
+	store = first;
+}
+
+/* Less than a node is excluded for without a configuration, or keys. */
+#define LAG_MS 400
+
+/* Each configuration reaches one node before the others. */
+static void
+test_a_helper_that_lags_behind_helps_again_soon(void)
+{
+	end_doubts();
+	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+	configure(store, 4);
+	CU_ASSERT_NOT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+	configure(b.store, 4);
+	run_for(LAG_MS);
+	CU_ASSERT_EQUAL(code_of("GET", "/look/a", "k1"), 200);
+}
+
 #define MANY_FIELDS 300
 
 static bool
@@ -421,6 +448,8 @@
 		test_errors_of_servers_are_no_part_of_a_stream},
 	    {"a limit of the helper denies nothing",
 		test_a_limit_of_the_helper_denies_nothing},
+	    {"a helper that lags behind helps again soon",
+		test_a_helper_that_lags_behind_helps_again_soon},
 	    {"many fields arrive through a node",
 		test_many_fields_arrive_through_a_node},
 	    {"a helper that stops ends its streams",
